--- /dev/null
+++ b/cmd/measure/main.go
@@ -0,0 +1,63 @@
+// Command measure runs one experiment and prints its report as JSON.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rs/zerolog"
+
+	"crocuslug/measure"
+)
+
+// runLimit bounds one experiment.
+const runLimit = 50 * time.Second
+
+// entries lists all experiments in the order of list.
+func entries() []measure.Entry {
+	return slices.Concat[[]measure.Entry]()
+}
+
+func main() {
+	app := kingpin.New("measure", "Runs small experiments over loopback against stand-ins.")
+	list := app.Command("list", "List the experiments.")
+	run := app.Command("run", "Run one experiment and print its report as one JSON object.")
+	name := run.Arg("name", "Experiment, as list names it.").Required().String()
+	seed := run.Flag("seed", "Seed of all random choices.").Default("1").Uint64()
+	baseline := run.Flag("baseline", "Run the naive version.").Bool()
+	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	case list.FullCommand():
+		for _, e := range entries() {
+			fmt.Printf("%-20s %s\n", e.Name, e.Help)
+		}
+	case run.FullCommand():
+		log := zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr, NoColor: true}).With().Timestamp().Logger()
+		cfg := measure.Settings{Seed: *seed, Baseline: *baseline, Log: log}
+		if err := runOne(*name, cfg); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+}
+
+func runOne(name string, cfg measure.Settings) error {
+	for _, e := range entries() {
+		if e.Name != name {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), runLimit)
+		defer cancel()
+		r, err := e.Run(ctx, cfg)
+		if err != nil {
+			return err
+		}
+		r.Experiment, r.Seed, r.Baseline = name, cfg.Seed, cfg.Baseline
+		return json.NewEncoder(os.Stdout).Encode(r)
+	}
+	return fmt.Errorf("no experiment %q; see measure list", name)
+}
