Decide how a generation goes on through failures

Cause: an answer lives on one engine and one router; both fail midway. Ruled out: restart from scratch (repeats work, mixes two generations once something was delivered); a copy after delivery (the caller can hold what no instance holds).

--- /dev/null
+++ b/engineclient/stream.go
@@ -0,0 +1,158 @@
+package engineclient
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+	"github.com/valyala/fasthttp"
+	"github.com/zeebo/errs"
+
+	"crocuslug/generation"
+)
+
+// Stream is one stream of an engine on a connection of its own.
+type Stream struct {
+	dialLimit time.Duration
+
+	mu     sync.Mutex
+	conn   net.Conn
+	closed bool
+	name   string
+	resp   *fasthttp.Response
+}
+
+// Token is one event of a stream.
+type Token struct {
+	Index  int
+	Text   string
+	Finish string // the engine's reason; the event carries no token then
+}
+
+// Close ends the stream from any goroutine. Open and Read return then.
+func (s *Stream) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	if s.conn != nil {
+		_ = s.conn.Close()
+	}
+}
+
+// adopt keeps the connection, or closes it if the stream was closed meanwhile.
+func (s *Stream) adopt(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = conn.Close()
+		return false
+	}
+	s.conn = conn
+	return true
+}
+
+func (s *Stream) open(address, name string, req *fasthttp.Request) error {
+	s.name = name
+	conn, r, err := dial(address, s.dialLimit)
+	if err != nil {
+		return lost(dialCause(err), err)
+	}
+	if !s.adopt(conn) {
+		return lost(generation.Refused, errs.New("closed"))
+	}
+	w := bufio.NewWriter(conn)
+	if err := req.Write(w); err != nil {
+		return lost(generation.Reset, err)
+	}
+	if err := w.Flush(); err != nil {
+		return lost(generation.Reset, err)
+	}
+	s.resp = fasthttp.AcquireResponse()
+	s.resp.StreamBody = true
+	if err := s.resp.ReadLimitBody(r, 0); err != nil {
+		return lost(generation.Reset, err)
+	}
+	return statusError(s.resp.StatusCode())
+}
+
+// dialCause tells a refused connection from one that was not answered in time.
+func dialCause(err error) generation.Cause {
+	var ne net.Error
+	if errors.As(err, &ne) && ne.Timeout() {
+		return generation.TimedOut
+	}
+	return generation.Refused
+}
+
+func statusError(status int) error {
+	cause := generation.Rejected
+	switch status {
+	case fasthttp.StatusOK:
+		return nil
+	case fasthttp.StatusNotFound:
+		cause = generation.UnknownStream
+	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		cause = generation.Full
+	case fasthttp.StatusNotImplemented:
+		cause = generation.CannotContinue
+	}
+	return lost(cause, errs.New("engine answered %d", status))
+}
+
+// chunk is the part of a streamed completion that is read.
+type chunk struct {
+	ID      string `json:"id"`
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+}
+
+// doneData ends a stream of completions.
+const doneData = "[DONE]"
+
+// Read calls f for each token until the stream ends or f returns false. It
+// returns nil after the engine's own end, and a *Lost otherwise.
+func (s *Stream) Read(f func(Token) bool) error {
+	for ev, err := range sse.Read(s.resp.BodyStream(), nil) {
+		if err != nil {
+			return lost(generation.Reset, err)
+		}
+		if ev.Data == doneData {
+			return nil
+		}
+		t, err := s.token(ev)
+		if err != nil {
+			return lost(generation.Corrupt, err)
+		}
+		if !f(t) {
+			return nil
+		}
+	}
+	return lost(generation.Reset, errs.New("stream ended early"))
+}
+
+func (s *Stream) token(ev sse.Event) (Token, error) {
+	var c chunk
+	if err := json.Unmarshal([]byte(ev.Data), &c); err != nil {
+		return Token{}, errs.Wrap(err)
+	}
+	if c.ID != s.name || len(c.Choices) != 1 {
+		return Token{}, errs.New("event of stream %q on stream %q", c.ID, s.name)
+	}
+	if r := c.Choices[0].FinishReason; r != nil {
+		return Token{Finish: *r}, nil
+	}
+	i, err := strconv.Atoi(ev.LastEventID)
+	if err != nil {
+		return Token{}, errs.New("event without an index")
+	}
+	return Token{Index: i, Text: c.Choices[0].Delta.Content}, nil
+}
--- /dev/null
+++ b/generation/replica.go
@@ -0,0 +1,140 @@
+package generation
+
+import (
+	"time"
+
+	"crocuslug/ident"
+)
+
+// replica is what the machine knows of the instance that holds the copy.
+type replica struct {
+	id      ident.Instance
+	asked   bool          // a replica is being chosen
+	base    bool          // the next batch carries all of the generation
+	sent    int           // position sent
+	acked   int           // position acknowledged
+	floor   ident.Attempt // acknowledgements of lower attempts are of tokens that were dropped
+	lastAck time.Time     // last acknowledgement, or last send after none was due
+	retryAt time.Time     // when to look for one after none was found
+	avoid   []ident.Instance
+}
+
+// rebase makes the next batch carry the whole log.
+func (r *replica) rebase() {
+	r.base = true
+	r.sent, r.acked = 0, 0
+}
+
+func (m *Machine) chooseReplica(now time.Time) []Action {
+	if m.cfg.DisableReplic {
+		return nil
+	}
+	m.replica.asked = true
+	m.replica.lastAck = now
+	return []Action{{Kind: ChooseReplica, Avoid: m.replica.avoid}}
+}
+
+// ReplicaChosen tells which instance is to hold the copy. The empty id means
+// that none is in reach: tokens are then released without a copy until one is found.
+func (m *Machine) ReplicaChosen(now time.Time, id ident.Instance) []Action {
+	r := &m.replica
+	r.asked = false
+	r.id = id
+	r.lastAck = now
+	r.rebase()
+	if id == "" {
+		r.avoid = nil
+		r.retryAt = now.Add(m.cfg.ReplicaRetry)
+		return m.release(m.log.Position())
+	}
+	m.stats.ReplicaChanges++
+	return m.replicate(now)
+}
+
+// replicate sends what the replica lacks, or releases it if there is none.
+func (m *Machine) replicate(now time.Time) []Action {
+	r := &m.replica
+	if r.asked {
+		return nil
+	}
+	if r.id == "" {
+		return m.release(m.log.Position())
+	}
+	upto := m.log.Position()
+	if r.sent == upto && !r.base {
+		return nil
+	}
+	if r.acked == r.sent {
+		r.lastAck = now
+	}
+	act := Action{
+		Kind:    Replicate,
+		Replica: r.id,
+		Attempt: m.log.Attempt(),
+		From:    r.sent,
+		Upto:    upto,
+		Base:    r.base,
+	}
+	r.sent, r.base = upto, false
+	return []Action{act}
+}
+
+// ReplicaAck takes in that instance id holds the generation up to a position,
+// as sent under attempt a.
+func (m *Machine) ReplicaAck(now time.Time, id ident.Instance, a ident.Attempt, upto int) []Action {
+	r := &m.replica
+	if id != r.id || r.asked || m.phase == ended || upto > r.sent || a < r.floor {
+		return nil
+	}
+	r.lastAck = now
+	r.avoid = nil
+	r.acked = max(r.acked, upto)
+	return m.release(r.acked)
+}
+
+// ReplicaNeeds takes in that the replica lacks tokens before those sent.
+func (m *Machine) ReplicaNeeds(now time.Time, id ident.Instance) []Action {
+	if id != m.replica.id || m.replica.asked || m.phase == ended {
+		return nil
+	}
+	m.replica.rebase()
+	return m.replicate(now)
+}
+
+// ReplicaLost tells that instance id is out of reach.
+func (m *Machine) ReplicaLost(now time.Time, id ident.Instance) []Action {
+	if id != m.replica.id || m.replica.asked || m.phase == ended {
+		return nil
+	}
+	m.replica.avoid = append(m.replica.avoid, id)
+	m.replica.id = ""
+	return m.chooseReplica(now)
+}
+
+// tickReplica gives up on a replica that is overdue and looks for one if there is none.
+func (m *Machine) tickReplica(now time.Time) []Action {
+	r := &m.replica
+	switch {
+	case r.asked || m.cfg.DisableReplic:
+		return nil
+	case r.id == "":
+		if !m.Over() && !now.Before(r.retryAt) {
+			return m.chooseReplica(now)
+		}
+		return nil
+	case r.acked < r.sent && now.Sub(r.lastAck) > m.cfg.ReplicaLimit:
+		return m.ReplicaLost(now, r.id)
+	}
+	return nil
+}
+
+func (m *Machine) release(upto int) []Action {
+	if upto <= m.released {
+		return nil
+	}
+	if m.replica.id == "" && !m.cfg.DisableReplic {
+		m.stats.Unreplicated += upto - m.released
+	}
+	m.released = upto
+	return []Action{{Kind: Release, Upto: upto}}
+}
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -13,11 +13,25 @@
 // twice has two generations, and a cursor of one is no cursor of the other.
 type Generation string
 
-// Attempt numbers the owners and engine streams of one generation. It starts
-// at 1 and rises at every change of engine or owner; output that carries a
-// lower attempt than the current one is stale.
+// Attempt numbers the streams of one generation. The upper bits count its
+// owners, the lower ones the engine streams of the present owner, so that all
+// streams of a later owner have higher numbers than those of an earlier one.
+// Output that carries a lower attempt than the one in force is stale.
 type Attempt uint32
 
+// ownerShift is the number of bits that count the streams of one owner.
+const ownerShift = 20
+
+// Owner returns the number of takeovers that went before a.
+func (a Attempt) Owner() uint32 {
+	return uint32(a >> ownerShift)
+}
+
+// NextOwner returns the first attempt of the owner after that of a.
+func (a Attempt) NextOwner() Attempt {
+	return (a>>ownerShift + 1) << ownerShift
+}
+
 // Instance identifies one run of a daemon. A daemon that restarts is a new
 // instance with a higher incarnation of the same name.
 type Instance string
--- /dev/null
+++ b/owner/run.go
@@ -0,0 +1,163 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"crocuslug/engineclient"
+	"crocuslug/generation"
+	"crocuslug/ident"
+)
+
+// run is one engine stream of a generation under one attempt.
+type run struct {
+	g       *Generation
+	act     generation.Action
+	stream  *engineclient.Stream
+	next    int // index of the next token
+	paused  bool
+	stopped bool
+}
+
+func (r *run) close() {
+	r.stopped = true
+	r.stream.Close()
+	r.g.more.Broadcast()
+}
+
+// startRun replaces the present stream. It is called with g.mu held.
+func (g *Generation) startRun(a generation.Action) {
+	if g.stream != nil {
+		g.stream.close()
+	}
+	r := &run{g: g, act: a, stream: g.owner.ports.Engines.Prepare(), next: a.From}
+	g.stream = r
+	req := engineclient.Request{Stream: a.Stream}
+	if a.Kind == generation.StartStream {
+		spec := g.machine.Spec()
+		req.Body, req.Version, req.Adapter = spec.Body, spec.Version, spec.Adapter
+		req.Held = g.machine.Log().Tokens(0, a.From)
+	}
+	go r.run(req)
+}
+
+func (r *run) run(req engineclient.Request) {
+	g := r.g
+	ctx := propagation.TraceContext{}.Extract(context.Background(), propagation.MapCarrier(g.Trace))
+	ctx, span := g.owner.ports.Tracer.Start(ctx, "upstream stream", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(
+			attribute.String("upstream", string(r.act.Upstream)),
+			attribute.String("generation", string(g.machine.Spec().Generation)),
+			attribute.Int("attempt", int(r.act.Attempt)),
+			attribute.Int("from", r.act.From)))
+	defer span.End()
+	req.Trace = propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, req.Trace)
+	if err := r.follow(req); err != nil {
+		span.RecordError(err)
+		r.lost(err)
+	}
+}
+
+func (r *run) follow(req engineclient.Request) error {
+	address, ok := r.g.owner.ports.Address(r.act.Upstream)
+	if !ok {
+		return &engineclient.Lost{Cause: generation.Refused, Err: errors.New("engine is not configured")}
+	}
+	req.Address = address
+	if err := r.open(req); err != nil {
+		return err
+	}
+	r.g.event(func(now time.Time) []generation.Action {
+		r.g.machine.Opened(now, r.act.Attempt)
+		return nil
+	})
+	return r.stream.Read(r.take)
+}
+
+func (r *run) open(req engineclient.Request) error {
+	if r.act.Kind == generation.ResumeStream {
+		return r.g.owner.ports.Engines.Resume(r.stream, req, r.act.From)
+	}
+	return r.g.owner.ports.Engines.Start(r.stream, req)
+}
+
+// take takes in one event of the stream and reports whether to read on.
+func (r *run) take(t engineclient.Token) bool {
+	g := r.g
+	first := time.Duration(0)
+	g.event(func(now time.Time) []generation.Action {
+		if t.Finish != "" {
+			return g.machine.Finished(now, r.act.Attempt, r.next, t.Finish)
+		}
+		if g.machine.Log().Len() == 0 {
+			first = now.Sub(g.began)
+		}
+		r.next = t.Index + 1
+		return g.machine.Tokens(now, r.act.Attempt, t.Index, []string{t.Text})
+	})
+	if t.Finish == "" {
+		g.owner.ports.Progress(r.act.Upstream, g.Spec(), 1, first)
+	}
+	return r.wait()
+}
+
+// wait holds the stream back while the caller is too far behind.
+func (r *run) wait() bool {
+	g := r.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for g.ahead() && !r.stopped {
+		r.paused = true
+		g.machine.Pause(g.owner.ports.Timer.Now(), true)
+		g.more.Wait()
+	}
+	if r.paused {
+		r.paused = false
+		g.machine.Pause(g.owner.ports.Timer.Now(), false)
+	}
+	return !r.stopped
+}
+
+func (r *run) lost(err error) {
+	g := r.g
+	cause := generation.Reset
+	var l *engineclient.Lost
+	if errors.As(err, &l) {
+		cause = l.Cause
+	}
+	g.event(func(now time.Time) []generation.Action {
+		if r.stopped {
+			return nil
+		}
+		g.logLoss(r.act, cause, err)
+		return g.machine.StreamLost(now, r.act.Attempt, cause)
+	})
+}
+
+func (g *Generation) logLoss(a generation.Action, c generation.Cause, err error) {
+	spec := g.machine.Spec()
+	g.owner.ports.Log.Info().
+		Str("request", string(spec.Request)).
+		Str("generation", string(spec.Generation)).
+		Str("workspace", string(spec.Workspace)).
+		Uint32("attempt", uint32(a.Attempt)).
+		Str("upstream", string(a.Upstream)).
+		Int("cause", int(c)).
+		Int("tokens", g.machine.Log().Len()).
+		AnErr("error", err).
+		Msg("stream lost")
+}
+
+// Upstream returns the engine of the present stream, or "".
+func (g *Generation) Upstream() ident.Upstream {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	u, _ := g.machine.Engine()
+	return u
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,310 @@
+// Package settings reads and checks the settings file of a daemon.
+//
+// The file is JSON in Pascal case. Unknown fields, wrong units, clashing
+// addresses and missing values are refused together, each with its path and
+// what is allowed there. Secrets come from files or the environment and are
+// never printed.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"reflect"
+	"slices"
+	"sort"
+	"strings"
+
+	"crocuslug/ident"
+	"crocuslug/unit"
+)
+
+// Settings are all settings of a daemon.
+type Settings struct {
+	Name     string       // name of the instance's place; a restart under it is a new instance
+	Domain   ident.Domain // failure domain of the instance
+	Listen   string       // host:port for callers and operators
+	PeerAddr string       // host:port for other instances
+	Public   string       `json:",omitempty"` // host:port under which callers reach it; Listen if empty
+	Secret   Secret       // shared by all instances
+	Operator Secret       // bearer key of the first operator, until operators are configured
+	Platform Platform
+	Peers    []Peer        `json:",omitempty"` // known from the start, beside the instance list
+	Load     Load          `json:",omitempty"`
+	Limits   Limits        `json:",omitempty"`
+	Resume   Resume        `json:",omitempty"`
+	Trace    Trace         `json:",omitempty"`
+	LogLevel string        `json:",omitempty"` // debug, info, warn or error; info if empty
+	Leave    unit.Duration `json:",omitempty"` // longest graceful shutdown; 10m if 0
+}
+
+// Secret names where a secret is kept. One of the two is set.
+type Secret struct {
+	File        string `json:",omitempty"`
+	Environment string `json:",omitempty"`
+}
+
+// Platform says where the platform's services listen.
+type Platform struct {
+	KeyValue     string // host:port of the key-value service
+	InstanceList string `json:",omitempty"` // host:port of the instance list
+	ReadsPerSec  int    `json:",omitempty"` // budget of this instance; default if 0
+	WritesPerSec int    `json:",omitempty"`
+}
+
+// Peer is another instance.
+type Peer struct {
+	Instance ident.Instance
+	Domain   ident.Domain
+	Address  string // host:port for callers
+	PeerAddr string // host:port for instances
+}
+
+// Load sets how upstreams are chosen and work is admitted.
+type Load struct {
+	QueueLength int           `json:",omitempty"` // requests that wait at most; default if 0
+	QueueWait   unit.Duration `json:",omitempty"` // longest wait of a request without a deadline
+	RetryShare  float64       `json:",omitempty"` // retries as a share of requests; default if 0
+	SubsetSize  int           `json:",omitempty"` // engines whose load is asked for
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	BodyBytes   int           `json:",omitempty"`
+	MaxTokens   int           `json:",omitempty"` // of one answer
+	Connections int           `json:",omitempty"`
+	WriteLimit  unit.Duration `json:",omitempty"` // time limit of one write to a caller
+}
+
+// Resume sets how losses are found. Shorter limits resume sooner and cost more
+// work when an engine was only slow.
+type Resume struct {
+	GapFloor     unit.Duration `json:",omitempty"`
+	ProbeLimit   unit.Duration `json:",omitempty"`
+	CallerLimit  unit.Duration `json:",omitempty"` // how long a generation goes on without its caller
+	ReplicaLimit unit.Duration `json:",omitempty"`
+}
+
+// Trace says where spans go.
+type Trace struct {
+	Endpoint string  `json:",omitempty"` // host:port of an OTLP receiver over HTTP
+	File     string  `json:",omitempty"` // path, or "stdout"; used if Endpoint is empty
+	Share    float64 `json:",omitempty"` // share of requests that are traced; 0 means none unless the caller says so
+}
+
+// Problem is one thing wrong with settings.
+type Problem struct {
+	Path string // of the field
+	Text string // what is allowed
+}
+
+// String returns the path and the text.
+func (p Problem) String() string {
+	return p.Path + ": " + p.Text
+}
+
+// maxFileBytes bounds a settings file.
+const maxFileBytes = 1 << 20
+
+// Read reads the settings in file. Problems in its content are returned
+// together; the error is of reading the file.
+func Read(file string) (Settings, []Problem, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return Settings{}, nil, err
+	}
+	defer f.Close()
+	b, err := io.ReadAll(io.LimitReader(f, maxFileBytes))
+	if err != nil {
+		return Settings{}, nil, err
+	}
+	cfg, problems := Parse(b)
+	return cfg, problems, nil
+}
+
+// Parse reads settings and returns all problems in them, by path.
+func Parse(b []byte) (Settings, []Problem) {
+	var cfg Settings
+	var raw any
+	if err := json.Unmarshal(b, &raw); err != nil {
+		return cfg, []Problem{{"", "want JSON: " + err.Error()}}
+	}
+	problems := unknown(raw, reflect.TypeOf(cfg), "")
+	if err := decode(b, &cfg); err != nil {
+		return cfg, append(problems, *err)
+	}
+	problems = append(problems, cfg.check()...)
+	sort.Slice(problems, func(i, j int) bool { return problems[i].Path < problems[j].Path })
+	return cfg, problems
+}
+
+func decode(b []byte, cfg *Settings) *Problem {
+	err := json.NewDecoder(bytes.NewReader(b)).Decode(cfg)
+	var te *json.UnmarshalTypeError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &te):
+		return &Problem{te.Field, fmt.Sprintf("want %s, got %s", te.Type, te.Value)}
+	}
+	return &Problem{"", err.Error()}
+}
+
+// unknown returns a problem for each field of v that type t lacks.
+func unknown(v any, t reflect.Type, path string) []Problem {
+	var out []Problem
+	switch v := v.(type) {
+	case map[string]any:
+		if t.Kind() != reflect.Struct {
+			return nil
+		}
+		for name, value := range v {
+			p := strings.TrimPrefix(path+"."+name, ".")
+			f, ok := t.FieldByName(name)
+			if !ok {
+				out = append(out, Problem{p, "unknown field; allowed here: " + strings.Join(fields(t), ", ")})
+				continue
+			}
+			out = append(out, unknown(value, f.Type, p)...)
+		}
+	case []any:
+		if t.Kind() != reflect.Slice {
+			return nil
+		}
+		for i, value := range v {
+			out = append(out, unknown(value, t.Elem(), fmt.Sprintf("%s[%d]", path, i))...)
+		}
+	}
+	return out
+}
+
+func fields(t reflect.Type) []string {
+	names := make([]string, 0, t.NumField())
+	for i := range t.NumField() {
+		names = append(names, t.Field(i).Name)
+	}
+	return names
+}
+
+// levels are the values of LogLevel.
+var levels = []string{"", "debug", "info", "warn", "error"}
+
+func (cfg Settings) check() []Problem {
+	var out []Problem
+	bad := func(path, text string) { out = append(out, Problem{path, text}) }
+	if cfg.Name == "" {
+		bad("Name", "want the name of the instance's place")
+	}
+	if cfg.Domain == "" {
+		bad("Domain", "want the failure domain of the instance")
+	}
+	checkAddress(bad, "Listen", cfg.Listen, true)
+	checkAddress(bad, "PeerAddr", cfg.PeerAddr, true)
+	checkAddress(bad, "Public", cfg.Public, false)
+	checkAddress(bad, "Platform.KeyValue", cfg.Platform.KeyValue, true)
+	checkAddress(bad, "Platform.InstanceList", cfg.Platform.InstanceList, false)
+	checkAddress(bad, "Trace.Endpoint", cfg.Trace.Endpoint, false)
+	if cfg.Listen != "" && cfg.Listen == cfg.PeerAddr && !strings.HasSuffix(cfg.Listen, ":0") {
+		bad("PeerAddr", "clashes with Listen; want another port")
+	}
+	if cfg.Secret == (Secret{}) {
+		bad("Secret", "want File or Environment")
+	}
+	checkSecret(bad, "Secret", cfg.Secret)
+	checkSecret(bad, "Operator", cfg.Operator)
+	checkNumbers(bad, cfg)
+	if !slices.Contains(levels, cfg.LogLevel) {
+		bad("LogLevel", "want debug, info, warn or error")
+	}
+	seen := map[string]string{cfg.PeerAddr: "PeerAddr"}
+	for i, p := range cfg.Peers {
+		path := fmt.Sprintf("Peers[%d]", i)
+		checkAddress(bad, path+".Address", p.Address, true)
+		checkAddress(bad, path+".PeerAddr", p.PeerAddr, true)
+		if at, ok := seen[p.PeerAddr]; ok && !strings.HasSuffix(p.PeerAddr, ":0") {
+			bad(path+".PeerAddr", "clashes with "+at)
+		}
+		seen[p.PeerAddr] = path + ".PeerAddr"
+		if p.Instance == "" || p.Domain == "" {
+			bad(path, "want Instance and Domain")
+		}
+	}
+	return out
+}
+
+func checkAddress(bad func(path, text string), path, addr string, required bool) {
+	if addr == "" {
+		if required {
+			bad(path, "want host:port")
+		}
+		return
+	}
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil || port == "" {
+		bad(path, "want host:port, got "+addr)
+		return
+	}
+	if net.ParseIP(host) == nil {
+		bad(path, "want an IP number as host, got "+addr)
+	}
+}
+
+func checkSecret(bad func(path, text string), path string, s Secret) {
+	if s.File != "" && s.Environment != "" {
+		bad(path, "want File or Environment, not both")
+	}
+}
+
+func checkNumbers(bad func(path, text string), cfg Settings) {
+	for _, n := range []struct {
+		path string
+		v    int
+	}{
+		{"Platform.ReadsPerSec", cfg.Platform.ReadsPerSec},
+		{"Platform.WritesPerSec", cfg.Platform.WritesPerSec},
+		{"Load.QueueLength", cfg.Load.QueueLength},
+		{"Load.SubsetSize", cfg.Load.SubsetSize},
+		{"Limits.BodyBytes", cfg.Limits.BodyBytes},
+		{"Limits.MaxTokens", cfg.Limits.MaxTokens},
+		{"Limits.Connections", cfg.Limits.Connections},
+	} {
+		if n.v < 0 {
+			bad(n.path, "want no negative number")
+		}
+	}
+	for _, n := range []struct {
+		path string
+		v    float64
+	}{{"Trace.Share", cfg.Trace.Share}, {"Load.RetryShare", cfg.Load.RetryShare}} {
+		if n.v < 0 || n.v > 1 {
+			bad(n.path, "want a share from 0 to 1")
+		}
+	}
+}
+
+// Value returns the secret itself, or nil if none is named. It returns an error
+// if the file or variable cannot be read or is empty.
+func (s Secret) Value() ([]byte, error) {
+	switch {
+	case s.File != "":
+		b, err := os.ReadFile(s.File)
+		if err != nil {
+			return nil, err
+		}
+		if b = bytes.TrimSpace(b); len(b) == 0 {
+			return nil, fmt.Errorf("%s is empty", s.File)
+		}
+		return b, nil
+	case s.Environment != "":
+		v := os.Getenv(s.Environment)
+		if v == "" {
+			return nil, fmt.Errorf("environment variable %s is not set", s.Environment)
+		}
+		return []byte(v), nil
+	}
+	return nil, nil
+}
