--- a/owner/generation.go
+++ b/owner/generation.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"go.opentelemetry.io/otel/propagation"
+
 	"crocuslug/batch"
 	"crocuslug/cursor"
 	"crocuslug/generation"
@@ -32,7 +34,8 @@
 	recovered int
 	told      bool
 	abandoned bool
-	Trace     map[string]string // headers of the trace of the request, may be nil
+	trace     propagation.MapCarrier // headers of the request's trace, may be nil
+	finish    func(tokens int)       // called once when the generation is over, may be nil
 }
 
 func newGeneration(o *Owner, m *generation.Machine, held int) *Generation {
@@ -55,6 +58,24 @@
 	return g.machine.Stats()
 }
 
+// Description says how far a generation is.
+type Description struct {
+	Generation ident.Generation
+	Attempt    ident.Attempt
+	Position   int
+}
+
+// Describe returns how far the generation is.
+func (g *Generation) Describe() Description {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Description{
+		Generation: g.machine.Spec().Generation,
+		Attempt:    g.machine.Log().Attempt(),
+		Position:   g.machine.Log().Len(),
+	}
+}
+
 // event gives the machine an event and carries out its actions.
 func (g *Generation) event(f func(now time.Time) []generation.Action) {
 	g.mu.Lock()
@@ -172,6 +193,7 @@
 	g.releaseEngine(0)
 	if g.overAt.IsZero() {
 		g.overAt = now
+		g.finished()
 	}
 	if !g.told && (g.machine.Whole() || g.machine.Result() != nil) {
 		g.told = true
@@ -179,6 +201,14 @@
 	}
 }
 
+// finished gives back what admission counted.
+func (g *Generation) finished() {
+	if g.finish != nil {
+		go g.finish(g.machine.Log().Len())
+		g.finish = nil
+	}
+}
+
 // tick looks at time limits and reports whether the generation can be forgotten.
 func (g *Generation) tick(now time.Time) bool {
 	g.mu.Lock()
@@ -201,6 +231,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.abandoned = true
+	g.finished()
 	if g.stream != nil {
 		g.stream.close()
 	}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
 	"crocuslug/batch"
@@ -126,9 +127,13 @@
 	}
 }
 
-// Start begins a generation.
-func (o *Owner) Start(spec generation.Spec) *Generation {
-	return o.add(generation.New(o.cfg.Generation, spec), 0)
+// Start begins a generation. Carrier holds the headers of the request's trace
+// and may be nil. Finish is called once with the number of tokens when the
+// generation is over, and may be nil.
+func (o *Owner) Start(spec generation.Spec, carrier propagation.MapCarrier, finish func(tokens int)) *Generation {
+	g := newGeneration(o, generation.New(o.cfg.Generation, spec), 0)
+	g.trace, g.finish = carrier, finish
+	return o.add(g)
 }
 
 // Adopt goes on with a generation that was taken over. It returns an error if
@@ -146,17 +151,16 @@
 		Finish:   s.Finish,
 		Done:     s.Done,
 	})
-	return o.add(m, len(s.Tokens)), nil
+	return o.add(newGeneration(o, m, len(s.Tokens))), nil
 }
 
-func (o *Owner) add(m *generation.Machine, held int) *Generation {
-	g := newGeneration(o, m, held)
-	spec := m.Spec()
+func (o *Owner) add(g *Generation) *Generation {
+	spec := g.machine.Spec()
 	o.mu.Lock()
 	o.generations[spec.Generation] = g
 	o.byName[nameOf(spec)] = g
 	o.mu.Unlock()
-	g.event(func(now time.Time) []generation.Action { return m.Start(now) })
+	g.event(func(now time.Time) []generation.Action { return g.machine.Start(now) })
 	return g
 }
 
--- a/owner/run.go
+++ b/owner/run.go
@@ -48,7 +48,7 @@
 
 func (r *run) run(req engineclient.Request) {
 	g := r.g
-	ctx := propagation.TraceContext{}.Extract(context.Background(), propagation.MapCarrier(g.Trace))
+	ctx := propagation.TraceContext{}.Extract(context.Background(), g.trace)
 	ctx, span := g.owner.ports.Tracer.Start(ctx, "upstream stream", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(
 			attribute.String("upstream", string(r.act.Upstream)),
