Choose upstreams by two random choices, prefix affinity and room

Cause: several instances read the same lagging load reports, so sending to the least reported upstream makes herds, and round robin ignores both slow engines and prefix caches.

--- /dev/null
+++ b/routing/choose_test.go
@@ -0,0 +1,215 @@
+package routing
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"crocuslug/affinity"
+	"crocuslug/ident"
+	"crocuslug/prefix"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "7")
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1_000_000, 0)
+
+func newChooser(seed uint64, list []Candidate) *Chooser {
+	c := New(Settings{}, "home", rand.New(rand.NewPCG(seed, 1)).Uint64, affinity.New(affinity.Settings{}))
+	c.SetCandidates(list)
+	return c
+}
+
+// truth is the naive record that every decision is held against.
+type truth struct {
+	cand Candidate
+	out  bool
+	own  int
+}
+
+func (tr *truth) allowed(r Request) bool {
+	held := slices.Contains(tr.cand.Models, r.Model)
+	return !tr.out && !tr.cand.Leaving && held && !slices.Contains(r.Exclude, tr.cand.Upstream)
+}
+
+// TestInvariants applies arbitrary events and holds each decision against a
+// search of the whole list.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		models := []Model{{Name: "m"}, {Name: "n", Version: "2"}}
+		var list []Candidate
+		for i := range rapid.IntRange(1, 8).Draw(t, "engines") {
+			held := rapid.SliceOfNDistinct(rapid.SampledFrom(models), 1, 2, rapid.ID[Model]).Draw(t, "held")
+			list = append(list, Candidate{Upstream: name(i), Slots: 3, Models: held, Near: rapid.Bool().Draw(t, "near")})
+		}
+		c := newChooser(1, list)
+		c.cfg.MaxHops = rapid.IntRange(1, 2).Draw(t, "hops")
+		all := map[ident.Upstream]*truth{}
+		for _, cand := range list {
+			all[cand.Upstream] = &truth{cand: cand}
+		}
+		now := start
+		pick := func() *truth { return all[rapid.SampledFrom(list).Draw(t, "u").Upstream] }
+		for range rapid.IntRange(1, 80).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "dt")) * time.Millisecond)
+			switch rapid.IntRange(0, 7).Draw(t, "op") {
+			case 0:
+				tr := pick()
+				tr.out = !tr.out
+				c.SetOut(tr.cand.Upstream, tr.out)
+			case 1:
+				tr := pick()
+				tr.cand.Leaving = !tr.cand.Leaving
+				c.SetLeaving(tr.cand.Upstream, tr.cand.Leaving)
+			case 2:
+				tr := pick()
+				age := time.Duration(rapid.IntRange(0, 3000).Draw(t, "age")) * time.Millisecond
+				c.ReportLoad(Report{Upstream: tr.cand.Upstream, At: now.Add(-age), Running: rapid.IntRange(0, 5).Draw(t, "running")})
+			case 3:
+				if tr := pick(); tr.own > 0 {
+					tr.own--
+					c.Done(tr.cand.Upstream, now)
+				}
+			case 4:
+				if tr := pick(); tr.own > 0 {
+					tr.own--
+					c.Failed(tr.cand.Upstream, now)
+				}
+			case 5:
+				d := rapid.SampledFrom([]ident.Domain{"home", "east", "west"}).Draw(t, "domain")
+				c.ReportRoom(Room{Domain: d, Free: rapid.IntRange(0, 2).Draw(t, "free"), At: now})
+			default:
+				r := Request{
+					Model:        rapid.SampledFrom(models).Draw(t, "model"),
+					Blocks:       []prefix.Block{1, prefix.Block(rapid.IntRange(2, 4).Draw(t, "block"))},
+					PromptTokens: 128,
+					Exclude:      rapid.SliceOfN(rapid.SampledFrom([]ident.Upstream{name(0), name(1)}), 0, 2).Draw(t, "exclude"),
+					Resumed:      rapid.Bool().Draw(t, "resumed"),
+					Visited:      rapid.SampledFrom([][]ident.Domain{nil, {"east"}, {"east", "west"}}).Draw(t, "visited"),
+				}
+				check(t, c, all, r, now)
+			}
+		}
+		for u, tr := range all {
+			if got, want := c.engines[u].own, tr.own; got != want {
+				t.Fatalf("in flight at %s: got %d, want %d", u, got, want)
+			}
+		}
+	})
+}
+
+func check(t *rapid.T, c *Chooser, all map[ident.Upstream]*truth, r Request, now time.Time) {
+	usable, room := 0, 0
+	for u, tr := range all {
+		if !tr.allowed(r) {
+			continue
+		}
+		usable++
+		if c.free(c.engines[u], now) > 0 {
+			room++
+		}
+	}
+	d := c.Choose(r, now)
+	switch {
+	case d.Kind == Send:
+		if !all[d.Upstream].allowed(r) {
+			t.Fatalf("sent to %s, which is not allowed for %+v", d.Upstream, r)
+		}
+		if room == 0 && !r.Resumed {
+			t.Fatalf("new request sent to %s, which is full", d.Upstream)
+		}
+		all[d.Upstream].own++
+	case r.Resumed && usable > 0:
+		t.Fatalf("resumed request: got %v with %d upstreams left, want Send", d, usable)
+	case room > 0:
+		t.Fatalf("got %v with %d upstreams free, want Send", d, room)
+	case d.Kind == SpillTo:
+		if d.Domain == "home" || slices.Contains(r.Visited, d.Domain) || len(r.Visited) >= c.cfg.MaxHops {
+			t.Fatalf("spilled to %s after %v", d.Domain, r.Visited)
+		}
+	case (d.Kind == Wait) != (usable > 0):
+		t.Fatalf("got %v with %d upstreams", d, usable)
+	}
+}
+
+func name(i int) ident.Upstream {
+	return ident.Upstream(fmt.Sprintf("e%03d", i))
+}
+
+func TestSubsetEven(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 80).Draw(t, "instances")
+		k := rapid.IntRange(1, 120).Draw(t, "upstreams")
+		size := rapid.IntRange(1, 40).Draw(t, "size")
+		var instances []ident.Instance
+		var upstreams []ident.Upstream
+		for i := range n {
+			instances = append(instances, ident.Instance(fmt.Sprintf("i%03d", i)))
+		}
+		for i := range k {
+			upstreams = append(upstreams, name(i))
+		}
+		cover := make(map[ident.Upstream]int)
+		for _, me := range instances {
+			got := Subset(instances, me, upstreams, size)
+			if len(got) != min(size, k) {
+				t.Fatalf("subset size: got %d, want %d", len(got), min(size, k))
+			}
+			for _, u := range got {
+				cover[u]++
+			}
+		}
+		low, high := n, 0
+		for _, u := range upstreams {
+			low = min(low, cover[u])
+			high = max(high, cover[u])
+		}
+		if high-low > 1 {
+			t.Fatalf("coverage: got %d to %d, want a difference of at most 1", low, high)
+		}
+	})
+}
+
+func TestAffinityYieldsToLoad(t *testing.T) {
+	var list []Candidate
+	for i := range 8 {
+		list = append(list, Candidate{Upstream: name(i), Slots: 64, Near: true})
+	}
+	c := newChooser(3, list)
+	r := Request{Blocks: []prefix.Block{1, 2, 3, 4, 5, 6, 7, 8}, PromptTokens: 512}
+	first := c.Choose(r, start).Upstream
+	for range 4 {
+		if got := c.Choose(r, start).Upstream; got != first {
+			t.Errorf("idle: got %s, want %s, which holds the prefix", got, first)
+		}
+	}
+	c.ReportLoad(Report{Upstream: first, At: start, Running: 60})
+	if got := c.Choose(r, start).Upstream; got == first {
+		t.Errorf("loaded: got %s, want another", got)
+	}
+}
+
+func TestSlowEngineAvoided(t *testing.T) {
+	c := newChooser(3, []Candidate{{Upstream: "a", Near: true}, {Upstream: "b", Near: true}})
+	for i := range 60 {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		c.Tokens("a", 10, 200*time.Millisecond, now)
+		c.Tokens("b", 10, 800*time.Millisecond, now)
+	}
+	sent := map[ident.Upstream]int{}
+	for range 20 {
+		sent[c.Choose(Request{}, start.Add(time.Second)).Upstream]++
+	}
+	if sent["a"] <= sent["b"] {
+		t.Errorf("sent: got %v, want more to a than to the slower b", sent)
+	}
+}
