Tie replicated tokens to the base that they add to

An engine that could not continue made the answer start anew before anything was released; the base that tells the replica was lost, a later batch reached it, and the copy joined tokens of both answers. Ruled out: the attempt fence (the batch had the higher attempt and was in order). Change: each batch names the attempt of its base; the replica asks for a base if it holds another one, and takes over the stream's name only with its tokens.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -16,7 +16,8 @@
 type Append struct {
 	Generation ident.Generation
 	Attempt    ident.Attempt
-	From       int // index of the first token; 0 for a base
+	Origin     ident.Attempt // attempt under which the base was sent that this adds to
+	From       int           // index of the first token; 0 for a base
 	Tokens     []string
 	Done       bool   // the answer ends after these tokens
 	Finish     string // the engine's reason, if Done
@@ -55,6 +56,7 @@
 	fieldSpec       = 7
 	fieldUpstream   = 8
 	fieldStream     = 9
+	fieldOrigin     = 10
 )
 
 // Bits of the flags of an Append.
@@ -89,6 +91,7 @@
 	b = appendNumber(b, fieldAttempt, uint64(e.Attempt))
 	b = appendNumber(b, fieldFlags, flags)
 	b = appendNumber(b, fieldFrom, uint64(e.From))
+	b = appendNumber(b, fieldOrigin, uint64(e.Origin))
 	for _, t := range e.Tokens {
 		b = protowire.AppendTag(b, fieldToken, protowire.BytesType)
 		b = protowire.AppendString(b, t)
@@ -195,6 +198,8 @@
 			e.Generation = ident.Generation(fl.bytes)
 		case fieldAttempt:
 			e.Attempt = ident.Attempt(fl.value)
+		case fieldOrigin:
+			e.Origin = ident.Attempt(fl.value)
 		case fieldFlags:
 			e.Done = fl.value&flagDone != 0
 			e.Base = fl.value&flagBase != 0
--- a/generation/action.go
+++ b/generation/action.go
@@ -31,7 +31,8 @@
 	From     int
 	Upto     int
 	Base     bool
-	Resumed  bool // the engine is for a generation that was under way
+	Origin   ident.Attempt // attempt under which the base was sent that Replicate adds to
+	Resumed  bool          // the engine is for a generation that was under way
 	Replica  ident.Instance
 	Avoid    []ident.Instance // replicas not to choose
 	Result   *result.Error
--- a/generation/machine.go
+++ b/generation/machine.go
@@ -92,7 +92,7 @@
 	quiet    *silence.Detector
 	released int
 
-	replica replica
+	replica copyState
 
 	callerGone time.Time // zero while the caller is there
 	result     *result.Error
@@ -397,7 +397,6 @@
 	}
 	m.log.Restart(m.log.Attempt() + 1)
 	m.replica.rebase()
-	m.replica.floor = m.log.Attempt()
 	m.stats.Restarts++
 	return m.choose(now)
 }
--- a/generation/replica.go
+++ b/generation/replica.go
@@ -6,21 +6,21 @@
 	"crocuslug/ident"
 )
 
-// replica is what the machine knows of the instance that holds the copy.
-type replica struct {
+// copyState is what the machine knows of the instance that holds the copy.
+type copyState struct {
 	id      ident.Instance
 	asked   bool          // a replica is being chosen
 	base    bool          // the next batch carries all of the generation
 	sent    int           // position sent
 	acked   int           // position acknowledged
-	floor   ident.Attempt // acknowledgements of lower attempts are of tokens that were dropped
+	origin  ident.Attempt // attempt under which the last base was sent; earlier acknowledgements do not count
 	lastAck time.Time     // last acknowledgement, or last send after none was due
 	retryAt time.Time     // when to look for one after none was found
 	avoid   []ident.Instance
 }
 
 // rebase makes the next batch carry the whole log.
-func (r *replica) rebase() {
+func (r *copyState) rebase() {
 	r.base = true
 	r.sent, r.acked = 0, 0
 }
@@ -67,6 +67,9 @@
 	if r.acked == r.sent {
 		r.lastAck = now
 	}
+	if r.base {
+		r.origin = m.log.Attempt()
+	}
 	act := Action{
 		Kind:    Replicate,
 		Replica: r.id,
@@ -74,6 +77,7 @@
 		From:    r.sent,
 		Upto:    upto,
 		Base:    r.base,
+		Origin:  r.origin,
 	}
 	r.sent, r.base = upto, false
 	return []Action{act}
@@ -83,7 +87,7 @@
 // as sent under attempt a.
 func (m *Machine) ReplicaAck(now time.Time, id ident.Instance, a ident.Attempt, upto int) []Action {
 	r := &m.replica
-	if id != r.id || r.asked || m.phase == ended || upto > r.sent || a < r.floor {
+	if id != r.id || r.asked || m.phase == ended || upto > r.sent || a < r.origin {
 		return nil
 	}
 	r.lastAck = now
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -41,6 +41,7 @@
 type copied struct {
 	name     Name
 	owner    ident.Instance
+	origin   ident.Attempt // of the base that the tokens were added to
 	log      tokenlog.Log
 	spec     []byte
 	upstream ident.Upstream
@@ -85,20 +86,20 @@
 		return ack
 	}
 	if e.Base {
-		c = &copied{name: name, spec: e.Spec}
+		c = &copied{name: name, spec: e.Spec, origin: e.Origin}
 		s.copies[e.Generation] = c
 		s.byName[name] = e.Generation
-	} else if !known {
+	} else if !known || e.Origin != c.origin {
 		ack.Status = batch.Needs
 		return ack
 	}
-	c.owner, c.touched = from, now
-	c.upstream, c.stream = e.Upstream, e.Stream
 	c.log.Raise(e.Attempt)
 	if !c.take(e) {
 		ack.Status = batch.Needs
 		return ack
 	}
+	c.owner, c.touched = from, now
+	c.upstream, c.stream = e.Upstream, e.Stream
 	ack.Upto = c.log.Position()
 	return ack
 }
