Add peerlink: connections between instances

Cause: instances need control calls with codes and an ordered, cheap path for tokens, on connections that are found out when they go silent.

Ruled out: one connection a pair by a tie-break of ids (a race of dials then closes a connection that already carries frames); keeping a connection to every instance known (930 of them pinged twice a second pass the budget of control).

Change: frames over gnet on both sides, JSON-RPC 2.0 by jsonrpc2 over the same connection, mutual HMAC handshake, bounded queue with writes joined while one is in progress, pings and idle time-out, closing of unused connections, seams for one-way cuts and for a frozen process, counters of control and data bytes.

Seen failing, each with the mechanism taken out as a trial: proof not compared and frames taken before the handshake (TestHandshakeRefuses: call answered, message handled); no idle time-out (TestSilenceIsReplaced: got nothing down); no gate (TestFrozenPeerBoundsQueue: 18 frames handled while frozen); no bound on the queue (same test: got no Overloaded); several writes in progress (TestFramesInOrder: got 1105, want 1103).

Conclusion: holds on loopback under the race detector.

--- /dev/null
+++ b/peerlink/link_test.go
@@ -0,0 +1,284 @@
+package peerlink
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"crocuslug/ident"
+	"crocuslug/result"
+)
+
+const kindTest FrameKind = 7
+
+func codeOf(err error) result.Code {
+	var r *result.Error
+	if errors.As(err, &r) {
+		return r.Code
+	}
+	return result.OK
+}
+
+func echo(_ context.Context, from ident.Instance, params json.RawMessage) (any, error) {
+	if string(params) == `"refuse"` {
+		return nil, result.New(result.WorkspaceLimit, string(from)).After(time.Second)
+	}
+	return params, nil
+}
+
+func TestCallBothWays(t *testing.T) {
+	prepare := func(l *Link) { l.Handle("Echo", echo) }
+	a := start(t, Settings{Instance: "a"}, prepare)
+	b := start(t, Settings{Instance: "b"}, prepare)
+	introduce(a, b)
+	var wg sync.WaitGroup
+	for i := range 50 {
+		from, to := a, b
+		if i%2 == 1 {
+			from, to = b, a
+		}
+		wg.Go(func() {
+			var got int
+			if err := from.Call(t.Context(), to.cfg.Instance, "Echo", i, &got); err != nil || got != i {
+				t.Errorf("call %d: got %d, %v", i, got, err)
+			}
+		})
+	}
+	wg.Wait()
+	err := a.Call(t.Context(), "b", "Echo", "refuse", nil)
+	want := result.Error{Code: result.WorkspaceLimit, Run: result.RunNot, Detail: "a", RetryAfter: time.Second}
+	var got *result.Error
+	if !errors.As(err, &got) || *got != want {
+		t.Errorf("refusal: got %v, want %v", err, &want)
+	}
+	if got, want := codeOf(a.Call(t.Context(), "b", "None", nil, nil)), result.NotFound; got != want {
+		t.Errorf("unknown method: got %v, want %v", got, want)
+	}
+	if n := a.Bytes(); n.ControlSent == 0 || n.ControlReceived == 0 || n.DataSent != 0 {
+		t.Errorf("bytes: got %+v, want control only", n)
+	}
+}
+
+// TestFramesInOrder dials from both sides at once.
+func TestFramesInOrder(t *testing.T) {
+	const n = 5000
+	var links [2]*Link
+	var next [2]atomic.Uint32
+	done := make(chan int, 2)
+	for i, id := range []ident.Instance{"a", "b"} {
+		links[i] = start(t, Settings{Instance: id}, func(l *Link) {
+			l.HandleFrame(kindTest, func(_ ident.Instance, payload []byte) {
+				got, want := binary.BigEndian.Uint32(payload), next[i].Add(1)-1
+				if got != want {
+					t.Errorf("frame at %s: got %d, want %d", id, got, want)
+				}
+				if want == n-1 {
+					done <- i
+				}
+			})
+		})
+	}
+	introduce(links[0], links[1])
+	for i, l := range links {
+		go func() {
+			payload := make([]byte, 100)
+			for k := range uint32(n) {
+				binary.BigEndian.PutUint32(payload, k)
+				if err := l.SendFrame(links[1-i].cfg.Instance, kindTest, payload); err != nil {
+					t.Errorf("frame %d: %v", k, err)
+				}
+			}
+		}()
+	}
+	receive(t, done, "last frame")
+	receive(t, done, "last frame")
+}
+
+func TestHandshakeRefuses(t *testing.T) {
+	handled := false
+	b := start(t, Settings{Instance: "b"}, func(l *Link) {
+		l.Handle("Echo", func(context.Context, ident.Instance, json.RawMessage) (any, error) {
+			handled = true
+			return nil, nil
+		})
+		l.HandleFrame(kindTest, func(ident.Instance, []byte) { handled = true })
+	})
+	stranger := start(t, Settings{Instance: "a", Secret: []byte("other")}, nil)
+	lost := start(t, Settings{Instance: "c"}, nil)
+	stranger.SetAddress("b", b.Addr())
+	lost.SetAddress("old", b.Addr())
+	for to, l := range map[ident.Instance]*Link{"b": stranger, "old": lost} {
+		err := l.Call(t.Context(), to, "Echo", nil, nil)
+		var r *result.Error
+		if !errors.As(err, &r) || r.Code != result.PeerUnavailable || r.Run != result.RunNot {
+			t.Errorf("call to %s: got %v, want PeerUnavailable, not run", to, err)
+		}
+	}
+	early := [][]byte{
+		appendFrame(nil, kindTest, []byte("early")),
+		appendFrame(nil, kindCall, []byte(`{"jsonrpc":"2.0","method":"Echo"}`)),
+		{0, 0, 0, 0, 0},
+		{0xff, 0xff, 0xff, 0xff, 0},
+	}
+	for _, text := range early {
+		nc, err := net.Dial("tcp", b.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = nc.Write(text)
+		if n, _ := io.Copy(io.Discard, nc); n != 0 { // returns when b closes
+			t.Errorf("answer to %x: got %d bytes, want none", text, n)
+		}
+		_ = nc.Close()
+	}
+	if handled {
+		t.Error("handled: got a message before the handshake, want none")
+	}
+}
+
+func TestDownFailsAtOnce(t *testing.T) {
+	a := start(t, Settings{Instance: "a"}, nil)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.SetAddress("b", ln.Addr().String())
+	_ = ln.Close()
+	for _, to := range []ident.Instance{"b", "b", "nobody"} {
+		err := a.Call(t.Context(), to, "Echo", nil, nil)
+		var r *result.Error
+		if !errors.As(err, &r) || r.Code != result.PeerUnavailable || r.Run != result.RunNot {
+			t.Errorf("call to %s: got %v, want PeerUnavailable, not run", to, err)
+		}
+	}
+}
+
+func TestKillEndsCalls(t *testing.T) {
+	reached := make(chan struct{}, 1)
+	var a *Link
+	var up, down chan ident.Instance
+	a = start(t, Settings{Instance: "a"}, func(l *Link) { up, down = subscribe(l) })
+	b := New(Settings{Instance: "b", Secret: []byte("secret")}, a.timer, a.log)
+	b.Handle("Hang", func(ctx context.Context, _ ident.Instance, _ json.RawMessage) (any, error) {
+		reached <- struct{}{}
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	if err := b.Start(); err != nil {
+		t.Fatal(err)
+	}
+	a.SetAddress("b", b.Addr())
+	ended := make(chan error, 1)
+	go func() { ended <- a.Call(context.Background(), "b", "Hang", nil, nil) }()
+	receive(t, reached, "call")
+	receive(t, up, "up")
+	b.Kill()
+	var r *result.Error
+	if err := receive(t, ended, "end of call"); !errors.As(err, &r) || r.Run != result.RunUnknown {
+		t.Errorf("call: got %v, want an unknown outcome", err)
+	}
+	receive(t, down, "down")
+}
+
+// TestSilenceIsReplaced cuts one direction for a moment. The connection stays
+// silent although the cut has healed, and the next use gets a new one.
+func TestSilenceIsReplaced(t *testing.T) {
+	var cut atomic.Bool
+	var down chan ident.Instance
+	quick := Settings{IdlePing: 20 * time.Millisecond, IdleTimeout: 100 * time.Millisecond, UnusedTimeout: time.Hour}
+	quick.Instance = "a"
+	a := start(t, quick, func(l *Link) {
+		l.Cut = func(ident.Instance) bool { return cut.Load() }
+		_, down = subscribe(l)
+	})
+	quick.Instance = "b"
+	b := start(t, quick, func(l *Link) { l.Handle("Echo", echo) })
+	introduce(a, b)
+	if err := a.Call(t.Context(), "b", "Echo", 1, nil); err != nil {
+		t.Fatal(err)
+	}
+	cut.Store(true)
+	err := a.Call(t.Context(), "b", "Echo", 2, nil)
+	if got, want := codeOf(err), result.PeerUnavailable; got != want {
+		t.Errorf("call into the cut: got %v, want %v", err, want)
+	}
+	cut.Store(false)
+	receive(t, down, "down")
+	if err := a.Call(t.Context(), "b", "Echo", 3, nil); err != nil {
+		t.Errorf("call after the cut: got %v, want none", err)
+	}
+}
+
+// TestFrozenPeerBoundsQueue freezes the receiver until the queue is full.
+func TestFrozenPeerBoundsQueue(t *testing.T) {
+	var received atomic.Int64
+	slow := Settings{IdleTimeout: time.Hour, MaxQueueBytes: 1 << 20}
+	slow.Instance = "a"
+	a := start(t, slow, nil)
+	slow.Instance = "b"
+	last := make(chan struct{}, 1)
+	b := start(t, slow, func(l *Link) {
+		l.Handle("Echo", echo)
+		l.HandleFrame(kindTest, func(_ ident.Instance, payload []byte) {
+			received.Add(1)
+			if len(payload) == 1 {
+				last <- struct{}{}
+			}
+		})
+	})
+	introduce(a, b)
+	if err := a.Call(t.Context(), "b", "Echo", 1, nil); err != nil {
+		t.Fatal(err)
+	}
+	b.Pause(true)
+	payload := make([]byte, 64<<10)
+	sent := int64(0)
+	var err error
+	for deadline := time.Now().Add(waitLimit); err == nil && time.Now().Before(deadline); sent++ {
+		err = a.SendFrame("b", kindTest, payload)
+	}
+	sent--
+	if got, want := codeOf(err), result.Overloaded; got != want {
+		t.Fatalf("frames to a frozen peer: got %v, want %v", err, want)
+	}
+	if got := received.Load(); got > 1 {
+		t.Errorf("frames handled while frozen: got %d, want at most 1", got)
+	}
+	b.Pause(false)
+	for err != nil {
+		err = a.SendFrame("b", kindTest, []byte{1})
+		time.Sleep(time.Millisecond)
+	}
+	receive(t, last, "frame after the freeze")
+	if got, want := received.Load(), sent+1; got != want {
+		t.Errorf("frames: got %d, want %d", got, want)
+	}
+}
+
+func FuzzDecodeFrame(f *testing.F) {
+	f.Add(appendFrame(appendFrame(nil, kindCall, []byte("{}")), kindTest, nil))
+	f.Add([]byte{0, 0, 0, 0, 1})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 1, 2})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var again []byte
+		rest := b
+		for {
+			kind, payload, size, err := decodeFrame(rest, 64)
+			if err != nil || size > len(rest) {
+				break
+			}
+			again = appendFrame(again, kind, payload)
+			rest = rest[size:]
+		}
+		if got, want := string(again), string(b[:len(b)-len(rest)]); got != want {
+			t.Errorf("frames written again: got %x, want %x", got, want)
+		}
+	})
+}
