Put the parts of an instance together

Cause: the parts of a generation need sockets, peers and a choice of engines. Ruled out: a framework that discovers its parts; wiring by hand reads more easily. Change: daemon, control loop, rendezvous order, HTTP routes, metrics. The list of instances is taken from the settings until membership is wired.

--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,207 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+	"github.com/zeebo/errs"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"crocuslug/access"
+	"crocuslug/configuration"
+	"crocuslug/control"
+	"crocuslug/gateway"
+	"crocuslug/ident"
+	"crocuslug/outbox"
+	"crocuslug/owner"
+	"crocuslug/peerlink"
+	"crocuslug/replica"
+	"crocuslug/routing"
+	"crocuslug/settings"
+	"crocuslug/takeover"
+	"crocuslug/timer"
+)
+
+// Options are what a Daemon needs beside its settings. Only Timer is required.
+type Options struct {
+	Timer    *timer.Service
+	Log      zerolog.Logger
+	Tracer   trace.Tracer
+	Document *configuration.Document // in force until the platform tells a newer one
+	Owner    owner.Settings
+	Replica  replica.Settings
+	Takeover takeover.Settings
+	Routing  routing.Settings
+	Gateway  gateway.Settings
+	Seed     uint64 // of all random choices; 0 draws one
+	Cut      func(to ident.Instance) bool
+	CutFrom  func(from ident.Instance) bool
+}
+
+// Daemon is one instance of the system.
+type Daemon struct {
+	cfg settings.Settings
+	opt Options
+	id  ident.Instance
+	log zerolog.Logger
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+
+	loop     *control.Loop
+	link     *peerlink.Link
+	outbox   *outbox.Outbox
+	owner    *owner.Owner
+	replicas *replica.Store
+	taker    *takeover.Taker
+	gateway  *gateway.Gateway
+	chooser  *routing.Chooser
+	server   *fasthttp.Server
+	listener net.Listener
+	conns    connections
+
+	metrics   *meters
+	bootstrap string // hash of the first operator's key, or ""
+	keys      atomic.Pointer[access.Keys]
+	doc       atomic.Pointer[document]
+	leaving   atomic.Bool
+	subs      []*timer.Subscription
+}
+
+// New builds an instance that is not started. Secrets of cfg are read. It
+// returns an error if one cannot be read.
+func New(cfg settings.Settings, opt Options) (*Daemon, error) {
+	secret, err := cfg.Secret.Value()
+	if err != nil {
+		return nil, errs.Wrap(err)
+	}
+	key, err := cfg.Operator.Value()
+	if err != nil {
+		return nil, errs.Wrap(err)
+	}
+	if opt.Tracer == nil {
+		opt.Tracer = noop.NewTracerProvider().Tracer("")
+	}
+	d := &Daemon{cfg: cfg, opt: opt, id: ident.Instance(cfg.Name), loop: control.New()}
+	d.log = opt.Log.With().Str("instance", string(d.id)).Str("domain", string(cfg.Domain)).Logger()
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.conns.open = make(map[net.Conn]struct{})
+	d.buildLoad()
+	d.buildPeers(secret)
+	d.buildGenerations()
+	d.buildConfiguration(key)
+	d.buildRoutes()
+	return d, nil
+}
+
+// Start opens the sockets and begins to serve.
+func (d *Daemon) Start() error {
+	l, err := net.Listen("tcp", d.cfg.Listen)
+	if err != nil {
+		return errs.Wrap(err)
+	}
+	d.listener = l
+	if err := d.link.Start(); err != nil {
+		_ = l.Close()
+		return errs.Wrap(err)
+	}
+	d.goRun(func() { d.loop.Run(d.ctx) })
+	d.owner.Run()
+	d.every(expireInterval, func(now time.Time) { d.replicas.Expire(now) })
+	d.goRun(func() {
+		if err := d.server.Serve(d.conns.wrap(l)); err != nil {
+			d.log.Error().Err(err).Msg("serving ended")
+		}
+	})
+	d.log.Info().Str("listen", d.Addr()).Str("peer", d.link.Addr()).Msg("started")
+	return nil
+}
+
+// expireInterval is the interval in which copies past their retention are dropped.
+const expireInterval = 5 * time.Second
+
+func (d *Daemon) goRun(f func()) {
+	d.running.Add(1)
+	go func() {
+		defer d.running.Done()
+		f()
+	}()
+}
+
+func (d *Daemon) every(interval time.Duration, f func(now time.Time)) {
+	d.subs = append(d.subs, d.opt.Timer.Every(interval, f))
+}
+
+// ID returns the instance's id.
+func (d *Daemon) ID() ident.Instance {
+	return d.id
+}
+
+// Addr returns the address for callers.
+func (d *Daemon) Addr() string {
+	return d.listener.Addr().String()
+}
+
+// PeerAddr returns the address for other instances.
+func (d *Daemon) PeerAddr() string {
+	return d.link.Addr()
+}
+
+// leavePoll is the interval of asking whether all work is done.
+const leavePoll = 50 * time.Millisecond
+
+// Leave begins a graceful shutdown and returns when all work in progress is
+// done or ctx has ended. New work is refused meanwhile.
+func (d *Daemon) Leave(ctx context.Context) error {
+	if !d.leaving.Swap(true) {
+		d.log.Info().Msg("leaving")
+	}
+	done := make(chan struct{})
+	var once sync.Once
+	sub := d.opt.Timer.Every(leavePoll, func(time.Time) {
+		if active, _, _ := d.owner.Load(); active == 0 {
+			once.Do(func() { close(done) })
+		}
+	})
+	defer sub.Stop()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return errs.Wrap(ctx.Err())
+	}
+}
+
+// Stop ends the instance. Callers still connected are cut off, so Leave goes
+// before it in a planned stop.
+func (d *Daemon) Stop() {
+	d.halt()
+	d.link.Stop()
+	d.running.Wait()
+}
+
+// Kill ends the instance as a crash would: connections are reset and nobody is told.
+func (d *Daemon) Kill() {
+	d.conns.reset()
+	d.link.Kill()
+	d.halt()
+	d.running.Wait()
+}
+
+func (d *Daemon) halt() {
+	for _, s := range d.subs {
+		s.Stop()
+	}
+	_ = d.listener.Close()
+	d.owner.Stop()
+	d.conns.close()
+	d.cancel()
+	d.outbox.Stop()
+}
--- /dev/null
+++ b/daemon/peers.go
@@ -0,0 +1,52 @@
+package daemon
+
+import (
+	"slices"
+
+	"crocuslug/generation"
+	"crocuslug/ident"
+	"crocuslug/peerlink"
+	"crocuslug/rendezvous"
+	"crocuslug/replica"
+)
+
+// buildPeers wires the link to the other instances.
+func (d *Daemon) buildPeers(secret []byte) {
+	d.link = peerlink.New(peerlink.Settings{
+		Instance: d.id,
+		Domain:   d.cfg.Domain,
+		Listen:   d.cfg.PeerAddr,
+		Secret:   secret,
+	}, d.opt.Timer, d.log)
+	d.link.Cut = d.opt.Cut
+	d.link.CutFrom = d.opt.CutFrom
+	for _, p := range d.cfg.Peers {
+		d.link.SetAddress(p.Instance, p.PeerAddr)
+	}
+}
+
+// live returns the live instances of the failure domain, this one included.
+func (d *Daemon) live() []ident.Instance {
+	out := []ident.Instance{d.id}
+	for _, p := range d.cfg.Peers {
+		if p.Domain == d.cfg.Domain && p.Instance != d.id {
+			out = append(out, p.Instance)
+		}
+	}
+	return out
+}
+
+// order returns the other live instances, the likeliest holder of n first.
+func (d *Daemon) holders(n replica.Name) []ident.Instance {
+	out := rendezvous.Order(string(n.Workspace)+"/"+string(n.Request), d.live())
+	return slices.DeleteFunc(out, func(id ident.Instance) bool { return id == d.id })
+}
+
+func (d *Daemon) chooseReplica(spec generation.Spec, avoid []ident.Instance) ident.Instance {
+	for _, id := range d.holders(replica.Name{Workspace: spec.Workspace, Request: spec.Request}) {
+		if !slices.Contains(avoid, id) {
+			return id
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/daemon/routes.go
@@ -0,0 +1,76 @@
+package daemon
+
+import (
+	"github.com/fasthttp/router"
+	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+
+	"crocuslug/problem"
+	"crocuslug/result"
+)
+
+// Bounds of the HTTP server.
+const (
+	defaultBodyBytes   = 4 << 20
+	defaultConnections = 16384
+)
+
+// buildRoutes wires the HTTP server.
+func (d *Daemon) buildRoutes() {
+	r := router.New()
+	r.POST("/v1/chat/completions", d.gateway.Completions)
+	r.GET("/v1/generations/{request}", d.gateway.Generations)
+	r.GET("/healthz", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok\n") })
+	r.GET("/readyz", d.ready)
+	r.GET("/metrics", d.writeMetrics)
+	r.NotFound = func(ctx *fasthttp.RequestCtx) {
+		problem.Write(ctx, result.New(result.NotFound, "no such path"), "")
+	}
+	r.MethodNotAllowed = func(ctx *fasthttp.RequestCtx) {
+		problem.Write(ctx, result.New(result.MethodNotAllowed, "see the Allow header"), "")
+	}
+	d.server = &fasthttp.Server{
+		Handler:               r.Handler,
+		ErrorHandler:          d.malformed,
+		Name:                  "crocuslug",
+		MaxRequestBodySize:    orDefault(d.cfg.Limits.BodyBytes, defaultBodyBytes),
+		Concurrency:           orDefault(d.cfg.Limits.Connections, defaultConnections),
+		NoDefaultServerHeader: true,
+		Logger:                quiet{},
+	}
+}
+
+func orDefault(v, def int) int {
+	if v == 0 {
+		return def
+	}
+	return v
+}
+
+// quiet drops the server's own log lines; malformed requests are answered.
+type quiet struct{}
+
+// Printf drops a line.
+func (quiet) Printf(string, ...any) {}
+
+// malformed answers a request that could not be read.
+func (d *Daemon) malformed(ctx *fasthttp.RequestCtx, err error) {
+	code := result.Malformed
+	if err == fasthttp.ErrBodyTooLarge {
+		code = result.TooLarge
+	}
+	problem.Write(ctx, result.New(code, "the request could not be read"), "")
+}
+
+func (d *Daemon) ready(ctx *fasthttp.RequestCtx) {
+	if d.leaving.Load() {
+		problem.Write(ctx, result.New(result.InstanceLeaving, "leaving"), "")
+		return
+	}
+	ctx.SetBodyString("ready\n")
+}
+
+func (d *Daemon) writeMetrics(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType("application/json")
+	metrics.WriteJSONOnce(d.metrics.registry, ctx)
+}
--- a/owner/generation.go
+++ b/owner/generation.go
@@ -58,6 +58,13 @@
 	return g.machine.Stats()
 }
 
+// Result returns how the answer ended, or nil if it goes on or is whole.
+func (g *Generation) Result() *result.Error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.machine.Result()
+}
+
 // Description says how far a generation is.
 type Description struct {
 	Generation ident.Generation
@@ -160,6 +167,7 @@
 		Attempt:    a.Attempt,
 		From:       a.From,
 		Base:       a.Base,
+		Origin:     a.Origin,
 	}
 	e.Upstream, e.Stream = g.machine.Engine()
 	n := min(a.Upto, log.Len())
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -232,6 +232,13 @@
 	}
 }
 
+// ReplicaLostBy tells that what generation id sent to an instance has not left.
+func (o *Owner) ReplicaLostBy(id ident.Generation, to ident.Instance) {
+	if g, ok := o.get(id); ok {
+		g.event(func(now time.Time) []generation.Action { return g.machine.ReplicaLost(now, to) })
+	}
+}
+
 // Load returns the number of generations that are not over, and of all that are
 // held, with the memory of their tokens in bytes.
 func (o *Owner) Load() (active, held, size int) {
