Add the other stand-ins and their command

The store of standinkeyvalue did not do what its comments said: rates, the bound on values and stale reads were absent, the history grew without end, and a waiting watch did not see the keys of a lapsed lease go unless somebody called.

Change: standinservice counts runs by key; standininstances lags; standinkeyvalue has rates by second, the bound, stale reads, a bounded history (platform.Trimmed with the version to go on from) and an HTTP server; the fetching client is package instancelist. standinnetwork.Server gives all of them Kill, Freeze, Thaw, Silence, Leave and Restart.

Conclusion: the counts of runs stay true under each fault of the plain service (TestFaultsKeepTheCountsTrue), and a fetch goes on after open connections went silent (TestFetchFollowsTheLag); the parser of the list was fuzzed for 5 s.

--- /dev/null
+++ b/instancelist/client.go
@@ -0,0 +1,82 @@
+package instancelist
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/zeebo/errs"
+)
+
+// Settings describe a client.
+type Settings struct {
+	Address  string        // host:port of the platform's service
+	Timeout  time.Duration // limit of one fetch; 0 means 2 s
+	MaxBytes int           // limit of the size of a list; 0 means 16 MiB
+}
+
+// Client fetches the list. Its methods may be called from any goroutine.
+type Client struct {
+	cfg  Settings
+	http *fasthttp.HostClient
+}
+
+// Defaults of Settings.
+const (
+	defaultTimeout  = 2 * time.Second
+	defaultMaxBytes = 16 << 20
+)
+
+// New returns a client.
+func New(cfg Settings) *Client {
+	if cfg.Timeout == 0 {
+		cfg.Timeout = defaultTimeout
+	}
+	if cfg.MaxBytes == 0 {
+		cfg.MaxBytes = defaultMaxBytes
+	}
+	return &Client{cfg: cfg, http: &fasthttp.HostClient{
+		Addr:                      cfg.Address,
+		MaxResponseBodySize:       cfg.MaxBytes,
+		MaxIdemponentCallAttempts: 1,
+	}}
+}
+
+// answer is what a call in progress comes to.
+type answer struct {
+	list List
+	err  error
+}
+
+// Fetch returns the list as the platform shows it now. It returns an error if
+// the list cannot be had in time or is not well formed. Each call uses a
+// connection of its own, because a kept one may have gone silent.
+func (c *Client) Fetch(ctx context.Context) (List, error) {
+	done := make(chan answer, 1)
+	go func() {
+		l, err := c.fetch()
+		done <- answer{l, err}
+	}()
+	select {
+	case a := <-done:
+		return a.list, a.err
+	case <-ctx.Done():
+		return List{}, errs.Wrap(ctx.Err())
+	}
+}
+
+func (c *Client) fetch() (List, error) {
+	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	req.SetRequestURI("http://" + c.cfg.Address + "/v1/instances")
+	req.SetConnectionClose()
+	if err := c.http.DoTimeout(req, res, c.cfg.Timeout); err != nil {
+		return List{}, errs.Wrap(err)
+	}
+	if got := res.StatusCode(); got != http.StatusOK {
+		return List{}, errs.New("status %d, want %d", got, http.StatusOK)
+	}
+	return Parse(res.Body())
+}
--- a/standinengine/engine.go
+++ b/standinengine/engine.go
@@ -137,14 +137,7 @@
 	e.life = l
 	l.takeLoad(e.timer.Now())
 	l.tick = e.timer.Every(e.cfg.TokenInterval, func(now time.Time) { e.step(l, now) })
-	srv := &fasthttp.Server{
-		Handler:               func(ctx *fasthttp.RequestCtx) { e.handle(l, ctx) },
-		NoDefaultServerHeader: true,
-		NoDefaultDate:         true,
-		MaxRequestBodySize:    maxBody,
-		MaxIdleWorkerDuration: time.Second,
-		Logger:                quiet{},
-	}
+	srv := standinnetwork.NewHTTP(func(ctx *fasthttp.RequestCtx) { e.handle(l, ctx) })
 	go func() {
 		defer close(l.served)
 		_ = srv.Serve(listener)
@@ -152,15 +145,6 @@
 	return nil
 }
 
-// maxBody bounds a request, in bytes.
-const maxBody = 8 << 20
-
-// quiet drops the log lines of the server about lost connections.
-type quiet struct{}
-
-// Printf drops the line.
-func (quiet) Printf(string, ...any) {}
-
 func initialState(models []Model) stateReport {
 	s := stateReport{Role: "serve"}
 	for _, m := range models {
--- a/standinengine/output.go
+++ b/standinengine/output.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/valyala/fasthttp"
+
+	"crocuslug/standinnetwork"
 )
 
 // finishLength is the reason by which every answer of the stand-in ends.
@@ -131,7 +133,7 @@
 	}
 	reason := finishLength
 	prompt, made := s.bytes/bytesPerToken, max(s.limit-s.base, 0)
-	writeJSON(ctx, http.StatusOK, chunk{
+	standinnetwork.WriteJSON(ctx, http.StatusOK, chunk{
 		ID: s.id, Object: "chat.completion", Model: s.model.Model, Version: s.model.Version,
 		Choices: []choice{{Message: &message{"assistant", text.String()}, FinishReason: &reason}},
 		Usage:   &usage{prompt, made, prompt + made},
--- a/standinengine/server.go
+++ b/standinengine/server.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 
 	"github.com/valyala/fasthttp"
 
 	"crocuslug/prefix"
+	"crocuslug/standinnetwork"
 	"crocuslug/unit"
 )
 
@@ -40,7 +42,7 @@
 		e.handleFault(ctx)
 		return
 	case callsPath:
-		writeJSON(ctx, http.StatusOK, e.Counters())
+		standinnetwork.WriteJSON(ctx, http.StatusOK, e.Counters())
 		return
 	}
 	if !e.waitThawed(l) {
@@ -60,7 +62,7 @@
 		e.mu.Lock()
 		s := l.state.clone()
 		e.mu.Unlock()
-		writeJSON(ctx, http.StatusOK, s)
+		standinnetwork.WriteJSON(ctx, http.StatusOK, s)
 	case path == eventsPath && ctx.IsGet():
 		e.handleEvents(l, ctx)
 	case path == ordersPath && ctx.IsPost():
@@ -165,7 +167,7 @@
 		status, text = http.StatusServiceUnavailable, "leaving"
 	case m == nil:
 		status, text = http.StatusNotFound, "model is not loaded"
-	case r.Adapter != "" && !contains(m.Adapters, r.Adapter):
+	case r.Adapter != "" && !slices.Contains(m.Adapters, r.Adapter):
 		status, text = http.StatusNotFound, "adapter is not loaded"
 	case s.base > 0 && e.cfg.CannotContinue:
 		status, text = http.StatusNotImplemented, "cannot continue from tokens"
@@ -182,15 +184,6 @@
 	return status, text
 }
 
-func contains(list []string, v string) bool {
-	for _, x := range list {
-		if x == v {
-			return true
-		}
-	}
-	return false
-}
-
 func (e *Engine) handleResume(l *life, ctx *fasthttp.RequestCtx, id string) {
 	e.mu.Lock()
 	s := l.batch.streams[id]
@@ -229,7 +222,7 @@
 	r := l.load
 	r.AgeMs = e.timer.Now().Sub(l.loadTime).Milliseconds()
 	e.mu.Unlock()
-	writeJSON(ctx, http.StatusOK, r)
+	standinnetwork.WriteJSON(ctx, http.StatusOK, r)
 }
 
 func (e *Engine) handleEvents(l *life, ctx *fasthttp.RequestCtx) {
@@ -241,7 +234,7 @@
 	e.mu.Lock()
 	out := l.batch.cache.since(e.timer.Now(), after)
 	e.mu.Unlock()
-	writeJSON(ctx, http.StatusOK, out)
+	standinnetwork.WriteJSON(ctx, http.StatusOK, out)
 }
 
 func (e *Engine) handleOrder(l *life, ctx *fasthttp.RequestCtx) {
@@ -261,7 +254,7 @@
 		fail(ctx, http.StatusBadRequest, "order makes no sense")
 	default:
 		e.counters.OrdersTaken++
-		writeJSON(ctx, http.StatusOK, l.state.clone())
+		standinnetwork.WriteJSON(ctx, http.StatusOK, l.state.clone())
 	}
 }
 
@@ -293,16 +286,6 @@
 	ctx.SetStatusCode(http.StatusNoContent)
 }
 
-func writeJSON(ctx *fasthttp.RequestCtx, status int, v any) {
-	body, err := json.Marshal(v)
-	if err != nil {
-		panic(err) // the types of this package can be written
-	}
-	ctx.SetStatusCode(status)
-	ctx.SetContentType("application/json")
-	ctx.SetBody(body)
-}
-
 func fail(ctx *fasthttp.RequestCtx, status int, text string) {
-	writeJSON(ctx, status, errorBody{errorText{text, http.StatusText(status)}})
+	standinnetwork.WriteJSON(ctx, status, errorBody{errorText{text, http.StatusText(status)}})
 }
--- /dev/null
+++ b/standinkeyvalue/server.go
@@ -0,0 +1,206 @@
+package standinkeyvalue
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/zeebo/errs"
+
+	"crocuslug/platform"
+	"crocuslug/standinnetwork"
+	"crocuslug/unit"
+)
+
+// Server answers for a Store over HTTP. What the store holds outlives a Kill.
+type Server struct {
+	*standinnetwork.Server
+	store *Store
+}
+
+// NewServer returns a server of s on an address ("" means 127.0.0.1:0) that is
+// down until Start. It calls exit after Kill, unless that is nil.
+func NewServer(s *Store, listen string, exit func()) *Server {
+	srv := &Server{store: s}
+	srv.Server = standinnetwork.NewServer(standinnetwork.Settings{
+		Listen: listen,
+		Handle: srv.handle,
+		Fault:  srv.fault,
+		Calls:  func() any { return s.Calls() },
+		Exit:   exit,
+	})
+	return srv
+}
+
+// faultBody is the body of the fault Faults.
+type faultBody struct {
+	Outage        bool
+	LoseAnswers   int
+	Delay         unit.Duration
+	StaleReads    bool
+	RejectWrites  bool
+	WatchWait     unit.Duration
+	ReadsPerSec   int
+	WritesPerSec  int
+	MaxValueBytes int
+	HistoryLimit  int
+}
+
+func (s *Server) fault(kind string, body []byte) error {
+	if kind != "Faults" {
+		return errs.New("no fault %q", kind)
+	}
+	var b faultBody
+	if err := json.Unmarshal(body, &b); err != nil {
+		return errs.Wrap(err)
+	}
+	s.store.SetFaults(Faults{
+		Outage: b.Outage, LoseAnswers: b.LoseAnswers, Delay: b.Delay.Std(),
+		StaleReads: b.StaleReads, RejectWrites: b.RejectWrites, WatchWait: b.WatchWait.Std(),
+		ReadsPerSec: b.ReadsPerSec, WritesPerSec: b.WritesPerSec,
+		MaxValueBytes: b.MaxValueBytes, HistoryLimit: b.HistoryLimit,
+	})
+	return nil
+}
+
+// Messages of the service.
+
+type entriesBody struct {
+	Entries []platform.Entry
+	Version platform.Version
+}
+
+type versionBody struct {
+	Version platform.Version
+}
+
+type leaseBody struct {
+	Lease platform.Lease
+}
+
+// Paths of the service.
+const (
+	keysPath   = "/v1/keys"
+	watchPath  = "/v1/watch"
+	leasesPath = "/v1/leases"
+)
+
+func (s *Server) handle(life context.Context, ctx *fasthttp.RequestCtx) {
+	path := string(ctx.URI().PathOriginal())
+	method := string(ctx.Method())
+	switch {
+	case path == keysPath && ctx.IsGet():
+		s.list(life, ctx)
+	case strings.HasPrefix(path, keysPath+"/"):
+		key, err := url.PathUnescape(strings.TrimPrefix(path, keysPath+"/"))
+		if err != nil {
+			standinnetwork.Fail(ctx, http.StatusBadRequest, err.Error())
+			return
+		}
+		s.handleKey(life, ctx, method, key)
+	case path == watchPath && ctx.IsGet():
+		s.watch(life, ctx)
+	case path == leasesPath && ctx.IsPost():
+		s.grant(life, ctx)
+	case strings.HasPrefix(path, leasesPath+"/"):
+		s.handleLease(life, ctx, method, strings.TrimPrefix(path, leasesPath+"/"))
+	default:
+		standinnetwork.Fail(ctx, http.StatusNotFound, "no such path")
+	}
+}
+
+func (s *Server) handleKey(life context.Context, ctx *fasthttp.RequestCtx, method, key string) {
+	expect := platform.Version(number(ctx, "expect"))
+	switch method {
+	case http.MethodGet:
+		e, err := s.store.Get(life, key)
+		answer(ctx, e, err)
+	case http.MethodPut:
+		v, err := s.store.Put(life, key, ctx.PostBody(), expect, platform.Lease(number(ctx, "lease")))
+		answer(ctx, versionBody{v}, err)
+	case http.MethodDelete:
+		answer(ctx, nil, s.store.Delete(life, key, expect))
+	default:
+		standinnetwork.Fail(ctx, http.StatusMethodNotAllowed, method)
+	}
+}
+
+func (s *Server) list(life context.Context, ctx *fasthttp.RequestCtx) {
+	entries, err := s.store.List(life, string(ctx.QueryArgs().Peek("prefix")))
+	answer(ctx, entriesBody{Entries: entries}, err)
+}
+
+func (s *Server) watch(life context.Context, ctx *fasthttp.RequestCtx) {
+	after := platform.Version(number(ctx, "after"))
+	entries, v, err := s.store.Watch(life, string(ctx.QueryArgs().Peek("prefix")), after)
+	if platform.Trimmed.Has(err) {
+		standinnetwork.WriteJSON(ctx, http.StatusGone, versionBody{v})
+		return
+	}
+	answer(ctx, entriesBody{entries, v}, err)
+}
+
+func (s *Server) grant(life context.Context, ctx *fasthttp.RequestCtx) {
+	ttl, err := time.ParseDuration(string(ctx.QueryArgs().Peek("ttl")))
+	if err != nil || ttl <= 0 {
+		standinnetwork.Fail(ctx, http.StatusBadRequest, "ttl is not a positive duration")
+		return
+	}
+	l, err := s.store.Grant(life, ttl)
+	answer(ctx, leaseBody{l}, err)
+}
+
+func (s *Server) handleLease(life context.Context, ctx *fasthttp.RequestCtx, method, path string) {
+	text, renew := strings.CutSuffix(path, "/renew")
+	id, err := strconv.ParseUint(text, 10, 64)
+	switch {
+	case err != nil:
+		standinnetwork.Fail(ctx, http.StatusNotFound, "no such lease")
+	case renew && method == http.MethodPost:
+		answer(ctx, nil, s.store.Renew(life, platform.Lease(id)))
+	case !renew && method == http.MethodDelete:
+		answer(ctx, nil, s.store.Revoke(life, platform.Lease(id)))
+	default:
+		standinnetwork.Fail(ctx, http.StatusMethodNotAllowed, method)
+	}
+}
+
+// number returns an argument of the query, or 0 if it is not a number.
+func number(ctx *fasthttp.RequestCtx, name string) uint64 {
+	n, _ := strconv.ParseUint(string(ctx.QueryArgs().Peek(name)), 10, 64)
+	return n
+}
+
+// answer writes the result of a call: a body or none, or the status of err.
+func answer(ctx *fasthttp.RequestCtx, body any, err error) {
+	switch {
+	case platform.Unknown.Has(err):
+		standinnetwork.CloseUnanswered(ctx)
+	case err != nil:
+		standinnetwork.Fail(ctx, status(err), err.Error())
+	case body == nil:
+		ctx.SetStatusCode(http.StatusNoContent)
+	default:
+		standinnetwork.WriteJSON(ctx, http.StatusOK, body)
+	}
+}
+
+func status(err error) int {
+	switch {
+	case platform.Absent.Has(err):
+		return http.StatusNotFound
+	case platform.Conflict.Has(err):
+		return http.StatusPreconditionFailed
+	case platform.TooLarge.Has(err):
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, errRate):
+		return http.StatusTooManyRequests
+	}
+	return http.StatusServiceUnavailable
+}
--- a/standinkeyvalue/store.go
+++ b/standinkeyvalue/store.go
@@ -1,7 +1,8 @@
 // Package standinkeyvalue stands in for the platform's key-value service.
 //
 // It has compare-and-swap, leases and watches, counts calls, and fails on
-// command: outages, slowness, and answers that are lost after the write.
+// command: outages, slowness, rates, stale reads, and answers that are lost
+// after the write. A Store is used as it is or behind HTTP by a Server.
 package standinkeyvalue
 
 import (
@@ -9,7 +10,6 @@
 	"sort"
 	"strings"
 	"sync"
-	"time"
 
 	"crocuslug/platform"
 	"crocuslug/timer"
@@ -23,12 +23,16 @@
 	mu      sync.Mutex
 	version platform.Version
 	entries map[string]stored
+	stale   *view // what reads see while they are stale, or nil
 	history []platform.Entry
+	trimmed platform.Version // newest version that the history no longer has
 	leases  map[platform.Lease]*lease
 	nextID  platform.Lease
 	changed chan struct{}
 	faults  Faults
 	calls   Calls
+	reads   rate
+	writes  rate
 }
 
 type stored struct {
@@ -36,31 +40,10 @@
 	lease platform.Lease
 }
 
-type lease struct {
-	ttl    time.Duration
-	lapses time.Time
-}
-
-// Faults says how the service misbehaves from now on.
-type Faults struct {
-	Outage        bool          // every call fails, and is not applied
-	LoseAnswers   int           // so many writes are applied and then answered with Unknown
-	Delay         time.Duration // added to each call
-	StaleReads    bool          // reads answer as of the time when the fault began
-	RejectWrites  bool          // writes fail, reads work
-	WatchWait     time.Duration // longest wait of a watch; 0 means 10 s
-	ReadsPerSec   int           // reads above it fail; 0 means no bound
-	WritesPerSec  int           // writes above it fail; 0 means no bound
-	MaxValueBytes int           // larger values are refused; 0 means 1 MiB
-}
-
-// Calls counts the calls that the service has taken, failed ones included.
-type Calls struct {
-	Reads        int
-	Writes       int
-	Watches      int // watches begun
-	WaitingNow   int // watches that wait
-	RateRefusals int // calls refused above the rates
+// view is the content of the store at a version.
+type view struct {
+	entries map[string]stored
+	version platform.Version
 }
 
 // New returns an empty store.
@@ -73,20 +56,6 @@
 	}
 }
 
-// SetFaults replaces the faults in force.
-func (s *Store) SetFaults(f Faults) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = f
-}
-
-// Calls returns the counts of calls up to now.
-func (s *Store) Calls() Calls {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.calls
-}
-
 // Port returns the store as the platform's port.
 func (s *Store) Port() platform.Store {
 	return platform.Store{
@@ -108,8 +77,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lapse()
-	e, ok := s.entries[key]
+	e, ok := s.read()[key]
 	if !ok {
 		return platform.Entry{}, platform.Absent.New("%s", key)
 	}
@@ -123,9 +91,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lapse()
 	var out []platform.Entry
-	for k, e := range s.entries {
+	for k, e := range s.read() {
 		if strings.HasPrefix(k, prefix) {
 			out = append(out, e.Entry)
 		}
@@ -134,7 +101,17 @@
 	return out, nil
 }
 
-// Put writes value if the version under key is expect.
+// read returns the entries that reads see.
+func (s *Store) read() map[string]stored {
+	s.lapse()
+	if s.stale != nil {
+		return s.stale.entries
+	}
+	return s.entries
+}
+
+// Put writes value if the version under key is expect. It returns
+// platform.TooLarge if the value exceeds the bound.
 func (s *Store) Put(ctx context.Context, key string, value []byte, expect platform.Version, l platform.Lease) (platform.Version, error) {
 	if err := s.begin(ctx, true); err != nil {
 		return 0, err
@@ -142,11 +119,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lapse()
-	if s.entries[key].Version != expect {
-		return 0, platform.Conflict.New("%s is at version %d", key, s.entries[key].Version)
-	}
-	if _, ok := s.leases[l]; l != 0 && !ok {
-		return 0, platform.Conflict.New("lease %d has lapsed", l)
+	if err := s.check(key, value, expect, l); err != nil {
+		return 0, err
 	}
 	s.version++
 	e := platform.Entry{Key: key, Value: append([]byte(nil), value...), Version: s.version}
@@ -155,169 +129,42 @@
 	return s.version, s.loseAnswer()
 }
 
-// Delete removes key if its version is expect.
-func (s *Store) Delete(ctx context.Context, key string, expect platform.Version) error {
-	if err := s.begin(ctx, true); err != nil {
-		return err
+// check returns why a write cannot be applied.
+func (s *Store) check(key string, value []byte, expect platform.Version, l platform.Lease) error {
+	limit := s.faults.MaxValueBytes
+	if limit == 0 {
+		limit = defaultMaxValueBytes
+	}
+	if len(value) > limit {
+		return platform.TooLarge.New("%d bytes, want at most %d", len(value), limit)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lapse()
 	if s.entries[key].Version != expect {
 		return platform.Conflict.New("%s is at version %d", key, s.entries[key].Version)
 	}
-	s.remove(key)
-	return s.loseAnswer()
-}
-
-// defaultWatchWait bounds the wait of a watch.
-const defaultWatchWait = 10 * time.Second
-
-// Watch waits for writes after a version to keys that start with prefix.
-func (s *Store) Watch(ctx context.Context, prefix string, after platform.Version) ([]platform.Entry, platform.Version, error) {
-	if err := s.begin(ctx, false); err != nil {
-		return nil, after, err
-	}
-	s.mu.Lock()
-	s.calls.Watches++
-	wait := s.faults.WatchWait
-	s.mu.Unlock()
-	if wait == 0 {
-		wait = defaultWatchWait
-	}
-	done := make(chan struct{})
-	sub := s.timer.After(wait, func(time.Time) { close(done) })
-	defer sub.Stop()
-	for {
-		found, now, changed := s.since(prefix, after)
-		if len(found) > 0 {
-			return found, now, nil
-		}
-		select {
-		case <-changed:
-		case <-done:
-			return nil, now, nil
-		case <-ctx.Done():
-			return nil, after, platform.Unavailable.Wrap(ctx.Err())
-		}
-	}
-}
-
-// Grant makes a lease that lapses after ttl without renewal.
-func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.Lease, error) {
-	if err := s.begin(ctx, true); err != nil {
-		return 0, err
+	if _, ok := s.leases[l]; l != 0 && !ok {
+		return platform.Conflict.New("lease %d has lapsed", l)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.nextID++
-	s.leases[s.nextID] = &lease{ttl, s.timer.Now().Add(ttl)}
-	return s.nextID, s.loseAnswer()
+	return nil
 }
 
-// Renew starts the ttl of a lease anew.
-func (s *Store) Renew(ctx context.Context, id platform.Lease) error {
+// Delete removes key if its version is expect.
+func (s *Store) Delete(ctx context.Context, key string, expect platform.Version) error {
 	if err := s.begin(ctx, true); err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lapse()
-	l, ok := s.leases[id]
-	if !ok {
-		return platform.Absent.New("lease %d has lapsed", id)
-	}
-	l.lapses = s.timer.Now().Add(l.ttl)
-	return s.loseAnswer()
-}
-
-// Revoke ends a lease and removes the keys that are tied to it.
-func (s *Store) Revoke(ctx context.Context, id platform.Lease) error {
-	if err := s.begin(ctx, true); err != nil {
-		return err
+	e, ok := s.entries[key]
+	if !ok || e.Version != expect {
+		return platform.Conflict.New("%s is at version %d", key, e.Version)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.end(id)
+	s.remove(key)
 	return s.loseAnswer()
 }
 
-// begin counts a call, delays it, and refuses it if a fault says so.
-func (s *Store) begin(ctx context.Context, write bool) error {
-	s.mu.Lock()
-	if write {
-		s.calls.Writes++
-	} else {
-		s.calls.Reads++
-	}
-	f := s.faults
-	s.mu.Unlock()
-	if f.Delay > 0 {
-		done := make(chan struct{})
-		sub := s.timer.After(f.Delay, func(time.Time) { close(done) })
-		defer sub.Stop()
-		select {
-		case <-done:
-		case <-ctx.Done():
-			return platform.Unavailable.Wrap(ctx.Err())
-		}
-	}
-	if f.Outage || write && f.RejectWrites {
-		return platform.Unavailable.New("outage")
-	}
-	return nil
-}
-
-// loseAnswer turns the answer of an applied write into Unknown if told to.
-func (s *Store) loseAnswer() error {
-	if s.faults.LoseAnswers == 0 {
-		return nil
-	}
-	s.faults.LoseAnswers--
-	return platform.Unknown.New("answer lost")
-}
-
-func (s *Store) since(prefix string, after platform.Version) ([]platform.Entry, platform.Version, chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lapse()
-	var found []platform.Entry
-	i := sort.Search(len(s.history), func(i int) bool { return s.history[i].Version > after })
-	for _, e := range s.history[i:] {
-		if strings.HasPrefix(e.Key, prefix) {
-			found = append(found, e)
-		}
-	}
-	return found, s.version, s.changed
-}
-
-func (s *Store) record(e platform.Entry) {
-	s.history = append(s.history, e)
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
 func (s *Store) remove(key string) {
 	delete(s.entries, key)
 	s.version++
 	s.record(platform.Entry{Key: key, Version: s.version, Deleted: true})
 }
-
-// lapse ends the leases whose time has come.
-func (s *Store) lapse() {
-	now := s.timer.Now()
-	for id, l := range s.leases {
-		if !now.Before(l.lapses) {
-			s.end(id)
-		}
-	}
-}
-
-func (s *Store) end(id platform.Lease) {
-	delete(s.leases, id)
-	for k, e := range s.entries {
-		if e.lease == id && id != 0 {
-			s.remove(k)
-		}
-	}
-}
