Add the client of the key-value service

Cause: the daemon's port to the service needs an adapter that tells exactly whether a write was applied, keeps within a share of the rates, and does not add to an outage.

Ruled out: x/sync/singleflight, because a read would join a call that was sent before a write that the caller knows of, and get the older value; retries by the HTTP client, because a retried compare-and-swap whose first answer was lost reports a conflict with itself; a watch as the probe after an outage, because other calls would wait for its long outcome.

Change: package keyvalue. Reads join only calls that have not been sent.

--- /dev/null
+++ b/keyvalue/connections.go
@@ -0,0 +1,67 @@
+package keyvalue
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// errDial marks a call that failed before anything was sent.
+var errDial = errs.Class("dial")
+
+// connections opens connections and remembers them, so that Close ends the
+// calls in progress.
+type connections struct {
+	limit time.Duration // of opening one
+
+	mu     sync.Mutex
+	open   map[net.Conn]struct{}
+	closed bool
+}
+
+func newConnections(limit time.Duration) *connections {
+	return &connections{limit: limit, open: make(map[net.Conn]struct{})}
+}
+
+func (s *connections) dial(address string) (net.Conn, error) {
+	inner, err := net.DialTimeout("tcp", address, s.limit)
+	if err != nil {
+		return nil, errDial.Wrap(err)
+	}
+	c := &connection{inner, s}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = inner.Close()
+		return nil, errDial.New("client is closed")
+	}
+	s.open[c] = struct{}{}
+	return c, nil
+}
+
+func (s *connections) close() {
+	s.mu.Lock()
+	s.closed = true
+	open := s.open
+	s.open = make(map[net.Conn]struct{})
+	s.mu.Unlock()
+	for c := range open {
+		_ = c.Close()
+	}
+}
+
+// connection leaves the set when it is closed.
+type connection struct {
+	net.Conn
+	set *connections
+}
+
+// Close closes the connection.
+func (c *connection) Close() error {
+	c.set.mu.Lock()
+	delete(c.set.open, c)
+	c.set.mu.Unlock()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/keyvalue/join_test.go
@@ -0,0 +1,63 @@
+package keyvalue
+
+import (
+	"context"
+	"runtime"
+	"strconv"
+	"sync"
+	"testing"
+)
+
+// TestJoinedReadIsNoOlderThanItsCaller has readers take note of a value before
+// they read. None may get an older one, whosever call it has joined.
+func TestJoinedReadIsNoOlderThanItsCaller(t *testing.T) {
+	const (
+		readers = 8
+		rounds  = 500
+	)
+	var mu sync.Mutex
+	value, fetches, joins, stale := 0, 0, 0, 0
+	j := joiner{flights: make(map[string]*flight)}
+	fetch := func(sent func()) (reply, error) {
+		sent()
+		mu.Lock()
+		fetches++
+		v := value
+		mu.Unlock()
+		for range 20 { // the answer is on its way
+			runtime.Gosched()
+		}
+		return reply{body: []byte(strconv.Itoa(v))}, nil
+	}
+	var wg sync.WaitGroup
+	for range readers {
+		wg.Go(func() {
+			for range rounds {
+				mu.Lock()
+				value++
+				least := value
+				mu.Unlock()
+				r, joined, err := j.read(context.Background(), "k", fetch)
+				got, _ := strconv.Atoi(string(r.body))
+				mu.Lock()
+				if joined {
+					joins++
+				}
+				if err != nil || got < least {
+					stale++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	if stale > 0 {
+		t.Errorf("reads older than their caller: got %d, want 0", stale)
+	}
+	if got, want := fetches+joins, readers*rounds; got != want || joins == 0 {
+		t.Errorf("calls and joins: got %d (%d joins), want %d and some joins", got, joins, want)
+	}
+	if got := len(j.flights); got != 0 {
+		t.Errorf("flights left: got %d, want 0", got)
+	}
+}
