--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -68,7 +68,8 @@
 	conns    connections
 
 	metrics   *meters
-	bootstrap string // hash of the first operator's key, or ""
+	bootstrap string   // hash of the first operator's key, or ""
+	known     sync.Map // failure domains of other instances, by id
 	keys      atomic.Pointer[access.Keys]
 	doc       atomic.Pointer[document]
 	leaving   atomic.Bool
@@ -144,6 +145,11 @@
 	return d.id
 }
 
+// Domain returns the instance's failure domain.
+func (d *Daemon) Domain() ident.Domain {
+	return d.cfg.Domain
+}
+
 // Addr returns the address for callers.
 func (d *Daemon) Addr() string {
 	return d.listener.Addr().String()
@@ -154,6 +160,22 @@
 	return d.link.Addr()
 }
 
+// Pause stops the traffic of the instance with its peers, callers and engines
+// until it is called with false, as when the process is stopped by a debugger.
+func (d *Daemon) Pause(paused bool) {
+	d.link.Pause(paused)
+	d.owner.Pause(paused)
+}
+
+// Serving returns the engine that a generation of this instance runs on.
+func (d *Daemon) Serving(w ident.Workspace, r ident.Request) (ident.Upstream, bool) {
+	g, ok := d.owner.Find(replica.Name{Workspace: w, Request: r})
+	if !ok {
+		return "", false
+	}
+	return g.Upstream(), true
+}
+
 // leavePoll is the interval of asking whether all work is done.
 const leavePoll = 50 * time.Millisecond
 
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -21,18 +21,25 @@
 	d.link.Cut = d.opt.Cut
 	d.link.CutFrom = d.opt.CutFrom
 	for _, p := range d.cfg.Peers {
-		d.link.SetAddress(p.Instance, p.PeerAddr)
+		d.Know(p.Instance, p.Domain, p.PeerAddr)
 	}
 }
 
+// Know tells of another instance and where it takes peers.
+func (d *Daemon) Know(id ident.Instance, domain ident.Domain, peerAddr string) {
+	d.link.SetAddress(id, peerAddr)
+	d.known.Store(id, domain)
+}
+
 // live returns the live instances of the failure domain, this one included.
 func (d *Daemon) live() []ident.Instance {
 	out := []ident.Instance{d.id}
-	for _, p := range d.cfg.Peers {
-		if p.Domain == d.cfg.Domain && p.Instance != d.id {
-			out = append(out, p.Instance)
+	d.known.Range(func(id, domain any) bool {
+		if domain == d.cfg.Domain {
+			out = append(out, id.(ident.Instance))
 		}
-	}
+		return true
+	})
 	return out
 }
 
--- a/owner/generation.go
+++ b/owner/generation.go
@@ -85,6 +85,8 @@
 
 // event gives the machine an event and carries out its actions.
 func (g *Generation) event(f func(now time.Time) []generation.Action) {
+	g.owner.pause.RLock()
+	defer g.owner.pause.RUnlock()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.abandoned {
@@ -312,6 +314,13 @@
 // Next waits for more of the answer. A part without tokens, end or result is a
 // sign of life.
 func (r *Reader) Next() Part {
+	p := r.next()
+	r.g.owner.pause.RLock()
+	defer r.g.owner.pause.RUnlock()
+	return p
+}
+
+func (r *Reader) next() Part {
 	g := r.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -84,6 +84,8 @@
 	cfg   Settings
 	ports Ports
 
+	pause sync.RWMutex // held for writing while the owner is paused
+
 	mu          sync.Mutex
 	generations map[ident.Generation]*Generation
 	byName      map[replica.Name]*Generation
@@ -117,6 +119,16 @@
 	o.sweep = o.ports.Timer.Every(o.cfg.Sweep, o.tick)
 }
 
+// Pause holds back all events of generations and all reading of answers until
+// it is called with false, as when the process is stopped.
+func (o *Owner) Pause(paused bool) {
+	if paused {
+		o.pause.Lock()
+		return
+	}
+	o.pause.Unlock()
+}
+
 // Stop ends all streams without telling anyone, as a crash would.
 func (o *Owner) Stop() {
 	if o.sweep != nil {
@@ -265,6 +277,10 @@
 }
 
 func (o *Owner) tick(now time.Time) {
+	if !o.pause.TryRLock() {
+		return
+	}
+	o.pause.RUnlock()
 	for _, g := range o.all() {
 		if g.tick(now) {
 			o.drop(g)
--- /dev/null
+++ b/standinsite/script_test.go
@@ -0,0 +1,212 @@
+package standinsite
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"crocuslug/caller"
+	"crocuslug/ident"
+	"crocuslug/standinengine"
+)
+
+// script runs the lines of one data file against a site:
+//
+//	site instances=2 engines=3 tokens=40      starts the site
+//	ask COUNT                                  sends COUNT requests
+//	at TOKEN DO WHAT                           does so when the first answer has TOKEN tokens
+//	want whole|code NUMBER                     waits for the answers and checks them
+//
+// DO is kill, freeze, silence on engine or instance; WHAT is "serving" for the
+// one that serves the first answer, or a number.
+type script struct {
+	t       *testing.T
+	site    *Site
+	tokens  int
+	hooks   map[int][]string
+	answers []caller.Answer
+	wg      sync.WaitGroup
+}
+
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.script")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("scripts: got %d files, %v", len(files), err)
+	}
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".script"), func(t *testing.T) {
+			t.Parallel()
+			runScript(t, file)
+		})
+	}
+}
+
+func runScript(t *testing.T, file string) {
+	f, err := os.Open(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	s := &script{t: t, hooks: make(map[int][]string)}
+	defer func() {
+		if s.site != nil {
+			s.site.Stop()
+		}
+	}()
+	for in := bufio.NewScanner(f); in.Scan(); {
+		line, _, _ := strings.Cut(in.Text(), "#")
+		if words := strings.Fields(line); len(words) > 0 {
+			s.line(words)
+		}
+	}
+}
+
+func (s *script) line(words []string) {
+	switch words[0] {
+	case "site":
+		s.start(words[1:])
+	case "at":
+		n, _ := strconv.Atoi(words[1])
+		s.hooks[n] = append(s.hooks[n], strings.Join(words[2:], " "))
+	case "ask":
+		n, _ := strconv.Atoi(words[1])
+		s.ask(n)
+	case "want":
+		s.want(words[1:])
+	default:
+		s.t.Fatalf("script: unknown line %v", words)
+	}
+}
+
+func (s *script) start(words []string) {
+	cfg := Settings{Engine: standinengine.Settings{TokenInterval: 5 * time.Millisecond}, Seed: 1}
+	for _, w := range words {
+		name, value, _ := strings.Cut(w, "=")
+		n, _ := strconv.Atoi(value)
+		switch name {
+		case "instances":
+			cfg.Instances = n
+		case "engines":
+			cfg.Engines = n
+		case "tokens":
+			s.tokens = n
+		case "cannotcontinue":
+			cfg.Engine.CannotContinue = n == 1
+		}
+	}
+	s.site = New(cfg)
+	if err := s.site.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *script) ask(n int) {
+	c := s.site.Caller(caller.Settings{Silence: 2 * time.Second})
+	s.answers = make([]caller.Answer, n)
+	for i := range n {
+		r := caller.Request{ID: ident.Request(fmt.Sprintf("r%d", i)), Model: Model, Prompt: "debrief", MaxTokens: s.tokens, First: i}
+		if i == 0 {
+			r.OnToken = s.onToken
+		}
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+			defer cancel()
+			s.answers[i] = c.Do(ctx, r)
+		}()
+	}
+}
+
+func (s *script) onToken(index int, _ string) {
+	for _, h := range s.hooks[index] {
+		s.do(strings.Fields(h))
+	}
+}
+
+// do carries out a fault. It runs on the goroutine that reads the first answer.
+func (s *script) do(words []string) {
+	n := s.serving(words)
+	switch words[0] + " " + words[1] {
+	case "kill engine":
+		s.site.Engines[n].Kill()
+	case "freeze engine":
+		s.site.Engines[n].Freeze()
+	case "silence engine":
+		s.site.Engines[n].Silence()
+	case "restart engine":
+		s.site.Engines[n].Kill()
+		_ = s.site.Engines[n].Restart()
+	case "kill instance":
+		s.site.KillInstance(s.site.Instances[n].Addr())
+	case "pause instance":
+		s.site.Instances[n].Pause(true)
+	case "resume instance":
+		s.site.Instances[n].Pause(false)
+	default:
+		s.t.Errorf("script: unknown fault %v", words)
+	}
+}
+
+// serving returns the number of the engine or instance that words name.
+func (s *script) serving(words []string) int {
+	if n, err := strconv.Atoi(words[2]); err == nil {
+		return n
+	}
+	for i, d := range s.site.Instances {
+		u, ok := d.Serving(Workspace, "r0")
+		if !ok {
+			continue
+		}
+		if words[1] == "instance" {
+			return i
+		}
+		for j, e := range s.site.Engines {
+			if s.site.doc.Upstreams[j].Name == u && e != nil {
+				return j
+			}
+		}
+	}
+	s.t.Errorf("script: nothing serves r0 for %v", words)
+	return 0
+}
+
+func (s *script) want(words []string) {
+	s.wg.Wait()
+	for i, a := range s.answers {
+		if words[0] == "code" {
+			if a.Err == nil || strconv.Itoa(int(a.Err.Code)) != words[1] {
+				s.t.Errorf("answer %d: got %v, want code %s", i, a.Err, words[1])
+			}
+			continue
+		}
+		if a.Err != nil || !a.Whole {
+			s.t.Errorf("answer %d: got whole %t, %v, want a whole answer", i, a.Whole, a.Err)
+		}
+		s.checkTokens(i, a.Tokens, len(words) == 1)
+	}
+}
+
+// checkTokens holds an answer against what one undisturbed engine would give.
+func (s *script) checkTokens(i int, tokens []string, whole bool) {
+	if len(tokens) == 0 {
+		return
+	}
+	nonce, _, _ := strings.Cut(tokens[0], ".")
+	for j, got := range tokens {
+		if want := fmt.Sprintf("%s.%d ", nonce, j); got != want {
+			s.t.Errorf("answer %d, token %d: got %q, want %q", i, j, got, want)
+			return
+		}
+	}
+	if got, want := len(tokens), s.tokens; whole && got != want {
+		s.t.Errorf("answer %d: got %d tokens, want %d", i, got, want)
+	}
+}
--- /dev/null
+++ b/standinsite/site.go
@@ -0,0 +1,258 @@
+// Package standinsite runs a small deployment in one process over loopback.
+//
+// It starts stand-ins for engines and entry instances of the system, so that the
+// demo, the measure command and tests of the whole path have something to kill,
+// freeze and cut. It is no simulator: all parts are the real ones.
+package standinsite
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync"
+
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/trace"
+
+	"crocuslug/access"
+	"crocuslug/caller"
+	"crocuslug/configuration"
+	"crocuslug/daemon"
+	"crocuslug/ident"
+	"crocuslug/settings"
+	"crocuslug/standinengine"
+	"crocuslug/timer"
+)
+
+// Settings describe a site. Zero values mean the defaults.
+type Settings struct {
+	Domains   []ident.Domain // one "accra" if empty
+	Instances int            // entry instances in each failure domain; 2 if 0
+	Engines   int            // engines in each failure domain; 3 if 0
+	Engine    standinengine.Settings
+	Options   daemon.Options // Timer, Log, Document and Cut are filled in
+	Daemon    settings.Settings
+	Document  configuration.Document // what it lists is added to the site's own
+	Tracer    trace.Tracer
+	Seed      uint64
+	Log       zerolog.Logger
+}
+
+// Names of what every site has.
+const (
+	Model        = "m"
+	Workspace    = ident.Workspace("w")
+	WorkspaceKey = "workspace-key"
+	OperatorKey  = "operator-key"
+	secret       = "site-secret"
+)
+
+// Site is a running deployment.
+type Site struct {
+	cfg   Settings
+	timer *timer.Service // of the system
+	stand *timer.Service // of the stand-ins
+	stop  context.CancelFunc
+	wg    sync.WaitGroup
+
+	mu        sync.Mutex
+	Engines   []*standinengine.Engine
+	Instances []*daemon.Daemon
+	alive     []bool
+	doc       configuration.Document
+	dir       string
+}
+
+// New returns a site that is not started.
+func New(cfg Settings) *Site {
+	if len(cfg.Domains) == 0 {
+		cfg.Domains = []ident.Domain{"accra"}
+	}
+	if cfg.Instances == 0 {
+		cfg.Instances = 2
+	}
+	if cfg.Engines == 0 {
+		cfg.Engines = 3
+	}
+	return &Site{cfg: cfg, timer: timer.New(), stand: timer.New()}
+}
+
+// Start starts the stand-ins and the instances.
+func (s *Site) Start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stop = cancel
+	for _, t := range []*timer.Service{s.timer, s.stand} {
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			t.Run(ctx)
+		}()
+	}
+	dir, err := os.MkdirTemp("", "site")
+	if err != nil {
+		return err
+	}
+	s.dir = dir
+	for name, v := range map[string]string{"secret": secret, "operator": OperatorKey} {
+		if err := os.WriteFile(dir+"/"+name, []byte(v), 0o600); err != nil {
+			return err
+		}
+	}
+	if err := s.startEngines(); err != nil {
+		return err
+	}
+	return s.startInstances()
+}
+
+// Timer returns the time source of the system.
+func (s *Site) Timer() *timer.Service {
+	return s.timer
+}
+
+func (s *Site) startEngines() error {
+	s.doc = s.cfg.Document
+	s.doc.Services = append(s.doc.Services, configuration.Service{Name: "assistant", Kind: configuration.Model})
+	s.doc.Workspaces = append(s.doc.Workspaces, configuration.Workspace{
+		Name:      Workspace,
+		KeyHashes: []string{access.Hash([]byte(WorkspaceKey))},
+	})
+	for _, domain := range s.cfg.Domains {
+		for i := range s.cfg.Engines {
+			cfg := s.cfg.Engine
+			cfg.Name = fmt.Sprintf("engine-%s-%d", domain, i)
+			e := standinengine.New(cfg, s.stand)
+			if err := e.Start(); err != nil {
+				return err
+			}
+			s.Engines = append(s.Engines, e)
+			s.doc.Upstreams = append(s.doc.Upstreams, configuration.Upstream{
+				Name:    ident.Upstream(cfg.Name),
+				Service: "assistant",
+				Address: e.Addr(),
+				Domain:  domain,
+				Models:  []string{Model},
+				Slots:   cfg.Slots,
+			})
+		}
+	}
+	return nil
+}
+
+// instance returns the settings of instance i of a failure domain.
+func (s *Site) instance(domain ident.Domain, i int) settings.Settings {
+	cfg := s.cfg.Daemon
+	cfg.Name = fmt.Sprintf("%s-%d", domain, i)
+	cfg.Domain = domain
+	cfg.Listen, cfg.PeerAddr = "127.0.0.1:0", "127.0.0.1:0"
+	cfg.Secret = settings.Secret{File: s.dir + "/secret"}
+	cfg.Operator = settings.Secret{File: s.dir + "/operator"}
+	return cfg
+}
+
+func (s *Site) startInstances() error {
+	for _, domain := range s.cfg.Domains {
+		for i := range s.cfg.Instances {
+			if err := s.startInstance(s.instance(domain, i)); err != nil {
+				return err
+			}
+		}
+	}
+	for _, a := range s.Instances {
+		for _, b := range s.Instances {
+			if a != b {
+				a.Know(b.ID(), b.Domain(), b.PeerAddr())
+			}
+		}
+	}
+	return nil
+}
+
+func (s *Site) startInstance(cfg settings.Settings) error {
+	opt := s.cfg.Options
+	opt.Timer, opt.Document = s.timer, &s.doc
+	opt.Log, opt.Tracer = s.cfg.Log, s.cfg.Tracer
+	opt.Seed = s.cfg.Seed + uint64(len(s.Instances)) + 1
+	d, err := daemon.New(cfg, opt)
+	if err != nil {
+		return err
+	}
+	if err := d.Start(); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Instances = append(s.Instances, d)
+	s.alive = append(s.alive, true)
+	return nil
+}
+
+// Addresses returns where the instances that were not killed take callers.
+func (s *Site) Addresses() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for i, d := range s.Instances {
+		if s.alive[i] {
+			out = append(out, d.Addr())
+		}
+	}
+	return out
+}
+
+// Caller returns a caller of the site's workspace.
+func (s *Site) Caller(cfg caller.Settings) *caller.Caller {
+	if cfg.Key == "" {
+		cfg.Key = WorkspaceKey
+	}
+	if len(cfg.Addresses) == 0 {
+		cfg.Addresses = s.Addresses()
+	}
+	return caller.New(cfg, s.timer)
+}
+
+// KillInstance ends the instance that takes callers at address, as a crash would.
+func (s *Site) KillInstance(address string) bool {
+	for i, d := range s.Instances {
+		if d.Addr() != address {
+			continue
+		}
+		s.mu.Lock()
+		was := s.alive[i]
+		s.alive[i] = false
+		s.mu.Unlock()
+		if was {
+			d.Kill()
+		}
+		return was
+	}
+	return false
+}
+
+// Decoded returns the tokens that all engines have decoded and prefilled.
+func (s *Site) Decoded() (decoded, prefilled uint64) {
+	for _, e := range s.Engines {
+		c := e.Counters()
+		decoded += c.Decoded
+		prefilled += c.PrefillTokens
+	}
+	return decoded, prefilled
+}
+
+// Stop ends everything that was started.
+func (s *Site) Stop() {
+	for i, d := range s.Instances {
+		s.mu.Lock()
+		was := s.alive[i]
+		s.alive[i] = false
+		s.mu.Unlock()
+		if was {
+			d.Stop()
+		}
+	}
+	for _, e := range s.Engines {
+		e.Stop()
+	}
+	s.stop()
+	s.wg.Wait()
+	_ = os.RemoveAll(s.dir)
+}
