--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,7 +56,8 @@
 	Leaving func() bool
 }
 
-// Gateway answers callers. Its handlers may run on any goroutine.
+// Gateway answers callers. Its handlers may run on any goroutine. The context of
+// a fasthttp request must not outlive its handler, so calls get one of their own.
 type Gateway struct {
 	cfg   Settings
 	ports Ports
@@ -132,9 +133,9 @@
 		return
 	}
 	span, carrier := g.span(ctx, spec)
-	gen, err := g.known(ctx, spec, given)
+	gen, err := g.known(spec, given)
 	if gen == nil && err == nil {
-		gen, err = g.start(ctx, spec, carrier)
+		gen, err = g.start(spec, carrier)
 	}
 	if err != nil {
 		span.RecordError(err)
@@ -203,11 +204,11 @@
 }
 
 // known returns the generation of a request that the caller sent before.
-func (g *Gateway) known(ctx context.Context, spec generation.Spec, given bool) (*owner.Generation, *result.Error) {
+func (g *Gateway) known(spec generation.Spec, given bool) (*owner.Generation, *result.Error) {
 	if !given || g.cfg.NoLookUp {
 		return nil, nil
 	}
-	gen, err := g.ports.Find(ctx, replica.Name{Workspace: spec.Workspace, Request: spec.Request}, nil)
+	gen, err := g.ports.Find(context.Background(), replica.Name{Workspace: spec.Workspace, Request: spec.Request}, nil)
 	switch {
 	case err != nil && err.Code == result.NotFound:
 		return nil, nil
@@ -220,11 +221,11 @@
 }
 
 // start admits a new generation and begins it.
-func (g *Gateway) start(ctx context.Context, spec generation.Spec, carrier propagation.MapCarrier) (*owner.Generation, *result.Error) {
+func (g *Gateway) start(spec generation.Spec, carrier propagation.MapCarrier) (*owner.Generation, *result.Error) {
 	if g.ports.Leaving() {
 		return nil, result.New(result.InstanceLeaving, "send the request again; another instance will take it").After(time.Second)
 	}
-	finish, err := g.ports.Admit(ctx, spec)
+	finish, err := g.ports.Admit(context.Background(), spec)
 	if err != nil {
 		return nil, err
 	}
@@ -269,7 +270,7 @@
 // goOn answers from a cursor, or from the start if there is none.
 func (g *Gateway) goOn(ctx *fasthttp.RequestCtx, n replica.Name, c *cursor.Cursor) {
 	span, _ := g.span(ctx, generation.Spec{Request: n.Request, Workspace: n.Workspace})
-	gen, err := g.ports.Find(ctx, n, c)
+	gen, err := g.ports.Find(context.Background(), n, c)
 	if err != nil {
 		span.RecordError(err)
 		span.End()
--- a/standinsite/script_test.go
+++ b/standinsite/script_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -160,19 +161,12 @@
 	if n, err := strconv.Atoi(words[2]); err == nil {
 		return n
 	}
-	for i, d := range s.site.Instances {
-		u, ok := d.Serving(Workspace, "r0")
-		if !ok {
-			continue
-		}
-		if words[1] == "instance" {
+	if words[1] == "instance" {
+		if i := s.site.owner(Workspace, "r0"); i >= 0 {
 			return i
 		}
-		for j, e := range s.site.Engines {
-			if s.site.doc.Upstreams[j].Name == u && e != nil {
-				return j
-			}
-		}
+	} else if e := s.site.Engine(Workspace, "r0"); e != nil {
+		return slices.Index(s.site.Engines, e)
 	}
 	s.t.Errorf("script: nothing serves r0 for %v", words)
 	return 0
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -267,15 +267,19 @@
 			answers <- f
 		}()
 	}
+	var late *timer.Subscription
 	for range peers {
 		f := <-answers
 		if better(f.FindResult, top.FindResult) {
 			top = f
 		}
-		if top.Known {
-			t.ports.Timer.After(t.cfg.AfterFirst, func(time.Time) { cancel() })
+		if top.Known && late == nil {
+			late = t.ports.Timer.After(t.cfg.AfterFirst, func(time.Time) { cancel() })
 		}
 	}
+	if late != nil {
+		late.Stop()
+	}
 	return top
 }
 
