Plan, confirm and distribute configurations

Cause: operators' changes must be read before they happen, be accepted once, and be in force everywhere.

--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -11,13 +11,13 @@
 
 // Document is one accepted configuration. Its lists are sorted by name.
 type Document struct {
-	Revision   ident.Revision
-	Operators  []Operator  `json:",omitempty"`
-	Workspaces []Workspace `json:",omitempty"`
-	Services   []Service   `json:",omitempty"`
-	Upstreams  []Upstream  `json:",omitempty"`
-	Rules      []Rule      `json:",omitempty"`
-	Placements []Placement `json:",omitempty"`
+	Revision   ident.Revision `json:",omitempty"`
+	Operators  []Operator     `json:",omitempty"`
+	Workspaces []Workspace    `json:",omitempty"`
+	Services   []Service      `json:",omitempty"`
+	Upstreams  []Upstream     `json:",omitempty"`
+	Rules      []Rule         `json:",omitempty"`
+	Placements []Placement    `json:",omitempty"`
 }
 
 // Operator may read and change the configuration.
--- /dev/null
+++ b/operatorapi/api.go
@@ -0,0 +1,321 @@
+// Package operatorapi answers operators over HTTP.
+//
+// Operators state an intent, read the plan that comes back, and confirm it.
+// Any instance takes any step, for a plan carries all that its confirmation
+// needs. Each request bears the key of an operator.
+package operatorapi
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"crocuslug/configuration"
+	"crocuslug/ident"
+	"crocuslug/intent"
+	"crocuslug/plan"
+	"crocuslug/problem"
+	"crocuslug/result"
+	"crocuslug/revision"
+	"crocuslug/rollout"
+	"crocuslug/unit"
+)
+
+// Ports are the calls that the handlers make. All but Usage are required.
+type Ports struct {
+	// Current returns the document in force here.
+	Current func() *configuration.Document
+	// Newest returns the newest accepted document from the platform's service.
+	Newest func(ctx context.Context) (configuration.Document, *result.Error)
+	// Confirm makes a plan the next revision, as revision.Ledger does.
+	Confirm func(ctx context.Context, p plan.Plan, by string) (revision.Record, *result.Error)
+	// At returns an accepted document, History the newest records.
+	At      func(ctx context.Context, rev ident.Revision) (configuration.Document, *result.Error)
+	History func(ctx context.Context, n int) ([]revision.Record, *result.Error)
+	// Status asks all live instances what is in force there.
+	Status func(ctx context.Context) []rollout.Report
+	// Usage returns the present use, for the warnings of plans.
+	Usage func() plan.Usage
+}
+
+// Settings are the bounds of an API. The zero value works.
+type Settings struct {
+	BootstrapKeyHash string        // hexadecimal SHA-256 of a key that is taken while no operator is configured
+	MaxBodyBytes     int           // 0 means 64 MiB
+	Timeout          unit.Duration // of one request; 0 means 15 s
+	Log              zerolog.Logger
+}
+
+// RollbackRequest asks for a plan that brings the content of a revision back.
+type RollbackRequest struct {
+	Revision ident.Revision
+}
+
+// StatusResponse says which revision is the newest and what is in force where.
+type StatusResponse struct {
+	Newest    ident.Revision
+	Behind    int // instances that answered and have an older revision
+	Silent    int // instances that did not answer
+	CutOff    int // instances without word of the platform's service
+	Instances []rollout.Report
+}
+
+// HistoryResponse lists accepted changes, newest first.
+type HistoryResponse struct {
+	Records []revision.Record
+}
+
+// Defaults of Settings, and bounds.
+const (
+	defaultMaxBodyBytes = 64 << 20
+	defaultTimeout      = 15 * time.Second
+	defaultHistory      = 20
+	bootstrapOperator   = "bootstrap"
+	bearer              = "Bearer "
+	pathPrefix          = "/v1/operator/"
+)
+
+// API answers the requests of operators. Its methods may be called from any
+// goroutine.
+type API struct {
+	ports Ports
+	cfg   Settings
+}
+
+// New returns an API over ports.
+func New(ports Ports, cfg Settings) *API {
+	if cfg.MaxBodyBytes <= 0 {
+		cfg.MaxBodyBytes = defaultMaxBodyBytes
+	}
+	if cfg.Timeout <= 0 {
+		cfg.Timeout = unit.Duration(defaultTimeout)
+	}
+	if ports.Usage == nil {
+		ports.Usage = func() plan.Usage { return plan.Usage{} }
+	}
+	return &API{ports, cfg}
+}
+
+// caller is the operator who makes a request.
+type caller struct {
+	name    string
+	keyHash string
+}
+
+// route is one call of the API. Its handler returns the response's body.
+type route struct {
+	method string
+	handle func(ctx context.Context, req *fasthttp.RequestCtx, by caller) (any, *result.Error)
+}
+
+func (a *API) route(path string) (route, bool) {
+	switch path {
+	case pathPrefix + "plans":
+		return route{http.MethodPost, a.plan}, true
+	case pathPrefix + "confirmations":
+		return route{http.MethodPost, a.confirm}, true
+	case pathPrefix + "rollbacks":
+		return route{http.MethodPost, a.rollback}, true
+	case pathPrefix + "status":
+		return route{http.MethodGet, a.status}, true
+	case pathPrefix + "history":
+		return route{http.MethodGet, a.history}, true
+	case pathPrefix + "configuration":
+		return route{http.MethodGet, a.configuration}, true
+	}
+	return route{}, false
+}
+
+// Handle answers one request whose path starts with /v1/operator/.
+func (a *API) Handle(req *fasthttp.RequestCtx) {
+	id := ident.Request(req.Request.Header.Peek("X-Request-Id"))
+	body, err := a.answer(req)
+	if err != nil {
+		a.cfg.Log.Info().Str("Path", string(req.Path())).Int("Code", int(err.Code)).Str("Detail", err.Detail).Msg("operator request refused")
+		problem.Write(req, err, id)
+		return
+	}
+	out, merr := json.Marshal(body)
+	if merr != nil {
+		problem.Write(req, result.New(result.Fault, merr.Error()), id)
+		return
+	}
+	req.SetContentType("application/json")
+	req.SetBody(out)
+}
+
+func (a *API) answer(req *fasthttp.RequestCtx) (any, *result.Error) {
+	r, ok := a.route(string(req.Path()))
+	if !ok {
+		return nil, result.Newf(result.NotFound, "no such path: %s", req.Path())
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), a.cfg.Timeout.Std())
+	defer cancel()
+	by, err := a.authenticate(ctx, string(req.Request.Header.Peek(fasthttp.HeaderAuthorization)))
+	if err != nil {
+		return nil, err
+	}
+	if string(req.Method()) != r.method {
+		return nil, result.Newf(result.MethodNotAllowed, "want %s", r.method)
+	}
+	if n := len(req.PostBody()); n > a.cfg.MaxBodyBytes {
+		return nil, result.Newf(result.TooLarge, "the body has %d bytes, allowed are %d", n, a.cfg.MaxBodyBytes)
+	}
+	return r.handle(ctx, req, by)
+}
+
+// authenticate finds the operator whose key the header bears. Every configured
+// hash is compared, each in constant time.
+func (a *API) authenticate(ctx context.Context, header string) (caller, *result.Error) {
+	if len(header) <= len(bearer) || header[:len(bearer)] != bearer {
+		return caller{}, result.New(result.Unauthorized, "want a header Authorization with Bearer and the key of an operator")
+	}
+	sum := sha256.Sum256([]byte(header[len(bearer):]))
+	hash := []byte(hex.EncodeToString(sum[:]))
+	operators, err := a.operators(ctx)
+	if err != nil {
+		return caller{}, err
+	}
+	if len(operators) == 0 && a.cfg.BootstrapKeyHash != "" {
+		operators = []configuration.Operator{{Name: bootstrapOperator, KeyHashes: []string{a.cfg.BootstrapKeyHash}}}
+	}
+	found := ""
+	for _, o := range operators {
+		for _, h := range o.KeyHashes {
+			if subtle.ConstantTimeCompare(hash, []byte(h)) == 1 {
+				found = o.Name
+			}
+		}
+	}
+	if found == "" {
+		return caller{}, result.New(result.Unauthorized, "the key is not that of an operator")
+	}
+	return caller{found, string(hash)}, nil
+}
+
+// operators returns the configured operators. An instance that has no document
+// yet asks the platform's service: it must not take the key from the settings
+// for want of knowledge.
+func (a *API) operators(ctx context.Context) ([]configuration.Operator, *result.Error) {
+	if doc := a.ports.Current(); doc.Revision > 0 {
+		return doc.Operators, nil
+	}
+	doc, err := a.ports.Newest(ctx)
+	return doc.Operators, err
+}
+
+func (a *API) plan(ctx context.Context, req *fasthttp.RequestCtx, by caller) (any, *result.Error) {
+	in, err := intent.Decode(req.PostBody())
+	if err != nil {
+		return nil, result.New(result.Malformed, err.Error())
+	}
+	in.Author = by.name
+	base, failed := a.ports.Newest(ctx)
+	if failed != nil {
+		return nil, failed
+	}
+	return planned(plan.Make(base, in, a.usage(by)))
+}
+
+func (a *API) rollback(ctx context.Context, req *fasthttp.RequestCtx, by caller) (any, *result.Error) {
+	var r RollbackRequest
+	if err := decode(req.PostBody(), &r); err != nil {
+		return nil, err
+	}
+	base, err := a.ports.Newest(ctx)
+	if err != nil {
+		return nil, err
+	}
+	older, err := a.ports.At(ctx, r.Revision)
+	if err != nil {
+		return nil, err
+	}
+	return planned(plan.Rollback(base, older, by.name, a.usage(by)))
+}
+
+func (a *API) usage(by caller) plan.Usage {
+	use := a.ports.Usage()
+	use.CallerKeyHash = by.keyHash
+	return use
+}
+
+func planned(p plan.Plan, problems []intent.Problem) (any, *result.Error) {
+	if len(problems) > 0 {
+		return nil, result.New(result.IntentInvalid, plan.Text(problems))
+	}
+	return p, nil
+}
+
+func (a *API) confirm(ctx context.Context, req *fasthttp.RequestCtx, by caller) (any, *result.Error) {
+	var p plan.Plan
+	if err := decode(req.PostBody(), &p); err != nil {
+		return nil, err
+	}
+	rec, err := a.ports.Confirm(ctx, p, by.name)
+	if err != nil {
+		return nil, err
+	}
+	a.cfg.Log.Info().Str("Operator", by.name).Str("Change", string(rec.Change)).Uint64("Revision", uint64(rec.Revision)).Msg("plan confirmed")
+	return rec, nil
+}
+
+func (a *API) status(ctx context.Context, _ *fasthttp.RequestCtx, _ caller) (any, *result.Error) {
+	s := StatusResponse{Instances: a.ports.Status(ctx)}
+	for _, r := range s.Instances {
+		s.Newest = max(s.Newest, r.Revision)
+	}
+	for _, r := range s.Instances {
+		switch {
+		case !r.Answered:
+			s.Silent++
+		case r.Revision < s.Newest:
+			s.Behind++
+		}
+		if r.CutOff {
+			s.CutOff++
+		}
+	}
+	return s, nil
+}
+
+func (a *API) history(ctx context.Context, req *fasthttp.RequestCtx, _ caller) (any, *result.Error) {
+	n := defaultHistory
+	if text := string(req.QueryArgs().Peek("newest")); text != "" {
+		var err error
+		n, err = strconv.Atoi(text)
+		if err != nil || n < 1 {
+			return nil, result.Newf(result.Malformed, "newest is %q, allowed are numbers from 1 on", text)
+		}
+	}
+	records, err := a.ports.History(ctx, n)
+	if err != nil {
+		return nil, err
+	}
+	return HistoryResponse{records}, nil
+}
+
+func (a *API) configuration(context.Context, *fasthttp.RequestCtx, caller) (any, *result.Error) {
+	doc := a.ports.Current()
+	if doc.Revision == 0 {
+		return nil, result.New(result.ConfigurationMissing, "no plan has been confirmed, or this instance has reached nobody who knows of one")
+	}
+	return doc, nil
+}
+
+func decode(body []byte, v any) *result.Error {
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return result.New(result.Malformed, err.Error())
+	}
+	return nil
+}
