--- /dev/null
+++ b/retry/budget_test.go
@@ -0,0 +1,89 @@
+package retry
+
+import (
+	"flag"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"crocuslug/result"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "7")
+	os.Exit(m.Run())
+}
+
+// TestInvariants holds the retries of every span to the share and the burst, and
+// each verdict to the rule about what may have run.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.Float64Range(0.01, 0.5).Draw(t, "share")
+		burst := float64(rapid.IntRange(1, 5).Draw(t, "burst"))
+		b := New(Settings{Share: share, Burst: burst}, rand.New(rand.NewPCG(1, 1)).Uint64)
+		var requests, retries []float64 // running sums after each event
+		r, n := 0.0, 0.0
+		for range rapid.IntRange(1, 200).Draw(t, "events") {
+			if rapid.Bool().Draw(t, "request") {
+				b.Request()
+				r++
+			} else {
+				a := Attempt{
+					Number:     rapid.IntRange(1, 4).Draw(t, "number"),
+					Run:        rapid.SampledFrom([]result.Run{result.RunNot, result.RunUnknown, result.RunDone}).Draw(t, "run"),
+					Repeatable: rapid.Bool().Draw(t, "repeatable"),
+					Remaining:  time.Duration(rapid.IntRange(0, 500).Draw(t, "remaining")) * time.Millisecond,
+				}
+				v, wait := b.Decide(a)
+				if v == Retry {
+					n++
+				}
+				if v == Retry && a.Run != result.RunNot && !a.Repeatable {
+					t.Fatalf("retried %+v, which may have run", a)
+				}
+				if v == Retry && (wait >= a.Remaining || a.Number >= defaultAttempts) {
+					t.Fatalf("retried %+v after %v", a, wait)
+				}
+			}
+			requests = append(requests, r)
+			retries = append(retries, n)
+		}
+		for i := range retries {
+			for k := i + 1; k < len(retries); k++ {
+				got, want := retries[k]-retries[i], burst+share*(requests[k]-requests[i])
+				if got > want+1e-9 {
+					t.Fatalf("retries in a span: got %v, want at most %v", got, want)
+				}
+			}
+		}
+	})
+}
+
+// TestOutage compares the attempts during an outage with those of a naive
+// client that tries each request three times.
+func TestOutage(t *testing.T) {
+	const requests = 1000
+	b := New(Settings{}, rand.New(rand.NewPCG(1, 1)).Uint64)
+	attempts := 0
+	for range requests {
+		b.Request()
+		attempts++
+		for n := 1; ; n++ {
+			v, _ := b.Decide(Attempt{Number: n, Run: result.RunNot, Remaining: time.Minute})
+			if v != Retry {
+				break
+			}
+			attempts++
+		}
+	}
+	t.Logf("attempts for %d requests that all fail: naive %d, budget %d", requests, requests*defaultAttempts, attempts)
+	if want := requests + requests/10 + defaultBurst; attempts > want {
+		t.Errorf("attempts: got %d, want at most %d", attempts, want)
+	}
+	if _, ok := b.Hedge(true); ok {
+		t.Error("hedged without the setting")
+	}
+}
