--- a/admission/queue.go
+++ b/admission/queue.go
@@ -87,7 +87,7 @@
 	if it.Priority == Resumed {
 		return q.offerResumed(it, now)
 	}
-	if !it.Deadline.IsZero() && now.Add(q.startIn(it)).After(it.Deadline) {
+	if wait := q.cfg.Margin * float64(q.startIn(it)); !it.Deadline.IsZero() && now.Add(time.Duration(wait)).After(it.Deadline) {
 		return q.refusal(result.DeadlineInfeasible, it.ID), nil
 	}
 	removed, fits := q.makeRoom(it)
--- a/admission/types.go
+++ b/admission/types.go
@@ -29,6 +29,7 @@
 	NormalBypass  int           // grants that may go past waiting normal requests; 0 means 32, at least 4
 	BatchBypass   int           // grants that may go past waiting batch requests; 0 means 128, at least 4
 	Window        unit.Duration // time over which the drain rate is taken; 0 means 1s
+	Margin        float64       // factor by which an estimated wait is taken to be longer; 0 means 1.5
 	MinRetry      unit.Duration // least RetryAfter; 0 means 500ms
 	MaxRetry      unit.Duration // greatest RetryAfter; 0 means 1m
 	Seed          uint64        // spreads the RetryAfter of instances
@@ -44,6 +45,7 @@
 	defaultBatchBypass   = 128
 	minBypass            = int(priorities)
 	defaultWindow        = time.Second
+	defaultMargin        = 1.5
 	defaultMinRetry      = 500 * time.Millisecond
 	defaultMaxRetry      = time.Minute
 )
@@ -57,6 +59,9 @@
 	if cfg.MaxCost <= 0 {
 		cfg.MaxCost = defaultMaxCost
 	}
+	if cfg.Margin <= 0 {
+		cfg.Margin = defaultMargin
+	}
 	setDuration(&cfg.Window, defaultWindow)
 	setDuration(&cfg.MinRetry, defaultMinRetry)
 	setDuration(&cfg.MaxRetry, defaultMaxRetry)
