--- a/routing/choose_test.go
+++ b/routing/choose_test.go
@@ -179,6 +179,24 @@
 	})
 }
 
+// TestLoadCorrected counts own requests once, whether or not a late report holds
+// them.
+func TestLoadCorrected(t *testing.T) {
+	c := newChooser(3, []Candidate{{Upstream: "a", Near: true}})
+	for range 10 {
+		c.Choose(Request{}, start)
+	}
+	at := start.Add(time.Second)
+	for range 3 {
+		c.Choose(Request{}, at.Add(time.Second))
+	}
+	c.ReportLoad(Report{Upstream: "a", At: at, Running: 14, Waiting: 1})
+	c.Done("a", at.Add(time.Second))
+	if got, want := c.load(c.engines["a"], at), 17.0; got != want {
+		t.Errorf("load: got %v, want %v: 5 of others and 12 own", got, want)
+	}
+}
+
 func TestAffinityYieldsToLoad(t *testing.T) {
 	var list []Candidate
 	for i := range 8 {
