Write the load tests shorter

Ruled out: dropping a check; TestSubsetEven now wants each upstream covered by the floor of the mean or one more, which is as strict. Seen failing again after the change: rank in place of rank*size ("instances of e003: got 0, want 1 or one more"), no cap ("granted 0 beyond the cap of a").

--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -45,26 +45,17 @@
 	}
 }
 
-func (l *ledger) runs(w ident.Workspace) int {
-	n := 0
-	for _, it := range l.running {
-		if it.Workspace == w {
-			n++
-		}
-	}
-	return n
-}
-
 // startable returns the waiting requests that may start, in order of arrival.
 func (l *ledger) startable(limits func(ident.Workspace) Limits) []Item {
+	runs := map[ident.Workspace]int{}
+	for _, it := range l.running {
+		runs[it.Workspace]++
+	}
 	var items []Item
 	for _, id := range l.order {
 		it, ok := l.waiting[id]
-		if !ok {
-			continue
-		}
 		limit := limits(it.Workspace).Concurrent
-		if it.Priority == Resumed || limit == 0 || l.runs(it.Workspace) < limit {
+		if ok && (it.Priority == Resumed || limit == 0 || runs[it.Workspace] < limit) {
 			items = append(items, it)
 		}
 	}
@@ -262,13 +253,10 @@
 	if err == nil || err.Code != result.Overloaded || len(as) != 0 {
 		t.Fatalf("offer: got %v and answers %v, want %v and none", err, as, result.Overloaded)
 	}
-	gs, _ := q.Next(3, start)
-	got := ""
-	for _, g := range gs {
-		got += string(g.ID) + " "
-	}
-	if want := "u b1 b2 "; got != want {
-		t.Errorf("grants: got %s, want %s", got, want)
+	for _, want := range []ident.Generation{"u", "b1", "b2"} {
+		if gs, _ := q.Next(1, start); len(gs) != 1 || gs[0].ID != want {
+			t.Errorf("grant: got %v, want %s", gs, want)
+		}
 	}
 }
 
--- a/quota/shares_test.go
+++ b/quota/shares_test.go
@@ -272,24 +272,24 @@
 // few are active.
 func TestOnlyActiveTravel(t *testing.T) {
 	f := newFleet(3)
-	for i := range 5500 {
-		f.all["i00"].Rate(ident.Workspace(fmt.Sprint(i)))
-	}
-	for range 3 {
-		f.now = f.now.Add(time.Second)
-		for i := range 5 {
-			f.all["i00"].Demand(ident.Workspace(fmt.Sprint(i)), limit)
+	s := f.all["i00"]
+	for i := range 3 * 5500 {
+		w := ident.Workspace(fmt.Sprint(i % 5500))
+		s.Rate(w)
+		if i%1100 == 0 {
+			s.Demand(w, limit)
+			f.now = f.now.Add(time.Second)
+			f.tick("i00")
 		}
-		f.tick("i00")
+	}
+	if len(f.way) == 0 {
+		t.Fatal("messages: got none")
 	}
 	for _, m := range f.way {
-		if got, want := len(m.Rows), 5; got > want {
-			t.Errorf("rows: got %d, want at most %d", got, want)
+		if got := len(m.Rows); got > 5 || len(s.Active()) != 5 {
+			t.Errorf("rows: got %d, want at most 5 with as many accounts, not %d", got, len(s.Active()))
 		}
 	}
-	if got, want := len(f.all["i00"].Active()), 5; got != want {
-		t.Errorf("accounts: got %d, want %d", got, want)
-	}
 }
 
 func BenchmarkTick(b *testing.B) {
--- a/routing/choose_test.go
+++ b/routing/choose_test.go
@@ -145,19 +145,19 @@
 	return ident.Upstream(fmt.Sprintf("e%03d", i))
 }
 
+func names[T ~string](n int) (list []T) {
+	for i := range n {
+		list = append(list, T(name(i)))
+	}
+	return list
+}
+
 func TestSubsetEven(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 80).Draw(t, "instances")
 		k := rapid.IntRange(1, 120).Draw(t, "upstreams")
 		size := rapid.IntRange(1, 40).Draw(t, "size")
-		var instances []ident.Instance
-		var upstreams []ident.Upstream
-		for i := range n {
-			instances = append(instances, ident.Instance(fmt.Sprintf("i%03d", i)))
-		}
-		for i := range k {
-			upstreams = append(upstreams, name(i))
-		}
+		instances, upstreams := names[ident.Instance](n), names[ident.Upstream](k)
 		cover := make(map[ident.Upstream]int)
 		for _, me := range instances {
 			got := Subset(instances, me, upstreams, size)
@@ -168,13 +168,10 @@
 				cover[u]++
 			}
 		}
-		low, high := n, 0
 		for _, u := range upstreams {
-			low = min(low, cover[u])
-			high = max(high, cover[u])
-		}
-		if high-low > 1 {
-			t.Fatalf("coverage: got %d to %d, want a difference of at most 1", low, high)
+			if got, want := cover[u], n*min(size, k)/k; got != want && got != want+1 {
+				t.Fatalf("instances of %s: got %d, want %d or one more", u, got, want)
+			}
 		}
 	})
 }
--- a/routing/compare_test.go
+++ b/routing/compare_test.go
@@ -55,14 +55,10 @@
 
 // build returns the choosers of all instances.
 func build() []*Chooser {
-	var upstreams []ident.Upstream
-	for i := range engines {
-		upstreams = append(upstreams, name(i))
-	}
-	names := []ident.Instance{"a", "b", "c", "d", "e", "f"}
+	fleet, upstreams := names[ident.Instance](instances), names[ident.Upstream](engines)
 	var cs []*Chooser
-	for i, me := range names {
-		near := Subset(names, me, upstreams, subset)
+	for i, me := range fleet {
+		near := Subset(fleet, me, upstreams, subset)
 		var list []Candidate
 		for _, u := range upstreams {
 			list = append(list, Candidate{Upstream: u, Near: slices.Contains(near, u)})
@@ -78,8 +74,8 @@
 	load := make([][engines]int, steps+1)
 	ends := map[int][]func(time.Time){}
 	caches := map[ident.Upstream]*affinity.Index{}
-	for i := range engines {
-		caches[name(i)] = affinity.New(affinity.Settings{Blocks: cacheBlocks})
+	for _, u := range names[ident.Upstream](engines) {
+		caches[u] = affinity.New(affinity.Settings{Blocks: cacheBlocks})
 	}
 	for s := range steps {
 		now := start.Add(time.Duration(s) * step)
