Add membership and rendezvous: who is live, decided without a clock

Cause: instances must know within seconds who is live, leaving or out of reach, at 930 members and at a constant cost, and must not take one bad link, a pause or a failure domain that is cut off for deaths.

Ruled out: all-to-all heartbeats (the naive version of the tests; a message to each of 930 members each period); verdicts across failure domains (a cut then kills the whole other side); news on probes alone (see below).

Change: Table, after SWIM, with indirect probes, refutation, verdicts by the own failure domain only, cut-off domains kept as Unreachable, news pushed at once, generic notices, and page-wise synchronization when digests differ.

--- /dev/null
+++ b/membership/ring.go
@@ -0,0 +1,61 @@
+package membership
+
+import (
+	"slices"
+
+	"crocuslug/ident"
+)
+
+// ring holds instances in a random order and goes round, so that each is met
+// once a round. The zero value is empty.
+type ring struct {
+	ids  []ident.Instance
+	next int
+}
+
+// insert adds id at a random place.
+func (r *ring) insert(id ident.Instance, rand func(n int) int) {
+	i := rand(len(r.ids) + 1)
+	r.ids = slices.Insert(r.ids, i, id)
+	if i < r.next {
+		r.next++
+	}
+}
+
+func (r *ring) remove(id ident.Instance) {
+	i := slices.Index(r.ids, id)
+	if i < 0 {
+		return
+	}
+	r.ids = slices.Delete(r.ids, i, i+1)
+	if i < r.next {
+		r.next--
+	}
+}
+
+// turn returns the next instance, or "" if there is none.
+func (r *ring) turn() ident.Instance {
+	if len(r.ids) == 0 {
+		return ""
+	}
+	if r.next >= len(r.ids) {
+		r.next = 0
+	}
+	r.next++
+	return r.ids[r.next-1]
+}
+
+// pick returns up to n different instances other than not.
+func (r *ring) pick(n int, not ident.Instance, rand func(n int) int) []ident.Instance {
+	var ids []ident.Instance
+	for range 2 * n {
+		if len(r.ids) == 0 || len(ids) == n {
+			break
+		}
+		id := r.ids[rand(len(r.ids))]
+		if id != not && !slices.Contains(ids, id) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
