--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"crocuslug/replica"
 	"crocuslug/routing"
 	"crocuslug/settings"
+	"crocuslug/suspect"
 	"crocuslug/takeover"
 	"crocuslug/timer"
 )
@@ -39,6 +40,7 @@
 	Takeover takeover.Settings
 	Routing  routing.Settings
 	Gateway  gateway.Settings
+	Suspect  suspect.Settings
 	Seed     uint64 // of all random choices; 0 draws one
 	Cut      func(to ident.Instance) bool
 	CutFrom  func(from ident.Instance) bool
@@ -63,6 +65,7 @@
 	taker    *takeover.Taker
 	gateway  *gateway.Gateway
 	chooser  *routing.Chooser
+	suspects *suspect.Ledger
 	server   *fasthttp.Server
 	listener net.Listener
 	conns    connections
@@ -96,6 +99,7 @@
 	d.conns.open = make(map[net.Conn]struct{})
 	d.buildLoad()
 	d.buildPeers(secret)
+	d.buildSuspects()
 	d.buildGenerations()
 	d.buildConfiguration(key)
 	d.buildRoutes()
@@ -115,7 +119,8 @@
 	}
 	d.goRun(func() { d.loop.Run(d.ctx) })
 	d.owner.Run()
-	d.every(expireInterval, func(now time.Time) { d.replicas.Expire(now) })
+	d.every(expireInterval, d.expire)
+	d.every(suspectInterval, d.tellSuspects)
 	d.goRun(func() {
 		if err := d.server.Serve(d.conns.wrap(l)); err != nil {
 			d.log.Error().Err(err).Msg("serving ended")
@@ -128,6 +133,12 @@
 // expireInterval is the interval in which copies past their retention are dropped.
 const expireInterval = 5 * time.Second
 
+// expire forgets what is past its retention.
+func (d *Daemon) expire(now time.Time) {
+	d.replicas.Expire(now)
+	d.suspects.Expire(now)
+}
+
 func (d *Daemon) goRun(f func()) {
 	d.running.Add(1)
 	go func() {
--- a/daemon/generations.go
+++ b/daemon/generations.go
@@ -144,6 +144,9 @@
 
 func (d *Daemon) ended(g *owner.Generation) {
 	spec, stats := g.Spec(), g.Stats()
+	if g.Whole() {
+		d.suspects.Finished(spec.Fingerprint)
+	}
 	e := d.log.Info()
 	if r := g.Result(); r != nil {
 		e = e.Int("code", int(r.Code)).Str("detail", r.Detail)
--- a/daemon/load.go
+++ b/daemon/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"crocuslug/affinity"
@@ -29,16 +30,17 @@
 
 // chooseEngine picks an engine for a generation.
 func (d *Daemon) chooseEngine(q owner.EngineQuery) (ident.Upstream, *result.Error) {
-	r := routing.Request{
-		ID:           q.Spec.Request,
-		Model:        routing.Model{Name: q.Spec.Model, Version: q.Spec.Version, Adapter: q.Spec.Adapter},
-		PromptTokens: promptTokens(q.Spec) + q.Held,
-		Exclude:      q.Exclude,
-		Resumed:      q.Resumed,
+	avoid, alone, err := d.screen(q)
+	if err != nil {
+		return "", err
+	}
+	dec := d.choose(q, slices.Concat(q.Exclude, avoid))
+	if dec.Kind != routing.Send && len(avoid) > 0 && !alone {
+		dec = d.choose(q, q.Exclude)
 	}
-	dec := d.chooser.Choose(r, d.opt.Timer.Now())
 	switch dec.Kind {
 	case routing.Send:
+		d.suspects.Placed(dec.Upstream, q.Spec.Fingerprint)
 		return dec.Upstream, nil
 	case routing.NoUpstream:
 		return "", result.Newf(result.NoUpstream, "no engine in reach has model %q at hand", q.Spec.Model).After(busyRetry)
@@ -46,6 +48,16 @@
 	return "", result.New(result.Overloaded, "all engines are full").After(busyRetry)
 }
 
+func (d *Daemon) choose(q owner.EngineQuery, exclude []ident.Upstream) routing.Decision {
+	return d.chooser.Choose(routing.Request{
+		ID:           q.Spec.Request,
+		Model:        routing.Model{Name: q.Spec.Model, Version: q.Spec.Version, Adapter: q.Spec.Adapter},
+		PromptTokens: promptTokens(q.Spec) + q.Held,
+		Exclude:      exclude,
+		Resumed:      q.Resumed,
+	}, d.opt.Timer.Now())
+}
+
 // bytesPerToken estimates the tokens of a prompt from its bytes.
 const bytesPerToken = 4
 
@@ -53,7 +65,8 @@
 	return len(spec.Body) / bytesPerToken
 }
 
-func (d *Daemon) releaseEngine(u ident.Upstream, _ generation.Spec, cause generation.Cause) {
+func (d *Daemon) releaseEngine(u ident.Upstream, spec generation.Spec, cause generation.Cause) {
+	d.suspects.Left(u, spec.Fingerprint)
 	now := d.opt.Timer.Now()
 	if cause == 0 {
 		d.chooser.Done(u, now)
@@ -69,11 +82,6 @@
 	}
 }
 
-func (d *Daemon) blame(u ident.Upstream, spec generation.Spec) {
-	d.log.Warn().Str("upstream", string(u)).Str("request", string(spec.Request)).
-		Str("generation", string(spec.Generation)).Msg("engine lost")
-}
-
 // admit lets a generation start.
 func (d *Daemon) admit(context.Context, generation.Spec) (func(tokens int), *result.Error) {
 	return nil, nil
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -43,7 +43,17 @@
 	return out
 }
 
-// order returns the other live instances, the likeliest holder of n first.
+// everyone returns all other instances that are known.
+func (d *Daemon) everyone() []ident.Instance {
+	var out []ident.Instance
+	d.known.Range(func(id, _ any) bool {
+		out = append(out, id.(ident.Instance))
+		return true
+	})
+	return out
+}
+
+// holders returns the other live instances, the likeliest holder of n first.
 func (d *Daemon) holders(n replica.Name) []ident.Instance {
 	out := rendezvous.Order(string(n.Workspace)+"/"+string(n.Request), d.live())
 	return slices.DeleteFunc(out, func(id ident.Instance) bool { return id == d.id })
--- a/distribution/world_test.go
+++ b/distribution/world_test.go
@@ -207,4 +207,3 @@
 		}
 	}
 }
-
--- a/generation/machine.go
+++ b/generation/machine.go
@@ -16,6 +16,7 @@
 	ProbeLimit    time.Duration // wait for an engine's answer to the request for a known stream
 	ConnectLimit  time.Duration // wait for an engine's answer to a new stream
 	ReplicaLimit  time.Duration // wait for the replica's acknowledgement
+	ReplicaWait   time.Duration // how long tokens wait for a replica if none of those in reach answers
 	ReplicaRetry  time.Duration // wait before a replica is looked for again
 	EngineRetry   time.Duration // wait before an engine is looked for again
 	ResumeLimit   time.Duration // how long a resumed generation waits for an engine
@@ -32,6 +33,7 @@
 	defaultProbeLimit   = 250 * time.Millisecond
 	defaultConnectLimit = 2 * time.Second
 	defaultReplicaLimit = 150 * time.Millisecond
+	defaultReplicaWait  = 2 * time.Second
 	defaultReplicaRetry = time.Second
 	defaultEngineRetry  = 50 * time.Millisecond
 	defaultResumeLimit  = 20 * time.Second
@@ -48,6 +50,7 @@
 	def(&cfg.ProbeLimit, defaultProbeLimit)
 	def(&cfg.ConnectLimit, defaultConnectLimit)
 	def(&cfg.ReplicaLimit, defaultReplicaLimit)
+	def(&cfg.ReplicaWait, defaultReplicaWait)
 	def(&cfg.ReplicaRetry, defaultReplicaRetry)
 	def(&cfg.EngineRetry, defaultEngineRetry)
 	def(&cfg.ResumeLimit, defaultResumeLimit)
@@ -219,7 +222,7 @@
 	if m.phase != choosing {
 		return nil
 	}
-	if !m.underWay() {
+	if !m.underWay() || r.Code == result.RequestCrashes {
 		return m.end(r)
 	}
 	if m.lost.IsZero() {
--- a/generation/replica.go
+++ b/generation/replica.go
@@ -17,6 +17,7 @@
 	lastAck time.Time     // last acknowledgement, or last send after none was due
 	retryAt time.Time     // when to look for one after none was found
 	avoid   []ident.Instance
+	failing time.Time // since when no replica answers although there are some; zero if not
 }
 
 // rebase makes the next batch carry the whole log.
@@ -35,7 +36,9 @@
 }
 
 // ReplicaChosen tells which instance is to hold the copy. The empty id means
-// that none is in reach: tokens are then released without a copy until one is found.
+// that there is none besides those to avoid. If there is none at all, tokens are
+// released without a copy until one is found. If there are some that did not
+// answer, they are tried again in turn and tokens wait, for a bounded time.
 func (m *Machine) ReplicaChosen(now time.Time, id ident.Instance) []Action {
 	r := &m.replica
 	r.asked = false
@@ -43,20 +46,37 @@
 	r.lastAck = now
 	r.rebase()
 	if id == "" {
-		r.avoid = nil
-		r.retryAt = now.Add(m.cfg.ReplicaRetry)
-		return m.release(m.log.Position())
+		return m.noReplica(now)
 	}
 	m.stats.ReplicaChanges++
 	return m.replicate(now)
 }
 
+func (m *Machine) noReplica(now time.Time) []Action {
+	r := &m.replica
+	if len(r.avoid) > 0 && r.failing.IsZero() {
+		r.failing = now
+	}
+	if len(r.avoid) > 0 && now.Sub(r.failing) < m.cfg.ReplicaWait {
+		r.retryAt = now.Add(m.cfg.EngineRetry)
+		r.avoid = nil
+		return nil
+	}
+	r.avoid = nil
+	r.failing = time.Time{}
+	r.retryAt = now.Add(m.cfg.ReplicaRetry)
+	return m.release(m.log.Position())
+}
+
 // replicate sends what the replica lacks, or releases it if there is none.
 func (m *Machine) replicate(now time.Time) []Action {
 	r := &m.replica
 	if r.asked {
 		return nil
 	}
+	if r.id == "" && !r.failing.IsZero() {
+		return nil
+	}
 	if r.id == "" {
 		return m.release(m.log.Position())
 	}
@@ -92,6 +112,7 @@
 	}
 	r.lastAck = now
 	r.avoid = nil
+	r.failing = time.Time{}
 	r.acked = max(r.acked, upto)
 	return m.release(r.acked)
 }
@@ -122,7 +143,8 @@
 	case r.asked || m.cfg.DisableReplic:
 		return nil
 	case r.id == "":
-		if !m.Over() && !now.Before(r.retryAt) {
+		due := !now.Before(r.retryAt)
+		if due && (!m.Over() || m.released < m.log.Position()) {
 			return m.chooseReplica(now)
 		}
 		return nil
--- a/owner/generation.go
+++ b/owner/generation.go
@@ -65,6 +65,13 @@
 	return g.machine.Result()
 }
 
+// Whole reports whether the answer came to its end and all of it is released.
+func (g *Generation) Whole() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.machine.Whole()
+}
+
 // Description says how far a generation is.
 type Description struct {
 	Generation ident.Generation
@@ -121,7 +128,7 @@
 	case generation.Release, generation.End:
 		g.more.Broadcast()
 	case generation.Blame:
-		go g.owner.ports.Blame(a.Upstream, g.machine.Spec())
+		g.owner.ports.Blame(a.Upstream, g.machine.Spec())
 	}
 	return nil
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -57,7 +57,7 @@
 	ReleaseEngine func(u ident.Upstream, spec generation.Spec, cause generation.Cause)
 	// Address returns where an engine listens.
 	Address func(u ident.Upstream) (string, bool)
-	// Blame tells that an engine died while it ran a generation.
+	// Blame tells that an engine died while it ran a generation. It must not block.
 	Blame func(u ident.Upstream, spec generation.Spec)
 	// ChooseReplica picks an instance to hold the copy, or returns "".
 	ChooseReplica func(spec generation.Spec, avoid []ident.Instance) ident.Instance
--- a/rendezvous/rendezvous.go
+++ b/rendezvous/rendezvous.go
@@ -1,34 +1,42 @@
-// Package rendezvous ranks instances for a key so that all agree without talking.
+// Package rendezvous chooses instances for keys without any agreement.
 //
-// Each instance scores itself for the key by a hash; the highest score goes
-// first (Thaler and Ravishankar, Using Name-Based Mappings to Increase Hit
-// Rates, IEEE/ACM Transactions on Networking 6(1), 1998). When an instance goes,
-// only the keys that it ranked first for move.
+// Each instance scores every member for a key and the highest score wins
+// (highest random weight: D. Thaler and C. Ravishankar, Using name-based
+// mappings to increase hit rates, IEEE/ACM Transactions on Networking 6(1),
+// 1998). Instances that know the same members choose the same order, and a
+// member that comes or goes moves only the keys that it wins or had won.
 package rendezvous
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 
 	"github.com/zeebo/xxh3"
 
 	"crocuslug/ident"
 )
 
-// Order returns members by falling score for key. The list given is not changed.
+type scored struct {
+	id    ident.Instance
+	score uint64
+}
+
+// Order returns members by falling score for key. It does not change members.
 func Order(key string, members []ident.Instance) []ident.Instance {
 	seed := xxh3.HashString(key)
-	out := make([]ident.Instance, len(members))
-	copy(out, members)
-	score := make(map[ident.Instance]uint64, len(members))
-	for _, m := range members {
-		score[m] = xxh3.HashStringSeed(string(m), seed)
+	all := make([]scored, len(members))
+	for i, id := range members {
+		all[i] = scored{id: id, score: xxh3.HashStringSeed(string(id), seed)}
 	}
-	sort.Slice(out, func(i, j int) bool {
-		a, b := score[out[i]], score[out[j]]
-		if a != b {
-			return a > b
+	slices.SortFunc(all, func(a, b scored) int {
+		if c := cmp.Compare(b.score, a.score); c != 0 {
+			return c
 		}
-		return out[i] < out[j]
+		return cmp.Compare(a.id, b.id)
 	})
-	return out
+	order := make([]ident.Instance, len(all))
+	for i, s := range all {
+		order[i] = s.id
+	}
+	return order
 }
--- a/standinsite/script_test.go
+++ b/standinsite/script_test.go
@@ -126,15 +126,25 @@
 	}
 }
 
+// onToken carries out the faults that are due. A fault on what serves the answer
+// waits for the next token while nothing does, as between a kill and the
+// caller's reconnect.
 func (s *script) onToken(index int, _ string) {
 	for _, h := range s.hooks[index] {
-		s.do(strings.Fields(h))
+		if !s.do(strings.Fields(h)) {
+			s.hooks[index+1] = append(s.hooks[index+1], h)
+		}
 	}
+	delete(s.hooks, index)
 }
 
-// do carries out a fault. It runs on the goroutine that reads the first answer.
-func (s *script) do(words []string) {
+// do carries out a fault and reports whether it could. It runs on the goroutine
+// that reads the first answer.
+func (s *script) do(words []string) bool {
 	n := s.serving(words)
+	if n < 0 {
+		return false
+	}
 	switch words[0] + " " + words[1] {
 	case "kill engine":
 		s.site.Engines[n].Kill()
@@ -154,26 +164,25 @@
 	default:
 		s.t.Errorf("script: unknown fault %v", words)
 	}
+	return true
 }
 
-// serving returns the number of the engine or instance that words name.
+// serving returns the number of the engine or instance that words name, or -1.
 func (s *script) serving(words []string) int {
 	if n, err := strconv.Atoi(words[2]); err == nil {
 		return n
 	}
 	if words[1] == "instance" {
-		if i := s.site.owner(Workspace, "r0"); i >= 0 {
-			return i
-		}
-	} else if e := s.site.Engine(Workspace, "r0"); e != nil {
-		return slices.Index(s.site.Engines, e)
+		return s.site.owner(Workspace, "r0")
 	}
-	s.t.Errorf("script: nothing serves r0 for %v", words)
-	return 0
+	return slices.Index(s.site.Engines, s.site.Engine(Workspace, "r0"))
 }
 
 func (s *script) want(words []string) {
 	s.wg.Wait()
+	if len(s.hooks) > 0 {
+		s.t.Errorf("script: got faults left over %v, want none", s.hooks)
+	}
 	for i, a := range s.answers {
 		if words[0] == "code" {
 			if a.Err == nil || strconv.Itoa(int(a.Err.Code)) != words[1] {
