--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -20,6 +20,7 @@
 	}, d.opt.Timer, d.log)
 	d.link.Cut = d.opt.Cut
 	d.link.CutFrom = d.opt.CutFrom
+	d.link.OnDown(func(id ident.Instance) { d.owner.ReplicaLost(id) })
 	for _, p := range d.cfg.Peers {
 		d.Know(p.Instance, p.Domain, p.PeerAddr)
 	}
--- a/generation/replica.go
+++ b/generation/replica.go
@@ -128,7 +128,7 @@
 
 // ReplicaLost tells that instance id is out of reach.
 func (m *Machine) ReplicaLost(now time.Time, id ident.Instance) []Action {
-	if id != m.replica.id || m.replica.asked || m.phase == ended {
+	if id != m.replica.id || m.replica.asked || m.phase == ended || m.Whole() {
 		return nil
 	}
 	m.replica.avoid = append(m.replica.avoid, id)
