Measure losses, storms, crashing requests and the relay

Cause: the bounds on resume latency and extra work need runs of the real parts. Change: package measuregeneration with eight experiments and the naive version.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"crocuslug/measure"
+	"crocuslug/measuregeneration"
 )
 
 // runLimit bounds one experiment.
@@ -20,7 +21,7 @@
 
 // entries lists all experiments in the order of list.
 func entries() []measure.Entry {
-	return slices.Concat[[]measure.Entry]()
+	return slices.Concat(measuregeneration.Entries())
 }
 
 func main() {
--- a/standinsite/site.go
+++ b/standinsite/site.go
@@ -9,6 +9,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"sync"
 
 	"github.com/rs/zerolog"
@@ -36,6 +37,12 @@
 	Tracer    trace.Tracer
 	Seed      uint64
 	Log       zerolog.Logger
+	// EngineAddress takes the place of the stand-ins for engines if it is set.
+	EngineAddress string
+	Slots         int // of the engine at EngineAddress
+	// OnEngineDeath is called when an engine was killed or crashed, with the
+	// function that starts it again; it may be nil.
+	OnEngineDeath func(revive func() error)
 }
 
 // Names of what every site has.
@@ -116,11 +123,22 @@
 		Name:      Workspace,
 		KeyHashes: []string{access.Hash([]byte(WorkspaceKey))},
 	})
+	if s.cfg.EngineAddress != "" {
+		s.doc.Upstreams = append(s.doc.Upstreams, configuration.Upstream{
+			Name: "engine", Service: "assistant", Address: s.cfg.EngineAddress,
+			Domain: s.cfg.Domains[0], Models: []string{Model}, Slots: s.cfg.Slots,
+		})
+		return nil
+	}
 	for _, domain := range s.cfg.Domains {
 		for i := range s.cfg.Engines {
 			cfg := s.cfg.Engine
 			cfg.Name = fmt.Sprintf("engine-%s-%d", domain, i)
-			e := standinengine.New(cfg, s.stand)
+			var e *standinengine.Engine
+			if s.cfg.OnEngineDeath != nil {
+				cfg.Exit = func() { s.cfg.OnEngineDeath(e.Restart) }
+			}
+			e = standinengine.New(cfg, s.stand)
 			if err := e.Start(); err != nil {
 				return err
 			}
@@ -157,13 +175,6 @@
 			}
 		}
 	}
-	for _, a := range s.Instances {
-		for _, b := range s.Instances {
-			if a != b {
-				a.Know(b.ID(), b.Domain(), b.PeerAddr())
-			}
-		}
-	}
 	return nil
 }
 
@@ -181,11 +192,32 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for i, other := range s.Instances {
+		if s.alive[i] {
+			other.Know(d.ID(), d.Domain(), d.PeerAddr())
+			d.Know(other.ID(), other.Domain(), other.PeerAddr())
+		}
+	}
 	s.Instances = append(s.Instances, d)
 	s.alive = append(s.alive, true)
 	return nil
 }
 
+// AddInstance starts one more instance in the first failure domain.
+func (s *Site) AddInstance() error {
+	return s.startInstance(s.instance(s.cfg.Domains[0], len(s.Instances)))
+}
+
+// Placed returns the number of the engine that runs a request, or -1, and where
+// the instance that owns it takes callers, or "".
+func (s *Site) Placed(w ident.Workspace, r ident.Request) (engine int, address string) {
+	i := s.owner(w, r)
+	if i < 0 {
+		return -1, ""
+	}
+	return slices.Index(s.Engines, s.Engine(w, r)), s.Instances[i].Addr()
+}
+
 // Addresses returns where the instances that were not killed take callers.
 func (s *Site) Addresses() []string {
 	s.mu.Lock()
