--- a/distribution/world_test.go
+++ b/distribution/world_test.go
@@ -39,7 +39,6 @@
 	queue    []message
 	cut      map[ident.Domain]map[ident.Domain]bool
 	noStore  map[ident.Domain]bool
-	bytes    int
 	reads    int
 	runs     uint64
 }
@@ -207,4 +206,3 @@
 		}
 	}
 }
-
--- /dev/null
+++ b/operatorcommand/text.go
@@ -0,0 +1,59 @@
+package operatorcommand
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"crocuslug/operatorapi"
+	"crocuslug/plan"
+	"crocuslug/revision"
+)
+
+func writePlan(w io.Writer, p plan.Plan, out string) {
+	fmt.Fprintf(w, "Plan %s by %s on revision %d: %d changes\n", p.ID, p.Author, p.BaseRevision, len(p.Changes))
+	for _, c := range p.Changes {
+		fmt.Fprintf(w, "  %s\n", c.Path)
+		if c.Before != nil {
+			fmt.Fprintf(w, "    - %s\n", c.Before)
+		}
+		if c.After != nil {
+			fmt.Fprintf(w, "    + %s\n", c.After)
+		}
+		fmt.Fprintf(w, "    %s\n", c.Effect)
+	}
+	for _, text := range p.Warnings {
+		fmt.Fprintf(w, "Warning: %s\n", text)
+	}
+	fmt.Fprintln(w, "Nothing has changed yet.")
+	if out != "" {
+		fmt.Fprintf(w, "To put it in force: crocuslug confirm %s\n", out)
+	}
+}
+
+func writeRecord(w io.Writer, rec revision.Record) {
+	fmt.Fprintf(w, "Revision %d  %s  %d changes by %s, confirmed by %s", rec.Revision,
+		rec.Time.Format(time.RFC3339), rec.Changes, rec.Author, rec.ConfirmedBy)
+	if rec.Note != "" {
+		fmt.Fprintf(w, ": %s", rec.Note)
+	}
+	fmt.Fprintln(w)
+}
+
+func writeStatus(w io.Writer, s operatorapi.StatusResponse) {
+	fmt.Fprintf(w, "Newest revision in force: %d. Instances: %d, behind: %d, without answer: %d, cut off from the platform: %d\n",
+		s.Newest, len(s.Instances), s.Behind, s.Silent, s.CutOff)
+	for _, r := range s.Instances {
+		state := fmt.Sprintf("revision %d", r.Revision)
+		if r.Revision < s.Newest {
+			state += ", behind"
+		}
+		if r.CutOff {
+			state += ", keeps it without word of the platform's service"
+		}
+		if !r.Answered {
+			state = "no answer"
+		}
+		fmt.Fprintf(w, "  %-20s %-20s %s\n", r.Domain, r.Instance, state)
+	}
+}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -81,6 +81,7 @@
 	core    *distribution.Core
 	members []distribution.Member
 	ctx     context.Context
+	ended   bool
 	running sync.WaitGroup
 }
 
@@ -126,6 +127,9 @@
 	})
 	r.watch(ctx)
 	sub.Stop()
+	r.mu.Lock()
+	r.ended = true
+	r.mu.Unlock()
 	r.running.Wait()
 }
 
@@ -224,7 +228,9 @@
 
 // goDo runs f on a goroutine unless the rollout has ended.
 func (r *Rollout) goDo(ctx context.Context, f func()) {
-	if ctx.Err() != nil {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ended || ctx.Err() != nil {
 		return
 	}
 	r.running.Go(f)
