Pull documents from peers in pages

Cause: a whole document of the size to design for is 1.4 MB as JSON, more than a message between instances may hold, and a new instance without the platform's service needs it from a peer. Change: rollout answers pulls in pages of one encoded answer; a change meanwhile ends the pull. Seen failing: asking for the first page over and over leaves instances at revision 0.

--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -34,7 +34,7 @@
 	// Notify sends n to a peer and does not block; it may be lost.
 	Notify func(to ident.Instance, n distribution.Notice)
 	// Pull has the peer's Asked answer a.
-	Pull func(ctx context.Context, to ident.Instance, a distribution.Ask) (distribution.Answer, error)
+	Pull func(ctx context.Context, to ident.Instance, a PageAsk) (Page, error)
 	// Report has the peer's Report answer.
 	Report func(ctx context.Context, to ident.Instance) (Report, error)
 }
@@ -44,6 +44,7 @@
 	HeadKey      string // key to watch; "" means "configuration/head"
 	Distribution distribution.Settings
 	CallTimeout  unit.Duration // time limit of a call to a peer or of a read; 0 means 5 s
+	PageBytes    int           // of one page of an answer to a peer; 0 means 128 KiB
 	RetryAfter   unit.Duration // pause after a watch that failed; 0 means 1 s
 	Log          zerolog.Logger
 }
@@ -63,6 +64,7 @@
 	defaultHeadKey     = "configuration/head"
 	defaultCallTimeout = 5 * time.Second
 	defaultRetryAfter  = time.Second
+	defaultPageBytes   = 128 << 10
 )
 
 // Rollout keeps the newest configuration in force at one instance. Its methods
@@ -82,6 +84,7 @@
 	members []distribution.Member
 	ctx     context.Context
 	ended   bool
+	encoded encoded
 	running sync.WaitGroup
 }
 
@@ -99,6 +102,9 @@
 	if cfg.RetryAfter <= 0 {
 		cfg.RetryAfter = unit.Duration(defaultRetryAfter)
 	}
+	if cfg.PageBytes <= 0 {
+		cfg.PageBytes = defaultPageBytes
+	}
 	r := &Rollout{
 		self: self, ports: ports, timer: t, cfg: cfg, changed: changed,
 		core: distribution.New(self, seed, t.Now(), cfg.Distribution),
@@ -160,13 +166,6 @@
 	r.step(func() []distribution.Action { return r.core.Received(r.timer.Now(), from, n) })
 }
 
-// Asked answers a peer's pull.
-func (r *Rollout) Asked(a distribution.Ask) distribution.Answer {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.core.Asked(a)
-}
-
 // SetMembers replaces the live instances.
 func (r *Rollout) SetMembers(members []distribution.Member) {
 	r.mu.Lock()
@@ -239,7 +238,7 @@
 func (r *Rollout) pull(ctx context.Context, to ident.Instance, ask distribution.Ask) {
 	ctx, cancel := context.WithTimeout(ctx, r.cfg.CallTimeout.Std())
 	defer cancel()
-	answer, err := r.ports.Pull(ctx, to, ask)
+	answer, err := r.fetch(ctx, to, ask)
 	r.step(func() []distribution.Action {
 		if err != nil {
 			r.core.Failed()
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -86,11 +87,11 @@
 				go r.Received(m.Instance, n)
 			}
 		},
-		Pull: func(_ context.Context, to ident.Instance, a distribution.Ask) (distribution.Answer, error) {
+		Pull: func(_ context.Context, to ident.Instance, a PageAsk) (Page, error) {
 			if r := f.peer(to); r != nil {
-				return r.Asked(a), nil
+				return r.Asked(a)
 			}
-			return distribution.Answer{}, errDown
+			return Page{}, errDown
 		},
 		Report: func(_ context.Context, to ident.Instance) (Report, error) {
 			if r := f.peer(to); r != nil {
@@ -104,7 +105,7 @@
 		defer f.mu.Unlock()
 		f.orders[m.Instance] = append(f.orders[m.Instance], doc.Revision)
 	}
-	r := New(m, uint64(len(f.all)+1), f.timer, ports, changed, Settings{})
+	r := New(m, uint64(len(f.all)+1), f.timer, ports, changed, Settings{PageBytes: 512})
 	r.SetMembers(f.members)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -124,7 +125,10 @@
 		f.t.Fatal(err)
 	}
 	in := intent.Intent{Author: "ama"}
-	in.Set.Workspaces = []configuration.Workspace{{Name: "acme", MaxConcurrent: limit}}
+	for i := range 100 { // more than a difference that is sent unasked
+		name := ident.Workspace(fmt.Sprintf("workspace-%d", i))
+		in.Set.Workspaces = append(in.Set.Workspaces, configuration.Workspace{Name: name, MaxConcurrent: limit})
+	}
 	p, problems := plan.Make(base, in, plan.Usage{})
 	if len(problems) > 0 {
 		f.t.Fatal(problems)
