--- a/distribution/distribution.go
+++ b/distribution/distribution.go
@@ -86,6 +86,7 @@
 	defaultCutOffAfter = 30 * time.Second
 	defaultPullTimeout = 2 * time.Second
 	firstRead          = 2 * time.Second  // wait of a new instance for its peers
+	startJitter        = time.Second      // spread of first reads of watchers
 	readJitter         = 4 * time.Second  // spread of first reads
 	probeInterval      = 10 * time.Second // mean time between reads of a domain that is cut off, per watcher
 	otherDomainOdds    = 4                // one in so many notices goes to another failure domain
@@ -147,6 +148,12 @@
 	return c.rank < c.cfg.Watchers
 }
 
+// StartDelay draws a wait before the first read of a watcher, so that instances
+// that start together do not read at once.
+func (c *Core) StartDelay() time.Duration {
+	return c.jitter(startJitter)
+}
+
 // CutOff reports whether nobody in reach has had word of the platform's service
 // lately, so that a newer revision may exist.
 func (c *Core) CutOff(now time.Time) bool {
--- a/intent/check.go
+++ b/intent/check.go
@@ -135,13 +135,14 @@
 	}
 }
 
+// hashes never repeats an entry: it may be a key that was given for its hash.
 func (c *checker) hashes(path string, hashes []string) {
 	path += ".KeyHashes"
 	c.count(path, len(hashes), maxKeys)
-	for _, h := range hashes {
+	for i, h := range hashes {
 		raw, err := hex.DecodeString(h)
 		if err != nil || len(raw) != keyHashBytes || h != strings.ToLower(h) {
-			c.addf(path, "%q is no key hash, allowed is SHA-256 in 64 lower-case hexadecimal digits", h)
+			c.addf(path, "entry %d is no key hash, allowed is SHA-256 in 64 lower-case hexadecimal digits", i+1)
 			continue
 		}
 		if at, ok := c.keys[h]; ok {
--- a/intent/intent_test.go
+++ b/intent/intent_test.go
@@ -66,6 +66,9 @@
 		if !strings.Contains(p.Text, "allowed") {
 			t.Errorf("%s: got %q, want what is allowed", p.Path, p.Text)
 		}
+		if strings.Contains(p.Text, "secret") {
+			t.Errorf("%s: got %q, want no word of what may be a key", p.Path, p.Text)
+		}
 	}
 	if !reflect.DeepEqual(got, want) {
 		t.Errorf("got paths\n%s\nwant\n%s", strings.Join(got, "\n"), strings.Join(want, "\n"))
--- a/operatorapi/api.go
+++ b/operatorapi/api.go
@@ -140,7 +140,7 @@
 	id := ident.Request(req.Request.Header.Peek("X-Request-Id"))
 	body, err := a.answer(req)
 	if err != nil {
-		a.cfg.Log.Info().Str("Path", string(req.Path())).Int("Code", int(err.Code)).Str("Detail", err.Detail).Msg("operator request refused")
+		a.cfg.Log.Info().Str("Path", string(req.Path())).Int("Code", int(err.Code)).Msg("operator request refused")
 		problem.Write(req, err, id)
 		return
 	}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -276,6 +276,10 @@
 // is followed by a read of the head, also when it names no write.
 func (r *Rollout) watch(ctx context.Context) {
 	var after platform.Version
+	r.mu.Lock()
+	delay := r.core.StartDelay()
+	r.mu.Unlock()
+	r.pause(ctx, delay)
 	for ctx.Err() == nil {
 		r.mu.Lock()
 		watching := r.core.Watching()
