--- a/revision/history.go
+++ b/revision/history.go
@@ -47,17 +47,28 @@
 	if err != nil {
 		return configuration.Document{}, unavailable(err)
 	}
+	if rev > head.Revision || rev == 0 {
+		return configuration.Document{}, missing(rev)
+	}
 	rec := head
 	if rev < head.Revision {
 		rec, err = l.accepted(ctx, rev, head)
 	}
-	if rev > head.Revision || rev == 0 || platform.Absent.Has(err) || platform.Unknown.Has(err) {
-		return configuration.Document{}, result.Newf(result.NotFound, "the history has no revision %d", rev)
+	var doc configuration.Document
+	if err == nil {
+		doc, err = l.load(ctx, rec)
+	}
+	if platform.Absent.Has(err) || platform.Unknown.Has(err) {
+		return configuration.Document{}, missing(rev)
 	}
 	if err != nil {
 		return configuration.Document{}, unavailable(err)
 	}
-	return l.Load(ctx, rec)
+	return doc, nil
+}
+
+func missing(rev ident.Revision) *result.Error {
+	return result.Newf(result.NotFound, "the history has no revision %d", rev)
 }
 
 // accepted returns the accepted record of rev, which is below the head.
--- a/revision/ledger_test.go
+++ b/revision/ledger_test.go
@@ -237,6 +237,9 @@
 		if got, want := len(entries), 0; got != want {
 			o.t.Errorf("records of revision %d: got %d, want %d", head.Revision-keep, got, want)
 		}
+		if _, err := l.At(ctx, head.Revision-keep); err == nil || err.Code != result.NotFound {
+			o.t.Errorf("revision %d: got %v, want NotFound", head.Revision-keep, err)
+		}
 	}
 }
 
