Know the other instances by membership

Cause: the list of peers came from the settings and dead ones stayed in it. Change: the daemon takes its peers from package members, moves copies off instances that are no longer live, and tells the others when it leaves.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -18,6 +19,7 @@
 	"crocuslug/control"
 	"crocuslug/gateway"
 	"crocuslug/ident"
+	"crocuslug/members"
 	"crocuslug/outbox"
 	"crocuslug/owner"
 	"crocuslug/peerlink"
@@ -59,6 +61,7 @@
 
 	loop     *control.Loop
 	link     *peerlink.Link
+	members  *members.Members
 	outbox   *outbox.Outbox
 	owner    *owner.Owner
 	replicas *replica.Store
@@ -71,16 +74,18 @@
 	conns    connections
 
 	metrics   *meters
-	bootstrap string   // hash of the first operator's key, or ""
-	known     sync.Map // failure domains of other instances, by id
+	bootstrap string // hash of the first operator's key, or ""
+	seed      uint64
+	lastLive  []ident.Instance // live members of the failure domain at the last change; control state of members
 	keys      atomic.Pointer[access.Keys]
 	doc       atomic.Pointer[document]
 	leaving   atomic.Bool
 	subs      []*timer.Subscription
 }
 
-// New builds an instance that is not started. Secrets of cfg are read. It
-// returns an error if one cannot be read.
+// New builds an instance that is not started. Secrets of cfg are read and the
+// address for callers is taken, but nobody is answered yet. It returns an error
+// if a secret cannot be read or the address is not free.
 func New(cfg settings.Settings, opt Options) (*Daemon, error) {
 	secret, err := cfg.Secret.Value()
 	if err != nil {
@@ -97,6 +102,12 @@
 	d.log = opt.Log.With().Str("instance", string(d.id)).Str("domain", string(cfg.Domain)).Logger()
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.conns.open = make(map[net.Conn]struct{})
+	if d.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
+		return nil, errs.Wrap(err)
+	}
+	if d.seed = opt.Seed; d.seed == 0 {
+		d.seed = rand.Uint64()
+	}
 	d.buildLoad()
 	d.buildPeers(secret)
 	d.buildSuspects()
@@ -108,21 +119,17 @@
 
 // Start opens the sockets and begins to serve.
 func (d *Daemon) Start() error {
-	l, err := net.Listen("tcp", d.cfg.Listen)
-	if err != nil {
-		return errs.Wrap(err)
-	}
-	d.listener = l
 	if err := d.link.Start(); err != nil {
-		_ = l.Close()
+		_ = d.listener.Close()
 		return errs.Wrap(err)
 	}
+	d.members.Start()
 	d.goRun(func() { d.loop.Run(d.ctx) })
 	d.owner.Run()
 	d.every(expireInterval, d.expire)
 	d.every(suspectInterval, d.tellSuspects)
 	d.goRun(func() {
-		if err := d.server.Serve(d.conns.wrap(l)); err != nil {
+		if err := d.server.Serve(d.conns.wrap(d.listener)); err != nil {
 			d.log.Error().Err(err).Msg("serving ended")
 		}
 	})
@@ -187,6 +194,10 @@
 	return g.Upstream(), true
 }
 
+// leaveNotice is the time in which the others hear that this instance leaves
+// and move their copies.
+const leaveNotice = time.Second
+
 // leavePoll is the interval of asking whether all work is done.
 const leavePoll = 50 * time.Millisecond
 
@@ -195,11 +206,13 @@
 func (d *Daemon) Leave(ctx context.Context) error {
 	if !d.leaving.Swap(true) {
 		d.log.Info().Msg("leaving")
+		d.members.Leave()
 	}
 	done := make(chan struct{})
 	var once sync.Once
-	sub := d.opt.Timer.Every(leavePoll, func(time.Time) {
-		if active, _, _ := d.owner.Load(); active == 0 {
+	earliest := d.opt.Timer.Now().Add(leaveNotice)
+	sub := d.opt.Timer.Every(leavePoll, func(now time.Time) {
+		if active, _, _ := d.owner.Load(); active == 0 && now.After(earliest) {
 			once.Do(func() { close(done) })
 		}
 	})
@@ -216,6 +229,7 @@
 // before it in a planned stop.
 func (d *Daemon) Stop() {
 	d.halt()
+	d.members.Stop()
 	d.link.Stop()
 	d.running.Wait()
 }
@@ -225,6 +239,7 @@
 	d.conns.reset()
 	d.link.Kill()
 	d.halt()
+	d.members.Stop()
 	d.running.Wait()
 }
 
--- a/daemon/load.go
+++ b/daemon/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -17,11 +16,7 @@
 // buildLoad wires the choice of upstreams and admission.
 func (d *Daemon) buildLoad() {
 	d.metrics = newMeters()
-	seed := d.opt.Seed
-	if seed == 0 {
-		seed = rand.Uint64()
-	}
-	rng := newLockedRand(seed)
+	rng := newLockedRand(d.seed)
 	d.chooser = routing.New(d.opt.Routing, d.cfg.Domain, rng.Uint64, affinity.New(affinity.Settings{}))
 }
 
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -1,16 +1,21 @@
 package daemon
 
 import (
+	"context"
+	"math/rand/v2"
 	"slices"
 
 	"crocuslug/generation"
 	"crocuslug/ident"
+	"crocuslug/instancelist"
+	"crocuslug/members"
+	"crocuslug/membership"
 	"crocuslug/peerlink"
 	"crocuslug/rendezvous"
 	"crocuslug/replica"
 )
 
-// buildPeers wires the link to the other instances.
+// buildPeers wires the link to the other instances and the membership.
 func (d *Daemon) buildPeers(secret []byte) {
 	d.link = peerlink.New(peerlink.Settings{
 		Instance: d.id,
@@ -21,50 +26,123 @@
 	d.link.Cut = d.opt.Cut
 	d.link.CutFrom = d.opt.CutFrom
 	d.link.OnDown(func(id ident.Instance) { d.owner.ReplicaLost(id) })
+	d.members = members.New(members.Settings{
+		Self: membership.Member{
+			Instance:    d.id,
+			Name:        d.cfg.Name,
+			Incarnation: uint64(d.opt.Timer.Now().UnixNano()),
+			Domain:      d.cfg.Domain,
+			Address:     d.public(),
+			State:       membership.Live,
+		},
+		Seeds: d.seeds(),
+	}, d.link, d.opt.Timer, rand.New(rand.NewPCG(d.seed, 1)).IntN, d.log)
+	d.members.OnChange(d.membersChanged)
+	if d.cfg.Platform.InstanceList != "" {
+		list := instancelist.New(instancelist.Settings{Address: d.cfg.Platform.InstanceList})
+		d.members.List = func(ctx context.Context) ([]membership.Member, error) { return listed(ctx, list) }
+	}
+}
+
+// public returns where callers reach this instance.
+func (d *Daemon) public() string {
+	if d.cfg.Public != "" {
+		return d.cfg.Public
+	}
+	return d.Addr()
+}
+
+// seeds returns the members that the settings name.
+func (d *Daemon) seeds() []membership.Member {
+	var out []membership.Member
 	for _, p := range d.cfg.Peers {
-		d.Know(p.Instance, p.Domain, p.PeerAddr)
+		out = append(out, membership.Member{
+			Instance:    p.Instance,
+			Name:        string(p.Instance),
+			Domain:      p.Domain,
+			Address:     p.Address,
+			PeerAddress: p.PeerAddr,
+			State:       membership.Live,
+		})
 	}
+	return out
 }
 
-// Know tells of another instance and where it takes peers.
-func (d *Daemon) Know(id ident.Instance, domain ident.Domain, peerAddr string) {
-	d.link.SetAddress(id, peerAddr)
-	d.known.Store(id, domain)
+// listed reads the instance list as members.
+func listed(ctx context.Context, c *instancelist.Client) ([]membership.Member, error) {
+	list, err := c.Fetch(ctx)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]membership.Member, 0, len(list.Instances))
+	for _, i := range list.Instances {
+		m := membership.Member{
+			Instance:    i.Instance,
+			Name:        string(i.Instance),
+			Domain:      i.Domain,
+			Address:     i.Address,
+			PeerAddress: i.PeerAddress,
+			State:       membership.Live,
+		}
+		if i.State == instancelist.Leaving {
+			m.State = membership.Leaving
+		}
+		out = append(out, m)
+	}
+	return out, nil
+}
+
+// membersChanged moves copies off instances that are no longer live.
+func (d *Daemon) membersChanged(v *membership.View) {
+	live := v.Live(d.cfg.Domain)
+	for _, id := range d.lastLive {
+		if !slices.Contains(live, id) {
+			d.owner.ReplicaLost(id)
+		}
+	}
+	d.lastLive = live
 }
 
 // live returns the live instances of the failure domain, this one included.
 func (d *Daemon) live() []ident.Instance {
-	out := []ident.Instance{d.id}
-	d.known.Range(func(id, domain any) bool {
-		if domain == d.cfg.Domain {
-			out = append(out, id.(ident.Instance))
-		}
-		return true
-	})
-	return out
+	return d.members.View().Live(d.cfg.Domain)
 }
 
-// everyone returns all other instances that are known.
+// everyone returns all other instances that may be reached.
 func (d *Daemon) everyone() []ident.Instance {
 	var out []ident.Instance
-	d.known.Range(func(id, _ any) bool {
-		out = append(out, id.(ident.Instance))
-		return true
-	})
+	for _, m := range d.members.View().Members {
+		if m.Instance != d.id && m.State != membership.Unreachable {
+			out = append(out, m.Instance)
+		}
+	}
 	return out
 }
 
-// holders returns the other live instances, the likeliest holder of n first.
+// holders returns the other instances of the failure domain, the likeliest
+// holder of n first. Those that are not live go last: they may still answer.
 func (d *Daemon) holders(n replica.Name) []ident.Instance {
-	out := rendezvous.Order(string(n.Workspace)+"/"+string(n.Request), d.live())
+	v := d.members.View()
+	out := rendezvous.Order(string(n.Workspace)+"/"+string(n.Request), v.Live(d.cfg.Domain))
+	for _, m := range v.Members {
+		if m.Domain == d.cfg.Domain && !slices.Contains(out, m.Instance) {
+			out = append(out, m.Instance)
+		}
+	}
 	return slices.DeleteFunc(out, func(id ident.Instance) bool { return id == d.id })
 }
 
 func (d *Daemon) chooseReplica(spec generation.Spec, avoid []ident.Instance) ident.Instance {
-	for _, id := range d.holders(replica.Name{Workspace: spec.Workspace, Request: spec.Request}) {
-		if !slices.Contains(avoid, id) {
+	key := string(spec.Workspace) + "/" + string(spec.Request)
+	for _, id := range rendezvous.Order(key, d.live()) {
+		if id != d.id && !slices.Contains(avoid, id) {
 			return id
 		}
 	}
 	return ""
 }
+
+// Live returns the live instances of the failure domain, this one included.
+func (d *Daemon) Live() []ident.Instance {
+	return d.live()
+}
--- a/standinsite/site.go
+++ b/standinsite/site.go
@@ -11,8 +11,10 @@
 	"os"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/zeebo/errs"
 	"go.opentelemetry.io/otel/trace"
 
 	"crocuslug/access"
@@ -164,6 +166,13 @@
 	cfg.Listen, cfg.PeerAddr = "127.0.0.1:0", "127.0.0.1:0"
 	cfg.Secret = settings.Secret{File: s.dir + "/secret"}
 	cfg.Operator = settings.Secret{File: s.dir + "/operator"}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, d := range s.Instances {
+		if s.alive[i] {
+			cfg.Peers = append(cfg.Peers, settings.Peer{Instance: d.ID(), Domain: d.Domain(), Address: d.Addr(), PeerAddr: d.PeerAddr()})
+		}
+	}
 	return cfg
 }
 
@@ -175,7 +184,40 @@
 			}
 		}
 	}
-	return nil
+	return s.meet()
+}
+
+// Limits of the wait until all instances know each other.
+const (
+	meetLimit = 10 * time.Second
+	meetPoll  = 10 * time.Millisecond
+)
+
+// meet waits until the live instances of each failure domain know each other.
+func (s *Site) meet() error {
+	for deadline := s.timer.Now().Add(meetLimit); s.timer.Now().Before(deadline); time.Sleep(meetPoll) {
+		if s.met() {
+			return nil
+		}
+	}
+	return errs.New("the instances did not get to know each other")
+}
+
+func (s *Site) met() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	alive := make(map[ident.Domain]int)
+	for i, d := range s.Instances {
+		if s.alive[i] {
+			alive[d.Domain()]++
+		}
+	}
+	for i, d := range s.Instances {
+		if s.alive[i] && len(d.Live()) < alive[d.Domain()] {
+			return false
+		}
+	}
+	return true
 }
 
 func (s *Site) startInstance(cfg settings.Settings) error {
@@ -192,12 +234,6 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i, other := range s.Instances {
-		if s.alive[i] {
-			other.Know(d.ID(), d.Domain(), d.PeerAddr())
-			d.Know(other.ID(), other.Domain(), other.PeerAddr())
-		}
-	}
 	s.Instances = append(s.Instances, d)
 	s.alive = append(s.alive, true)
 	return nil
@@ -205,7 +241,10 @@
 
 // AddInstance starts one more instance in the first failure domain.
 func (s *Site) AddInstance() error {
-	return s.startInstance(s.instance(s.cfg.Domains[0], len(s.Instances)))
+	if err := s.startInstance(s.instance(s.cfg.Domains[0], len(s.Instances))); err != nil {
+		return err
+	}
+	return s.meet()
 }
 
 // Placed returns the number of the engine that runs a request, or -1, and where
