Do not wait for replicas that refuse connections

Cause: with two instances in a failure domain the demo's second resume took 1642 ms: the survivor waited for the dead instance as for a slow one until membership declared it dead. Change: tokens wait only if an instance took the batch and did not answer.

--- a/generation/replica.go
+++ b/generation/replica.go
@@ -17,6 +17,7 @@
 	lastAck time.Time     // last acknowledgement, or last send after none was due
 	retryAt time.Time     // when to look for one after none was found
 	avoid   []ident.Instance
+	overdue bool      // one of those to avoid did not answer in time
 	failing time.Time // since when no replica answers although there are some; zero if not
 }
 
@@ -36,9 +37,9 @@
 }
 
 // ReplicaChosen tells which instance is to hold the copy. The empty id means
-// that there is none besides those to avoid. If there is none at all, tokens are
-// released without a copy until one is found. If there are some that did not
-// answer, they are tried again in turn and tokens wait, for a bounded time.
+// that there is none besides those to avoid. Tokens are then released without a
+// copy until one is found, but if some are connected and merely did not answer,
+// they are tried again in turn and tokens wait, for a bounded time.
 func (m *Machine) ReplicaChosen(now time.Time, id ident.Instance) []Action {
 	r := &m.replica
 	r.asked = false
@@ -54,15 +55,15 @@
 
 func (m *Machine) noReplica(now time.Time) []Action {
 	r := &m.replica
-	if len(r.avoid) > 0 && r.failing.IsZero() {
+	if r.overdue && r.failing.IsZero() {
 		r.failing = now
 	}
-	if len(r.avoid) > 0 && now.Sub(r.failing) < m.cfg.ReplicaWait {
+	wait := r.overdue && now.Sub(r.failing) < m.cfg.ReplicaWait
+	r.avoid, r.overdue = nil, false
+	if wait {
 		r.retryAt = now.Add(m.cfg.EngineRetry)
-		r.avoid = nil
 		return nil
 	}
-	r.avoid = nil
 	r.failing = time.Time{}
 	r.retryAt = now.Add(m.cfg.ReplicaRetry)
 	return m.release(m.log.Position())
@@ -111,7 +112,7 @@
 		return nil
 	}
 	r.lastAck = now
-	r.avoid = nil
+	r.avoid, r.overdue = nil, false
 	r.failing = time.Time{}
 	r.acked = max(r.acked, upto)
 	return m.release(r.acked)
@@ -149,6 +150,7 @@
 		}
 		return nil
 	case r.acked < r.sent && now.Sub(r.lastAck) > m.cfg.ReplicaLimit:
+		r.overdue = true
 		return m.ReplicaLost(now, r.id)
 	}
 	return nil
