--- a/membership/domains.go
+++ b/membership/domains.go
@@ -7,8 +7,9 @@
 	"crocuslug/ident"
 )
 
-// doubtPrefix starts the keys of notices that ask all to probe a domain,
-// because one instance found that it went out of reach or came back.
+// doubtPrefix starts the keys of notices that ask the members of a domain to
+// probe another, because one of them found that it went out of reach or came
+// back. Both domains follow in the key. Other domains do not pass them on.
 const doubtPrefix = "Doubt/"
 
 // doubtInterval is the shortest time between two such notices on a domain.
@@ -51,8 +52,9 @@
 	}
 	if d.failed == 1 {
 		d.doubted = t.cfg.CutProbes
-		t.raiseDoubt(id, now)
+		return
 	}
+	t.raiseDoubt(id, now)
 }
 
 // reached takes in that a member has answered this instance directly.
@@ -71,8 +73,18 @@
 	}
 }
 
+// ownDoubts starts the keys of the doubts of the own domain.
+func (t *Table) ownDoubts() string {
+	return doubtPrefix + string(t.self.Domain) + "/"
+}
+
+// foreignDoubt reports whether n is a doubt of another domain.
+func (t *Table) foreignDoubt(n Notice) bool {
+	return strings.HasPrefix(n.Key, doubtPrefix) && !strings.HasPrefix(n.Key, t.ownDoubts())
+}
+
 func (t *Table) raiseDoubt(id ident.Domain, now time.Time) {
-	key := doubtPrefix + string(id)
+	key := t.ownDoubts() + string(id)
 	if held, ok := t.notices[key]; ok && now.Sub(held.since) < doubtInterval {
 		return
 	}
@@ -83,7 +95,7 @@
 
 // doubt follows a notice that asks to probe a domain.
 func (t *Table) doubt(n Notice) {
-	id, ok := strings.CutPrefix(n.Key, doubtPrefix)
+	id, ok := strings.CutPrefix(n.Key, t.ownDoubts())
 	if d := t.domains[ident.Domain(id)]; ok && d != nil && ident.Domain(id) != t.self.Domain {
 		d.doubted = t.cfg.CutProbes
 	}
--- a/membership/table.go
+++ b/membership/table.go
@@ -287,7 +287,7 @@
 
 func (t *Table) applyNotice(n Notice, now time.Time) bool {
 	old, known := t.notices[n.Key]
-	if n.Key == "" || (known && old.Version >= n.Version) || (!known && len(t.notices) >= maxNotices) {
+	if n.Key == "" || t.foreignDoubt(n) || (known && old.Version >= n.Version) || (!known && len(t.notices) >= maxNotices) {
 		return false
 	}
 	t.notices[n.Key] = heldNotice{Notice: n, since: now}
