peerlink: measure a full queue once at a time; test the end of a frozen link

Cause: a caller that repeats SendFrame on a full queue queued a measurement on the event loop at each try. The end of a link that is frozen was not tested.

Change: one measurement at a time; TestKillWhileFrozen.

--- a/peerlink/conn.go
+++ b/peerlink/conn.go
@@ -30,6 +30,7 @@
 	handling  atomic.Int32 // handlers that run for the peer
 	mutedOut  atomic.Bool  // a cut has swallowed something: all that follows is lost
 	mutedIn   atomic.Bool
+	measuring atomic.Bool
 
 	peer atomic.Pointer[ident.Instance]
 
@@ -169,10 +170,12 @@
 
 // measure asks the event loop how much waits in the buffer of gnet.
 func (c *conn) measure(gc gnet.Conn) {
-	if gc == nil {
+	if gc == nil || !c.measuring.CompareAndSwap(false, true) {
 		return
 	}
-	_ = gc.EventLoop().Execute(c.link.ctx, gnet.RunnableFunc(c.remeasure))
+	if err := gc.EventLoop().Execute(c.link.ctx, gnet.RunnableFunc(c.remeasure)); err != nil {
+		c.measuring.Store(false)
+	}
 }
 
 // shut ends the connection. Only the first call has an effect.
--- a/peerlink/link_test.go
+++ b/peerlink/link_test.go
@@ -282,3 +282,34 @@
 		}
 	})
 }
+
+// TestKillWhileFrozen ends a frozen link: what had reached it is not handled.
+func TestKillWhileFrozen(t *testing.T) {
+	a := start(t, Settings{Instance: "a"}, nil)
+	b := New(Settings{Instance: "b", Secret: []byte("secret")}, a.timer, a.log)
+	b.Handle("Echo", echo)
+	var handled atomic.Int32
+	b.HandleFrame(kindTest, func(ident.Instance, []byte) { handled.Add(1) })
+	if err := b.Start(); err != nil {
+		t.Fatal(err)
+	}
+	a.SetAddress("b", b.Addr())
+	if err := a.Call(t.Context(), "b", "Echo", 1, nil); err != nil {
+		t.Fatal(err)
+	}
+	b.Pause(true)
+	before := a.Bytes().DataSent
+	for range 10 {
+		if err := a.SendFrame("b", kindTest, []byte("late")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := a.Bytes().DataSent; got == before {
+		t.Fatal("bytes sent: got none")
+	}
+	time.Sleep(50 * time.Millisecond) // lets the frames reach the frozen side
+	b.Kill()
+	if got := handled.Load(); got != 0 {
+		t.Errorf("frames handled by a killed link: got %d, want 0", got)
+	}
+}
--- a/peerlink/traffic.go
+++ b/peerlink/traffic.go
@@ -192,6 +192,7 @@
 
 // remeasure runs on the event loop.
 func (c *conn) remeasure(context.Context) error {
+	c.measuring.Store(false)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.outbound = 0
