Count only engines that died as losses, and discount the instance's own pauses

And a run of relay on a busy machine ended one answer: the instance itself had stood still and took that for silence of the engine. Ruled out: a higher bound on losses (the refusals had no bound of their own).

--- a/generation/machine.go
+++ b/generation/machine.go
@@ -365,10 +365,10 @@
 
 // dead gives the engine up and looks for another.
 func (m *Machine) dead(now time.Time, c Cause) []Action {
-	var acts []Action
-	if c != Refused || m.phase == probing {
-		acts = append(acts, Action{Kind: Blame, Upstream: m.engine})
+	if c == Refused && m.phase != probing {
+		return m.another(now) // the request has not left, so nothing is lost
 	}
+	acts := []Action{{Kind: Blame, Upstream: m.engine}}
 	if c == TimedOut || c == Silence {
 		acts = append(acts, m.cancel()...)
 	}
@@ -426,6 +426,13 @@
 	m.paused = paused
 }
 
+// Delayed tells that the instance itself stood still for d, so that silence in
+// that time says nothing of an engine or a replica.
+func (m *Machine) Delayed(d time.Duration) {
+	m.since = m.since.Add(d)
+	m.replica.lastAck = m.replica.lastAck.Add(d)
+}
+
 // Fenced tells that another instance owns the generation now. Nothing is
 // cancelled, since the new owner may go on with the same stream.
 func (m *Machine) Fenced() []Action {
--- a/owner/generation.go
+++ b/owner/generation.go
@@ -227,12 +227,15 @@
 }
 
 // tick looks at time limits and reports whether the generation can be forgotten.
-func (g *Generation) tick(now time.Time) bool {
+func (g *Generation) tick(now time.Time, late time.Duration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.abandoned {
 		return true
 	}
+	if late > 0 {
+		g.machine.Delayed(late)
+	}
 	g.do(now, g.machine.Tick(now))
 	g.settle(now)
 	if now.Sub(g.beatAt) >= g.owner.cfg.KeepAlive {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -90,6 +90,7 @@
 	generations map[ident.Generation]*Generation
 	byName      map[replica.Name]*Generation
 	sweep       *timer.Subscription
+	lastTick    time.Time // used by tick alone
 }
 
 // New returns an owner without generations.
@@ -281,13 +282,28 @@
 		return
 	}
 	o.pause.RUnlock()
+	late := o.late(now)
 	for _, g := range o.all() {
-		if g.tick(now) {
+		if g.tick(now, late) {
 			o.drop(g)
 		}
 	}
 }
 
+// late returns by how much this tick came later than it was due, if that is
+// more than the interval, and 0 otherwise. It is called from one goroutine.
+func (o *Owner) late(now time.Time) time.Duration {
+	last := o.lastTick
+	o.lastTick = now
+	if last.IsZero() {
+		return 0
+	}
+	if late := now.Sub(last) - o.cfg.Sweep; late > o.cfg.Sweep {
+		return late
+	}
+	return 0
+}
+
 func (o *Owner) drop(g *Generation) {
 	spec := g.machine.Spec()
 	o.mu.Lock()
