--- /dev/null
+++ b/standinkeyvalue/model_test.go
@@ -0,0 +1,185 @@
+package standinkeyvalue_test
+
+import (
+	"context"
+	"flag"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"crocuslug/platform"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20261203"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// naive is the obvious form of the service: it looks at everything each time.
+type naive struct {
+	now    time.Duration
+	leases []time.Duration // time to live; the number is the index and 1
+	lapses []time.Duration // 0 means ended
+	keys   []naiveKey
+}
+
+type naiveKey struct {
+	key, value string
+	version    platform.Version
+	lease      platform.Lease
+}
+
+func (n *naive) live(l platform.Lease) bool { return n.lapses[l-1] > n.now }
+
+func (n *naive) find(key string) *naiveKey {
+	n.keys = slices.DeleteFunc(n.keys, func(k naiveKey) bool { return k.lease != 0 && !n.live(k.lease) })
+	for i := range n.keys {
+		if n.keys[i].key == key {
+			return &n.keys[i]
+		}
+	}
+	return nil
+}
+
+func (n *naive) version(key string) platform.Version {
+	if k := n.find(key); k != nil {
+		return k.version
+	}
+	return 0
+}
+
+func (n *naive) list() string {
+	n.find("")
+	keys := slices.SortedFunc(slices.Values(n.keys), func(a, b naiveKey) int { return strings.Compare(a.key, b.key) })
+	var out []platform.Entry
+	for _, k := range keys {
+		out = append(out, platform.Entry{Key: k.key, Value: []byte(k.value), Version: k.version})
+	}
+	return show(out)
+}
+
+func TestStoreAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, n := newStoreBench(), &naive{}
+		ctx := context.Background()
+		key := rapid.SampledFrom([]string{"a", "b", "c"})
+		t.Repeat(map[string]func(*rapid.T){
+			"put": func(t *rapid.T) {
+				k, v := key.Draw(t, "key"), rapid.StringMatching("[a-z]").Draw(t, "value")
+				l := platform.Lease(rapid.IntRange(0, len(n.leases)).Draw(t, "lease"))
+				expect := n.version(k) + platform.Version(rapid.SampledFrom([]int{0, 0, 0, 1}).Draw(t, "off"))
+				want := ""
+				if expect != n.version(k) || l != 0 && !n.live(l) {
+					want = "conflict"
+				}
+				version, err := b.port.Put(ctx, k, []byte(v), expect, l)
+				if got := result("", err); got != want {
+					t.Fatalf("put: got %q, want %q", got, want)
+				}
+				if err == nil {
+					n.keys = slices.DeleteFunc(n.keys, func(x naiveKey) bool { return x.key == k })
+					n.keys = append(n.keys, naiveKey{k, v, version, l})
+				}
+			},
+			"delete": func(t *rapid.T) {
+				k := key.Draw(t, "key")
+				want := "conflict"
+				if n.find(k) != nil {
+					want = ""
+				}
+				if got := result("", b.port.Delete(ctx, k, n.version(k))); got != want {
+					t.Fatalf("delete: got %q, want %q", got, want)
+				}
+				n.keys = slices.DeleteFunc(n.keys, func(x naiveKey) bool { return x.key == k })
+			},
+			"grant": func(t *rapid.T) {
+				ttl := time.Duration(rapid.IntRange(1, 9).Draw(t, "ttl")) * time.Second
+				l, err := b.port.Grant(ctx, ttl)
+				n.leases, n.lapses = append(n.leases, ttl), append(n.lapses, n.now+ttl)
+				if err != nil || int(l) != len(n.leases) {
+					t.Fatalf("grant: got %d, %v, want %d", l, err, len(n.leases))
+				}
+			},
+			"renew or revoke": func(t *rapid.T) {
+				if len(n.leases) == 0 {
+					t.Skip("no lease")
+				}
+				l := platform.Lease(rapid.IntRange(1, len(n.leases)).Draw(t, "lease"))
+				want, call, lapses := "absent", b.port.Renew, n.now+n.leases[l-1]
+				if rapid.Bool().Draw(t, "revoke") {
+					call, lapses = b.port.Revoke, 0
+				}
+				if n.live(l) {
+					want, n.lapses[l-1] = "", lapses
+				}
+				if got := result("", call(ctx, l)); got != want {
+					t.Fatalf("lease %d: got %q, want %q", l, got, want)
+				}
+				n.find("")
+			},
+			"advance": func(t *rapid.T) {
+				d := time.Duration(rapid.IntRange(0, 5).Draw(t, "seconds")) * time.Second
+				b.clock.Advance(d)
+				n.now += d
+			},
+			"": func(t *rapid.T) {
+				entries, err := b.port.List(ctx, "")
+				if got, want := show(entries), n.list(); err != nil || got != want {
+					t.Fatalf("list: got %q, %v, want %q", got, err, want)
+				}
+			},
+		})
+		mirrors(t, b)
+	})
+}
+
+// mirrors checks that a watch from the start replays to what List shows.
+func mirrors(t *rapid.T, b *bench) {
+	ctx := context.Background()
+	listed, _ := b.port.List(ctx, "")
+	if len(listed) == 0 {
+		return // a watch of nothing would wait
+	}
+	seen, _, err := b.port.Watch(ctx, "", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	last := make(map[string]platform.Entry)
+	for _, e := range seen {
+		last[e.Key] = e
+	}
+	var replayed []platform.Entry
+	for _, e := range last {
+		if !e.Deleted {
+			replayed = append(replayed, e)
+		}
+	}
+	slices.SortFunc(replayed, func(a, b platform.Entry) int { return strings.Compare(a.Key, b.Key) })
+	if got, want := show(replayed), show(listed); got != want {
+		t.Fatalf("replayed watch: got %q, want %q", got, want)
+	}
+}
+
+func TestWaitingWatchSeesALeaseLapse(t *testing.T) {
+	b := newHTTPBench(t)
+	if got, want := b.run("grant 5s")+b.run("put k v 0 1"), "11"; got != want {
+		t.Fatalf("key with a lease: got %q, want %q", got, want)
+	}
+	done := make(chan string)
+	go func() { done <- b.run("watch k 1") }()
+	for b.store.Calls().WaitingNow == 0 {
+		runtime.Gosched()
+	}
+	b.clock.Advance(5 * time.Second)
+	if got, want := <-done, "k deleted@2 now 2"; got != want {
+		t.Errorf("watch: got %q, want %q", got, want)
+	}
+}
--- a/standinkeyvalue/watch.go
+++ b/standinkeyvalue/watch.go
@@ -19,9 +19,10 @@
 	done := make(chan struct{})
 	sub := s.timer.After(s.beginWatch(), func(time.Time) { close(done) })
 	defer sub.Stop()
-	defer s.endWatch()
+	waiting := false
+	defer s.endWatch(&waiting)
 	for {
-		r := s.since(prefix, after)
+		r := s.since(prefix, after, &waiting)
 		if r.err != nil || len(r.found) > 0 {
 			return r.found, r.now, r.err
 		}
@@ -40,17 +41,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls.Watches++
-	s.calls.WaitingNow++
 	if s.faults.WatchWait > 0 {
 		return s.faults.WatchWait
 	}
 	return defaultWatchWait
 }
 
-func (s *Store) endWatch() {
+func (s *Store) endWatch(waiting *bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls.WaitingNow--
+	if *waiting {
+		s.calls.WaitingNow--
+	}
 }
 
 // recent is what a watch finds at one look.
@@ -61,7 +63,9 @@
 	err     error
 }
 
-func (s *Store) since(prefix string, after platform.Version) recent {
+// since looks for writes after a version. If there are none it counts the
+// watch as waiting, once.
+func (s *Store) since(prefix string, after platform.Version, waiting *bool) recent {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lapse()
@@ -79,6 +83,10 @@
 			r.found = append(r.found, e)
 		}
 	}
+	if len(r.found) == 0 && !*waiting {
+		*waiting = true
+		s.calls.WaitingNow++
+	}
 	return r
 }
 
