Return a granted request to the front of its line

Cause: a grant is followed by the choice of an engine, which may say that all that hold the model are full, or that another failure domain has to be asked.

Ruled out: ending the request and offering it anew, which sends it to the back of its line and charges its workspace twice.

Change: Queue.Return puts a granted request back as if it had not been granted; what came meanwhile makes room, so the queue stays within its bound.

Seen failing: with the request put to the back of its line TestInvariants fails with "granted 1 before 0 of the same line"; without making room with "waiting: got 13" of at most 12. Both pass as written.

--- a/admission/next.go
+++ b/admission/next.go
@@ -102,12 +102,17 @@
 	if !ok {
 		return
 	}
-	delete(q.granted, id)
+	q.forget(it)
+	q.classes[it.Priority].correct(it.Workspace, cost-it.Cost)
+}
+
+// forget ends the running of it and gives its workspace its turn again.
+func (q *Queue) forget(it Item) {
+	delete(q.granted, it.ID)
 	q.running[it.Workspace]--
 	if q.running[it.Workspace] == 0 {
 		delete(q.running, it.Workspace)
 	}
-	q.classes[it.Priority].correct(it.Workspace, cost-it.Cost)
 	for _, c := range q.classes {
 		if f, ok := c.flows[it.Workspace]; ok {
 			c.unpark(f)
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -112,16 +112,7 @@
 		return q.refusal(result.Overloaded, it.ID), nil
 	}
 	q.add(it, now)
-	var removed []*entry
-	for q.over(Normal, 0, 0) {
-		e := q.victim(it)
-		if e == nil {
-			break
-		}
-		q.drop(e)
-		removed = append(removed, e)
-	}
-	return nil, q.displaced(removed)
+	return nil, q.shed()
 }
 
 func (q *Queue) add(it Item, now time.Time) {
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -131,9 +131,10 @@
 		q := New(Settings{MaxItems: 12, MaxCost: 100, MaxResumed: 50, ResumedBypass: 4, NormalBypass: 4, BatchBypass: 5}, limits)
 		l := &ledger{map[ident.Generation]Item{}, nil, map[ident.Generation]Item{}, map[Priority]int{}}
 		now := start
+		var granted []Grant // run and may be returned, the last first
 		for i := range rapid.IntRange(1, 150).Draw(t, "events") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "dt")) * time.Millisecond)
-			switch op := rapid.IntRange(0, 11).Draw(t, "op"); {
+			switch op := rapid.IntRange(0, 12).Draw(t, "op"); {
 			case op < 6:
 				it := Item{
 					ID:        ident.Generation(fmt.Sprint(i)),
@@ -159,16 +160,26 @@
 					for _, g := range gs {
 						l.grant(t, q, g, now, limits)
 					}
+					granted = append(granted, gs...)
 					if len(gs) == 0 && len(l.startable(limits)) > 0 {
 						t.Fatalf("no grant while %v may start", l.startable(limits))
 					}
 				}
 			case op < 10:
+				for len(granted) > 0 && rapid.Bool().Draw(t, "no upstream takes it") {
+					g := granted[len(granted)-1]
+					granted = granted[:len(granted)-1]
+					delete(l.running, g.ID)
+					l.waiting[g.ID] = g.Item
+					l.settle(t, q.Return(g, now))
+				}
+			case op < 11:
+				granted = nil
 				for id := range l.running {
 					q.Finish(id, float64(rapid.IntRange(1, 80).Draw(t, "actual")))
 					delete(l.running, id)
 				}
-			case op < 11:
+			case op < 12:
 				l.settle(t, q.Expire(now))
 				for id, it := range l.waiting {
 					if it.Priority != Resumed && !it.Deadline.IsZero() && now.After(it.Deadline) {
