Wire routing, admission, health, quota and spill into the daemon

Cause: the deciding packages existed, but the daemon took engines by the chooser alone and admitted everything.

Change: admission waits in a line whose grants reserve an engine at once, so that a grant without an engine goes back to the front; lost answers take any engine left and hold new work back while there is none. Outcomes of streams and polls feed the health of upstreams on the loop of control state, the load that engines tell with each answer and polls within a budget of bytes feed the chooser. Shares move over the peer link. A full failure domain reserves an engine in another by one call; the reservation ends with the stream or a time limit.

Ruled out: choosing the engine after the grant in the owner, where a full engine would have to refuse a request that was admitted.

--- /dev/null
+++ b/daemon/admission.go
@@ -0,0 +1,230 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"crocuslug/admission"
+	"crocuslug/configuration"
+	"crocuslug/estimate"
+	"crocuslug/generation"
+	"crocuslug/ident"
+	"crocuslug/prefix"
+	"crocuslug/result"
+	"crocuslug/routing"
+)
+
+// completionsPath is the path of generations, as rules match it.
+const completionsPath = "/v1/chat/completions"
+
+// expireTick is the interval of looking for passed deadlines.
+const expireTick = 50 * time.Millisecond
+
+// defaultQueueWait is how long a request without a deadline waits at most.
+const defaultQueueWait = 10 * time.Second
+
+// work is what a place for a generation is chosen by.
+type work struct {
+	spec   generation.Spec
+	prompt int // tokens, estimated
+	blocks []prefix.Block
+}
+
+// ruleOf returns the first rule that matches, or the zero rule.
+func (d *document) ruleOf(w ident.Workspace, s ident.Service, method, path string) configuration.Rule {
+	for _, r := range d.Rules {
+		if (r.Workspace == "" || r.Workspace == w) && (r.Service == "" || r.Service == s) &&
+			(r.Method == "" || r.Method == method) && strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return configuration.Rule{}
+}
+
+// priorities translates those of the configuration.
+var priorities = map[configuration.Priority]admission.Priority{
+	configuration.Urgent: admission.Urgent,
+	configuration.Normal: admission.Normal,
+	"":                   admission.Normal,
+	configuration.Batch:  admission.Batch,
+}
+
+// item returns what the queue needs to know of a request under a rule.
+func (d *Daemon) item(id ident.Generation, w ident.Workspace, rule configuration.Rule, cost float64, now time.Time) admission.Item {
+	wait := rule.Deadline.Std()
+	if wait == 0 {
+		wait = d.cfg.Load.QueueWait.Std()
+	}
+	if wait == 0 {
+		wait = defaultQueueWait
+	}
+	return admission.Item{
+		ID:        id,
+		Workspace: w,
+		Priority:  priorities[rule.Priority],
+		Cost:      cost,
+		Deadline:  now.Add(wait),
+	}
+}
+
+// admit waits until a generation may start on the engine that is reserved for
+// it then, or refuses it. The function that it returns is called once when the
+// generation is over.
+func (d *Daemon) admit(ctx context.Context, spec generation.Spec) (func(tokens int), *result.Error) {
+	if d.opt.Naive {
+		return nil, nil
+	}
+	finish, err := d.admitWork(ctx, spec)
+	if err != nil {
+		d.metrics.count("Refused."+err.Code.String(), 1)
+	}
+	return finish, err
+}
+
+func (d *Daemon) admitWork(ctx context.Context, spec generation.Spec) (func(tokens int), *result.Error) {
+	now := d.opt.Timer.Now()
+	ask := estimate.Request{
+		Workspace:    spec.Workspace,
+		Model:        spec.Model,
+		PromptTokens: promptTokens(spec),
+		MaxTokens:    spec.MaxTokens,
+	}
+	cost := d.estimator.Cost(ask)
+	d.shares.Demand(spec.Workspace, cost)
+	if err := d.throttle.Take(spec.Workspace, cost, now); err != nil {
+		return nil, err
+	}
+	rule := d.doc.Load().ruleOf(spec.Workspace, spec.Service, "POST", completionsPath)
+	it := d.item(spec.Generation, spec.Workspace, rule, cost, now)
+	if err := d.await(ctx, it, &work{spec, ask.PromptTokens, promptBlocks(spec.Body)}, now); err != nil {
+		d.throttle.Correct(spec.Workspace, -cost, d.opt.Timer.Now())
+		return nil, err
+	}
+	return func(tokens int) { d.finished(ask, cost, spec.Generation, tokens) }, nil
+}
+
+// await waits in the line of generations until an engine is reserved.
+func (d *Daemon) await(ctx context.Context, it admission.Item, w *work, began time.Time) *result.Error {
+	ctx, cancel := d.withStop(ctx)
+	defer cancel()
+	t, err := d.line.offer(it, w, began)
+	if err != nil {
+		return err
+	}
+	d.line.pump(began)
+	for {
+		v := d.line.await(ctx, t)
+		if v.err != nil {
+			return v.err
+		}
+		if v.spill == "" || d.spillTo(ctx, w, v.spill) {
+			d.metrics.wait.Update(d.opt.Timer.Now().Sub(began).Microseconds())
+			return nil
+		}
+		d.line.putBack(t, d.opt.Timer.Now())
+	}
+}
+
+// withStop returns a context that ends with ctx and with the daemon.
+func (d *Daemon) withStop(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(d.ctx, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// finished corrects what was estimated and lets others start.
+func (d *Daemon) finished(ask estimate.Request, cost float64, id ident.Generation, tokens int) {
+	now := d.opt.Timer.Now()
+	spent := d.estimator.Spent(ask.PromptTokens, tokens)
+	if tokens > 0 {
+		d.estimator.Note(ask.Workspace, ask.Model, tokens)
+	}
+	d.throttle.Correct(ask.Workspace, spent-cost, now)
+	d.line.queue.Finish(id, spent)
+	d.line.pump(now)
+}
+
+// free returns how many generations could start now. New work is held back
+// while a lost answer waits for an engine.
+func (d *Daemon) free(now time.Time) int {
+	if now.UnixNano() < d.heldBack.Load() {
+		return 0
+	}
+	if n := d.chooser.Free(now); n > 0 {
+		return n
+	}
+	if d.roomElsewhere(now) {
+		return 1
+	}
+	return 0
+}
+
+// place reserves an engine for a granted generation.
+func (d *Daemon) place(t *ticket, now time.Time) bool {
+	w := t.request.(*work)
+	avoid, alone, err := d.screen(w.spec)
+	if err != nil {
+		d.drop(t, err)
+		return true
+	}
+	dec := d.chooser.Choose(w.ask(avoid), now)
+	if dec.Kind != routing.Send && len(avoid) > 0 && !alone {
+		dec = d.chooser.Choose(w.ask(nil), now)
+	}
+	switch dec.Kind {
+	case routing.Send:
+		d.reserved.put(w.spec.Generation, reservation{upstream: dec.Upstream, at: now})
+		d.line.answer(t, verdict{})
+		return true
+	case routing.SpillTo:
+		d.line.answer(t, verdict{spill: dec.Domain})
+		return true
+	case routing.NoUpstream:
+		d.drop(t, noUpstream(w.spec.Model))
+		return true
+	}
+	return false
+}
+
+// drop refuses a granted generation.
+func (d *Daemon) drop(t *ticket, err *result.Error) {
+	d.line.queue.Finish(t.ID, 0)
+	d.line.answer(t, verdict{err: err})
+}
+
+func (w *work) ask(exclude []ident.Upstream) routing.Request {
+	return routing.Request{
+		ID:           w.spec.Request,
+		Model:        modelOf(w.spec),
+		Blocks:       w.blocks,
+		PromptTokens: w.prompt,
+		Exclude:      exclude,
+	}
+}
+
+func modelOf(spec generation.Spec) routing.Model {
+	return routing.Model{Name: spec.Model, Version: spec.Version, Adapter: spec.Adapter}
+}
+
+// promptBlocks returns the blocks of the prompt that engines cache.
+func promptBlocks(body []byte) []prefix.Block {
+	var c struct {
+		Messages []struct {
+			Role    string `json:"role"`
+			Content string `json:"content"`
+		} `json:"messages"`
+	}
+	if err := json.Unmarshal(body, &c); err != nil {
+		return nil
+	}
+	var text strings.Builder
+	for _, m := range c.Messages {
+		text.WriteString(m.Role + ":" + m.Content + "\n")
+	}
+	return prefix.Blocks(text.String())
+}
--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"slices"
+
 	"crocuslug/access"
 	"crocuslug/configuration"
 	"crocuslug/generation"
@@ -12,17 +14,34 @@
 // document is a configuration with indices for traffic. It is immutable.
 type document struct {
 	*configuration.Document
-	addresses map[ident.Upstream]string
-	models    map[string]ident.Service // service that serves a model
+	addresses  map[ident.Upstream]string
+	models     map[string]ident.Service // service that serves a model
+	upstreams  map[ident.Upstream]configuration.Upstream
+	workspaces map[ident.Workspace]configuration.Workspace
+	kinds      map[ident.Service]configuration.Kind
+	calls      int // that upstreams of plain services take at once
 }
 
 func newDocument(doc *configuration.Document) *document {
 	d := &document{
-		Document:  doc,
-		addresses: make(map[ident.Upstream]string, len(doc.Upstreams)),
-		models:    make(map[string]ident.Service),
+		Document:   doc,
+		addresses:  make(map[ident.Upstream]string, len(doc.Upstreams)),
+		models:     make(map[string]ident.Service),
+		upstreams:  make(map[ident.Upstream]configuration.Upstream, len(doc.Upstreams)),
+		workspaces: make(map[ident.Workspace]configuration.Workspace, len(doc.Workspaces)),
+		kinds:      make(map[ident.Service]configuration.Kind, len(doc.Services)),
+	}
+	for _, w := range doc.Workspaces {
+		d.workspaces[w.Name] = w
+	}
+	for _, s := range doc.Services {
+		d.kinds[s.Name] = s.Kind
 	}
 	for _, u := range doc.Upstreams {
+		d.upstreams[u.Name] = u
+		if d.kinds[u.Service] == configuration.Plain {
+			d.calls += orDefault(u.Slots, serviceCalls)
+		}
 		d.addresses[u.Name] = u.Address
 		for _, m := range u.Models {
 			d.models[m] = u.Service
@@ -45,24 +64,47 @@
 
 // apply puts a configuration in force.
 func (d *Daemon) apply(doc *configuration.Document) {
-	d.doc.Store(newDocument(doc))
+	current := newDocument(doc)
+	d.doc.Store(current)
 	d.keys.Store(access.New(doc, d.bootstrap))
-	d.chooser.SetCandidates(d.candidates(doc))
+	d.offerCandidates(current)
+	d.followHealth(current)
 }
 
-// candidates returns the upstreams of the own failure domain.
-func (d *Daemon) candidates(doc *configuration.Document) []routing.Candidate {
+// offerCandidates tells the choosers and the polls of the upstreams in reach.
+func (d *Daemon) offerCandidates(doc *document) {
+	list := d.candidates(doc)
+	d.chooser.SetCandidates(list)
+	d.plain.SetCandidates(d.plainCandidates(doc))
+	var near []ident.Upstream
+	for _, c := range list {
+		if c.Near {
+			near = append(near, c.Upstream)
+		}
+	}
+	d.polls.follow(near, d.upstreamAddress)
+}
+
+// candidates returns the engines of the own failure domain, those of the
+// instance's subset as near ones.
+func (d *Daemon) candidates(doc *document) []routing.Candidate {
 	var out []routing.Candidate
+	var names []ident.Upstream
 	for _, u := range doc.Upstreams {
-		if u.Domain != d.cfg.Domain {
+		if u.Domain != d.cfg.Domain || doc.kinds[u.Service] == configuration.Plain {
 			continue
 		}
-		c := routing.Candidate{Upstream: u.Name, Slots: u.Slots, Leaving: u.Leaving, Near: true}
+		names = append(names, u.Name)
+		c := routing.Candidate{Upstream: u.Name, Slots: u.Slots, Leaving: u.Leaving}
 		for _, m := range u.Models {
 			c.Models = append(c.Models, routing.Model{Name: m})
 		}
 		out = append(out, c)
 	}
+	near := routing.Subset(d.live(), d.id, names, orDefault(d.cfg.Load.SubsetSize, defaultSubset))
+	for i := range out {
+		out[i].Near = slices.Contains(near, out[i].Upstream)
+	}
 	return out
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,36 +14,46 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"crocuslug/access"
+	"crocuslug/admission"
 	"crocuslug/configuration"
 	"crocuslug/control"
+	"crocuslug/estimate"
 	"crocuslug/gateway"
+	"crocuslug/health"
 	"crocuslug/ident"
 	"crocuslug/outbox"
 	"crocuslug/owner"
 	"crocuslug/peerlink"
+	"crocuslug/quota"
 	"crocuslug/replica"
+	"crocuslug/retry"
 	"crocuslug/routing"
 	"crocuslug/settings"
 	"crocuslug/suspect"
 	"crocuslug/takeover"
+	"crocuslug/throttle"
 	"crocuslug/timer"
 )
 
 // Options are what a Daemon needs beside its settings. Only Timer is required.
 type Options struct {
-	Timer    *timer.Service
-	Log      zerolog.Logger
-	Tracer   trace.Tracer
-	Document *configuration.Document // in force until the platform tells a newer one
-	Owner    owner.Settings
-	Replica  replica.Settings
-	Takeover takeover.Settings
-	Routing  routing.Settings
-	Gateway  gateway.Settings
-	Suspect  suspect.Settings
-	Seed     uint64 // of all random choices; 0 draws one
-	Cut      func(to ident.Instance) bool
-	CutFrom  func(from ident.Instance) bool
+	Timer     *timer.Service
+	Log       zerolog.Logger
+	Tracer    trace.Tracer
+	Document  *configuration.Document // in force until the platform tells a newer one
+	Owner     owner.Settings
+	Replica   replica.Settings
+	Takeover  takeover.Settings
+	Routing   routing.Settings
+	Gateway   gateway.Settings
+	Suspect   suspect.Settings
+	Admission admission.Settings
+	Estimate  estimate.Settings
+	Health    health.Settings
+	Naive     bool   // takes engines in turn and admits all at once; for comparison
+	Seed      uint64 // of all random choices; 0 draws one
+	Cut       func(to ident.Instance) bool
+	CutFrom   func(from ident.Instance) bool
 }
 
 // Daemon is one instance of the system.
@@ -56,19 +66,37 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
+	ending  sync.Mutex
+	over    bool
 
-	loop     *control.Loop
-	link     *peerlink.Link
-	outbox   *outbox.Outbox
-	owner    *owner.Owner
-	replicas *replica.Store
-	taker    *takeover.Taker
-	gateway  *gateway.Gateway
-	chooser  *routing.Chooser
-	suspects *suspect.Ledger
-	server   *fasthttp.Server
-	listener net.Listener
-	conns    connections
+	loop       *control.Loop
+	link       *peerlink.Link
+	outbox     *outbox.Outbox
+	owner      *owner.Owner
+	replicas   *replica.Store
+	taker      *takeover.Taker
+	gateway    *gateway.Gateway
+	chooser    *routing.Chooser
+	suspects   *suspect.Ledger
+	plain      *routing.Chooser // of plain services
+	line       *line            // generations that wait
+	services   *line            // calls to plain services that wait
+	throttle   *throttle.Throttle
+	shares     *quota.Shares
+	estimator  *estimate.Estimator
+	retries    *retry.Budget
+	polls      *polls
+	trackers   map[ident.Service]*health.Tracker // of the loop
+	reserved   *reservations                     // engines for generations that are about to start
+	away       *reservations                     // engines of other failure domains in use
+	guests     *reservations                     // engines here in use from other failure domains
+	neighbours neighbours
+	shared     []ident.Instance // members of shares, of the timer
+	heldBack   atomic.Int64     // time in Unix nanoseconds until which new work waits for lost answers
+	turn       atomic.Uint64
+	server     *fasthttp.Server
+	listener   net.Listener
+	conns      connections
 
 	metrics   *meters
 	bootstrap string   // hash of the first operator's key, or ""
@@ -100,6 +128,8 @@
 	d.buildLoad()
 	d.buildPeers(secret)
 	d.buildSuspects()
+	d.handleShares()
+	d.handleSpill()
 	d.buildGenerations()
 	d.buildConfiguration(key)
 	d.buildRoutes()
@@ -121,6 +151,7 @@
 	d.owner.Run()
 	d.every(expireInterval, d.expire)
 	d.every(suspectInterval, d.tellSuspects)
+	d.startLoad()
 	d.goRun(func() {
 		if err := d.server.Serve(d.conns.wrap(l)); err != nil {
 			d.log.Error().Err(err).Msg("serving ended")
@@ -137,9 +168,17 @@
 func (d *Daemon) expire(now time.Time) {
 	d.replicas.Expire(now)
 	d.suspects.Expire(now)
+	d.throttle.Expire(now)
 }
 
+// goRun runs f on a goroutine that the end of the daemon waits for. After that
+// nothing is run any more.
 func (d *Daemon) goRun(f func()) {
+	d.ending.Lock()
+	defer d.ending.Unlock()
+	if d.over {
+		return
+	}
 	d.running.Add(1)
 	go func() {
 		defer d.running.Done()
@@ -199,7 +238,8 @@
 	done := make(chan struct{})
 	var once sync.Once
 	sub := d.opt.Timer.Every(leavePoll, func(time.Time) {
-		if active, _, _ := d.owner.Load(); active == 0 {
+		waiting, _ := d.line.queue.Len()
+		if active, _, _ := d.owner.Load(); active == 0 && waiting == 0 {
 			once.Do(func() { close(done) })
 		}
 	})
@@ -229,6 +269,9 @@
 }
 
 func (d *Daemon) halt() {
+	d.ending.Lock()
+	d.over = true
+	d.ending.Unlock()
 	for _, s := range d.subs {
 		s.Stop()
 	}
--- a/daemon/generations.go
+++ b/daemon/generations.go
@@ -43,6 +43,8 @@
 		Blame:         d.blame,
 		ChooseReplica: d.chooseReplica,
 		Progress:      d.progress,
+		Opened:        d.opened,
+		Paced:         d.paced,
 		Recovered:     d.recovered,
 		Ended:         d.ended,
 	})
--- a/daemon/load.go
+++ b/daemon/load.go
@@ -1,17 +1,22 @@
 package daemon
 
 import (
-	"context"
 	"math/rand/v2"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
+	"crocuslug/admission"
 	"crocuslug/affinity"
+	"crocuslug/estimate"
 	"crocuslug/generation"
 	"crocuslug/ident"
 	"crocuslug/owner"
 	"crocuslug/result"
+	"crocuslug/retry"
 	"crocuslug/routing"
+	"crocuslug/throttle"
 )
 
 // buildLoad wires the choice of upstreams and admission.
@@ -23,39 +28,105 @@
 	}
 	rng := newLockedRand(seed)
 	d.chooser = routing.New(d.opt.Routing, d.cfg.Domain, rng.Uint64, affinity.New(affinity.Settings{}))
+	d.plain = routing.New(routing.Settings{}, d.cfg.Domain, rng.Uint64, affinity.New(affinity.Settings{}))
+	d.estimator = estimate.New(d.opt.Estimate)
+	d.buildQuota()
+	d.throttle = throttle.New(throttle.Settings{}, d.shares.Rate, rng.Uint64)
+	d.retries = retry.New(retry.Settings{Share: d.cfg.Load.RetryShare}, rng.Uint64)
+	d.reserved = newReservations()
+	d.away = newReservations()
+	d.guests = newReservations()
+	queue := d.opt.Admission
+	queue.Seed = seed
+	if queue.MaxItems == 0 {
+		queue.MaxItems = d.cfg.Load.QueueLength
+	}
+	d.line = newLine(queue, d.limits)
+	d.line.capacity, d.line.place = d.free, d.place
+	d.services = newLine(admission.Settings{Seed: seed, MaxItems: d.cfg.Load.QueueLength}, d.limits)
+	d.services.capacity, d.services.place = d.plainFree, d.plainPlace
+	d.buildHealth()
+	d.buildPolls(rng)
+}
+
+// startLoad begins what goes on beside requests.
+func (d *Daemon) startLoad() {
+	d.every(expireTick, d.line.expire)
+	d.every(expireTick, d.services.expire)
+	d.every(healthTick, d.checkHealth)
+	if d.opt.Naive {
+		return
+	}
+	d.every(pollTick, d.poll)
+	d.every(quotaTick, d.exchangeShares)
+	d.every(roomTick, d.tellRoom)
+	d.every(reservationTick, d.expireReservations)
 }
 
 // busyRetry is when to come back after a refusal without a better estimate.
 const busyRetry = time.Second
 
-// chooseEngine picks an engine for a generation.
+func noUpstream(model string) *result.Error {
+	return result.Newf(result.NoUpstream, "no engine in reach has model %q at hand", model).After(busyRetry)
+}
+
+// holdBack is how long new work waits after a lost answer found no engine.
+const holdBack = 300 * time.Millisecond
+
+// chooseEngine picks an engine for a generation: the reserved one when it
+// starts, and any that is left when its stream was lost. It is called with the
+// generation locked and does not block.
 func (d *Daemon) chooseEngine(q owner.EngineQuery) (ident.Upstream, *result.Error) {
-	avoid, alone, err := d.screen(q)
+	id := q.Spec.Generation
+	if d.opt.Naive {
+		return d.nextEngine(q)
+	}
+	if r, ok := d.reserved.take(id); ok {
+		if !slices.Contains(q.Exclude, r.upstream) {
+			return d.start(id, q.Spec, r), nil
+		}
+		d.unreserve(id, r)
+	}
+	now := d.opt.Timer.Now()
+	avoid, alone, err := d.screen(q.Spec)
 	if err != nil {
 		return "", err
 	}
-	dec := d.choose(q, slices.Concat(q.Exclude, avoid))
-	if dec.Kind != routing.Send && len(avoid) > 0 && !alone {
-		dec = d.choose(q, q.Exclude)
+	dec := d.rescue(q, slices.Concat(q.Exclude, avoid), now)
+	if dec.Kind == routing.NoUpstream && len(avoid) > 0 && !alone {
+		dec = d.rescue(q, q.Exclude, now)
+	}
+	if dec.Kind == routing.NoUpstream && len(q.Exclude) > 0 && !alone {
+		dec = d.rescue(q, nil, now)
 	}
 	switch dec.Kind {
 	case routing.Send:
-		d.suspects.Placed(dec.Upstream, q.Spec.Fingerprint)
-		return dec.Upstream, nil
-	case routing.NoUpstream:
-		return "", result.Newf(result.NoUpstream, "no engine in reach has model %q at hand", q.Spec.Model).After(busyRetry)
+		return d.start(id, q.Spec, reservation{upstream: dec.Upstream}), nil
+	case routing.SpillTo:
+		d.rescueFrom(q, dec.Domain)
 	}
-	return "", result.New(result.Overloaded, "all engines are full").After(busyRetry)
+	d.heldBack.Store(now.Add(holdBack).UnixNano())
+	return "", noUpstream(q.Spec.Model)
 }
 
-func (d *Daemon) choose(q owner.EngineQuery, exclude []ident.Upstream) routing.Decision {
+// start notes that a generation runs on the engine that was found.
+func (d *Daemon) start(id ident.Generation, spec generation.Spec, r reservation) ident.Upstream {
+	if r.instance != "" {
+		d.away.put(id, r)
+	}
+	d.suspects.Placed(r.upstream, spec.Fingerprint)
+	return r.upstream
+}
+
+// rescue chooses an engine for an answer that was admitted already.
+func (d *Daemon) rescue(q owner.EngineQuery, exclude []ident.Upstream, now time.Time) routing.Decision {
 	return d.chooser.Choose(routing.Request{
 		ID:           q.Spec.Request,
-		Model:        routing.Model{Name: q.Spec.Model, Version: q.Spec.Version, Adapter: q.Spec.Adapter},
+		Model:        modelOf(q.Spec),
 		PromptTokens: promptTokens(q.Spec) + q.Held,
 		Exclude:      exclude,
-		Resumed:      q.Resumed,
-	}, d.opt.Timer.Now())
+		Resumed:      true,
+	}, now)
 }
 
 // bytesPerToken estimates the tokens of a prompt from its bytes.
@@ -65,14 +136,18 @@
 	return len(spec.Body) / bytesPerToken
 }
 
+// releaseEngine ends what chooseEngine counted. It must not block.
 func (d *Daemon) releaseEngine(u ident.Upstream, spec generation.Spec, cause generation.Cause) {
 	d.suspects.Left(u, spec.Fingerprint)
 	now := d.opt.Timer.Now()
-	if cause == 0 {
+	if r, ok := d.away.take(spec.Generation); ok {
+		d.releaseAway(spec.Generation, r)
+	} else if cause == 0 {
 		d.chooser.Done(u, now)
-		return
+	} else {
+		d.chooser.Failed(u, now)
 	}
-	d.chooser.Failed(u, now)
+	d.observeCause(u, cause)
 }
 
 func (d *Daemon) progress(_ ident.Upstream, _ generation.Spec, tokens int, first time.Duration) {
@@ -82,7 +157,23 @@
 	}
 }
 
-// admit lets a generation start.
-func (d *Daemon) admit(context.Context, generation.Spec) (func(tokens int), *result.Error) {
-	return nil, nil
+// opened takes in the load that an engine told when it took a stream.
+func (d *Daemon) opened(u ident.Upstream, load string) {
+	if d.opt.Naive {
+		return
+	}
+	parts := strings.Split(load, "/")
+	const fields = 3
+	if len(parts) != fields {
+		return
+	}
+	var n [fields]int
+	for i, p := range parts {
+		v, err := strconv.Atoi(p)
+		if err != nil {
+			return
+		}
+		n[i] = v
+	}
+	d.chooser.ReportLoad(routing.Report{Upstream: u, At: d.opt.Timer.Now(), Running: n[0], Waiting: n[1], Slots: n[2]})
 }
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -18,6 +18,7 @@
 	registry metrics.Registry
 	resume   metrics.Histogram // microseconds from a loss to the next token
 	first    metrics.Histogram // microseconds to the first token
+	wait     metrics.Histogram // microseconds from the request to its admission
 	tokens   metrics.Counter
 }
 
@@ -27,6 +28,7 @@
 		registry: r,
 		resume:   metrics.NewRegisteredHistogram("ResumeLatencyUs", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
 		first:    metrics.NewRegisteredHistogram("FirstTokenUs", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
+		wait:     metrics.NewRegisteredHistogram("AdmissionWaitUs", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
 		tokens:   metrics.NewRegisteredCounter("Tokens", r),
 	}
 }
--- /dev/null
+++ b/daemon/services.go
@@ -0,0 +1,120 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"crocuslug/configuration"
+	"crocuslug/health"
+	"crocuslug/ident"
+	"crocuslug/result"
+	"crocuslug/retry"
+	"crocuslug/routing"
+)
+
+// serviceCalls is the number of calls that an upstream of a plain service takes
+// at once, if the configuration does not say.
+const serviceCalls = 64
+
+// serviceCost is the cost of a call to a plain service in tokens.
+const serviceCost = 1
+
+// plainCandidates returns the upstreams of plain services, those of the own
+// failure domain as near ones.
+func (d *Daemon) plainCandidates(doc *document) []routing.Candidate {
+	var out []routing.Candidate
+	for _, u := range doc.Upstreams {
+		if doc.kinds[u.Service] != configuration.Plain {
+			continue
+		}
+		out = append(out, routing.Candidate{
+			Upstream: u.Name,
+			Slots:    orDefault(u.Slots, serviceCalls),
+			Models:   []routing.Model{{Name: string(u.Service)}},
+			Leaving:  u.Leaving,
+			Near:     u.Domain == d.cfg.Domain,
+		})
+	}
+	return out
+}
+
+// AdmitService waits until a call to a plain service may start under a rule, or
+// refuses it. The function that it returns is called when the call is over.
+func (d *Daemon) AdmitService(ctx context.Context, w ident.Workspace, rule configuration.Rule) (func(), *result.Error) {
+	now := d.opt.Timer.Now()
+	d.retries.Request()
+	if d.opt.Naive {
+		return func() {}, nil
+	}
+	ctx, cancel := d.withStop(ctx)
+	defer cancel()
+	it := d.item(ident.Generation(uuid.NewString()), w, rule, serviceCost, now)
+	t, err := d.services.offer(it, nil, now)
+	if err == nil {
+		d.services.pump(now)
+		err = d.services.await(ctx, t).err
+	}
+	if err != nil {
+		d.metrics.count("Refused."+err.Code.String(), 1)
+		return nil, err
+	}
+	return func() {
+		d.services.queue.Finish(it.ID, serviceCost)
+		d.services.pump(d.opt.Timer.Now())
+	}, nil
+}
+
+// plainFree returns how many calls to plain services could start now.
+func (d *Daemon) plainFree(time.Time) int {
+	_, running := d.services.queue.Len()
+	return d.doc.Load().calls - running
+}
+
+func (d *Daemon) plainPlace(t *ticket, _ time.Time) bool {
+	d.services.answer(t, verdict{})
+	return true
+}
+
+// ChooseService returns an upstream of a plain service other than the tried
+// ones. The function that it returns is called when the call is over, with how
+// it ended and how long the answer took. It returns false if there is none.
+func (d *Daemon) ChooseService(s ident.Service, tried []ident.Upstream) (configuration.Upstream, func(k health.Kind, took time.Duration), bool) {
+	dec := d.plain.Choose(routing.Request{
+		Model:   routing.Model{Name: string(s)},
+		Exclude: tried,
+		Resumed: len(tried) > 0,
+	}, d.opt.Timer.Now())
+	if dec.Kind != routing.Send {
+		return configuration.Upstream{}, nil, false
+	}
+	return d.doc.Load().upstreams[dec.Upstream], func(k health.Kind, took time.Duration) {
+		if k == health.OK {
+			d.plain.Done(dec.Upstream, d.opt.Timer.Now())
+		} else {
+			d.plain.Failed(dec.Upstream, d.opt.Timer.Now())
+		}
+		d.observe(health.Outcome{Upstream: dec.Upstream, Kind: k, Latency: took})
+	}, true
+}
+
+// RetryService decides whether a failed call to a plain service is tried again,
+// and after what wait.
+func (d *Daemon) RetryService(a retry.Attempt) (retry.Verdict, time.Duration) {
+	if d.opt.Naive {
+		return retry.Retry, 0
+	}
+	v, wait := d.retries.Decide(a)
+	if v == retry.Retry {
+		d.metrics.count("Retries", 1)
+	}
+	return v, wait
+}
+
+// SetLeaving says that an upstream takes no new work, or does again. What runs
+// there goes on.
+func (d *Daemon) SetLeaving(u ident.Upstream, leaving bool) {
+	d.chooser.SetLeaving(u, leaving)
+	d.plain.SetLeaving(u, leaving)
+}
--- a/daemon/suspects.go
+++ b/daemon/suspects.go
@@ -7,7 +7,6 @@
 
 	"crocuslug/generation"
 	"crocuslug/ident"
-	"crocuslug/owner"
 	"crocuslug/result"
 	"crocuslug/suspect"
 )
@@ -52,16 +51,16 @@
 	}
 }
 
-// screen returns the engines that q must not run on, or refuses it.
-func (d *Daemon) screen(q owner.EngineQuery) (avoid []ident.Upstream, alone bool, err *result.Error) {
+// screen returns the engines that a generation must not run on, or refuses it.
+func (d *Daemon) screen(spec generation.Spec) (avoid []ident.Upstream, alone bool, err *result.Error) {
 	now := d.opt.Timer.Now()
-	t, until := d.suspects.Treat(now, q.Spec.Fingerprint)
+	t, until := d.suspects.Treat(now, spec.Fingerprint)
 	switch t {
 	case suspect.Refuse:
 		return nil, false, result.New(result.RequestCrashes, "engines failed whenever they ran this content").
 			Ran(result.RunUnknown).After(until.Sub(now))
 	case suspect.Alone, suspect.Apart:
-		return d.suspects.Avoid(q.Spec.Fingerprint), t == suspect.Alone, nil
+		return d.suspects.Avoid(spec.Fingerprint), t == suspect.Alone, nil
 	}
 	return nil, false, nil
 }
--- a/engineclient/stream.go
+++ b/engineclient/stream.go
@@ -25,6 +25,7 @@
 	closed bool
 	name   string
 	resp   *fasthttp.Response
+	load   string
 }
 
 // Token is one event of a stream.
@@ -77,9 +78,16 @@
 	if err := s.resp.ReadLimitBody(r, 0); err != nil {
 		return lost(generation.Reset, err)
 	}
+	s.load = string(s.resp.Header.Peek("X-Engine-Load"))
 	return statusError(s.resp.StatusCode())
 }
 
+// Load returns the load that the engine told with its answer, as
+// running/waiting/slots, or "". It is called after Start or Resume.
+func (s *Stream) Load() string {
+	return s.load
+}
+
 // dialCause tells a refused connection from one that was not answered in time.
 func dialCause(err error) generation.Cause {
 	var ne net.Error
--- a/owner/generation.go
+++ b/owner/generation.go
@@ -32,6 +32,7 @@
 	beat      uint64 // rises with each sign of life
 	beatAt    time.Time
 	recovered int
+	cause     generation.Cause // of the last loss since an engine was chosen, or 0
 	told      bool
 	abandoned bool
 	trace     propagation.MapCarrier // headers of the request's trace, may be nil
@@ -134,7 +135,12 @@
 }
 
 func (g *Generation) chooseEngine(now time.Time, a generation.Action) []generation.Action {
-	g.releaseEngine(generation.Reset)
+	cause := g.cause
+	if cause == 0 {
+		cause = generation.Silence
+	}
+	g.cause = 0
+	g.releaseEngine(cause)
 	u, err := g.owner.ports.ChooseEngine(EngineQuery{
 		Spec:    g.machine.Spec(),
 		Exclude: a.Exclude,
--- a/owner/run.go
+++ b/owner/run.go
@@ -22,6 +22,7 @@
 	next    int // index of the next token
 	paused  bool
 	stopped bool
+	pace    pace
 }
 
 func (r *run) close() {
@@ -77,6 +78,7 @@
 		r.g.machine.Opened(now, r.act.Attempt)
 		return nil
 	})
+	r.g.owner.ports.Opened(r.act.Upstream, r.stream.Load())
 	return r.stream.Read(r.take)
 }
 
@@ -99,6 +101,7 @@
 			first = now.Sub(g.began)
 		}
 		r.next = t.Index + 1
+		r.step(now)
 		return g.machine.Tokens(now, r.act.Attempt, t.Index, []string{t.Text})
 	})
 	if t.Finish == "" {
@@ -107,6 +110,31 @@
 	return r.wait()
 }
 
+// pace measures how fast an engine brings tokens.
+type pace struct {
+	since  time.Time // of the first token of the window
+	tokens int       // after that one
+	told   bool
+}
+
+// paceWindow is the number of tokens that the pace is told for.
+const paceWindow = 16
+
+// step counts a token that came now. It is called with g.mu held.
+func (r *run) step(now time.Time) {
+	p := &r.pace
+	if p.since.IsZero() {
+		p.since = now
+		return
+	}
+	p.tokens++
+	if p.tokens < paceWindow {
+		return
+	}
+	r.g.owner.ports.Paced(r.act.Upstream, p.tokens, now.Sub(p.since), !p.told)
+	*p = pace{since: now, told: true}
+}
+
 // wait holds the stream back while the caller is too far behind.
 func (r *run) wait() bool {
 	g := r.g
@@ -119,6 +147,7 @@
 	}
 	if r.paused {
 		r.paused = false
+		r.pace = pace{told: r.pace.told}
 		g.machine.Pause(g.owner.ports.Timer.Now(), false)
 	}
 	return !r.stopped
@@ -136,6 +165,7 @@
 			return nil
 		}
 		g.logLoss(r.act, cause, err)
+		g.cause = cause
 		return g.machine.StreamLost(now, r.act.Attempt, cause)
 	})
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -66,10 +66,12 @@
 
 // Load sets how upstreams are chosen and work is admitted.
 type Load struct {
-	QueueLength int           `json:",omitempty"` // requests that wait at most; default if 0
-	QueueWait   unit.Duration `json:",omitempty"` // longest wait of a request without a deadline
-	RetryShare  float64       `json:",omitempty"` // retries as a share of requests; default if 0
-	SubsetSize  int           `json:",omitempty"` // engines whose load is asked for
+	QueueLength        int           `json:",omitempty"` // requests that wait at most; default if 0
+	QueueWait          unit.Duration `json:",omitempty"` // longest wait of a request without a deadline
+	RetryShare         float64       `json:",omitempty"` // retries as a share of requests; default if 0
+	SubsetSize         int           `json:",omitempty"` // engines whose load is asked for
+	PollInterval       unit.Duration `json:",omitempty"` // between two requests to an engine for its load; default if 0
+	PollBytesPerSecond int           `json:",omitempty"` // bytes that all of them may take, which lengthens the interval; default if 0
 }
 
 // Limits bound what callers may send.
@@ -268,6 +270,7 @@
 		{"Platform.WritesPerSec", cfg.Platform.WritesPerSec},
 		{"Load.QueueLength", cfg.Load.QueueLength},
 		{"Load.SubsetSize", cfg.Load.SubsetSize},
+		{"Load.PollBytesPerSecond", cfg.Load.PollBytesPerSecond},
 		{"Limits.BodyBytes", cfg.Limits.BodyBytes},
 		{"Limits.MaxTokens", cfg.Limits.MaxTokens},
 		{"Limits.Connections", cfg.Limits.Connections},
