--- a/daemon/load.go
+++ b/daemon/load.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
@@ -22,11 +21,7 @@
 // buildLoad wires the choice of upstreams and admission.
 func (d *Daemon) buildLoad() {
 	d.metrics = newMeters()
-	seed := d.opt.Seed
-	if seed == 0 {
-		seed = rand.Uint64()
-	}
-	rng := newLockedRand(seed)
+	rng := newLockedRand(d.seed)
 	d.chooser = routing.New(d.opt.Routing, d.cfg.Domain, rng.Uint64, affinity.New(affinity.Settings{}))
 	d.plain = routing.New(routing.Settings{}, d.cfg.Domain, rng.Uint64, affinity.New(affinity.Settings{}))
 	d.estimator = estimate.New(d.opt.Estimate)
@@ -37,13 +32,13 @@
 	d.away = newReservations()
 	d.guests = newReservations()
 	queue := d.opt.Admission
-	queue.Seed = seed
+	queue.Seed = d.seed
 	if queue.MaxItems == 0 {
 		queue.MaxItems = d.cfg.Load.QueueLength
 	}
 	d.line = newLine(queue, d.limits)
 	d.line.capacity, d.line.place = d.free, d.place
-	d.services = newLine(admission.Settings{Seed: seed, MaxItems: d.cfg.Load.QueueLength}, d.limits)
+	d.services = newLine(admission.Settings{Seed: d.seed, MaxItems: d.cfg.Load.QueueLength}, d.limits)
 	d.services.capacity, d.services.place = d.plainFree, d.plainPlace
 	d.buildHealth()
 	d.buildPolls(rng)
--- a/daemon/quota.go
+++ b/daemon/quota.go
@@ -41,14 +41,21 @@
 	d.link.OnUp(d.shares.PeerFound)
 }
 
-// members returns all instances among which limits are shared.
-func (d *Daemon) members() []ident.Instance {
-	return append(d.everyone(), d.id)
+// sharers returns all instances among which limits are shared: those that are
+// out of reach as well, since they may still let requests through.
+func (d *Daemon) sharers() []ident.Instance {
+	out := []ident.Instance{d.id}
+	for _, m := range d.members.View().Members {
+		if m.Instance != d.id {
+			out = append(out, m.Instance)
+		}
+	}
+	return out
 }
 
 // exchangeShares moves shares to where the demand is.
 func (d *Daemon) exchangeShares(now time.Time) {
-	members := d.members()
+	members := d.sharers()
 	slices.Sort(members)
 	if !slices.Equal(members, d.shared) {
 		d.shared = members
--- a/daemon/spill.go
+++ b/daemon/spill.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"crocuslug/ident"
+	"crocuslug/membership"
 	"crocuslug/owner"
 	"crocuslug/prefix"
 	"crocuslug/rendezvous"
@@ -159,18 +160,17 @@
 	if n, _ := d.line.queue.Len(); n > 0 || d.leaving.Load() || now.UnixNano() < d.heldBack.Load() {
 		return 0
 	}
-	return d.chooser.Free(now) / len(d.live())
+	return d.chooser.Free(now) / max(1, len(d.live()))
 }
 
 // tellRoom tells one instance of each other failure domain of the room here.
 func (d *Daemon) tellRoom(now time.Time) {
 	domains := make(map[ident.Domain][]ident.Instance)
-	d.known.Range(func(id, domain any) bool {
-		if domain != d.cfg.Domain {
-			domains[domain.(ident.Domain)] = append(domains[domain.(ident.Domain)], id.(ident.Instance))
+	for _, m := range d.members.View().Members {
+		if m.Domain != d.cfg.Domain && m.State == membership.Live {
+			domains[m.Domain] = append(domains[m.Domain], m.Instance)
 		}
-		return true
-	})
+	}
 	if len(domains) == 0 {
 		return
 	}
--- a/standinsite/site.go
+++ b/standinsite/site.go
@@ -9,9 +9,12 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/zeebo/errs"
 	"go.opentelemetry.io/otel/trace"
 
 	"crocuslug/access"
@@ -36,6 +39,12 @@
 	Tracer    trace.Tracer
 	Seed      uint64
 	Log       zerolog.Logger
+	// EngineAddress takes the place of the stand-ins for engines if it is set.
+	EngineAddress string
+	Slots         int // of the engine at EngineAddress
+	// OnEngineDeath is called when an engine was killed or crashed, with the
+	// function that starts it again; it may be nil.
+	OnEngineDeath func(revive func() error)
 }
 
 // Names of what every site has.
@@ -116,11 +125,22 @@
 		Name:      Workspace,
 		KeyHashes: []string{access.Hash([]byte(WorkspaceKey))},
 	})
+	if s.cfg.EngineAddress != "" {
+		s.doc.Upstreams = append(s.doc.Upstreams, configuration.Upstream{
+			Name: "engine", Service: "assistant", Address: s.cfg.EngineAddress,
+			Domain: s.cfg.Domains[0], Models: []string{Model}, Slots: s.cfg.Slots,
+		})
+		return nil
+	}
 	for _, domain := range s.cfg.Domains {
 		for i := range s.cfg.Engines {
 			cfg := s.cfg.Engine
 			cfg.Name = fmt.Sprintf("engine-%s-%d", domain, i)
-			e := standinengine.New(cfg, s.stand)
+			var e *standinengine.Engine
+			if s.cfg.OnEngineDeath != nil {
+				cfg.Exit = func() { s.cfg.OnEngineDeath(e.Restart) }
+			}
+			e = standinengine.New(cfg, s.stand)
 			if err := e.Start(); err != nil {
 				return err
 			}
@@ -146,6 +166,13 @@
 	cfg.Listen, cfg.PeerAddr = "127.0.0.1:0", "127.0.0.1:0"
 	cfg.Secret = settings.Secret{File: s.dir + "/secret"}
 	cfg.Operator = settings.Secret{File: s.dir + "/operator"}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, d := range s.Instances {
+		if s.alive[i] {
+			cfg.Peers = append(cfg.Peers, settings.Peer{Instance: d.ID(), Domain: d.Domain(), Address: d.Addr(), PeerAddr: d.PeerAddr()})
+		}
+	}
 	return cfg
 }
 
@@ -157,14 +184,40 @@
 			}
 		}
 	}
-	for _, a := range s.Instances {
-		for _, b := range s.Instances {
-			if a != b {
-				a.Know(b.ID(), b.Domain(), b.PeerAddr())
-			}
+	return s.meet()
+}
+
+// Limits of the wait until all instances know each other.
+const (
+	meetLimit = 10 * time.Second
+	meetPoll  = 10 * time.Millisecond
+)
+
+// meet waits until the live instances of each failure domain know each other.
+func (s *Site) meet() error {
+	for deadline := s.timer.Now().Add(meetLimit); s.timer.Now().Before(deadline); time.Sleep(meetPoll) {
+		if s.met() {
+			return nil
 		}
 	}
-	return nil
+	return errs.New("the instances did not get to know each other")
+}
+
+func (s *Site) met() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	alive := make(map[ident.Domain]int)
+	for i, d := range s.Instances {
+		if s.alive[i] {
+			alive[d.Domain()]++
+		}
+	}
+	for i, d := range s.Instances {
+		if s.alive[i] && len(d.Live()) < alive[d.Domain()] {
+			return false
+		}
+	}
+	return true
 }
 
 func (s *Site) startInstance(cfg settings.Settings) error {
@@ -186,6 +239,24 @@
 	return nil
 }
 
+// AddInstance starts one more instance in the first failure domain.
+func (s *Site) AddInstance() error {
+	if err := s.startInstance(s.instance(s.cfg.Domains[0], len(s.Instances))); err != nil {
+		return err
+	}
+	return s.meet()
+}
+
+// Placed returns the number of the engine that runs a request, or -1, and where
+// the instance that owns it takes callers, or "".
+func (s *Site) Placed(w ident.Workspace, r ident.Request) (engine int, address string) {
+	i := s.owner(w, r)
+	if i < 0 {
+		return -1, ""
+	}
+	return slices.Index(s.Engines, s.Engine(w, r)), s.Instances[i].Addr()
+}
+
 // Addresses returns where the instances that were not killed take callers.
 func (s *Site) Addresses() []string {
 	s.mu.Lock()
