--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -83,6 +83,7 @@
 		}
 	}
 	d.polls.follow(near, d.upstreamAddress)
+	d.readNotices(d.members.View())
 }
 
 // candidates returns the engines of the own failure domain, those of the
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -39,23 +39,24 @@
 
 // Options are what a Daemon needs beside its settings. Only Timer is required.
 type Options struct {
-	Timer     *timer.Service
-	Log       zerolog.Logger
-	Tracer    trace.Tracer
-	Document  *configuration.Document // in force until the platform tells a newer one
-	Owner     owner.Settings
-	Replica   replica.Settings
-	Takeover  takeover.Settings
-	Routing   routing.Settings
-	Gateway   gateway.Settings
-	Suspect   suspect.Settings
-	Admission admission.Settings
-	Estimate  estimate.Settings
-	Health    health.Settings
-	Naive     bool   // takes engines in turn and admits all at once; for comparison
-	Seed      uint64 // of all random choices; 0 draws one
-	Cut       func(to ident.Instance) bool
-	CutFrom   func(from ident.Instance) bool
+	Timer       *timer.Service
+	Log         zerolog.Logger
+	Tracer      trace.Tracer
+	Document    *configuration.Document // in force until the platform tells a newer one
+	Owner       owner.Settings
+	Replica     replica.Settings
+	Takeover    takeover.Settings
+	Routing     routing.Settings
+	Gateway     gateway.Settings
+	Suspect     suspect.Settings
+	Admission   admission.Settings
+	Estimate    estimate.Settings
+	Health      health.Settings
+	Naive       bool   // takes engines in turn and admits all at once; for comparison
+	FixedShares bool   // moves no shares of limits among instances; for comparison
+	Seed        uint64 // of all random choices; 0 draws one
+	Cut         func(to ident.Instance) bool
+	CutFrom     func(from ident.Instance) bool
 }
 
 // Daemon is one instance of the system.
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -38,6 +38,7 @@
 		Seeds: d.seeds(),
 	}, d.link, d.opt.Timer, rand.New(rand.NewPCG(d.seed, 1)).IntN, d.log)
 	d.members.OnChange(d.membersChanged)
+	d.members.OnChange(d.readNotices)
 	if d.cfg.Platform.InstanceList != "" {
 		list := instancelist.New(instancelist.Settings{Address: d.cfg.Platform.InstanceList})
 		d.members.List = func(ctx context.Context) ([]membership.Member, error) { return listed(ctx, list) }
--- a/daemon/quota.go
+++ b/daemon/quota.go
@@ -62,6 +62,9 @@
 		d.shares.SetMembers(members, now)
 		d.offerCandidates(d.doc.Load())
 	}
+	if d.opt.FixedShares {
+		return
+	}
 	for _, m := range d.shares.Tick(now) {
 		d.tellShares(m)
 	}
--- a/daemon/services.go
+++ b/daemon/services.go
@@ -111,10 +111,3 @@
 	}
 	return v, wait
 }
-
-// SetLeaving says that an upstream takes no new work, or does again. What runs
-// there goes on.
-func (d *Daemon) SetLeaving(u ident.Upstream, leaving bool) {
-	d.chooser.SetLeaving(u, leaving)
-	d.plain.SetLeaving(u, leaving)
-}
