Put operators' configurations in force through the daemon

Cause: the parts of configuration were proved apart, and a daemon knew only the document of its options.

Change: the daemon builds a client of the key-value service (or takes a store with its options), the ledger, the rollout over the peer link and the operators' interface. Members of all failure domains are the live ones of the membership. Without any configuration callers get 506 and the instance is not ready, since their keys cannot be told from wrong ones. Larger bodies are read only under an operator's key. A plan warns by the requests in progress of all live instances that answer. crocuslug has plan, confirm, rollback, status and history. A site keeps its key-value service behind a server on loopback.

Ruled out: one large body limit for all paths, since anybody could then make an instance hold 64 MiB a connection.

--- a/cmd/crocuslug/main.go
+++ b/cmd/crocuslug/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"crocuslug/operatorcommand"
 	"crocuslug/result"
 )
 
@@ -31,11 +32,15 @@
 		demoCommand(app),
 		versionCommand(app),
 	}
+	operators := operatorcommand.Register(app)
 	app.Terminate(nil)
 	selected, err := app.Parse(os.Args[1:])
 	if err != nil {
 		fail(result.New(result.Usage, err.Error()+"; see crocuslug --help"))
 	}
+	if code, ok := operators.Run(selected); ok {
+		os.Exit(code)
+	}
 	for _, c := range commands {
 		if c.clause.FullCommand() != selected {
 			continue
--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -1,11 +1,15 @@
 package daemon
 
 import (
+	"github.com/valyala/fasthttp"
+
 	"crocuslug/access"
 	"crocuslug/configuration"
 	"crocuslug/generation"
 	"crocuslug/ident"
+	"crocuslug/problem"
 	"crocuslug/result"
+	"crocuslug/revision"
 	"crocuslug/routing"
 )
 
@@ -31,11 +35,14 @@
 	return d
 }
 
-// buildConfiguration puts the first configuration in force.
+// buildConfiguration wires the accepted configurations and what operators call.
 func (d *Daemon) buildConfiguration(operatorKey []byte) {
 	if len(operatorKey) > 0 {
 		d.bootstrap = access.Hash(operatorKey)
 	}
+	d.ledger = revision.New(d.store, d.opt.Timer.Now, revision.Settings{})
+	d.buildRollout()
+	d.buildOperators()
 	doc := d.opt.Document
 	if doc == nil {
 		doc = &configuration.Document{}
@@ -43,6 +50,23 @@
 	d.apply(doc)
 }
 
+// configured reports whether there is any configuration to serve by.
+func (d *Daemon) configured() bool {
+	return d.opt.Document != nil || d.doc.Load().Revision > 0
+}
+
+// needConfiguration refuses callers while there is no configuration, since
+// their keys cannot be told from wrong ones.
+func (d *Daemon) needConfiguration(h fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if d.configured() {
+			h(ctx)
+			return
+		}
+		problem.Write(ctx, result.New(result.ConfigurationMissing, "no configuration has reached this instance").After(busyRetry), "")
+	}
+}
+
 // apply puts a configuration in force.
 func (d *Daemon) apply(doc *configuration.Document) {
 	d.doc.Store(newDocument(doc))
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,11 +19,16 @@
 	"crocuslug/control"
 	"crocuslug/gateway"
 	"crocuslug/ident"
+	"crocuslug/keyvalue"
 	"crocuslug/members"
+	"crocuslug/operatorapi"
 	"crocuslug/outbox"
 	"crocuslug/owner"
 	"crocuslug/peerlink"
+	"crocuslug/platform"
 	"crocuslug/replica"
+	"crocuslug/revision"
+	"crocuslug/rollout"
 	"crocuslug/routing"
 	"crocuslug/settings"
 	"crocuslug/suspect"
@@ -37,13 +42,15 @@
 	Log      zerolog.Logger
 	Tracer   trace.Tracer
 	Document *configuration.Document // in force until the platform tells a newer one
+	Store    platform.Store          // the platform's key-value service; a client of the settings' address if empty
 	Owner    owner.Settings
 	Replica  replica.Settings
 	Takeover takeover.Settings
 	Routing  routing.Settings
 	Gateway  gateway.Settings
 	Suspect  suspect.Settings
-	Seed     uint64 // of all random choices; 0 draws one
+	Rollout  rollout.Settings // HeadKey and Log are filled in
+	Seed     uint64           // of all random choices; 0 draws one
 	Cut      func(to ident.Instance) bool
 	CutFrom  func(from ident.Instance) bool
 }
@@ -69,6 +76,12 @@
 	gateway  *gateway.Gateway
 	chooser  *routing.Chooser
 	suspects *suspect.Ledger
+	store    platform.Store
+	calls    func() keyvalue.Calls // to the platform's service
+	closers  []func()
+	ledger   *revision.Ledger
+	rollout  *rollout.Rollout
+	operator *operatorapi.API
 	server   *fasthttp.Server
 	listener net.Listener
 	conns    connections
@@ -109,6 +122,7 @@
 		d.seed = rand.Uint64()
 	}
 	d.buildLoad()
+	d.buildPlatform()
 	d.buildPeers(secret)
 	d.buildSuspects()
 	d.buildGenerations()
@@ -125,6 +139,7 @@
 	}
 	d.members.Start()
 	d.goRun(func() { d.loop.Run(d.ctx) })
+	d.goRun(func() { d.rollout.Run(d.ctx) })
 	d.owner.Run()
 	d.every(expireInterval, d.expire)
 	d.every(suspectInterval, d.tellSuspects)
@@ -252,4 +267,7 @@
 	d.conns.close()
 	d.cancel()
 	d.outbox.Stop()
+	for _, c := range d.closers {
+		c()
+	}
 }
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -101,6 +101,7 @@
 		}
 	}
 	d.lastLive = live
+	d.rollout.SetMembers(distributionMembers(v))
 }
 
 // live returns the live instances of the failure domain, this one included.
--- /dev/null
+++ b/daemon/rollout.go
@@ -0,0 +1,103 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"crocuslug/configuration"
+	"crocuslug/distribution"
+	"crocuslug/ident"
+	"crocuslug/membership"
+	"crocuslug/result"
+	"crocuslug/rollout"
+)
+
+// Methods of the distribution of configurations between instances.
+const (
+	methodConfigurationNotice = "Configuration.Notice"
+	methodConfigurationPage   = "Configuration.Page"
+	methodConfigurationReport = "Configuration.Report"
+)
+
+// noticeTimeout bounds the wait for a connection to send a notice on.
+const noticeTimeout = 2 * time.Second
+
+// buildRollout wires the distribution of accepted configurations.
+func (d *Daemon) buildRollout() {
+	self := distribution.Member{Instance: d.id, Domain: d.cfg.Domain}
+	cfg := d.opt.Rollout
+	cfg.HeadKey, cfg.Log = d.ledger.HeadKey(), d.log
+	d.rollout = rollout.New(self, d.seed, d.opt.Timer, rollout.Ports{
+		Head:   d.ledger.Head,
+		Load:   d.ledger.Load,
+		Watch:  d.store.Watch,
+		Notify: d.notifyConfiguration,
+		Pull:   d.pullConfiguration,
+		Report: d.askReport,
+	}, d.inForce, cfg)
+	d.link.Handle(methodConfigurationNotice, d.handleNotice)
+	d.link.Handle(methodConfigurationPage, d.handlePage)
+	d.link.Handle(methodConfigurationReport, func(context.Context, ident.Instance, json.RawMessage) (any, error) {
+		return d.rollout.Report(), nil
+	})
+}
+
+// inForce has the control loop put a document of the rollout in force.
+func (d *Daemon) inForce(doc *configuration.Document) {
+	d.loop.Post(func() { d.apply(doc) })
+}
+
+// distributionMembers returns the live instances of all failure domains.
+func distributionMembers(v *membership.View) []distribution.Member {
+	var out []distribution.Member
+	for _, m := range v.Members {
+		if m.State == membership.Live {
+			out = append(out, distribution.Member{Instance: m.Instance, Domain: m.Domain})
+		}
+	}
+	return out
+}
+
+// notifyConfiguration sends a notice. It may have to dial, so it does not wait.
+func (d *Daemon) notifyConfiguration(to ident.Instance, n distribution.Notice) {
+	go func() {
+		ctx, cancel := context.WithTimeout(d.ctx, noticeTimeout)
+		defer cancel()
+		// A lost notice is made up for by the next random exchange.
+		_ = d.link.Notify(ctx, to, methodConfigurationNotice, n)
+	}()
+}
+
+func (d *Daemon) pullConfiguration(ctx context.Context, to ident.Instance, a rollout.PageAsk) (rollout.Page, error) {
+	var p rollout.Page
+	return p, d.link.Call(ctx, to, methodConfigurationPage, a, &p)
+}
+
+func (d *Daemon) askReport(ctx context.Context, to ident.Instance) (rollout.Report, error) {
+	var r rollout.Report
+	return r, d.link.Call(ctx, to, methodConfigurationReport, nil, &r)
+}
+
+func (d *Daemon) handleNotice(_ context.Context, from ident.Instance, params json.RawMessage) (any, error) {
+	var n distribution.Notice
+	if err := json.Unmarshal(params, &n); err != nil {
+		return nil, result.New(result.Malformed, err.Error())
+	}
+	d.rollout.Received(from, n)
+	return nil, nil
+}
+
+func (d *Daemon) handlePage(_ context.Context, _ ident.Instance, params json.RawMessage) (any, error) {
+	var a rollout.PageAsk
+	if err := json.Unmarshal(params, &a); err != nil {
+		return nil, result.New(result.Malformed, err.Error())
+	}
+	return d.rollout.Asked(a)
+}
+
+// Revision returns the revision that traffic is served by, 0 if none was
+// accepted yet.
+func (d *Daemon) Revision() ident.Revision {
+	return d.doc.Load().Revision
+}
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -18,8 +18,9 @@
 // buildRoutes wires the HTTP server.
 func (d *Daemon) buildRoutes() {
 	r := router.New()
-	r.POST("/v1/chat/completions", d.gateway.Completions)
-	r.GET("/v1/generations/{request}", d.gateway.Generations)
+	r.POST("/v1/chat/completions", d.needConfiguration(d.gateway.Completions))
+	r.GET("/v1/generations/{request}", d.needConfiguration(d.gateway.Generations))
+	r.ANY(operatorPath+"{call}", d.operator.Handle)
 	r.GET("/healthz", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok\n") })
 	r.GET("/readyz", d.ready)
 	r.GET("/metrics", d.writeMetrics)
@@ -31,6 +32,7 @@
 	}
 	d.server = &fasthttp.Server{
 		Handler:               r.Handler,
+		HeaderReceived:        d.bounds,
 		ErrorHandler:          d.malformed,
 		Name:                  "crocuslug",
 		MaxRequestBodySize:    orDefault(d.cfg.Limits.BodyBytes, defaultBodyBytes),
@@ -67,6 +69,10 @@
 		problem.Write(ctx, result.New(result.InstanceLeaving, "leaving"), "")
 		return
 	}
+	if !d.configured() {
+		problem.Write(ctx, result.New(result.ConfigurationMissing, "no configuration has reached this instance").After(busyRetry), "")
+		return
+	}
 	ctx.SetBodyString("ready\n")
 }
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -266,6 +266,20 @@
 	return active, held, size
 }
 
+// InProgress returns the number of generations of each workspace that are not
+// over.
+func (o *Owner) InProgress() map[ident.Workspace]int {
+	n := make(map[ident.Workspace]int)
+	for _, g := range o.all() {
+		g.mu.Lock()
+		if !g.machine.Over() {
+			n[g.machine.Spec().Workspace]++
+		}
+		g.mu.Unlock()
+	}
+	return n
+}
+
 func (o *Owner) all() []*Generation {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/standinsite/site.go
+++ b/standinsite/site.go
@@ -24,6 +24,7 @@
 	"crocuslug/ident"
 	"crocuslug/settings"
 	"crocuslug/standinengine"
+	"crocuslug/standinkeyvalue"
 	"crocuslug/timer"
 )
 
@@ -68,6 +69,8 @@
 	Engines   []*standinengine.Engine
 	Instances []*daemon.Daemon
 	alive     []bool
+	Store     *standinkeyvalue.Store // what the platform's key-value service holds
+	KeyValue  *standinkeyvalue.Server
 	doc       configuration.Document
 	dir       string
 }
@@ -107,6 +110,11 @@
 			return err
 		}
 	}
+	s.Store = standinkeyvalue.New(s.stand)
+	s.KeyValue = standinkeyvalue.NewServer(s.Store, "", nil)
+	if err := s.KeyValue.Start(); err != nil {
+		return err
+	}
 	if err := s.startEngines(); err != nil {
 		return err
 	}
@@ -164,6 +172,7 @@
 	cfg.Name = fmt.Sprintf("%s-%d", domain, i)
 	cfg.Domain = domain
 	cfg.Listen, cfg.PeerAddr = "127.0.0.1:0", "127.0.0.1:0"
+	cfg.Platform.KeyValue = s.KeyValue.Addr()
 	cfg.Secret = settings.Secret{File: s.dir + "/secret"}
 	cfg.Operator = settings.Secret{File: s.dir + "/operator"}
 	s.mu.Lock()
@@ -323,6 +332,7 @@
 	for _, e := range s.Engines {
 		e.Stop()
 	}
+	s.KeyValue.Stop()
 	s.stop()
 	s.wg.Wait()
 	_ = os.RemoveAll(s.dir)
