Restart at once on the peer port, say an outage once in the log

Cause: an instance that was killed and started again on its fixed peer port failed with 'address already in use' for as long as its old connections were in TIME_WAIT (a minute). Seen with three processes; the log also had a warning a second during an outage of the key-value service.

Change: the peer link listens with SO_REUSEADDR, and the rollout logs the first of several failed reads and their end. plan prints the whole confirm command.

--- a/operatorcommand/command.go
+++ b/operatorcommand/command.go
@@ -183,7 +183,22 @@
 			return result.New(result.Usage, err.Error())
 		}
 	}
-	return c.print(p, func() { writePlan(c.Out, p, out) })
+	return c.print(p, func() { writePlan(c.Out, p, c.confirmLine(out)) })
+}
+
+// confirmLine returns the command that confirms the plan in a file, or "".
+func (c *Command) confirmLine(file string) string {
+	if file == "" {
+		return ""
+	}
+	line := "crocuslug confirm " + file
+	for _, a := range c.addresses {
+		line += " --address " + a
+	}
+	if c.keyFile != "" {
+		line += " --key-file " + c.keyFile
+	}
+	return line
 }
 
 func (c *Command) confirm(ctx context.Context, client *operatorclient.Client) *result.Error {
--- a/operatorcommand/text.go
+++ b/operatorcommand/text.go
@@ -10,7 +10,8 @@
 	"crocuslug/revision"
 )
 
-func writePlan(w io.Writer, p plan.Plan, out string) {
+// writePlan shows a plan; confirm is the command that puts it in force, or "".
+func writePlan(w io.Writer, p plan.Plan, confirm string) {
 	fmt.Fprintf(w, "Plan %s by %s on revision %d: %d changes\n", p.ID, p.Author, p.BaseRevision, len(p.Changes))
 	for _, c := range p.Changes {
 		fmt.Fprintf(w, "  %s\n", c.Path)
@@ -26,8 +27,8 @@
 		fmt.Fprintf(w, "Warning: %s\n", text)
 	}
 	fmt.Fprintln(w, "Nothing has changed yet.")
-	if out != "" {
-		fmt.Fprintf(w, "To put it in force: crocuslug confirm %s\n", out)
+	if confirm != "" {
+		fmt.Fprintf(w, "To put it in force: %s\n", confirm)
 	}
 }
 
--- a/peerlink/link.go
+++ b/peerlink/link.go
@@ -98,7 +98,8 @@
 func (l *Link) Start() error {
 	opts := []gnet.Option{gnet.WithNumEventLoop(1), gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(engineLog{l.log})}
 	boot := make(chan gnet.Engine, 1)
-	go func() { l.served <- gnet.Run(&events{link: l, boot: boot}, "tcp://"+l.cfg.Listen, opts...) }()
+	serve := append(opts[:len(opts):len(opts)], gnet.WithReuseAddr(true)) // a restart takes the port at once
+	go func() { l.served <- gnet.Run(&events{link: l, boot: boot}, "tcp://"+l.cfg.Listen, serve...) }()
 	select {
 	case l.server = <-boot:
 	case err := <-l.served:
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -77,6 +77,7 @@
 
 	current atomic.Pointer[configuration.Document]
 	reading atomic.Bool
+	failing atomic.Bool // the last read of the head failed
 	changed func(*configuration.Document)
 
 	mu      sync.Mutex
@@ -258,8 +259,8 @@
 	ctx, cancel := context.WithTimeout(ctx, r.cfg.CallTimeout.Std())
 	defer cancel()
 	rec, err := r.ports.Head(ctx)
+	r.logRead(err)
 	if err != nil {
-		r.cfg.Log.Warn().Err(err).Msg("configuration head not read")
 		return
 	}
 	if rec.Revision <= r.Current().Revision {
@@ -272,6 +273,19 @@
 	r.load(ctx, rec)
 }
 
+// logRead logs the first of several failures in a row, and their end.
+func (r *Rollout) logRead(err *result.Error) {
+	failed := err != nil
+	if r.failing.Swap(failed) == failed {
+		return
+	}
+	if failed {
+		r.cfg.Log.Warn().Err(err).Msg("configuration head cannot be read; the revision in force stays")
+		return
+	}
+	r.cfg.Log.Info().Msg("configuration head can be read again")
+}
+
 // watch holds a watch while the instance is a watcher. Each return of the watch
 // is followed by a read of the head, also when it names no write.
 func (r *Rollout) watch(ctx context.Context) {
