--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,13 +22,18 @@
 	"crocuslug/gateway"
 	"crocuslug/health"
 	"crocuslug/ident"
+	"crocuslug/keyvalue"
 	"crocuslug/members"
+	"crocuslug/operatorapi"
 	"crocuslug/outbox"
 	"crocuslug/owner"
 	"crocuslug/peerlink"
+	"crocuslug/platform"
 	"crocuslug/quota"
 	"crocuslug/replica"
 	"crocuslug/retry"
+	"crocuslug/revision"
+	"crocuslug/rollout"
 	"crocuslug/routing"
 	"crocuslug/settings"
 	"crocuslug/suspect"
@@ -57,6 +62,8 @@
 	Seed        uint64 // of all random choices; 0 draws one
 	Cut         func(to ident.Instance) bool
 	CutFrom     func(from ident.Instance) bool
+	Store       platform.Store   // the platform's key-value service; a client of the settings' address if empty
+	Rollout     rollout.Settings // HeadKey and Log are filled in
 }
 
 // Daemon is one instance of the system.
@@ -101,6 +108,12 @@
 	server     *fasthttp.Server
 	listener   net.Listener
 	conns      connections
+	store      platform.Store
+	calls      func() keyvalue.Calls // to the platform's service
+	closers    []func()
+	ledger     *revision.Ledger
+	rollout    *rollout.Rollout
+	operator   *operatorapi.API
 
 	metrics   *meters
 	bootstrap string // hash of the first operator's key, or ""
@@ -138,6 +151,7 @@
 		d.seed = rand.Uint64()
 	}
 	d.buildLoad()
+	d.buildPlatform()
 	d.buildPeers(secret)
 	d.buildSuspects()
 	d.handleShares()
@@ -156,6 +170,7 @@
 	}
 	d.members.Start()
 	d.goRun(func() { d.loop.Run(d.ctx) })
+	d.goRun(func() { d.rollout.Run(d.ctx) })
 	d.owner.Run()
 	d.every(expireInterval, d.expire)
 	d.every(suspectInterval, d.tellSuspects)
@@ -296,4 +311,7 @@
 	d.conns.close()
 	d.cancel()
 	d.outbox.Stop()
+	for _, c := range d.closers {
+		c()
+	}
 }
