Claim actions before they run, in batches

Cause: an action must run at most once whatever instance takes its retry, and one write an action exceeds the rates of the platform's service at the target.

Ruled out: append-only records by sequence. Once old records are deleted, a writer that slept can create a deleted sequence again and take itself for the first; only a timing assumption or tombstones for ever would prevent it. A claim each: too many writes.

Change: one head per bucket replaced by compare-and-swap, with immutable segments; operations idempotent by claim id; a writer with forwarding to the preferred instance, and release of claims whose write had no answer.

Not seen failing: the record of a release whose claim was never seen, and the refusal of a release after an unknown outcome (the drawn worlds never do the latter).

--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,103 @@
+package claim
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"crocuslug/result"
+	"crocuslug/unit"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "4217"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// TestDatedKeysNeverRepeat draws clocks that err by up to Skew at each
+// operation, and requires that a key with its issue time is granted once ever.
+func TestDatedKeysNeverRepeat(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := Settings{Retention: unit.Duration(time.Hour), Skew: unit.Duration(time.Minute), MaxTail: 300}
+		b := New(cfg)
+		now := time.Unix(1_000_000, 0)
+		granted := make(map[Hash]int)
+		segments := make(map[string][]Entry)
+		issued := make(map[Hash]time.Time)
+		skew := func() time.Duration {
+			return time.Duration(rapid.SampledFrom([]int{-60, 0, 60}).Draw(t, "skew")) * time.Second
+		}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 1, 30, 58, 59, 60, 61, 62, 63}).Draw(t, "advance")) * time.Minute)
+			clock := now.Add(skew())
+			key := KeyOf("w", "s", rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"))
+			if _, ok := issued[key]; !ok {
+				issued[key] = now.Add(skew())
+			}
+			op := Operation{Key: key, Claim: ID(clock.String()), State: Running, Issued: issued[key], StartBy: clock.Add(time.Second), Until: clock.Add(2 * time.Second)}
+			if b.Apply(op, clock).Granted {
+				granted[key]++
+			}
+			op.State = Done
+			b.Apply(op, clock)
+			if got := granted[key]; got > 1 {
+				t.Fatalf("runs of one dated key: got %d, want at most 1", got)
+			}
+			reload(t, b, clock, segments)
+		}
+	})
+}
+
+// reload passes the book through its bytes, as an instance without it would.
+func reload(t *rapid.T, b *Book, now time.Time, segments map[string][]Entry) {
+	_, err := b.Spill(now, func(n uint64, es []Entry) (string, error) {
+		name := string(rune('A' + n))
+		segments[name] = append([]Entry(nil), es...)
+		return name, nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	value, err := b.Head()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := b.Load(value, now, func(name string) ([]Entry, error) { return segments[name], nil }); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestIssueTime(t *testing.T) {
+	for _, c := range []struct {
+		key, date string
+		want      int64
+	}{
+		{"k", "", -62135596800},
+		{"k", "2026-01-02T03:04:05Z", 1767323045},
+		{"k", "Fri, 02 Jan 2026 03:04:05 GMT", 1767323045},
+		{"017f22e2-79b0-7cc3-98c4-dc0c0c07398f", "", 1645557742},
+		{"57a2bd8c-5b4e-4e8f-9f6e-000000000000", "", -62135596800},
+	} {
+		got, err := IssueTime(c.key, c.date)
+		if err != nil || got.Unix() != c.want {
+			t.Errorf("issue time of %q, %q: got %d, %v, want %d", c.key, c.date, got.Unix(), err, c.want)
+		}
+	}
+	if _, err := IssueTime("k", "yesterday"); err == nil {
+		t.Error("issue time of a malformed date: got no error, want one")
+	}
+}
+
+func TestUndatedKeyRefusedWhereDatesAreNeeded(t *testing.T) {
+	now := time.Unix(0, 0)
+	v := New(Settings{Dated: true}).Apply(Operation{State: Running, StartBy: now.Add(time.Second)}, now)
+	if v.Err == nil || v.Err.Code != result.KeyMissing {
+		t.Errorf("verdict: got %+v, want KeyMissing", v)
+	}
+}
--- /dev/null
+++ b/claimwriter/writer.go
@@ -0,0 +1,242 @@
+// Package claimwriter takes and settles claims on behalf of callers' requests.
+//
+// Operations go to the instance that is preferred as the writer of their
+// bucket, so that many travel in one write, and are written here if it cannot
+// be reached. Both may happen to one operation: it is evaluated by claim id,
+// and only the instance that made the id may run the action.
+package claimwriter
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"crocuslug/claim"
+	"crocuslug/ident"
+	"crocuslug/platform"
+	"crocuslug/result"
+	"crocuslug/timer"
+	"crocuslug/unit"
+)
+
+// Settings of a Writer. Zero values mean the defaults.
+type Settings struct {
+	Claims       claim.Settings
+	StartLimit   unit.Duration // time from the claim to the start of the action
+	ForwardLimit unit.Duration // time that the preferred writer is waited for
+	RetryAfter   unit.Duration // when a caller may come back while the service is out of reach
+	SettleEvery  unit.Duration // time between two attempts to record an outcome
+	MaxPending   int           // outcomes that wait to be recorded
+}
+
+// Defaults of Settings.
+const (
+	defaultStartLimit   = 3 * time.Second
+	defaultForwardLimit = 500 * time.Millisecond
+	defaultRetryAfter   = 2 * time.Second
+	defaultSettleEvery  = time.Second
+	defaultMaxPending   = 10_000
+)
+
+// Seams are the calls that a Writer makes.
+type Seams struct {
+	// Local applies an operation by writing to the service.
+	Local func(ctx context.Context, op claim.Operation) (claim.Verdict, error)
+	// Forward has another instance apply an operation.
+	Forward func(ctx context.Context, to ident.Instance, op claim.Operation) (claim.Verdict, error)
+	// Preferred returns the instance that should write a bucket. Empty or the
+	// instance itself means to write here.
+	Preferred func(bucket int) ident.Instance
+	// Spawn runs f apart from its caller; nil means in a goroutine.
+	Spawn func(f func())
+}
+
+// Request asks for the claim of one action.
+type Request struct {
+	Key         claim.Hash
+	Fingerprint claim.Hash
+	Issued      time.Time     // zero if the caller did not say
+	Limit       time.Duration // longest duration of the action's call
+	// Status asks the service for the outcome of the key: Done with its answer,
+	// NotRun if the service does not know the key, else Unknown. It is nil if
+	// the service cannot be asked.
+	Status func(ctx context.Context) (claim.State, claim.Answer)
+}
+
+// Writer takes and settles claims. Its methods may be called from any goroutine.
+type Writer struct {
+	cfg   Settings
+	seams Seams
+	timer *timer.Service
+	self  ident.Instance
+
+	mu      sync.Mutex
+	issued  uint64
+	pending int
+}
+
+// New returns a writer for the instance self, whose name no other run of a
+// daemon has had.
+func New(cfg Settings, seams Seams, t *timer.Service, self ident.Instance) *Writer {
+	cfg.Claims = cfg.Claims.WithDefaults()
+	setDefault(&cfg.StartLimit, defaultStartLimit)
+	setDefault(&cfg.ForwardLimit, defaultForwardLimit)
+	setDefault(&cfg.RetryAfter, defaultRetryAfter)
+	setDefault(&cfg.SettleEvery, defaultSettleEvery)
+	if cfg.MaxPending == 0 {
+		cfg.MaxPending = defaultMaxPending
+	}
+	if seams.Spawn == nil {
+		seams.Spawn = func(f func()) { go f() }
+	}
+	return &Writer{cfg: cfg, seams: seams, timer: t, self: self}
+}
+
+func setDefault(v *unit.Duration, d time.Duration) {
+	if *v == 0 {
+		*v = unit.Duration(d)
+	}
+}
+
+// Take claims an action. If the verdict is Granted, the caller may run the
+// action once, starts it before the StartBy of the operation, and passes the
+// operation to Settle whatever comes of it.
+func (w *Writer) Take(ctx context.Context, r Request) (claim.Operation, claim.Verdict) {
+	op, v := w.take(ctx, r)
+	if v.Resolve == "" {
+		return op, v
+	}
+	if r.Status == nil {
+		v.Err = v.Err.After(0)
+		return op, v
+	}
+	return w.resolve(ctx, r, op, v)
+}
+
+func (w *Writer) take(ctx context.Context, r Request) (claim.Operation, claim.Verdict) {
+	op := w.operation(r)
+	v, err := w.do(ctx, op)
+	if err != nil {
+		if !platform.Unavailable.Has(err) {
+			w.release(op)
+		}
+		return op, claim.Verdict{Err: w.notRun("the record of actions is out of reach")}
+	}
+	if v.Granted && !w.timer.Now().Before(op.StartBy) {
+		w.release(op)
+		return op, claim.Verdict{Err: w.notRun("the claim came too late to run")}
+	}
+	return op, v
+}
+
+// resolve asks the service about a claim whose outcome is unknown.
+func (w *Writer) resolve(ctx context.Context, r Request, op claim.Operation, v claim.Verdict) (claim.Operation, claim.Verdict) {
+	state, answer := r.Status(ctx)
+	if state != claim.Done && state != claim.NotRun {
+		return op, v
+	}
+	found := op
+	found.Claim = v.Resolve
+	found.State = state
+	found.Answer = answer
+	found.Resolve = true
+	_, err := w.do(ctx, found)
+	if state == claim.Done {
+		return op, claim.Verdict{Answer: &answer}
+	}
+	if err != nil {
+		return op, v
+	}
+	return w.take(ctx, r)
+}
+
+func (w *Writer) operation(r Request) claim.Operation {
+	w.mu.Lock()
+	w.issued++
+	id := claim.ID(fmt.Sprintf("%s/%d", w.self, w.issued))
+	w.mu.Unlock()
+	startBy := w.timer.Now().Add(w.cfg.StartLimit.Std())
+	return claim.Operation{
+		Key: r.Key, Fingerprint: r.Fingerprint, Claim: id, State: claim.Running,
+		Issued: r.Issued, StartBy: startBy, Until: startBy.Add(r.Limit),
+	}
+}
+
+func (w *Writer) notRun(detail string) *result.Error {
+	return result.New(result.ActionNotRun, detail).After(w.cfg.RetryAfter.Std())
+}
+
+// do applies an operation through the preferred writer, or else here. After a
+// forward without an answer, Unavailable becomes Unknown.
+func (w *Writer) do(ctx context.Context, op claim.Operation) (claim.Verdict, error) {
+	to := w.seams.Preferred(w.cfg.Claims.Bucket(op.Key))
+	if to == "" || to == w.self {
+		return w.seams.Local(ctx, op)
+	}
+	v, err := w.forward(ctx, to, op)
+	if err == nil {
+		return v, nil
+	}
+	v, err = w.seams.Local(ctx, op)
+	if err != nil {
+		return v, platform.Unknown.New("after a forward without an answer: %v", err)
+	}
+	return v, nil
+}
+
+func (w *Writer) forward(ctx context.Context, to ident.Instance, op claim.Operation) (claim.Verdict, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	sub := w.timer.After(w.cfg.ForwardLimit.Std(), func(time.Time) { cancel() })
+	defer sub.Stop()
+	return w.seams.Forward(ctx, to, op)
+}
+
+func (w *Writer) release(op claim.Operation) {
+	op.State = claim.NotRun
+	w.Settle(op)
+}
+
+// Settle records the outcome of a claim: the operation of Take with State and
+// Answer replaced. It returns after the first attempt; while the service is
+// out of reach it goes on trying apart from the caller. Beyond MaxPending an
+// outcome is left unrecorded, and the action counts as unknown.
+func (w *Writer) Settle(op claim.Operation) {
+	if w.attempt(op) {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.pending >= w.cfg.MaxPending {
+		return
+	}
+	w.pending++
+	w.later(op)
+}
+
+// Pending returns the number of outcomes that wait to be recorded.
+func (w *Writer) Pending() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.pending
+}
+
+func (w *Writer) later(op claim.Operation) {
+	w.timer.After(w.cfg.SettleEvery.Std(), func(time.Time) { w.seams.Spawn(func() { w.again(op) }) })
+}
+
+func (w *Writer) again(op claim.Operation) {
+	if !w.attempt(op) {
+		w.later(op)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.pending--
+}
+
+func (w *Writer) attempt(op claim.Operation) bool {
+	_, err := w.do(context.Background(), op)
+	return err == nil
+}
