Pass requests on to plain services, actions once

Cause: plain services stand behind the daemon; some of their calls may not repeat.

Ruled out: pooled connections for actions. On one that went silent "not run" could not be told from "unknown".

--- /dev/null
+++ b/serviceproxy/exchange.go
@@ -0,0 +1,93 @@
+package serviceproxy
+
+import (
+	"bufio"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"crocuslug/configuration"
+)
+
+// hopHeaders concern one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// credentialHeader holds the caller's key to this system, which is not the
+// service's concern.
+const credentialHeader = "Authorization"
+
+func (p *Proxy) dial(address string) (net.Conn, error) {
+	return fasthttp.DialTimeout(address, p.cfg.DialLimit.Std())
+}
+
+// exchange sends a request to an upstream on a connection of its own. It
+// reports whether any byte may have left.
+func (p *Proxy) exchange(r *request, up configuration.Upstream) (bool, error) {
+	conn, err := p.dial(up.Address)
+	if err != nil {
+		return false, err
+	}
+	defer func() { _ = conn.Close() }()
+	err = p.send(r, up, conn, &r.ctx.Response)
+	if err != nil {
+		r.ctx.Response.Reset()
+	}
+	return true, err
+}
+
+func (p *Proxy) send(r *request, up configuration.Upstream, conn net.Conn, resp *fasthttp.Response) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	r.ctx.Request.CopyTo(req)
+	strip(&req.Header)
+	req.Header.Del(credentialHeader)
+	req.SetRequestURI("http://" + up.Address)
+	req.URI().SetPath(r.path)
+	req.URI().SetQueryStringBytes(r.ctx.URI().QueryString())
+	req.Header.SetHost(up.Address)
+	if err := roundTrip(conn, req, resp, p.timer.Now().Add(r.limit), p.cfg.MaxBody); err != nil {
+		return err
+	}
+	for _, h := range hopHeaders {
+		resp.Header.Del(h)
+	}
+	return nil
+}
+
+// strip removes the headers of the caller's connection, those that its
+// Connection header names included.
+func strip(h *fasthttp.RequestHeader) {
+	for name := range strings.SplitSeq(string(h.Peek("Connection")), ",") {
+		if name = strings.TrimSpace(name); name != "" {
+			h.Del(name)
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
+
+func roundTrip(conn net.Conn, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, maxBody int) error {
+	if err := conn.SetDeadline(deadline); err != nil {
+		return err
+	}
+	req.SetConnectionClose()
+	w := bufio.NewWriter(conn)
+	if err := req.Write(w); err != nil {
+		return err
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	resp.SkipBody = req.Header.IsHead()
+	if err := resp.ReadLimitBody(bufio.NewReader(conn), maxBody); err != nil {
+		return err
+	}
+	resp.Header.ResetConnectionClose()
+	return nil
+}
--- /dev/null
+++ b/serviceproxy/proxy_test.go
@@ -0,0 +1,165 @@
+package serviceproxy
+
+import (
+	"bufio"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"crocuslug/claimstore"
+	"crocuslug/claimwriter"
+	"crocuslug/configuration"
+	"crocuslug/ident"
+	"crocuslug/result"
+	"crocuslug/standinkeyvalue"
+	"crocuslug/timer"
+)
+
+// bench is a proxy before two instances of a service.
+type bench struct {
+	proxy *Proxy
+	store *standinkeyvalue.Store
+	mode  atomic.Value // string
+	runs  atomic.Int64
+	lost  atomic.Int64
+	stray atomic.Int64 // requests that carried what must not be passed on
+	live  string
+	dead  string
+}
+
+func TestScript(t *testing.T) {
+	b := newBench(t)
+	f, err := os.Open("testdata/actions.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = f.Close() }()
+	s := bufio.NewScanner(f)
+	for n := 1; s.Scan(); n++ {
+		fields := strings.Fields(s.Text())
+		switch fields[0] {
+		case "#":
+		case "outage":
+			b.store.SetFaults(standinkeyvalue.Faults{Outage: fields[1] == "on"})
+		case "lose-answers":
+			b.store.SetFaults(standinkeyvalue.Faults{LoseAnswers: 1})
+		default:
+			got := b.send(fields[0], fields[1], fields[2], fields[3], fields[4])
+			if want := strings.Join(fields[6:], " "); got != want {
+				t.Errorf("line %d: %s: got %q, want %q", n, s.Text(), got, want)
+			}
+		}
+	}
+	if got := b.stray.Load(); got != 0 {
+		t.Errorf("requests with headers that must not be passed on: got %d, want 0", got)
+	}
+}
+
+func (b *bench) send(method, path, key, body, mode string) string {
+	b.mode.Store(mode)
+	b.lost.Store(0)
+	var ctx fasthttp.RequestCtx
+	ctx.Request.Header.SetMethod(method)
+	ctx.Request.SetRequestURI("/v1/services/booking" + path + "?q=1")
+	ctx.Request.Header.Set("Connection", "X-Private")
+	ctx.Request.Header.Set("X-Private", "1")
+	ctx.Request.Header.Set("Authorization", "Bearer k")
+	ctx.Request.Header.Set("traceparent", "t")
+	if key != "-" {
+		ctx.Request.Header.Set(keyHeader, key)
+	}
+	if body != "-" {
+		ctx.Request.SetBodyString(body)
+	}
+	b.proxy.Handle(&ctx)
+	outcome := string(ctx.Response.Body())
+	if !strings.HasPrefix(outcome, "!") {
+		outcome = strconv.Itoa(ctx.Response.StatusCode())
+	}
+	return strings.TrimPrefix(outcome, "!") + " " + strconv.FormatInt(b.runs.Load(), 10)
+}
+
+// serve is the service.
+func (b *bench) serve(ctx *fasthttp.RequestCtx) {
+	h := &ctx.Request.Header
+	if len(h.Peek("X-Private")) > 0 || len(h.Peek("Authorization")) > 0 {
+		b.stray.Add(1)
+	}
+	ctx.SetBodyString("ok")
+	if string(ctx.Path()) == "/bookings" {
+		if len(h.Peek("traceparent")) == 0 || string(ctx.QueryArgs().Peek("q")) != "1" {
+			b.stray.Add(1)
+		}
+		b.runs.Add(1)
+		ctx.SetStatusCode(fasthttp.StatusCreated)
+	}
+	if b.mode.Load() == "lose" || b.mode.Load() == "lose-once" && b.lost.Add(1) == 1 {
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(net.Conn) {})
+	}
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{}
+	b.live = listen(t, b.serve)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.dead = l.Addr().String()
+	_ = l.Close()
+	clock := timer.New()
+	b.store = standinkeyvalue.New(clock)
+	ledger := claimstore.New(claimstore.Settings{Interval: -1}, b.store.Port(), clock, "i1")
+	writer := claimwriter.New(claimwriter.Settings{}, claimwriter.Seams{
+		Local:     ledger.Do,
+		Preferred: func(int) ident.Instance { return "" },
+	}, clock, "i1")
+	doc := &configuration.Document{
+		Services: []configuration.Service{{Name: "booking", Kind: configuration.Plain, StatusPath: "/bookings-status/{key}"}},
+		Rules: []configuration.Rule{
+			{Method: "POST", PathPrefix: "/bookings", Once: true},
+			{Method: "GET", Repeatable: true},
+		},
+	}
+	b.proxy = New(Settings{}, Seams{
+		Configuration:  func() *configuration.Document { return doc },
+		Authenticate:   func(*fasthttp.RequestCtx) (ident.Workspace, *result.Error) { return "w", nil },
+		ChooseUpstream: b.choose,
+		MayRetry:       func(ident.Service) bool { return true },
+		Take:           writer.Take,
+		Settle:         writer.Settle,
+		Admit: func(*fasthttp.RequestCtx, ident.Workspace, configuration.Rule) (func(), *result.Error) {
+			return func() {}, nil
+		},
+		Problem: func(ctx *fasthttp.RequestCtx, e *result.Error, _ ident.Request) {
+			ctx.SetBodyString("!" + e.Code.String())
+		},
+	}, clock)
+	return b
+}
+
+func (b *bench) choose(_ ident.Service, tried []ident.Upstream) (configuration.Upstream, bool) {
+	address := b.live
+	if b.mode.Load() == "refuse" {
+		address = b.dead
+	}
+	name := ident.Upstream(strconv.Itoa(len(tried)))
+	return configuration.Upstream{Name: name, Address: address}, len(tried) < 2
+}
+
+func listen(t *testing.T, h fasthttp.RequestHandler) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &fasthttp.Server{Handler: h}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Shutdown() })
+	return l.Addr().String()
+}
