Order engines under a lease with fencing numbers

Cause: one holder per failure domain places models; a holder can be paused past its lease, and some engines ignore fencing numbers.

Ruled out: trusting the lease alone (a pause between check and write); a record of orders given (a lost order would need repair from another source anyway).

--- /dev/null
+++ b/upstreamcontrol/control.go
@@ -0,0 +1,222 @@
+// Package upstreamcontrol gives engines their orders as the holder of a lease.
+//
+// One round keeps the lease, reads the state of the engines, has the planner
+// derive orders, and sends each one only if the lease allows it right then.
+// Nothing is remembered of an order: the next round reads what became of it.
+package upstreamcontrol
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/zeebo/errs"
+
+	"crocuslug/configuration"
+	"crocuslug/ident"
+	"crocuslug/lease"
+	"crocuslug/placement"
+	"crocuslug/platform"
+	"crocuslug/timer"
+	"crocuslug/unit"
+)
+
+// Settings of a Control. Zero values mean the defaults.
+type Settings struct {
+	Lease      lease.Settings
+	Placement  placement.Settings
+	OrderLimit unit.Duration // time of one order, from its check to its answer
+	ReadLimit  unit.Duration // time of one reading of an engine's state
+}
+
+// Defaults of Settings.
+const (
+	defaultOrderLimit = 3 * time.Second
+	defaultReadLimit  = time.Second
+)
+
+// Seams are what a Control is told by others.
+type Seams struct {
+	// Configuration returns the configuration in force, or nil.
+	Configuration func() *configuration.Document
+	// InUse returns the models that generations run on or wait for at an engine.
+	InUse func(u ident.Upstream) []placement.Model
+}
+
+// Control orders the engines of one failure domain. It is not safe for
+// concurrent use; its rounds are made by one goroutine.
+type Control struct {
+	cfg     Settings
+	seams   Seams
+	store   platform.Store
+	timer   *timer.Service
+	self    ident.Instance
+	domain  ident.Domain
+	holder  *lease.Holder
+	planner *placement.Planner
+	client  fasthttp.Client
+}
+
+// New returns a control for the failure domain d at the instance self.
+func New(cfg Settings, seams Seams, store platform.Store, t *timer.Service, self ident.Instance, d ident.Domain) *Control {
+	if cfg.OrderLimit == 0 {
+		cfg.OrderLimit = unit.Duration(defaultOrderLimit)
+	}
+	if cfg.ReadLimit == 0 {
+		cfg.ReadLimit = unit.Duration(defaultReadLimit)
+	}
+	return &Control{
+		cfg: cfg, seams: seams, store: store, timer: t, self: self, domain: d,
+		holder:  lease.New(cfg.Lease),
+		planner: placement.New(cfg.Placement, d),
+		client:  fasthttp.Client{MaxIdemponentCallAttempts: 1},
+	}
+}
+
+// Holds reports whether this instance holds the lease.
+func (c *Control) Holds() bool { return c.holder.Remaining(c.timer.Now()) > 0 }
+
+// Round keeps the lease and, while it is held, gives the orders of this round.
+// It returns the orders that engines accepted.
+func (c *Control) Round(ctx context.Context) []placement.Order {
+	c.keep(ctx)
+	doc := c.seams.Configuration()
+	if doc == nil || !c.Holds() {
+		return nil
+	}
+	ups := make(map[ident.Upstream]configuration.Upstream)
+	var engines []placement.Engine
+	for _, u := range doc.Upstreams {
+		if u.Domain == c.domain && len(u.Models) > 0 {
+			ups[u.Name] = u
+			engines = append(engines, c.read(u))
+		}
+	}
+	var accepted []placement.Order
+	for _, o := range c.planner.Plan(doc.Placements, engines, c.timer.Now()) {
+		if err := c.order(ups[o.Upstream], o); err == nil {
+			accepted = append(accepted, o)
+		}
+	}
+	return accepted
+}
+
+// keep acquires or renews the lease if it is time to.
+func (c *Control) keep(ctx context.Context) {
+	began := c.timer.Now()
+	switch c.holder.Next(began) {
+	case lease.Acquire:
+		c.acquire(ctx, began)
+	case lease.Renew:
+		c.renew(ctx, began)
+	}
+}
+
+// leasePrefix and a failure domain are the key of the record of who orders its
+// engines.
+const leasePrefix = "leases/placement/"
+
+func (c *Control) acquire(ctx context.Context, began time.Time) {
+	key := leasePrefix + string(c.domain)
+	l, err := c.store.Grant(ctx, c.holder.TTL())
+	if err != nil {
+		c.holder.Failed(c.timer.Now())
+		return
+	}
+	v, err := c.store.Put(ctx, key, []byte(c.self), 0, l)
+	if err != nil {
+		// A record whose answer was lost goes with its lease.
+		_ = c.store.Revoke(ctx, l)
+		c.holder.Failed(c.timer.Now())
+		return
+	}
+	now := c.timer.Now()
+	c.holder.Acquired(l, v, began, now)
+	c.planner = placement.New(c.cfg.Placement, c.domain)
+	c.planner.Resume(now)
+}
+
+func (c *Control) renew(ctx context.Context, began time.Time) {
+	err := c.store.Renew(ctx, c.holder.Lease())
+	switch {
+	case err == nil:
+		c.holder.Renewed(began)
+	case platform.Absent.Has(err):
+		c.holder.Lost(c.timer.Now())
+	default:
+		c.holder.Failed(c.timer.Now())
+	}
+}
+
+// state is an engine's answer to GET /v1/state.
+type state struct {
+	Models []struct {
+		Model    string   `json:"model"`
+		Version  string   `json:"version"`
+		Adapters []string `json:"adapters"`
+	} `json:"models"`
+}
+
+// read returns the state of an engine; it is not Known if the engine does not
+// answer.
+func (c *Control) read(u configuration.Upstream) placement.Engine {
+	e := placement.Engine{Name: u.Name, May: u.Models, Leaving: u.Leaving, InUse: c.seams.InUse(u.Name)}
+	var s state
+	if err := c.call(http.MethodGet, "http://"+u.Address+"/v1/state", nil, &s, c.cfg.ReadLimit.Std()); err != nil {
+		return e
+	}
+	e.Known = true
+	for _, m := range s.Models {
+		e.Loaded = append(e.Loaded, placement.Model{Name: m.Model, Version: m.Version})
+		for _, a := range m.Adapters {
+			e.Loaded = append(e.Loaded, placement.Model{Name: m.Model, Version: m.Version, Adapter: a})
+		}
+	}
+	return e
+}
+
+// order is the body of POST /v1/orders.
+type order struct {
+	Kind    placement.Kind   `json:"kind"`
+	Model   string           `json:"model"`
+	Version string           `json:"version,omitempty"`
+	Adapter string           `json:"adapter,omitempty"`
+	Fencing platform.Version `json:"fencing_number"`
+}
+
+var errLease = errs.New("the lease does not allow the order")
+
+func (c *Control) order(u configuration.Upstream, o placement.Order) error {
+	body, err := json.Marshal(order{o.Kind, o.Model.Name, o.Model.Version, o.Model.Adapter, c.holder.Fencing()})
+	if err != nil {
+		return err
+	}
+	limit := c.cfg.OrderLimit.Std()
+	if !c.holder.MayOrder(c.timer.Now(), limit, u.ChecksFencing) {
+		return errLease
+	}
+	return c.call(http.MethodPost, "http://"+u.Address+"/v1/orders", body, nil, limit)
+}
+
+func (c *Control) call(method, uri string, body []byte, out any, limit time.Duration) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI(uri)
+	req.SetBody(body)
+	req.SetConnectionClose()
+	if err := c.client.DoTimeout(req, resp, limit); err != nil {
+		return err
+	}
+	if resp.StatusCode() >= http.StatusMultipleChoices {
+		return errs.New("%s %s: status %d", method, uri, resp.StatusCode())
+	}
+	if out == nil {
+		return nil
+	}
+	return json.Unmarshal(resp.Body(), out)
+}
--- /dev/null
+++ b/upstreamcontrol/control_test.go
@@ -0,0 +1,144 @@
+package upstreamcontrol
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"crocuslug/configuration"
+	"crocuslug/ident"
+	"crocuslug/placement"
+	"crocuslug/platform"
+	"crocuslug/standinkeyvalue"
+	"crocuslug/timer"
+)
+
+// engine holds models by name and may check fencing numbers.
+type engine struct {
+	mu      sync.Mutex
+	checks  bool
+	highest platform.Version
+	loaded  []string
+	numbers []platform.Version
+}
+
+func (e *engine) serve(ctx *fasthttp.RequestCtx) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if string(ctx.Path()) == "/v1/state" {
+		var s state
+		for _, m := range e.loaded {
+			s.Models = append(s.Models, struct {
+				Model    string   `json:"model"`
+				Version  string   `json:"version"`
+				Adapters []string `json:"adapters"`
+			}{Model: m})
+		}
+		_ = json.NewEncoder(ctx).Encode(s)
+		return
+	}
+	var o order
+	_ = json.Unmarshal(ctx.PostBody(), &o)
+	if e.checks && o.Fencing < e.highest {
+		ctx.SetStatusCode(fasthttp.StatusConflict)
+		return
+	}
+	e.highest = max(e.highest, o.Fencing)
+	e.numbers = append(e.numbers, o.Fencing)
+	e.loaded = slices.DeleteFunc(e.loaded, func(m string) bool { return m == o.Model })
+	if o.Kind != placement.Unload {
+		e.loaded = append(e.loaded, o.Model)
+	}
+}
+
+func (e *engine) has(model string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Contains(e.loaded, model)
+}
+
+// TestTakeover has a holder cut off from the platform, a second one that takes
+// over, and an engine that forgets what it loaded.
+func TestTakeover(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		clock := timer.NewVirtual(time.Unix(0, 0))
+		store := standinkeyvalue.New(clock)
+		e := &engine{checks: checks}
+		doc := &configuration.Document{
+			Upstreams:  []configuration.Upstream{{Name: "e", Address: listen(t, e.serve), Domain: "d", Models: []string{"m"}, ChecksFencing: checks}},
+			Placements: []configuration.Placement{{Model: "m", Copies: 1}},
+		}
+		cut := false
+		first := control(clock, doc, store.Port(), "i1", &cut)
+		second := control(clock, doc, store.Port(), "i2", new(bool))
+		store.SetFaults(standinkeyvalue.Faults{LoseAnswers: 1})
+		rounds(clock, 90, first, second)
+		if !first.Holds() && !second.Holds() || first.Holds() && second.Holds() {
+			t.Fatalf("checks %v: holders: got %v, %v, want one", checks, first.Holds(), second.Holds())
+		}
+		if !e.has("m") {
+			t.Fatalf("checks %v: model after 90 s: got none, want m", checks)
+		}
+		cut = true
+		rounds(clock, 90, first, second)
+		if !second.Holds() || first.Holds() {
+			t.Fatalf("checks %v: second after the first was cut off: got no lease, want it", checks)
+		}
+		e.mu.Lock()
+		e.loaded = nil
+		e.mu.Unlock()
+		rounds(clock, 150, first, second)
+		if !e.has("m") {
+			t.Errorf("checks %v: model after the engine forgot it: got none, want m", checks)
+		}
+		if !slices.IsSorted(e.numbers) || len(e.numbers) != 2 {
+			t.Errorf("checks %v: fencing numbers: got %v, want two rising", checks, e.numbers)
+		}
+	}
+}
+
+func rounds(clock *timer.Service, seconds int, cs ...*Control) {
+	for range seconds {
+		clock.Advance(time.Second)
+		for _, c := range cs {
+			c.Round(context.Background())
+		}
+	}
+}
+
+func control(clock *timer.Service, doc *configuration.Document, p platform.Store, self ident.Instance, cut *bool) *Control {
+	renew, grant := p.Renew, p.Grant
+	p.Renew = func(ctx context.Context, l platform.Lease) error {
+		if *cut {
+			return platform.Unavailable.New("cut off")
+		}
+		return renew(ctx, l)
+	}
+	p.Grant = func(ctx context.Context, ttl time.Duration) (platform.Lease, error) {
+		if *cut {
+			return 0, platform.Unavailable.New("cut off")
+		}
+		return grant(ctx, ttl)
+	}
+	return New(Settings{}, Seams{
+		Configuration: func() *configuration.Document { return doc },
+		InUse:         func(ident.Upstream) []placement.Model { return nil },
+	}, p, clock, self, "d")
+}
+
+func listen(t *testing.T, h fasthttp.RequestHandler) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &fasthttp.Server{Handler: h}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Shutdown() })
+	return l.Addr().String()
+}
