Test claims under concurrency, late grants and lost answers

Cause: the bucket's batching was tested only one operation at a time, and four mechanisms had no test that fails without them.

Change: tests of three instances on goroutines, of operations given up before their write, of an answer lost before an outage, and of a grant that comes after its start limit.

Not covered by a failing trial: the record of a release whose claim was never seen. It serves availability (a late claim is not left for its time limit), not uniqueness.

--- /dev/null
+++ b/claimstore/ledger_test.go
@@ -0,0 +1,128 @@
+package claimstore
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"crocuslug/claim"
+	"crocuslug/ident"
+	"crocuslug/platform"
+	"crocuslug/standinkeyvalue"
+	"crocuslug/timer"
+	"crocuslug/unit"
+)
+
+func operation(clock *timer.Service, key, id string) claim.Operation {
+	now := clock.Now()
+	return claim.Operation{
+		Key: claim.KeyOf("w", "s", key), Claim: claim.ID(id), State: claim.Running,
+		StartBy: now.Add(time.Minute), Until: now.Add(2 * time.Minute),
+	}
+}
+
+// TestConcurrentClaims has three instances claim the same keys at once, on
+// goroutines, while answers are lost.
+func TestConcurrentClaims(t *testing.T) {
+	const keys, instances = 200, 3
+	clock := timer.NewVirtual(time.Unix(0, 0))
+	store := standinkeyvalue.New(clock)
+	store.SetFaults(standinkeyvalue.Faults{LoseAnswers: 20})
+	cfg := Settings{Claims: claim.Settings{Buckets: 2, MaxTail: 2000}, Interval: -1}
+	var mu sync.Mutex
+	granted := make(map[string]int)
+	var wg sync.WaitGroup
+	for i := range instances {
+		l := New(cfg, store.Port(), clock, ident.Instance(fmt.Sprintf("i%d", i)))
+		for k := range keys {
+			wg.Go(func() {
+				key := fmt.Sprint(k)
+				v, err := l.Do(context.Background(), operation(clock, key, fmt.Sprintf("%d/%d", i, k)))
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil && v.Granted {
+					granted[key]++
+				}
+			})
+		}
+	}
+	wg.Wait()
+	for key, got := range granted {
+		if got > 1 {
+			t.Errorf("grants of key %s: got %d, want at most 1", key, got)
+		}
+	}
+	if got := len(granted); got == 0 {
+		t.Error("keys granted: got 0, want some")
+	}
+	if got, limit := store.Calls().Writes, keys*instances; got >= limit {
+		t.Errorf("writes of %d operations: got %d, want fewer", limit, got)
+	}
+}
+
+// TestAbandonedBeforeWrite gives up operations before their write begins, and
+// requires that they are never written.
+func TestAbandonedBeforeWrite(t *testing.T) {
+	clock := timer.NewVirtual(time.Unix(0, 0))
+	store := standinkeyvalue.New(clock)
+	l := New(Settings{Claims: claim.Settings{Buckets: 1}, Interval: unit.Duration(time.Second)}, store.Port(), clock, "i")
+	if v, err := l.Do(context.Background(), operation(clock, "a", "1")); err != nil || !v.Granted {
+		t.Fatalf("first claim: got %+v, %v, want it granted", v, err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := l.Do(ctx, operation(clock, "b", "2"))
+	if !platform.Unavailable.Has(err) {
+		t.Fatalf("abandoned claim: got %v, want Unavailable", err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = l.Do(context.Background(), operation(clock, "c", "4"))
+	}()
+	for waiting := true; waiting; {
+		clock.Advance(time.Second)
+		select {
+		case <-done:
+			waiting = false
+		default:
+			runtime.Gosched()
+		}
+	}
+	other := New(Settings{Claims: claim.Settings{Buckets: 1}, Interval: -1}, store.Port(), clock, "j")
+	if v, err := other.Do(context.Background(), operation(clock, "b", "3")); err != nil || !v.Granted {
+		t.Errorf("claim after an abandoned one: got %+v, %v, want it granted", v, err)
+	}
+}
+
+// TestUnknownStaysUnknown loses the answer of a write and then the service.
+func TestUnknownStaysUnknown(t *testing.T) {
+	clock := timer.NewVirtual(time.Unix(0, 0))
+	store := standinkeyvalue.New(clock)
+	p := store.Port()
+	put := p.Put
+	p.Put = func(ctx context.Context, key string, value []byte, expect platform.Version, l platform.Lease) (platform.Version, error) {
+		defer store.SetFaults(standinkeyvalue.Faults{Outage: true})
+		_, _ = put(ctx, key, value, expect, l)
+		return 0, platform.Unknown.New("answer lost")
+	}
+	l := New(Settings{Interval: -1}, p, clock, "i")
+	_, err := l.Do(context.Background(), operation(clock, "a", "1"))
+	if !platform.Unknown.Has(err) || platform.Unavailable.Has(err) {
+		t.Errorf("claim whose write had no answer: got %v, want Unknown alone", err)
+	}
+}
+
+func TestOutageIsNotRun(t *testing.T) {
+	clock := timer.NewVirtual(time.Unix(0, 0))
+	store := standinkeyvalue.New(clock)
+	l := New(Settings{Interval: -1}, store.Port(), clock, "i")
+	store.SetFaults(standinkeyvalue.Faults{Outage: true})
+	_, err := l.Do(context.Background(), operation(clock, "a", "1"))
+	if !platform.Unavailable.Has(err) || platform.Unknown.Has(err) {
+		t.Errorf("claim in an outage: got %v, want Unavailable alone", err)
+	}
+}
--- a/claimwriter/writer_test.go
+++ b/claimwriter/writer_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -132,7 +133,9 @@
 		_, _ = call()
 		return claim.Verdict{}, fmt.Errorf("answer lost")
 	}
-	return call()
+	v, err := call()
+	w.interleave()
+	return v, err
 }
 
 // port is the store with interleavings, lost answers, late writes and outages.
@@ -167,7 +170,7 @@
 }
 
 func (w *world) interleave() {
-	if w.depth < 2 && w.choose(3) == 1 {
+	for w.depth < 2 && w.choose(3) == 1 {
 		w.depth++
 		w.step()
 		w.depth--
@@ -386,3 +389,24 @@
 	}
 	return w
 }
+
+// TestLateGrantIsReleased delays the answer to a claim past its start limit.
+func TestLateGrantIsReleased(t *testing.T) {
+	clock := timer.NewVirtual(time.Unix(0, 0))
+	var states []claim.State
+	w := New(Settings{}, Seams{
+		Preferred: func(int) ident.Instance { return "" },
+		Local: func(_ context.Context, op claim.Operation) (claim.Verdict, error) {
+			states = append(states, op.State)
+			clock.Advance(defaultStartLimit)
+			return claim.Verdict{Granted: op.State == claim.Running}, nil
+		},
+	}, clock, "i")
+	_, v := w.Take(context.Background(), Request{})
+	if v.Granted || v.Err == nil || v.Err.Code != result.ActionNotRun {
+		t.Errorf("verdict: got %+v, want ActionNotRun", v)
+	}
+	if want := []claim.State{claim.Running, claim.NotRun}; !slices.Equal(states, want) {
+		t.Errorf("operations: got %v, want %v", states, want)
+	}
+}
