Bound the wait for recording an outcome

Cause: a caller whose action is done waited up to the time of a whole batch while the platform's service was slow.

Change: the first attempt ends after SettleLimit (1 s) and goes on apart from the caller.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -125,3 +125,23 @@
 		t.Errorf("verdict: got %+v, want KeyMissing", v)
 	}
 }
+
+// TestServiceHasTimeToBegin has the service deny a key right after the time
+// limit of its call, when the call may still be on its way, and later.
+func TestServiceHasTimeToBegin(t *testing.T) {
+	b := New(Settings{})
+	now := time.Unix(1_000_000, 0)
+	op := Operation{Claim: "a/1", State: Running, StartBy: now.Add(time.Second), Until: now.Add(2 * time.Second)}
+	b.Apply(op, now)
+	for _, c := range []struct {
+		after time.Duration
+		want  bool
+	}{{3 * time.Second, false}, {defaultSettle, false}, {defaultSettle + 2*defaultSkew + 3*time.Second, true}} {
+		at := now.Add(c.after)
+		b.Apply(Operation{Claim: "a/1", State: NotRun, Resolve: true}, at)
+		v := b.Apply(Operation{Claim: "b/1", State: Running, StartBy: at.Add(time.Second)}, at)
+		if v.Granted != c.want {
+			t.Errorf("granted %v after the claim: got %v, want %v", c.after, v.Granted, c.want)
+		}
+	}
+}
--- a/claimwriter/writer.go
+++ b/claimwriter/writer.go
@@ -26,6 +26,7 @@
 	StartLimit   unit.Duration // time from the claim to the start of the action
 	ForwardLimit unit.Duration // time that the preferred writer is waited for
 	RetryAfter   unit.Duration // when a caller may come back while the service is out of reach
+	SettleLimit  unit.Duration // time that Settle keeps its caller waiting
 	SettleEvery  unit.Duration // time between two attempts to record an outcome
 	MaxPending   int           // outcomes that wait to be recorded
 }
@@ -35,6 +36,7 @@
 	defaultStartLimit   = 3 * time.Second
 	defaultForwardLimit = 500 * time.Millisecond
 	defaultRetryAfter   = 2 * time.Second
+	defaultSettleLimit  = time.Second
 	defaultSettleEvery  = time.Second
 	defaultMaxPending   = 10_000
 )
@@ -83,6 +85,7 @@
 	setDefault(&cfg.StartLimit, defaultStartLimit)
 	setDefault(&cfg.ForwardLimit, defaultForwardLimit)
 	setDefault(&cfg.RetryAfter, defaultRetryAfter)
+	setDefault(&cfg.SettleLimit, defaultSettleLimit)
 	setDefault(&cfg.SettleEvery, defaultSettleEvery)
 	if cfg.MaxPending == 0 {
 		cfg.MaxPending = defaultMaxPending
@@ -185,11 +188,19 @@
 	return v, nil
 }
 
-func (w *Writer) forward(ctx context.Context, to ident.Instance, op claim.Operation) (claim.Verdict, error) {
+// within returns a context that ends after d, and the function to release it.
+func (w *Writer) within(ctx context.Context, d unit.Duration) (context.Context, func()) {
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	sub := w.timer.After(w.cfg.ForwardLimit.Std(), func(time.Time) { cancel() })
-	defer sub.Stop()
+	sub := w.timer.After(d.Std(), func(time.Time) { cancel() })
+	return ctx, func() {
+		sub.Stop()
+		cancel()
+	}
+}
+
+func (w *Writer) forward(ctx context.Context, to ident.Instance, op claim.Operation) (claim.Verdict, error) {
+	ctx, release := w.within(ctx, w.cfg.ForwardLimit)
+	defer release()
 	return w.seams.Forward(ctx, to, op)
 }
 
@@ -199,7 +210,7 @@
 }
 
 // Settle records the outcome of a claim: the operation of Take with State and
-// Answer replaced. It returns after the first attempt; while the service is
+// Answer replaced. It returns after the first attempt, or SettleLimit; while the service is
 // out of reach it goes on trying apart from the caller. Beyond MaxPending an
 // outcome is left unrecorded, and the action counts as unknown.
 func (w *Writer) Settle(op claim.Operation) {
@@ -237,6 +248,8 @@
 }
 
 func (w *Writer) attempt(op claim.Operation) bool {
-	_, err := w.do(context.Background(), op)
+	ctx, release := w.within(context.Background(), w.cfg.SettleLimit)
+	defer release()
+	_, err := w.do(ctx, op)
 	return err == nil
 }
