Blame only engines that are seen to be gone

Cause: TestScripts/second-engine-during-resume ended answers with RequestCrashes: eight answers had one content, two engines were killed and one frozen. A frozen or cut off engine counted as a crash, so a partition could convict innocent requests. Change: a death counts only after a refused connection or a lost stream; the script's answers have contents of their own.

--- a/generation/machine.go
+++ b/generation/machine.go
@@ -363,12 +363,17 @@
 	return probesGap
 }
 
-// dead gives the engine up and looks for another.
+// dead gives the engine up and looks for another. An engine that merely does
+// not answer may be cut off, so only one that is seen to be gone, or to have
+// lost the stream, counts against the requests that it ran.
 func (m *Machine) dead(now time.Time, c Cause) []Action {
 	if c == Refused && m.phase != probing {
 		return m.another(now) // the request has not left, so nothing is lost
 	}
-	acts := []Action{{Kind: Blame, Upstream: m.engine}}
+	var acts []Action
+	if c != TimedOut && c != Silence {
+		acts = append(acts, Action{Kind: Blame, Upstream: m.engine})
+	}
 	if c == TimedOut || c == Silence {
 		acts = append(acts, m.cancel()...)
 	}
--- a/standinsite/script_test.go
+++ b/standinsite/script_test.go
@@ -112,7 +112,7 @@
 	c := s.site.Caller(caller.Settings{Silence: 2 * time.Second})
 	s.answers = make([]caller.Answer, n)
 	for i := range n {
-		r := caller.Request{ID: ident.Request(fmt.Sprintf("r%d", i)), Model: Model, Prompt: "debrief", MaxTokens: s.tokens, First: i}
+		r := caller.Request{ID: ident.Request(fmt.Sprintf("r%d", i)), Model: Model, Prompt: fmt.Sprintf("debrief %d", i), MaxTokens: s.tokens, First: i}
 		if i == 0 {
 			r.OnToken = s.onToken
 		}
