Call Exit of a stand-in's server only if it was up

Cause: the engine's Kill called Exit again when it was down; the shared server of the other stand-ins did the same. Found by reading, after the engine's case.

Change: Kill does nothing if the server is down. Conclusion: all packages pass once under the race detector.

--- a/standinnetwork/server.go
+++ b/standinnetwork/server.go
@@ -115,23 +115,27 @@
 
 // Stop resets all connections and waits until the server has returned. It does
 // nothing if the server is down.
-func (s *Server) Stop() {
+func (s *Server) Stop() { s.stop() }
+
+// stop reports whether the server was up.
+func (s *Server) stop() bool {
 	s.mu.Lock()
 	r := s.run
 	s.run = nil
 	s.mu.Unlock()
 	if r == nil {
-		return
+		return false
 	}
 	r.end()
 	r.listener.Reset()
 	<-r.served
+	return true
 }
 
-// Kill stops the server and then calls Exit.
+// Kill stops the server and then calls Exit. It does nothing if the server is
+// down.
 func (s *Server) Kill() {
-	s.Stop()
-	if s.cfg.Exit != nil {
+	if s.stop() && s.cfg.Exit != nil {
 		s.cfg.Exit()
 	}
 }
