--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,317 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+	"github.com/zeebo/errs"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"crocuslug/access"
+	"crocuslug/admission"
+	"crocuslug/configuration"
+	"crocuslug/control"
+	"crocuslug/estimate"
+	"crocuslug/gateway"
+	"crocuslug/health"
+	"crocuslug/ident"
+	"crocuslug/keyvalue"
+	"crocuslug/members"
+	"crocuslug/operatorapi"
+	"crocuslug/outbox"
+	"crocuslug/owner"
+	"crocuslug/peerlink"
+	"crocuslug/platform"
+	"crocuslug/quota"
+	"crocuslug/replica"
+	"crocuslug/retry"
+	"crocuslug/revision"
+	"crocuslug/rollout"
+	"crocuslug/routing"
+	"crocuslug/settings"
+	"crocuslug/suspect"
+	"crocuslug/takeover"
+	"crocuslug/throttle"
+	"crocuslug/timer"
+)
+
+// Options are what a Daemon needs beside its settings. Only Timer is required.
+type Options struct {
+	Timer       *timer.Service
+	Log         zerolog.Logger
+	Tracer      trace.Tracer
+	Document    *configuration.Document // in force until the platform tells a newer one
+	Owner       owner.Settings
+	Replica     replica.Settings
+	Takeover    takeover.Settings
+	Routing     routing.Settings
+	Gateway     gateway.Settings
+	Suspect     suspect.Settings
+	Admission   admission.Settings
+	Estimate    estimate.Settings
+	Health      health.Settings
+	Naive       bool   // takes engines in turn and admits all at once; for comparison
+	FixedShares bool   // moves no shares of limits among instances; for comparison
+	Seed        uint64 // of all random choices; 0 draws one
+	Cut         func(to ident.Instance) bool
+	CutFrom     func(from ident.Instance) bool
+	Store       platform.Store   // the platform's key-value service; a client of the settings' address if empty
+	Rollout     rollout.Settings // HeadKey and Log are filled in
+}
+
+// Daemon is one instance of the system.
+type Daemon struct {
+	cfg settings.Settings
+	opt Options
+	id  ident.Instance
+	log zerolog.Logger
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+	ending  sync.Mutex
+	over    bool
+
+	loop       *control.Loop
+	link       *peerlink.Link
+	members    *members.Members
+	outbox     *outbox.Outbox
+	owner      *owner.Owner
+	replicas   *replica.Store
+	taker      *takeover.Taker
+	gateway    *gateway.Gateway
+	chooser    *routing.Chooser
+	suspects   *suspect.Ledger
+	plain      *routing.Chooser // of plain services
+	line       *line            // generations that wait
+	services   *line            // calls to plain services that wait
+	throttle   *throttle.Throttle
+	shares     *quota.Shares
+	estimator  *estimate.Estimator
+	retries    *retry.Budget
+	polls      *polls
+	trackers   map[ident.Service]*health.Tracker // of the loop
+	reserved   *reservations                     // engines for generations that are about to start
+	away       *reservations                     // engines of other failure domains in use
+	guests     *reservations                     // engines here in use from other failure domains
+	neighbours neighbours
+	shared     []ident.Instance // members of shares, of the timer
+	heldBack   atomic.Int64     // time in Unix nanoseconds until which new work waits for lost answers
+	turn       atomic.Uint64
+	server     *fasthttp.Server
+	listener   net.Listener
+	conns      connections
+	store      platform.Store
+	calls      func() keyvalue.Calls // to the platform's service
+	closers    []func()
+	ledger     *revision.Ledger
+	rollout    *rollout.Rollout
+	operator   *operatorapi.API
+
+	metrics   *meters
+	bootstrap string // hash of the first operator's key, or ""
+	seed      uint64
+	lastLive  []ident.Instance // live members of the failure domain at the last change; control state of members
+	keys      atomic.Pointer[access.Keys]
+	doc       atomic.Pointer[document]
+	leaving   atomic.Bool
+	subs      []*timer.Subscription
+}
+
+// New builds an instance that is not started. Secrets of cfg are read and the
+// address for callers is taken, but nobody is answered yet. It returns an error
+// if a secret cannot be read or the address is not free.
+func New(cfg settings.Settings, opt Options) (*Daemon, error) {
+	secret, err := cfg.Secret.Value()
+	if err != nil {
+		return nil, errs.Wrap(err)
+	}
+	key, err := cfg.Operator.Value()
+	if err != nil {
+		return nil, errs.Wrap(err)
+	}
+	if opt.Tracer == nil {
+		opt.Tracer = noop.NewTracerProvider().Tracer("")
+	}
+	d := &Daemon{cfg: cfg, opt: opt, id: ident.Instance(cfg.Name), loop: control.New()}
+	d.log = opt.Log.With().Str("instance", string(d.id)).Str("domain", string(cfg.Domain)).Logger()
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.conns.open = make(map[net.Conn]struct{})
+	if d.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
+		return nil, errs.Wrap(err)
+	}
+	if d.seed = opt.Seed; d.seed == 0 {
+		d.seed = rand.Uint64()
+	}
+	d.buildLoad()
+	d.buildPlatform()
+	d.buildPeers(secret)
+	d.buildSuspects()
+	d.handleShares()
+	d.handleSpill()
+	d.buildGenerations()
+	d.buildConfiguration(key)
+	d.buildRoutes()
+	return d, nil
+}
+
+// Start opens the sockets and begins to serve.
+func (d *Daemon) Start() error {
+	if err := d.link.Start(); err != nil {
+		_ = d.listener.Close()
+		return errs.Wrap(err)
+	}
+	d.members.Start()
+	d.goRun(func() { d.loop.Run(d.ctx) })
+	d.goRun(func() { d.rollout.Run(d.ctx) })
+	d.owner.Run()
+	d.every(expireInterval, d.expire)
+	d.every(suspectInterval, d.tellSuspects)
+	d.startLoad()
+	d.goRun(func() {
+		if err := d.server.Serve(d.conns.wrap(d.listener)); err != nil {
+			d.log.Error().Err(err).Msg("serving ended")
+		}
+	})
+	d.log.Info().Str("listen", d.Addr()).Str("peer", d.link.Addr()).Msg("started")
+	return nil
+}
+
+// expireInterval is the interval in which copies past their retention are dropped.
+const expireInterval = 5 * time.Second
+
+// expire forgets what is past its retention.
+func (d *Daemon) expire(now time.Time) {
+	d.replicas.Expire(now)
+	d.suspects.Expire(now)
+	d.throttle.Expire(now)
+}
+
+// goRun runs f on a goroutine that the end of the daemon waits for. After that
+// nothing is run any more.
+func (d *Daemon) goRun(f func()) {
+	d.ending.Lock()
+	defer d.ending.Unlock()
+	if d.over {
+		return
+	}
+	d.running.Add(1)
+	go func() {
+		defer d.running.Done()
+		f()
+	}()
+}
+
+func (d *Daemon) every(interval time.Duration, f func(now time.Time)) {
+	d.subs = append(d.subs, d.opt.Timer.Every(interval, f))
+}
+
+// ID returns the instance's id.
+func (d *Daemon) ID() ident.Instance {
+	return d.id
+}
+
+// Domain returns the instance's failure domain.
+func (d *Daemon) Domain() ident.Domain {
+	return d.cfg.Domain
+}
+
+// Addr returns the address for callers.
+func (d *Daemon) Addr() string {
+	return d.listener.Addr().String()
+}
+
+// PeerAddr returns the address for other instances.
+func (d *Daemon) PeerAddr() string {
+	return d.link.Addr()
+}
+
+// Pause stops the traffic of the instance with its peers, callers and engines
+// until it is called with false, as when the process is stopped by a debugger.
+func (d *Daemon) Pause(paused bool) {
+	d.link.Pause(paused)
+	d.owner.Pause(paused)
+}
+
+// Serving returns the engine that a generation of this instance runs on.
+func (d *Daemon) Serving(w ident.Workspace, r ident.Request) (ident.Upstream, bool) {
+	g, ok := d.owner.Find(replica.Name{Workspace: w, Request: r})
+	if !ok {
+		return "", false
+	}
+	return g.Upstream(), true
+}
+
+// leaveNotice is the time in which the others hear that this instance leaves
+// and move their copies.
+const leaveNotice = time.Second
+
+// leavePoll is the interval of asking whether all work is done.
+const leavePoll = 50 * time.Millisecond
+
+// Leave begins a graceful shutdown and returns when all work in progress is
+// done or ctx has ended. New work is refused meanwhile.
+func (d *Daemon) Leave(ctx context.Context) error {
+	if !d.leaving.Swap(true) {
+		d.log.Info().Msg("leaving")
+		d.members.Leave()
+	}
+	done := make(chan struct{})
+	var once sync.Once
+	earliest := d.opt.Timer.Now().Add(leaveNotice)
+	sub := d.opt.Timer.Every(leavePoll, func(now time.Time) {
+		waiting, _ := d.line.queue.Len()
+		if active, _, _ := d.owner.Load(); active == 0 && waiting == 0 && now.After(earliest) {
+			once.Do(func() { close(done) })
+		}
+	})
+	defer sub.Stop()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return errs.Wrap(ctx.Err())
+	}
+}
+
+// Stop ends the instance. Callers still connected are cut off, so Leave goes
+// before it in a planned stop.
+func (d *Daemon) Stop() {
+	d.halt()
+	d.members.Stop()
+	d.link.Stop()
+	d.running.Wait()
+}
+
+// Kill ends the instance as a crash would: connections are reset and nobody is told.
+func (d *Daemon) Kill() {
+	d.conns.reset()
+	d.link.Kill()
+	d.halt()
+	d.members.Stop()
+	d.running.Wait()
+}
+
+func (d *Daemon) halt() {
+	d.ending.Lock()
+	d.over = true
+	d.ending.Unlock()
+	for _, s := range d.subs {
+		s.Stop()
+	}
+	_ = d.listener.Close()
+	d.owner.Stop()
+	d.conns.close()
+	d.cancel()
+	d.outbox.Stop()
+	for _, c := range d.closers {
+		c()
+	}
+}
--- /dev/null
+++ b/standinsite/site.go
@@ -0,0 +1,389 @@
+// Package standinsite runs a small deployment in one process over loopback.
+//
+// It starts stand-ins for engines and entry instances of the system, so that the
+// demo, the measure command and tests of the whole path have something to kill,
+// freeze and cut. It is no simulator: all parts are the real ones.
+package standinsite
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/zeebo/errs"
+	"go.opentelemetry.io/otel/trace"
+
+	"crocuslug/access"
+	"crocuslug/caller"
+	"crocuslug/configuration"
+	"crocuslug/daemon"
+	"crocuslug/ident"
+	"crocuslug/settings"
+	"crocuslug/standinengine"
+	"crocuslug/standinkeyvalue"
+	"crocuslug/timer"
+)
+
+// Settings describe a site. Zero values mean the defaults.
+type Settings struct {
+	Domains   []ident.Domain // one "accra" if empty
+	Instances int            // entry instances in each failure domain; 2 if 0
+	Engines   int            // engines in each failure domain; 3 if 0
+	Engine    standinengine.Settings
+	Options   daemon.Options // Timer, Log, Document and Cut are filled in
+	Daemon    settings.Settings
+	Document  configuration.Document // what it lists is added to the site's own
+	Tracer    trace.Tracer
+	Seed      uint64
+	Log       zerolog.Logger
+	// EngineAddress takes the place of the stand-ins for engines if it is set.
+	EngineAddress string
+	Slots         int // of the engine at EngineAddress
+	// OnEngineDeath is called when an engine was killed or crashed, with the
+	// function that starts it again; it may be nil.
+	OnEngineDeath func(revive func() error)
+}
+
+// Names of what every site has.
+const (
+	Model        = "m"
+	Workspace    = ident.Workspace("w")
+	WorkspaceKey = "workspace-key"
+	OperatorKey  = "operator-key"
+	secret       = "site-secret"
+)
+
+// Site is a running deployment.
+type Site struct {
+	cfg   Settings
+	timer *timer.Service // of the system
+	stand *timer.Service // of the stand-ins
+	stop  context.CancelFunc
+	wg    sync.WaitGroup
+
+	mu        sync.Mutex
+	Engines   []*standinengine.Engine
+	Instances []*daemon.Daemon
+	alive     []bool
+	Store     *standinkeyvalue.Store // what the platform's key-value service holds
+	KeyValue  *standinkeyvalue.Server
+	doc       configuration.Document
+	dir       string
+}
+
+// New returns a site that is not started.
+func New(cfg Settings) *Site {
+	if len(cfg.Domains) == 0 {
+		cfg.Domains = []ident.Domain{"accra"}
+	}
+	if cfg.Instances == 0 {
+		cfg.Instances = 2
+	}
+	if cfg.Engines == 0 {
+		cfg.Engines = 3
+	}
+	return &Site{cfg: cfg, timer: timer.New(), stand: timer.New()}
+}
+
+// Start starts the stand-ins and the instances.
+func (s *Site) Start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stop = cancel
+	for _, t := range []*timer.Service{s.timer, s.stand} {
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			t.Run(ctx)
+		}()
+	}
+	dir, err := os.MkdirTemp("", "site")
+	if err != nil {
+		return err
+	}
+	s.dir = dir
+	for name, v := range map[string]string{"secret": secret, "operator": OperatorKey} {
+		if err := os.WriteFile(dir+"/"+name, []byte(v), 0o600); err != nil {
+			return err
+		}
+	}
+	s.Store = standinkeyvalue.New(s.stand)
+	s.KeyValue = standinkeyvalue.NewServer(s.Store, "", nil)
+	if err := s.KeyValue.Start(); err != nil {
+		return err
+	}
+	if err := s.startEngines(); err != nil {
+		return err
+	}
+	return s.startInstances()
+}
+
+// Timer returns the time source of the system.
+func (s *Site) Timer() *timer.Service {
+	return s.timer
+}
+
+func (s *Site) startEngines() error {
+	s.doc = s.cfg.Document
+	s.doc.Services = append(s.doc.Services, configuration.Service{Name: "assistant", Kind: configuration.Model})
+	s.doc.Workspaces = append(s.doc.Workspaces, configuration.Workspace{
+		Name:      Workspace,
+		KeyHashes: []string{access.Hash([]byte(WorkspaceKey))},
+	})
+	if s.cfg.EngineAddress != "" {
+		s.doc.Upstreams = append(s.doc.Upstreams, configuration.Upstream{
+			Name: "engine", Service: "assistant", Address: s.cfg.EngineAddress,
+			Domain: s.cfg.Domains[0], Models: []string{Model}, Slots: s.cfg.Slots,
+		})
+		return nil
+	}
+	for _, domain := range s.cfg.Domains {
+		for i := range s.cfg.Engines {
+			cfg := s.cfg.Engine
+			cfg.Name = fmt.Sprintf("engine-%s-%d", domain, i)
+			var e *standinengine.Engine
+			if s.cfg.OnEngineDeath != nil {
+				cfg.Exit = func() { s.cfg.OnEngineDeath(e.Restart) }
+			}
+			e = standinengine.New(cfg, s.stand)
+			if err := e.Start(); err != nil {
+				return err
+			}
+			s.Engines = append(s.Engines, e)
+			s.doc.Upstreams = append(s.doc.Upstreams, configuration.Upstream{
+				Name:    ident.Upstream(cfg.Name),
+				Service: "assistant",
+				Address: e.Addr(),
+				Domain:  domain,
+				Models:  []string{Model},
+				Slots:   cfg.Slots,
+			})
+		}
+	}
+	return nil
+}
+
+// instance returns the settings of instance i of a failure domain.
+func (s *Site) instance(domain ident.Domain, i int) settings.Settings {
+	cfg := s.cfg.Daemon
+	cfg.Name = fmt.Sprintf("%s-%d", domain, i)
+	cfg.Domain = domain
+	cfg.Listen, cfg.PeerAddr = "127.0.0.1:0", "127.0.0.1:0"
+	cfg.Platform.KeyValue = s.KeyValue.Addr()
+	cfg.Secret = settings.Secret{File: s.dir + "/secret"}
+	cfg.Operator = settings.Secret{File: s.dir + "/operator"}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, d := range s.Instances {
+		if s.alive[i] {
+			cfg.Peers = append(cfg.Peers, settings.Peer{Instance: d.ID(), Domain: d.Domain(), Address: d.Addr(), PeerAddr: d.PeerAddr()})
+		}
+	}
+	return cfg
+}
+
+func (s *Site) startInstances() error {
+	for _, domain := range s.cfg.Domains {
+		for i := range s.cfg.Instances {
+			if err := s.startInstance(s.instance(domain, i)); err != nil {
+				return err
+			}
+		}
+	}
+	return s.meet()
+}
+
+// Limits of the wait until all instances know each other.
+const (
+	meetLimit = 10 * time.Second
+	meetPoll  = 10 * time.Millisecond
+)
+
+// meet waits until the live instances of each failure domain know each other.
+func (s *Site) meet() error {
+	for deadline := s.timer.Now().Add(meetLimit); s.timer.Now().Before(deadline); time.Sleep(meetPoll) {
+		if s.met() {
+			return nil
+		}
+	}
+	return errs.New("the instances did not get to know each other")
+}
+
+func (s *Site) met() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	alive := make(map[ident.Domain]int)
+	for i, d := range s.Instances {
+		if s.alive[i] {
+			alive[d.Domain()]++
+		}
+	}
+	for i, d := range s.Instances {
+		if s.alive[i] && len(d.Live()) < alive[d.Domain()] {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Site) startInstance(cfg settings.Settings) error {
+	opt := s.cfg.Options
+	opt.Timer, opt.Document = s.timer, &s.doc
+	opt.Log, opt.Tracer = s.cfg.Log, s.cfg.Tracer
+	opt.Seed = s.cfg.Seed + uint64(len(s.Instances)) + 1
+	d, err := daemon.New(cfg, opt)
+	if err != nil {
+		return err
+	}
+	if err := d.Start(); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Instances = append(s.Instances, d)
+	s.alive = append(s.alive, true)
+	return nil
+}
+
+// AddInstance starts one more instance in the first failure domain.
+func (s *Site) AddInstance() error {
+	if err := s.startInstance(s.instance(s.cfg.Domains[0], len(s.Instances))); err != nil {
+		return err
+	}
+	return s.meet()
+}
+
+// Placed returns the number of the engine that runs a request, or -1, and where
+// the instance that owns it takes callers, or "".
+func (s *Site) Placed(w ident.Workspace, r ident.Request) (engine int, address string) {
+	i := s.owner(w, r)
+	if i < 0 {
+		return -1, ""
+	}
+	return slices.Index(s.Engines, s.Engine(w, r)), s.Instances[i].Addr()
+}
+
+// Addresses returns where the instances that were not killed take callers.
+func (s *Site) Addresses() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for i, d := range s.Instances {
+		if s.alive[i] {
+			out = append(out, d.Addr())
+		}
+	}
+	return out
+}
+
+// Caller returns a caller of the site's workspace.
+func (s *Site) Caller(cfg caller.Settings) *caller.Caller {
+	if cfg.Key == "" {
+		cfg.Key = WorkspaceKey
+	}
+	if len(cfg.Addresses) == 0 {
+		cfg.Addresses = s.Addresses()
+	}
+	return caller.New(cfg, s.timer)
+}
+
+// KillInstance ends the instance that takes callers at address, as a crash would.
+func (s *Site) KillInstance(address string) bool {
+	for i, d := range s.Instances {
+		if d.Addr() != address {
+			continue
+		}
+		s.mu.Lock()
+		was := s.alive[i]
+		s.alive[i] = false
+		s.mu.Unlock()
+		if was {
+			d.Kill()
+		}
+		return was
+	}
+	return false
+}
+
+// Decoded returns the tokens that all engines have decoded and prefilled.
+func (s *Site) Decoded() (decoded, prefilled uint64) {
+	for _, e := range s.Engines {
+		c := e.Counters()
+		decoded += c.Decoded
+		prefilled += c.PrefillTokens
+	}
+	return decoded, prefilled
+}
+
+// Stop ends everything that was started.
+func (s *Site) Stop() {
+	for i, d := range s.Instances {
+		s.mu.Lock()
+		was := s.alive[i]
+		s.alive[i] = false
+		s.mu.Unlock()
+		if was {
+			d.Stop()
+		}
+	}
+	for _, e := range s.Engines {
+		e.Stop()
+	}
+	s.KeyValue.Stop()
+	s.stop()
+	s.wg.Wait()
+	_ = os.RemoveAll(s.dir)
+}
+
+// owner returns the number of the live instance that owns a request, or -1.
+func (s *Site) owner(w ident.Workspace, r ident.Request) int {
+	for i, d := range s.Instances {
+		s.mu.Lock()
+		alive := s.alive[i]
+		s.mu.Unlock()
+		if !alive {
+			continue
+		}
+		if _, ok := d.Serving(w, r); ok {
+			return i
+		}
+	}
+	return -1
+}
+
+// KillServing kills the engine that runs a request and reports whether there was one.
+func (s *Site) KillServing(w ident.Workspace, r ident.Request) bool {
+	e := s.Engine(w, r)
+	if e == nil {
+		return false
+	}
+	e.Kill()
+	return true
+}
+
+// Engine returns the engine that runs a request, or nil.
+func (s *Site) Engine(w ident.Workspace, r ident.Request) *standinengine.Engine {
+	i := s.owner(w, r)
+	if i < 0 {
+		return nil
+	}
+	u, _ := s.Instances[i].Serving(w, r)
+	for j, e := range s.Engines {
+		if s.doc.Upstreams[j].Name == u {
+			return e
+		}
+	}
+	return nil
+}
+
+// KillOwner kills the instance that owns a request and reports whether there was one.
+func (s *Site) KillOwner(w ident.Workspace, r ident.Request) bool {
+	i := s.owner(w, r)
+	if i < 0 {
+		return false
+	}
+	return s.KillInstance(s.Instances[i].Addr())
+}
--- /dev/null
+++ b/suspect/suspect.go
@@ -0,0 +1,283 @@
+// Package suspect finds requests that make engines fail.
+//
+// When an engine dies, every request that ran on it is a suspect, the less so
+// the more there were. A request caught in one death is kept apart from other
+// suspects, so that a second death points at few. One caught in two runs on an
+// engine without any other suspect. If that engine dies too, the content is
+// proven and refused by its fingerprint wherever it is sent again, until the
+// verdict expires. An answer that comes to its end acquits its content. So at
+// most three engines are lost to one content, and requests that were merely
+// near it still finish.
+//
+// The package decides only; the instance carries its reports to the others.
+package suspect
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"crocuslug/ident"
+)
+
+// Settings bound a Ledger. Zero values mean the defaults.
+type Settings struct {
+	Window   time.Duration // deaths of one engine within it are one death
+	Memory   time.Duration // how long a death counts
+	Verdict  time.Duration // how long a proven content is refused
+	MaxCases int           // contents remembered
+	Disabled bool          // suspects nobody; for comparison
+}
+
+// Defaults of Settings.
+const (
+	defaultWindow   = 5 * time.Second
+	defaultMemory   = 10 * time.Minute
+	defaultVerdict  = time.Hour
+	defaultMaxCases = 65536
+)
+
+// Deaths of engines that lead to each treatment.
+const (
+	deathsAlone  = 2
+	deathsRefuse = 3
+)
+
+// Treatment says how a request may run.
+type Treatment int
+
+// Treatments, mildest first.
+const (
+	Free   Treatment = iota // anywhere
+	Apart                   // away from other suspects if there is room
+	Alone                   // only where no other suspect runs
+	Refuse                  // nowhere
+)
+
+// Death is the death of an engine with contents that ran there.
+type Death struct {
+	Upstream     ident.Upstream
+	At           time.Time
+	Fingerprints []uint64
+}
+
+// Report is what one instance tells the others.
+type Report struct {
+	Deaths    []Death  `json:",omitempty"`
+	Acquitted []uint64 `json:",omitempty"`
+}
+
+// Ledger keeps what is known of contents. Its methods may be called from any
+// goroutine.
+type Ledger struct {
+	cfg Settings
+
+	mu      sync.Mutex
+	cases   map[uint64]*content
+	places  map[ident.Upstream]map[uint64]int // suspects that run here, by engine
+	pending Report
+}
+
+// content is what is known of one content.
+type content struct {
+	deaths  []death
+	refused time.Time // end of the verdict; zero if there is none
+}
+
+type death struct {
+	upstream ident.Upstream
+	at       time.Time
+}
+
+// New returns an empty ledger.
+func New(cfg Settings) *Ledger {
+	if cfg.Window == 0 {
+		cfg.Window = defaultWindow
+	}
+	if cfg.Memory == 0 {
+		cfg.Memory = defaultMemory
+	}
+	if cfg.Verdict == 0 {
+		cfg.Verdict = defaultVerdict
+	}
+	if cfg.MaxCases == 0 {
+		cfg.MaxCases = defaultMaxCases
+	}
+	return &Ledger{
+		cfg:    cfg,
+		cases:  make(map[uint64]*content),
+		places: make(map[ident.Upstream]map[uint64]int),
+	}
+}
+
+// Died notes that engine u died while content fp ran there on this instance.
+func (l *Ledger) Died(now time.Time, u ident.Upstream, fp uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cfg.Disabled || !l.add(now, u, now, fp) {
+		return
+	}
+	for i := range l.pending.Deaths {
+		d := &l.pending.Deaths[i]
+		if d.Upstream == u && now.Sub(d.At) < l.cfg.Window {
+			d.Fingerprints = append(d.Fingerprints, fp)
+			return
+		}
+	}
+	l.pending.Deaths = append(l.pending.Deaths, Death{u, now, []uint64{fp}})
+}
+
+// add counts a death against a content and reports whether it was new.
+func (l *Ledger) add(now time.Time, u ident.Upstream, at time.Time, fp uint64) bool {
+	c, ok := l.cases[fp]
+	if !ok {
+		if len(l.cases) >= l.cfg.MaxCases {
+			l.expire(now)
+		}
+		if len(l.cases) >= l.cfg.MaxCases {
+			return false
+		}
+		c = &content{}
+		l.cases[fp] = c
+	}
+	for _, d := range c.deaths {
+		if d.upstream == u && at.Sub(d.at).Abs() < l.cfg.Window {
+			return false
+		}
+	}
+	c.deaths = append(c.deaths, death{u, at})
+	if len(c.deaths) >= deathsRefuse {
+		c.refused = now.Add(l.cfg.Verdict)
+	}
+	return true
+}
+
+// Finished notes that an answer to content fp came to its end, which acquits it.
+func (l *Ledger) Finished(fp uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c, ok := l.cases[fp]
+	if !ok || !c.refused.IsZero() {
+		return
+	}
+	delete(l.cases, fp)
+	l.pending.Acquitted = append(l.pending.Acquitted, fp)
+}
+
+// Take returns what the other instances are to be told, and whether there is anything.
+func (l *Ledger) Take() (Report, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.pending
+	l.pending = Report{}
+	return r, len(r.Deaths) > 0 || len(r.Acquitted) > 0
+}
+
+// Merge takes in what another instance told.
+func (l *Ledger) Merge(now time.Time, r Report) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cfg.Disabled {
+		return
+	}
+	for _, d := range r.Deaths {
+		if now.Sub(d.At) > l.cfg.Memory {
+			continue
+		}
+		for _, fp := range d.Fingerprints {
+			l.add(now, d.Upstream, d.At, fp)
+		}
+	}
+	for _, fp := range r.Acquitted {
+		if c, ok := l.cases[fp]; ok && c.refused.IsZero() {
+			delete(l.cases, fp)
+		}
+	}
+}
+
+// Treat returns how content fp may run, and until when it is refused.
+func (l *Ledger) Treat(now time.Time, fp uint64) (Treatment, time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.treat(now, fp)
+}
+
+func (l *Ledger) treat(now time.Time, fp uint64) (Treatment, time.Time) {
+	c, ok := l.cases[fp]
+	if !ok || l.cfg.Disabled {
+		return Free, time.Time{}
+	}
+	if now.Before(c.refused) {
+		return Refuse, c.refused
+	}
+	c.deaths = slices.DeleteFunc(c.deaths, func(d death) bool { return now.Sub(d.at) > l.cfg.Memory })
+	switch n := len(c.deaths); {
+	case n == 0:
+		return Free, time.Time{}
+	case n < deathsAlone:
+		return Apart, time.Time{}
+	}
+	return Alone, time.Time{}
+}
+
+// Avoid returns the engines on which other suspects run at this instance.
+func (l *Ledger) Avoid(fp uint64) []ident.Upstream {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []ident.Upstream
+	for u, fps := range l.places {
+		if n := len(fps); n > 1 || n == 1 && fps[fp] == 0 {
+			out = append(out, u)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Placed notes that a suspect runs on engine u.
+func (l *Ledger) Placed(u ident.Upstream, fp uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.cases[fp]; !ok {
+		return
+	}
+	if l.places[u] == nil {
+		l.places[u] = make(map[uint64]int)
+	}
+	l.places[u][fp]++
+}
+
+// Left notes that a request no longer runs on engine u.
+func (l *Ledger) Left(u ident.Upstream, fp uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	fps := l.places[u]
+	if fps[fp] == 0 {
+		return
+	}
+	if fps[fp]--; fps[fp] == 0 {
+		delete(fps, fp)
+	}
+	if len(fps) == 0 {
+		delete(l.places, u)
+	}
+}
+
+// Expire forgets deaths and verdicts whose time is over.
+func (l *Ledger) Expire(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+}
+
+func (l *Ledger) expire(now time.Time) {
+	for fp, c := range l.cases {
+		if now.Before(c.refused) {
+			continue
+		}
+		last := c.deaths[len(c.deaths)-1]
+		if now.Sub(last.at) > l.cfg.Memory || !c.refused.IsZero() {
+			delete(l.cases, fp)
+		}
+	}
+}
