Judge a service's 404 by when it was asked

Cause: a 404 of the status path counted by the time at which it was recorded. An answer from before the action began, recorded late, released a claim that then had run.

Change: the operation carries when the service was asked.

--- a/claim/apply.go
+++ b/claim/apply.go
@@ -110,7 +110,7 @@
 	if !ok {
 		e = Entry{Key: op.Key, Fingerprint: op.Fingerprint, Claim: op.Claim, State: Running, Taken: now.UnixMilli(), Until: op.Until.UnixMilli()}
 	}
-	if e.Claim != op.Claim || !b.mayBecome(e, op, now) {
+	if e.Claim != op.Claim || !b.mayBecome(e, op) {
 		return Verdict{}
 	}
 	e.State = op.State
@@ -123,14 +123,15 @@
 
 // mayBecome reports whether the state of a claim may change as op says. That
 // an action was run stands against every other state; that it was not run is
-// taken from the claimer, or from the service once nothing can be on its way.
-func (b *Book) mayBecome(e Entry, op Operation, now time.Time) bool {
+// taken from the claimer, or from the service if it was asked once nothing
+// could be on its way.
+func (b *Book) mayBecome(e Entry, op Operation) bool {
 	switch op.State {
 	case Done:
 		return e.State != Done
 	case NotRun:
 		if op.Resolve {
-			return e.State != Done && e.State != NotRun && now.After(b.settled(e))
+			return e.State != Done && e.State != NotRun && op.Asked.After(b.settled(e))
 		}
 		return e.State == Running
 	}
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -138,7 +138,7 @@
 		want  bool
 	}{{3 * time.Second, false}, {defaultSettle, false}, {defaultSettle + 2*defaultSkew + 3*time.Second, true}} {
 		at := now.Add(c.after)
-		b.Apply(Operation{Claim: "a/1", State: NotRun, Resolve: true}, at)
+		b.Apply(Operation{Claim: "a/1", State: NotRun, Resolve: true, Asked: at}, at.Add(time.Hour))
 		v := b.Apply(Operation{Claim: "b/1", State: Running, StartBy: at.Add(time.Second)}, at)
 		if v.Granted != c.want {
 			t.Errorf("granted %v after the claim: got %v, want %v", c.after, v.Granted, c.want)
--- a/claim/operation.go
+++ b/claim/operation.go
@@ -83,6 +83,7 @@
 	StartBy     time.Time // the claimer does not start the action later
 	Until       time.Time // the claimer's call has ended by then
 	Answer      Answer    // of Done
+	Asked       time.Time // of Resolve: when the service was asked
 	Resolve     bool      // the state is what the service said, and not what the claimer said
 }
 
--- a/claimwriter/world_test.go
+++ b/claimwriter/world_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"crocuslug/claim"
@@ -312,20 +313,34 @@
 	g.settle(claim.Done)
 }
 
-// advance moves time; the service begins what it received within Settle of Until.
+// advance moves time in steps. The service begins what it received within
+// Settle of Until.
 func (w *world) advance(d time.Duration) {
-	end := w.timer.Now().Add(d)
-	for len(w.sent) > 0 && end.After(w.sent[0].op.Until.Add(claims.Settle.Std())) {
-		w.execute()
-	}
 	if w.moving {
 		return
 	}
 	w.moving = true
-	w.timer.Advance(d)
+	for ; d > 0; d -= time.Second {
+		w.executeDue(w.timer.Now().Add(time.Second))
+		w.timer.Advance(time.Second)
+	}
 	w.moving = false
 }
 
+func (w *world) executeDue(now time.Time) {
+	due := func(g granted) bool { return now.After(g.op.Until.Add(claims.Settle.Std())) }
+	for {
+		i := slices.IndexFunc(w.sent, due)
+		if i < 0 {
+			return
+		}
+		g := w.sent[i]
+		w.sent = slices.Delete(slices.Clone(w.sent), i, i+1)
+		w.run(g)
+		g.settle(claim.Done)
+	}
+}
+
 func (w *world) deliverLate() {
 	if len(w.late) == 0 {
 		return
--- a/claimwriter/writer.go
+++ b/claimwriter/writer.go
@@ -135,6 +135,7 @@
 
 // resolve asks the service about a claim whose outcome is unknown.
 func (w *Writer) resolve(ctx context.Context, r Request, op claim.Operation, v claim.Verdict) (claim.Operation, claim.Verdict) {
+	asked := w.timer.Now()
 	state, answer := r.Status(ctx)
 	if state != claim.Done && state != claim.NotRun {
 		return op, v
@@ -143,6 +144,7 @@
 	found.Claim = v.Resolve
 	found.State = state
 	found.Answer = answer
+	found.Asked = asked
 	found.Resolve = true
 	_, err := w.do(ctx, found)
 	if state == claim.Done {
