--- a/caller/caller.go
+++ b/caller/caller.go
@@ -268,7 +268,7 @@
 		return errs.New("unreadable failure")
 	}
 	switch e.Code {
-	case result.GenerationMoved, result.PeerUnavailable, result.InstanceLeaving:
+	case result.GenerationMoved, result.PeerUnavailable, result.InstanceLeaving, result.ConfigurationMissing:
 		return e
 	}
 	x.answer.Err = e
--- a/operatorcommand/text.go
+++ b/operatorcommand/text.go
@@ -12,7 +12,7 @@
 
 // writePlan shows a plan; confirm is the command that puts it in force, or "".
 func writePlan(w io.Writer, p plan.Plan, confirm string) {
-	fmt.Fprintf(w, "Plan %s by %s on revision %d: %d changes\n", p.ID, p.Author, p.BaseRevision, len(p.Changes))
+	fmt.Fprintf(w, "Plan %s by %s on revision %d: %s\n", p.ID, p.Author, p.BaseRevision, changes(len(p.Changes)))
 	for _, c := range p.Changes {
 		fmt.Fprintf(w, "  %s\n", c.Path)
 		if c.Before != nil {
@@ -33,8 +33,8 @@
 }
 
 func writeRecord(w io.Writer, rec revision.Record) {
-	fmt.Fprintf(w, "Revision %d  %s  %d changes by %s, confirmed by %s", rec.Revision,
-		rec.Time.Format(time.RFC3339), rec.Changes, rec.Author, rec.ConfirmedBy)
+	fmt.Fprintf(w, "Revision %d  %s  %s by %s, confirmed by %s", rec.Revision,
+		rec.Time.Format(time.RFC3339), changes(rec.Changes), rec.Author, rec.ConfirmedBy)
 	if rec.Note != "" {
 		fmt.Fprintf(w, ": %s", rec.Note)
 	}
@@ -58,3 +58,10 @@
 		fmt.Fprintf(w, "  %-20s %-20s %s\n", r.Domain, r.Instance, state)
 	}
 }
+
+func changes(n int) string {
+	if n == 1 {
+		return "1 change"
+	}
+	return fmt.Sprintf("%d changes", n)
+}
