Give suspects caught in two deaths an engine of their own, fleet-wide

Ruled out: telling the others where suspects run (two can still choose at once). Change: one instance, by rendezvous, decides for each engine to whom it is set apart; while it is, its death counts against that content alone; a content that was placed after an engine's death saw a new one.

--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -167,14 +167,14 @@
 // place reserves an engine for a granted generation.
 func (d *Daemon) place(t *ticket, now time.Time) bool {
 	w := t.request.(*work)
-	avoid, alone, err := d.screen(w.spec)
+	s, err := d.screen(w.spec, nil)
 	if err != nil {
 		d.drop(t, err)
 		return true
 	}
-	dec := d.chooser.Choose(w.ask(avoid), now)
-	if dec.Kind != routing.Send && len(avoid) > 0 && !alone {
-		dec = d.chooser.Choose(w.ask(nil), now)
+	dec := d.chooser.Choose(w.ask(s.avoid, s.only), now)
+	if dec.Kind != routing.Send && len(s.avoid) > 0 && !s.strict {
+		dec = d.chooser.Choose(w.ask(nil, ""), now)
 	}
 	switch dec.Kind {
 	case routing.Send:
@@ -197,13 +197,14 @@
 	d.line.answer(t, verdict{err: err})
 }
 
-func (w *work) ask(exclude []ident.Upstream) routing.Request {
+func (w *work) ask(exclude []ident.Upstream, only ident.Upstream) routing.Request {
 	return routing.Request{
 		ID:           w.spec.Request,
 		Model:        modelOf(w.spec),
 		Blocks:       w.blocks,
 		PromptTokens: w.prompt,
 		Exclude:      exclude,
+		Only:         only,
 	}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -89,6 +89,7 @@
 	gateway    *gateway.Gateway
 	chooser    *routing.Chooser
 	suspects   *suspect.Ledger
+	trials     *trials          // of suspects of this instance
 	plain      *routing.Chooser // of plain services
 	line       *line            // generations that wait
 	services   *line            // calls to plain services that wait
--- a/daemon/load.go
+++ b/daemon/load.go
@@ -83,16 +83,16 @@
 		d.unreserve(id, r)
 	}
 	now := d.opt.Timer.Now()
-	avoid, alone, err := d.screen(q.Spec)
+	s, err := d.screen(q.Spec, q.Exclude)
 	if err != nil {
 		return "", err
 	}
-	dec := d.rescue(q, slices.Concat(q.Exclude, avoid), now)
-	if dec.Kind == routing.NoUpstream && len(avoid) > 0 && !alone {
-		dec = d.rescue(q, q.Exclude, now)
+	dec := d.rescue(q, slices.Concat(q.Exclude, s.avoid), s.only, now)
+	if dec.Kind == routing.NoUpstream && len(s.avoid) > 0 && !s.strict {
+		dec = d.rescue(q, q.Exclude, "", now)
 	}
-	if dec.Kind == routing.NoUpstream && len(q.Exclude) > 0 && !alone {
-		dec = d.rescue(q, nil, now)
+	if dec.Kind == routing.NoUpstream && len(q.Exclude) > 0 && !s.strict {
+		dec = d.rescue(q, nil, "", now)
 	}
 	switch dec.Kind {
 	case routing.Send:
@@ -109,17 +109,18 @@
 	if r.instance != "" {
 		d.away.put(id, r)
 	}
-	d.suspects.Placed(r.upstream, spec.Fingerprint)
+	d.placed(r.upstream, spec.Fingerprint)
 	return r.upstream
 }
 
 // rescue chooses an engine for an answer that was admitted already.
-func (d *Daemon) rescue(q owner.EngineQuery, exclude []ident.Upstream, now time.Time) routing.Decision {
+func (d *Daemon) rescue(q owner.EngineQuery, exclude []ident.Upstream, only ident.Upstream, now time.Time) routing.Decision {
 	return d.chooser.Choose(routing.Request{
 		ID:           q.Spec.Request,
 		Model:        modelOf(q.Spec),
 		PromptTokens: promptTokens(q.Spec) + q.Held,
 		Exclude:      exclude,
+		Only:         only,
 		Resumed:      true,
 	}, now)
 }
--- a/daemon/suspects.go
+++ b/daemon/suspects.go
@@ -20,6 +20,8 @@
 // buildSuspects wires the finding of requests that make engines fail.
 func (d *Daemon) buildSuspects() {
 	d.suspects = suspect.New(d.opt.Suspect)
+	d.trials = newTrials()
+	d.link.Handle(methodSetApart, d.answerSetApart)
 	d.link.Handle(methodSuspects, func(_ context.Context, _ ident.Instance, params json.RawMessage) (any, error) {
 		var r suspect.Report
 		if err := json.Unmarshal(params, &r); err != nil {
@@ -51,16 +53,33 @@
 	}
 }
 
-// screen returns the engines that a generation must not run on, or refuses it.
-func (d *Daemon) screen(spec generation.Spec) (avoid []ident.Upstream, alone bool, err *result.Error) {
+// screening says on which engines a generation may run.
+type screening struct {
+	avoid  []ident.Upstream
+	strict bool           // the engines to avoid must not be taken even if no other is left
+	only   ident.Upstream // the one engine that it may run on, or ""
+}
+
+// screen returns where a generation may run, or refuses it. A content that has
+// to run alone gets an engine set apart in the background; until it has one the
+// generation waits if it is under way, and is told to come back if it is new.
+func (d *Daemon) screen(spec generation.Spec, exclude []ident.Upstream) (screening, *result.Error) {
 	now := d.opt.Timer.Now()
-	t, until := d.suspects.Treat(now, spec.Fingerprint)
+	fp := spec.Fingerprint
+	t, until := d.suspects.Treat(now, fp)
 	switch t {
 	case suspect.Refuse:
-		return nil, false, result.New(result.RequestCrashes, "engines failed whenever they ran this content").
+		return screening{}, result.New(result.RequestCrashes, "engines failed whenever they ran this content").
 			Ran(result.RunUnknown).After(until.Sub(now))
-	case suspect.Alone, suspect.Apart:
-		return d.suspects.Avoid(spec.Fingerprint), t == suspect.Alone, nil
+	case suspect.Apart:
+		return screening{avoid: d.suspects.Avoid(now, fp)}, nil
+	case suspect.Alone:
+		u, ok := d.trials.engine(now, fp, exclude)
+		if !ok {
+			d.askTrial(now, spec, exclude)
+			return screening{}, result.New(result.Overloaded, "the request has to run alone and no engine is set apart yet").After(busyRetry)
+		}
+		return screening{avoid: d.suspects.Avoid(now, fp), strict: true, only: u}, nil
 	}
-	return nil, false, nil
+	return screening{avoid: d.suspects.Avoid(now, fp)}, nil
 }
--- a/routing/engine.go
+++ b/routing/engine.go
@@ -99,7 +99,7 @@
 }
 
 func (e *engine) usable(r *Request) bool {
-	if e.out || e.Leaving {
+	if e.out || e.Leaving || r.Only != "" && r.Only != e.Upstream {
 		return false
 	}
 	return !contains(r.Exclude, e.Upstream)
--- a/routing/types.go
+++ b/routing/types.go
@@ -112,6 +112,7 @@
 	Blocks       []prefix.Block   // blocks of the prompt
 	PromptTokens int              // tokens to read, for a resume with those produced
 	Exclude      []ident.Upstream // never chosen, such as engines just lost
+	Only         ident.Upstream   // if set, no other is chosen
 	Resumed      bool             // continues an answer that was lost
 	Visited      []ident.Domain   // failure domains that it was spilled from, in order
 }
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -1,18 +1,19 @@
 // Package suspect finds requests that make engines fail.
 //
-// When an engine dies, every request that ran on it is a suspect, the less so
-// the more there were. A request caught in one death is kept apart from other
-// suspects, so that a second death points at few. One caught in two runs on an
-// engine without any other suspect. If that engine dies too, the content is
-// proven and refused by its fingerprint wherever it is sent again, until the
-// verdict expires. An answer that comes to its end acquits its content. So at
-// most three engines are lost to one content, and requests that were merely
+// When an engine dies, every request that ran on it is a suspect. A request
+// caught in one death is kept apart from other suspects, so that a second death
+// points at few. One caught in two gets a trial: an engine without any other
+// suspect. If that engine dies too, the death counts against it alone, and the
+// content is proven and refused by its fingerprint wherever it is sent again, until
+// the verdict expires. An answer that comes to its end acquits its content. So
+// at most three engines are lost to one content, and requests that were merely
 // near it still finish.
 //
 // The package decides only; the instance carries its reports to the others.
 package suspect
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -59,12 +60,14 @@
 	Upstream     ident.Upstream
 	At           time.Time
 	Fingerprints []uint64
+	Ran          []time.Duration // how long each of them had run there
 }
 
 // Report is what one instance tells the others.
 type Report struct {
 	Deaths    []Death  `json:",omitempty"`
 	Acquitted []uint64 `json:",omitempty"`
+	Trials    []Trial  `json:",omitempty"`
 }
 
 // Ledger keeps what is known of contents. Its methods may be called from any
@@ -74,7 +77,8 @@
 
 	mu      sync.Mutex
 	cases   map[uint64]*content
-	places  map[ident.Upstream]map[uint64]int // suspects that run here, by engine
+	places  map[ident.Upstream]map[uint64]*place // what runs here, by engine
+	trials  map[ident.Upstream]Trial
 	pending Report
 }
 
@@ -87,6 +91,13 @@
 type death struct {
 	upstream ident.Upstream
 	at       time.Time
+	ran      time.Duration // how long the content had run there; 0 if not known
+}
+
+// place is a content on an engine.
+type place struct {
+	n     int // generations
+	since time.Time
 }
 
 // New returns an empty ledger.
@@ -106,7 +117,8 @@
 	return &Ledger{
 		cfg:    cfg,
 		cases:  make(map[uint64]*content),
-		places: make(map[ident.Upstream]map[uint64]int),
+		places: make(map[ident.Upstream]map[uint64]*place),
+		trials: make(map[ident.Upstream]Trial),
 	}
 }
 
@@ -114,21 +126,29 @@
 func (l *Ledger) Died(now time.Time, u ident.Upstream, fp uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.cfg.Disabled || !l.add(now, u, now, fp) {
+	ran := time.Duration(0)
+	if p := l.places[u][fp]; p != nil {
+		ran = now.Sub(p.since)
+	}
+	if l.cfg.Disabled || !l.add(now, death{u, now, ran}, fp) {
 		return
 	}
 	for i := range l.pending.Deaths {
 		d := &l.pending.Deaths[i]
 		if d.Upstream == u && now.Sub(d.At) < l.cfg.Window {
 			d.Fingerprints = append(d.Fingerprints, fp)
+			d.Ran = append(d.Ran, ran)
 			return
 		}
 	}
-	l.pending.Deaths = append(l.pending.Deaths, Death{u, now, []uint64{fp}})
+	l.pending.Deaths = append(l.pending.Deaths, Death{u, now, []uint64{fp}, []time.Duration{ran}})
 }
 
 // add counts a death against a content and reports whether it was new.
-func (l *Ledger) add(now time.Time, u ident.Upstream, at time.Time, fp uint64) bool {
+func (l *Ledger) add(now time.Time, one death, fp uint64) bool {
+	if tried, ok := l.on(one.at, one.upstream); ok && tried != fp {
+		return false
+	}
 	c, ok := l.cases[fp]
 	if !ok {
 		if len(l.cases) >= l.cfg.MaxCases {
@@ -141,17 +161,27 @@
 		l.cases[fp] = c
 	}
 	for _, d := range c.deaths {
-		if d.upstream == u && at.Sub(d.at).Abs() < l.cfg.Window {
+		if l.same(d, one) {
 			return false
 		}
 	}
-	c.deaths = append(c.deaths, death{u, at})
+	c.deaths = append(c.deaths, one)
 	if len(c.deaths) >= deathsRefuse {
 		c.refused = now.Add(l.cfg.Verdict)
 	}
 	return true
 }
 
+// same reports whether two reports are of one death. An engine that was started
+// again can die again soon, so a content that was placed there after the first
+// death saw another one.
+func (l *Ledger) same(a, b death) bool {
+	if a.at.After(b.at) {
+		a, b = b, a
+	}
+	return a.upstream == b.upstream && b.at.Sub(a.at) < l.cfg.Window && !b.at.Add(-b.ran).After(a.at)
+}
+
 // Finished notes that an answer to content fp came to its end, which acquits it.
 func (l *Ledger) Finished(fp uint64) {
 	l.mu.Lock()
@@ -170,7 +200,7 @@
 	defer l.mu.Unlock()
 	r := l.pending
 	l.pending = Report{}
-	return r, len(r.Deaths) > 0 || len(r.Acquitted) > 0
+	return r, len(r.Deaths) > 0 || len(r.Acquitted) > 0 || len(r.Trials) > 0
 }
 
 // Merge takes in what another instance told.
@@ -180,12 +210,19 @@
 	if l.cfg.Disabled {
 		return
 	}
+	for _, t := range r.Trials {
+		l.note(t)
+	}
 	for _, d := range r.Deaths {
 		if now.Sub(d.At) > l.cfg.Memory {
 			continue
 		}
-		for _, fp := range d.Fingerprints {
-			l.add(now, d.Upstream, d.At, fp)
+		for i, fp := range d.Fingerprints {
+			one := death{upstream: d.Upstream, at: d.At}
+			if i < len(d.Ran) {
+				one.ran = d.Ran[i]
+			}
+			l.add(now, one, fp)
 		}
 	}
 	for _, fp := range r.Acquitted {
@@ -220,31 +257,40 @@
 	return Alone, time.Time{}
 }
 
-// Avoid returns the engines on which other suspects run at this instance.
-func (l *Ledger) Avoid(fp uint64) []ident.Upstream {
+// Avoid returns the engines that content fp must not run on: those on which
+// other suspects run at this instance, and those set apart for others.
+func (l *Ledger) Avoid(now time.Time, fp uint64) []ident.Upstream {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var out []ident.Upstream
+	avoid := make(map[ident.Upstream]bool)
 	for u, fps := range l.places {
-		if n := len(fps); n > 1 || n == 1 && fps[fp] == 0 {
-			out = append(out, u)
+		for other := range fps {
+			if _, suspected := l.cases[other]; suspected && other != fp {
+				avoid[u] = true
+			}
+		}
+	}
+	for u := range l.trials {
+		if tried, ok := l.on(now, u); ok && tried != fp {
+			avoid[u] = true
 		}
 	}
-	slices.Sort(out)
-	return out
+	return slices.Sorted(maps.Keys(avoid))
 }
 
-// Placed notes that a suspect runs on engine u.
-func (l *Ledger) Placed(u ident.Upstream, fp uint64) {
+// Placed notes that a request with content fp runs on engine u from now on.
+func (l *Ledger) Placed(now time.Time, u ident.Upstream, fp uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, ok := l.cases[fp]; !ok {
-		return
+	fps := l.places[u]
+	if fps == nil {
+		fps = make(map[uint64]*place)
+		l.places[u] = fps
 	}
-	if l.places[u] == nil {
-		l.places[u] = make(map[uint64]int)
+	if fps[fp] == nil {
+		fps[fp] = &place{since: now}
 	}
-	l.places[u][fp]++
+	fps[fp].n++
 }
 
 // Left notes that a request no longer runs on engine u.
@@ -252,10 +298,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	fps := l.places[u]
-	if fps[fp] == 0 {
+	p := fps[fp]
+	if p == nil {
 		return
 	}
-	if fps[fp]--; fps[fp] == 0 {
+	if p.n--; p.n == 0 {
 		delete(fps, fp)
 	}
 	if len(fps) == 0 {
@@ -271,6 +318,7 @@
 }
 
 func (l *Ledger) expire(now time.Time) {
+	maps.DeleteFunc(l.trials, func(_ ident.Upstream, t Trial) bool { return !now.Before(t.Until) })
 	for fp, c := range l.cases {
 		if now.Before(c.refused) {
 			continue
