Report all faults of a settings file together

Cause: Parse gave up at the first wrong type and then skipped every other check; null, names repeated and ports above 65535 passed; two sockets on one port clashed only if their text was the same; a wildcard was told to peers as the address under which they reach the instance. Ruled out: several passes of encoding/json, whose decoder names one fault and takes names in any case. Change: a reader that walks the struct and the JSON together; checks are skipped only for what could not be read.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -8,16 +8,13 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"reflect"
 	"slices"
-	"sort"
-	"strings"
 
 	"crocuslug/ident"
 	"crocuslug/unit"
@@ -104,8 +101,11 @@
 	Text string // what is allowed
 }
 
-// String returns the path and the text.
+// String returns the path, unless the whole file is meant, and the text.
 func (p Problem) String() string {
+	if p.Path == "" {
+		return p.Text
+	}
 	return p.Path + ": " + p.Text
 }
 
@@ -120,7 +120,7 @@
 		return Settings{}, nil, err
 	}
 	defer f.Close()
-	b, err := io.ReadAll(io.LimitReader(f, maxFileBytes))
+	b, err := io.ReadAll(io.LimitReader(f, maxFileBytes+1))
 	if err != nil {
 		return Settings{}, nil, err
 	}
@@ -128,68 +128,26 @@
 	return cfg, problems, nil
 }
 
-// Parse reads settings and returns all problems in them, by path.
+// Parse reads settings and returns all problems in them, by path. Texts of
+// problems hold no values of secrets.
 func Parse(b []byte) (Settings, []Problem) {
 	var cfg Settings
-	var raw any
-	if err := json.Unmarshal(b, &raw); err != nil {
-		return cfg, []Problem{{"", "want JSON: " + err.Error()}}
+	if len(b) > maxFileBytes {
+		return cfg, []Problem{{"", fmt.Sprintf("want at most %d bytes", maxFileBytes)}}
 	}
-	problems := unknown(raw, reflect.TypeOf(cfg), "")
-	if err := decode(b, &cfg); err != nil {
-		return cfg, append(problems, *err)
-	}
-	problems = append(problems, cfg.check()...)
-	sort.Slice(problems, func(i, j int) bool { return problems[i].Path < problems[j].Path })
-	return cfg, problems
-}
-
-func decode(b []byte, cfg *Settings) *Problem {
-	err := json.NewDecoder(bytes.NewReader(b)).Decode(cfg)
-	var te *json.UnmarshalTypeError
-	switch {
-	case err == nil:
-		return nil
-	case errors.As(err, &te):
-		return &Problem{te.Field, fmt.Sprintf("want %s, got %s", te.Type, te.Value)}
+	var raw json.RawMessage
+	if err := json.Unmarshal(b, &raw); err != nil {
+		return cfg, []Problem{syntax(b, err)}
 	}
-	return &Problem{"", err.Error()}
-}
-
-// unknown returns a problem for each field of v that type t lacks.
-func unknown(v any, t reflect.Type, path string) []Problem {
-	var out []Problem
-	switch v := v.(type) {
-	case map[string]any:
-		if t.Kind() != reflect.Struct {
-			return nil
-		}
-		for name, value := range v {
-			p := strings.TrimPrefix(path+"."+name, ".")
-			f, ok := t.FieldByName(name)
-			if !ok {
-				out = append(out, Problem{p, "unknown field; allowed here: " + strings.Join(fields(t), ", ")})
-				continue
-			}
-			out = append(out, unknown(value, f.Type, p)...)
-		}
-	case []any:
-		if t.Kind() != reflect.Slice {
-			return nil
-		}
-		for i, value := range v {
-			out = append(out, unknown(value, t.Elem(), fmt.Sprintf("%s[%d]", path, i))...)
+	var r reader
+	r.fill(reflect.ValueOf(&cfg).Elem(), raw, "")
+	for _, p := range cfg.check() {
+		if !r.faulty(p.Path) {
+			r.problems = append(r.problems, p)
 		}
 	}
-	return out
-}
-
-func fields(t reflect.Type) []string {
-	names := make([]string, 0, t.NumField())
-	for i := range t.NumField() {
-		names = append(names, t.Field(i).Name)
-	}
-	return names
+	slices.SortStableFunc(r.problems, func(a, b Problem) int { return cmp.Compare(a.Path, b.Path) })
+	return cfg, r.problems
 }
 
 // levels are the values of LogLevel.
@@ -204,15 +162,7 @@
 	if cfg.Domain == "" {
 		bad("Domain", "want the failure domain of the instance")
 	}
-	checkAddress(bad, "Listen", cfg.Listen, true)
-	checkAddress(bad, "PeerAddr", cfg.PeerAddr, true)
-	checkAddress(bad, "Public", cfg.Public, false)
-	checkAddress(bad, "Platform.KeyValue", cfg.Platform.KeyValue, true)
-	checkAddress(bad, "Platform.InstanceList", cfg.Platform.InstanceList, false)
-	checkAddress(bad, "Trace.Endpoint", cfg.Trace.Endpoint, false)
-	if cfg.Listen != "" && cfg.Listen == cfg.PeerAddr && !strings.HasSuffix(cfg.Listen, ":0") {
-		bad("PeerAddr", "clashes with Listen; want another port")
-	}
+	cfg.checkAddresses(bad)
 	if cfg.Secret == (Secret{}) {
 		bad("Secret", "want File or Environment")
 	}
@@ -222,39 +172,9 @@
 	if !slices.Contains(levels, cfg.LogLevel) {
 		bad("LogLevel", "want debug, info, warn or error")
 	}
-	seen := map[string]string{cfg.PeerAddr: "PeerAddr"}
-	for i, p := range cfg.Peers {
-		path := fmt.Sprintf("Peers[%d]", i)
-		checkAddress(bad, path+".Address", p.Address, true)
-		checkAddress(bad, path+".PeerAddr", p.PeerAddr, true)
-		if at, ok := seen[p.PeerAddr]; ok && !strings.HasSuffix(p.PeerAddr, ":0") {
-			bad(path+".PeerAddr", "clashes with "+at)
-		}
-		seen[p.PeerAddr] = path + ".PeerAddr"
-		if p.Instance == "" || p.Domain == "" {
-			bad(path, "want Instance and Domain")
-		}
-	}
 	return out
 }
 
-func checkAddress(bad func(path, text string), path, addr string, required bool) {
-	if addr == "" {
-		if required {
-			bad(path, "want host:port")
-		}
-		return
-	}
-	host, port, err := net.SplitHostPort(addr)
-	if err != nil || port == "" {
-		bad(path, "want host:port, got "+addr)
-		return
-	}
-	if net.ParseIP(host) == nil {
-		bad(path, "want an IP number as host, got "+addr)
-	}
-}
-
 func checkSecret(bad func(path, text string), path string, s Secret) {
 	if s.File != "" && s.Environment != "" {
 		bad(path, "want File or Environment, not both")
