Follow a request through every hop by spans, and log in Pascal case

Cause: spans ended at the first hop: calls to peers, to the platform and to plain services had none, a generation that was taken over lost its trace, and log keys were in two cases. Ruled out: spans in the key-value client itself (an embedded store would have none); spans for every call between instances (membership calls all the time): only calls that belong to a trace get one, and it travels in JSON-RPC's meta. Change: peerlink, daemon (store), operatorapi and serviceproxy make spans; gateway hands its context on; owner.Adopt takes the headers of the trace.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -68,6 +68,7 @@
 	Prompt    string
 	MaxTokens int
 	First     int                                // index of the address to begin with
+	Trace     string                             // traceparent header, may be empty
 	OnToken   func(index int, text string)       // called for each token, may be nil
 	OnLost    func(address string, reason error) // called for each lost connection, may be nil
 }
@@ -203,6 +204,9 @@
 
 func (x *exchange) fill(req *fasthttp.Request, address string) {
 	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+x.c.cfg.Key)
+	if x.r.Trace != "" {
+		req.Header.Set("traceparent", x.r.Trace)
+	}
 	if x.cursor != "" && !x.c.cfg.NoCursor {
 		req.SetRequestURI("http://" + address + "/v1/generations/" + string(x.r.ID))
 		req.Header.Set("Last-Event-ID", x.cursor)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -141,7 +141,7 @@
 		opt.Tracer = noop.NewTracerProvider().Tracer("")
 	}
 	d := &Daemon{cfg: cfg, opt: opt, id: ident.Instance(cfg.Name), loop: control.New()}
-	d.log = opt.Log.With().Str("instance", string(d.id)).Str("domain", string(cfg.Domain)).Logger()
+	d.log = opt.Log.With().Str("Instance", string(d.id)).Str("Domain", string(cfg.Domain)).Logger()
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.conns.open = make(map[net.Conn]struct{})
 	if d.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
@@ -180,7 +180,7 @@
 			d.log.Error().Err(err).Msg("serving ended")
 		}
 	})
-	d.log.Info().Str("listen", d.Addr()).Str("peer", d.link.Addr()).Msg("started")
+	d.log.Info().Str("Listen", d.Addr()).Str("PeerAddr", d.link.Addr()).Msg("started")
 	return nil
 }
 
--- a/daemon/generations.go
+++ b/daemon/generations.go
@@ -105,7 +105,7 @@
 func (d *Daemon) takeAppends(from ident.Instance, payload []byte) {
 	entries, err := batch.DecodeAppends(payload)
 	if err != nil {
-		d.log.Warn().Int("code", int(result.Malformed)).Str("from", string(from)).Err(err).Msg("append refused")
+		d.log.Warn().Int("Code", int(result.Malformed)).Str("From", string(from)).Err(err).Msg("append refused")
 		return
 	}
 	now := d.opt.Timer.Now()
@@ -114,7 +114,7 @@
 		if e.Base {
 			var spec generation.Spec
 			if err := json.Unmarshal(e.Spec, &spec); err != nil {
-				d.log.Warn().Int("code", int(result.Malformed)).Str("from", string(from)).Err(err).Msg("append refused")
+				d.log.Warn().Int("Code", int(result.Malformed)).Str("From", string(from)).Err(err).Msg("append refused")
 				continue
 			}
 			name = replica.Name{Workspace: spec.Workspace, Request: spec.Request}
@@ -127,7 +127,7 @@
 func (d *Daemon) takeAcks(from ident.Instance, payload []byte) {
 	acks, err := batch.DecodeAcks(payload)
 	if err != nil {
-		d.log.Warn().Int("code", int(result.Malformed)).Str("from", string(from)).Err(err).Msg("acknowledgement refused")
+		d.log.Warn().Int("Code", int(result.Malformed)).Str("From", string(from)).Err(err).Msg("acknowledgement refused")
 		return
 	}
 	d.owner.Acked(from, acks)
@@ -151,17 +151,19 @@
 	}
 	e := d.log.Info()
 	if r := g.Result(); r != nil {
-		e = e.Int("code", int(r.Code)).Str("detail", r.Detail)
+		e = e.Int("Code", int(r.Code)).Str("Detail", r.Detail)
 	}
-	e.Str("request", string(spec.Request)).
-		Str("generation", string(spec.Generation)).
-		Str("workspace", string(spec.Workspace)).
-		Int("tokens", g.Describe().Position).
-		Int("streams", stats.Streams).
-		Int("resumes", stats.Resumes).
-		Int("continuations", stats.Continuations).
-		Int("stale", stats.StaleTokens).
-		Int("unreplicated", stats.Unreplicated).
+	at := g.Describe()
+	e.Str("Request", string(spec.Request)).
+		Str("Generation", string(spec.Generation)).
+		Uint64("Attempt", uint64(at.Attempt)).
+		Str("Workspace", string(spec.Workspace)).
+		Int("Tokens", at.Position).
+		Int("Streams", stats.Streams).
+		Int("Resumes", stats.Resumes).
+		Int("Continuations", stats.Continuations).
+		Int("Stale", stats.StaleTokens).
+		Int("Unreplicated", stats.Unreplicated).
 		Msg("generation ended")
 	d.metrics.generation(g.Result(), stats)
 }
--- a/daemon/health.go
+++ b/daemon/health.go
@@ -114,7 +114,7 @@
 		} else {
 			d.metrics.count("UpstreamsReadmitted", 1)
 		}
-		d.log.Info().Str("upstream", string(c.Upstream)).Bool("out", out).Msg("upstream health")
+		d.log.Info().Str("Upstream", string(c.Upstream)).Bool("Out", out).Msg("upstream health")
 	}
 }
 
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -54,7 +54,7 @@
 		History: d.ledger.List,
 		Status:  d.status,
 		Usage:   d.usage,
-	}, operatorapi.Settings{BootstrapKeyHash: d.bootstrap, MaxBodyBytes: operatorBodyBytes, Log: d.log})
+	}, operatorapi.Settings{BootstrapKeyHash: d.bootstrap, MaxBodyBytes: operatorBodyBytes, Log: d.log, Tracer: d.opt.Tracer})
 }
 
 // confirm makes a plan the next revision and begins to spread it.
@@ -72,7 +72,7 @@
 	ctx, cancel := context.WithTimeout(d.ctx, reclaimTimeout)
 	defer cancel()
 	if err := d.ledger.Reclaim(ctx, rec); err != nil {
-		d.log.Info().Err(err).Uint64("revision", uint64(rec.Revision)).Msg("old revisions not reclaimed; the next change tries again")
+		d.log.Info().Err(err).Uint64("Revision", uint64(rec.Revision)).Msg("old revisions not reclaimed; the next change tries again")
 	}
 }
 
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -25,6 +25,7 @@
 	}, d.opt.Timer, d.log)
 	d.link.Cut = d.opt.Cut
 	d.link.CutFrom = d.opt.CutFrom
+	d.link.Tracer = d.opt.Tracer
 	d.link.OnDown(func(id ident.Instance) { d.owner.ReplicaLost(id) })
 	d.members = members.New(members.Settings{
 		Self: membership.Member{
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -6,9 +6,9 @@
 
 // buildPlatform wires the platform's key-value service.
 func (d *Daemon) buildPlatform() {
-	d.store = d.opt.Store
 	d.calls = func() keyvalue.Calls { return keyvalue.Calls{} }
-	if d.store.Get != nil {
+	if d.opt.Store.Get != nil {
+		d.store = tracedStore(d.opt.Store, d.opt.Tracer)
 		return
 	}
 	c := keyvalue.New(keyvalue.Settings{
@@ -17,7 +17,7 @@
 		WritesPerSecond: float64(d.cfg.Platform.WritesPerSec),
 		Seed:            d.seed,
 	}, d.opt.Timer)
-	d.store = c.Port()
+	d.store = tracedStore(c.Port(), d.opt.Tracer)
 	d.calls = c.Calls
 	d.closers = append(d.closers, c.Close)
 }
--- a/daemon/suspects.go
+++ b/daemon/suspects.go
@@ -33,8 +33,9 @@
 // blame counts the death of an engine against what ran there.
 func (d *Daemon) blame(u ident.Upstream, spec generation.Spec) {
 	d.suspects.Died(d.opt.Timer.Now(), u, spec.Fingerprint)
-	d.log.Warn().Str("upstream", string(u)).Str("request", string(spec.Request)).
-		Str("generation", string(spec.Generation)).Msg("engine lost")
+	d.log.Warn().Str("Upstream", string(u)).Str("Request", string(spec.Request)).
+		Str("Generation", string(spec.Generation)).
+		Str("Workspace", string(spec.Workspace)).Msg("engine lost")
 }
 
 // tellSuspects sends what is new to the other live instances.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -132,10 +132,10 @@
 		problem.Write(ctx, err, id)
 		return
 	}
-	span, carrier := g.span(ctx, spec)
-	gen, err := g.known(spec, given)
+	c, span := g.span(ctx, spec)
+	gen, err := g.known(c, spec, given)
 	if gen == nil && err == nil {
-		gen, err = g.start(spec, carrier)
+		gen, err = g.start(c, spec)
 	}
 	if err != nil {
 		span.RecordError(err)
@@ -146,19 +146,16 @@
 	g.answer(ctx, gen, cursor.New(gen.Spec().Generation), spec.Streamed, span)
 }
 
-// span begins the span of the caller's hop.
-func (g *Gateway) span(ctx *fasthttp.RequestCtx, spec generation.Spec) (trace.Span, propagation.MapCarrier) {
+// span begins the span of the caller's hop. The context that holds it does not
+// end with the handler.
+func (g *Gateway) span(ctx *fasthttp.RequestCtx, spec generation.Spec) (context.Context, trace.Span) {
 	in := propagation.MapCarrier{"traceparent": string(ctx.Request.Header.Peek("traceparent"))}
-	tc := propagation.TraceContext{}
-	c, span := g.ports.Tracer.Start(tc.Extract(context.Background(), in), "caller request",
+	return g.ports.Tracer.Start(propagation.TraceContext{}.Extract(context.Background(), in), "caller request",
 		trace.WithSpanKind(trace.SpanKindServer),
 		trace.WithAttributes(
-			attribute.String("request", string(spec.Request)),
-			attribute.String("workspace", string(spec.Workspace)),
-			attribute.String("model", spec.Model)))
-	out := propagation.MapCarrier{}
-	tc.Inject(c, out)
-	return span, out
+			attribute.String("Request", string(spec.Request)),
+			attribute.String("Workspace", string(spec.Workspace)),
+			attribute.String("Model", spec.Model)))
 }
 
 // spec reads the request and pins what it is made from.
@@ -204,11 +201,11 @@
 }
 
 // known returns the generation of a request that the caller sent before.
-func (g *Gateway) known(spec generation.Spec, given bool) (*owner.Generation, *result.Error) {
+func (g *Gateway) known(c context.Context, spec generation.Spec, given bool) (*owner.Generation, *result.Error) {
 	if !given || g.cfg.NoLookUp {
 		return nil, nil
 	}
-	gen, err := g.ports.Find(context.Background(), replica.Name{Workspace: spec.Workspace, Request: spec.Request}, nil)
+	gen, err := g.ports.Find(c, replica.Name{Workspace: spec.Workspace, Request: spec.Request}, nil)
 	switch {
 	case err != nil && err.Code == result.NotFound:
 		return nil, nil
@@ -221,14 +218,16 @@
 }
 
 // start admits a new generation and begins it.
-func (g *Gateway) start(spec generation.Spec, carrier propagation.MapCarrier) (*owner.Generation, *result.Error) {
+func (g *Gateway) start(c context.Context, spec generation.Spec) (*owner.Generation, *result.Error) {
 	if g.ports.Leaving() {
 		return nil, result.New(result.InstanceLeaving, "send the request again; another instance will take it").After(time.Second)
 	}
-	finish, err := g.ports.Admit(context.Background(), spec)
+	finish, err := g.ports.Admit(c, spec)
 	if err != nil {
 		return nil, err
 	}
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(c, carrier)
 	return g.ports.Owner.Start(spec, carrier, finish), nil
 }
 
@@ -269,8 +268,8 @@
 
 // goOn answers from a cursor, or from the start if there is none.
 func (g *Gateway) goOn(ctx *fasthttp.RequestCtx, n replica.Name, c *cursor.Cursor) {
-	span, _ := g.span(ctx, generation.Spec{Request: n.Request, Workspace: n.Workspace})
-	gen, err := g.ports.Find(context.Background(), n, c)
+	tc, span := g.span(ctx, generation.Spec{Request: n.Request, Workspace: n.Workspace})
+	gen, err := g.ports.Find(tc, n, c)
 	if err != nil {
 		span.RecordError(err)
 		span.End()
--- a/operatorapi/api.go
+++ b/operatorapi/api.go
@@ -18,6 +18,10 @@
 
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 
 	"crocuslug/configuration"
 	"crocuslug/ident"
@@ -53,6 +57,7 @@
 	MaxBodyBytes     int           // 0 means 64 MiB
 	Timeout          unit.Duration // of one request; 0 means 15 s
 	Log              zerolog.Logger
+	Tracer           trace.Tracer // nil makes no spans
 }
 
 // RollbackRequest asks for a plan that brings the content of a revision back.
@@ -99,6 +104,9 @@
 	if cfg.Timeout <= 0 {
 		cfg.Timeout = unit.Duration(defaultTimeout)
 	}
+	if cfg.Tracer == nil {
+		cfg.Tracer = noop.NewTracerProvider().Tracer("")
+	}
 	if ports.Usage == nil {
 		ports.Usage = func() plan.Usage { return plan.Usage{} }
 	}
@@ -160,6 +168,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), a.cfg.Timeout.Std())
 	defer cancel()
+	carrier := propagation.MapCarrier{"traceparent": string(req.Request.Header.Peek("traceparent"))}
+	ctx, span := a.cfg.Tracer.Start(propagation.TraceContext{}.Extract(ctx, carrier), "operator request",
+		trace.WithSpanKind(trace.SpanKindServer), trace.WithAttributes(attribute.String("Path", string(req.Path()))))
+	defer span.End()
 	by, err := a.authenticate(ctx, string(req.Request.Header.Peek(fasthttp.HeaderAuthorization)))
 	if err != nil {
 		return nil, err
--- a/owner/generation.go
+++ b/owner/generation.go
@@ -169,7 +169,7 @@
 	}
 	go func() {
 		if err := g.owner.ports.Engines.Cancel(address, a.Stream); err != nil {
-			g.owner.ports.Log.Debug().Str("upstream", string(a.Upstream)).Str("stream", a.Stream).Err(err).Msg("cancel failed")
+			g.owner.ports.Log.Debug().Str("Upstream", string(a.Upstream)).Str("Stream", a.Stream).Err(err).Msg("cancel failed")
 		}
 	}()
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -153,9 +153,10 @@
 	return o.add(g)
 }
 
-// Adopt goes on with a generation that was taken over. It returns an error if
-// the snapshot's spec cannot be read.
-func (o *Owner) Adopt(s replica.Snapshot) (*Generation, error) {
+// Adopt goes on with a generation that was taken over. Carrier holds the headers
+// of the trace of the request that made it move, and may be nil. It returns an
+// error if the snapshot's spec cannot be read.
+func (o *Owner) Adopt(s replica.Snapshot, carrier propagation.MapCarrier) (*Generation, error) {
 	var spec generation.Spec
 	if err := json.Unmarshal(s.Spec, &spec); err != nil {
 		return nil, err
@@ -168,7 +169,9 @@
 		Finish:   s.Finish,
 		Done:     s.Done,
 	})
-	return o.add(newGeneration(o, m, len(s.Tokens))), nil
+	g := newGeneration(o, m, len(s.Tokens))
+	g.trace = carrier
+	return o.add(g), nil
 }
 
 func (o *Owner) add(g *Generation) *Generation {
--- a/owner/run.go
+++ b/owner/run.go
@@ -52,10 +52,10 @@
 	ctx := propagation.TraceContext{}.Extract(context.Background(), g.trace)
 	ctx, span := g.owner.ports.Tracer.Start(ctx, "upstream stream", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(
-			attribute.String("upstream", string(r.act.Upstream)),
-			attribute.String("generation", string(g.machine.Spec().Generation)),
-			attribute.Int("attempt", int(r.act.Attempt)),
-			attribute.Int("from", r.act.From)))
+			attribute.String("Upstream", string(r.act.Upstream)),
+			attribute.String("Generation", string(g.machine.Spec().Generation)),
+			attribute.Int("Attempt", int(r.act.Attempt)),
+			attribute.Int("From", r.act.From)))
 	defer span.End()
 	req.Trace = propagation.MapCarrier{}
 	propagation.TraceContext{}.Inject(ctx, req.Trace)
--- a/peerlink/link.go
+++ b/peerlink/link.go
@@ -10,6 +10,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/rs/zerolog"
 	"github.com/zeebo/errs"
+	"go.opentelemetry.io/otel/trace"
 
 	"crocuslug/ident"
 	"crocuslug/result"
@@ -28,6 +29,8 @@
 	Cut func(to ident.Instance) bool
 	// CutFrom says whether what this instance receives from another is lost.
 	CutFrom func(from ident.Instance) bool
+	// Tracer makes the spans of calls that belong to a trace; nil makes none.
+	Tracer trace.Tracer
 
 	cfg     Settings
 	timer   *timer.Service
--- a/peerlink/rpc.go
+++ b/peerlink/rpc.go
@@ -27,13 +27,20 @@
 // call cannot have reached it and Unknown otherwise; an error of the handler is
 // returned as the *result.Error that it gave.
 func (l *Link) Call(ctx context.Context, to ident.Instance, method string, params, out any) error {
+	ctx, span, opts := l.span(ctx, to, method)
+	err := l.call(ctx, to, method, params, out, opts)
+	finish(span, err)
+	return err
+}
+
+func (l *Link) call(ctx context.Context, to ident.Instance, method string, params, out any, opts []jsonrpc2.CallOption) error {
 	c, err := l.ready(ctx, to)
 	if err != nil {
 		return err
 	}
 	c.busy.Add(1)
 	defer c.busy.Add(-1)
-	w, e := c.rpc.DispatchCall(ctx, method, params)
+	w, e := c.rpc.DispatchCall(ctx, method, params, opts...)
 	if e != nil {
 		return notSent(to, e)
 	}
@@ -162,7 +169,9 @@
 	if req.Params != nil {
 		params = *req.Params
 	}
+	ctx, span := s.c.link.received(ctx, s.c.id(), req)
 	out, err := h(ctx, s.c.id(), params)
+	finish(span, err)
 	s.answer(ctx, rpc, req, out, err)
 }
 
--- a/serviceproxy/action.go
+++ b/serviceproxy/action.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return result.New(result.Malformed, dateHeader+" is malformed")
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(r.trace)
 	defer cancel()
 	sub := p.timer.After(r.limit, func(time.Time) { cancel() })
 	defer sub.Stop()
--- a/serviceproxy/exchange.go
+++ b/serviceproxy/exchange.go
@@ -50,7 +50,13 @@
 	req.URI().SetPath(r.path)
 	req.URI().SetQueryStringBytes(r.ctx.URI().QueryString())
 	req.Header.SetHost(up.Address)
-	if err := roundTrip(conn, req, resp, p.timer.Now().Add(r.limit), p.cfg.MaxBody); err != nil {
+	span := p.sent(r, up, req)
+	err := roundTrip(conn, req, resp, p.timer.Now().Add(r.limit), p.cfg.MaxBody)
+	if err != nil {
+		span.RecordError(err)
+	}
+	span.End()
+	if err != nil {
 		return err
 	}
 	for _, h := range hopHeaders {
--- a/serviceproxy/proxy.go
+++ b/serviceproxy/proxy.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 
 	"crocuslug/claim"
 	"crocuslug/claimwriter"
@@ -49,6 +51,8 @@
 	// Take and Settle are those of claimwriter.Writer.
 	Take   func(ctx context.Context, r claimwriter.Request) (claim.Operation, claim.Verdict)
 	Settle func(op claim.Operation)
+	// Tracer makes spans; nil makes none.
+	Tracer trace.Tracer
 	// Problem writes a failure to the caller.
 	Problem func(ctx *fasthttp.RequestCtx, e *result.Error, id ident.Request)
 }
@@ -74,6 +78,9 @@
 	if cfg.MaxTries == 0 {
 		cfg.MaxTries = defaultMaxTries
 	}
+	if seams.Tracer == nil {
+		seams.Tracer = noop.NewTracerProvider().Tracer("")
+	}
 	return &Proxy{cfg: cfg, seams: seams, timer: t}
 }
 
@@ -83,6 +90,7 @@
 // request is a caller's request with what is known of it.
 type request struct {
 	ctx       *fasthttp.RequestCtx
+	trace     context.Context // holds the span of the caller's hop
 	id        ident.Request
 	workspace ident.Workspace
 	service   configuration.Service
@@ -94,10 +102,13 @@
 // Handle serves one request.
 func (p *Proxy) Handle(ctx *fasthttp.RequestCtx) {
 	r, err := p.read(ctx)
+	span := p.received(r)
+	defer span.End()
 	if err == nil {
 		err = p.serve(r)
 	}
 	if err != nil {
+		span.RecordError(err)
 		p.seams.Problem(ctx, err, r.id)
 	}
 }
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/propagation"
 
 	"crocuslug/cursor"
 	"crocuslug/ident"
@@ -189,12 +190,14 @@
 	if c != nil && !holds(s, *c) {
 		return nil, result.New(result.GenerationLost, "what was delivered cannot be continued; discard it").Ran(result.RunUnknown)
 	}
-	g, adoptErr := t.ports.Owner.Adopt(s)
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, carrier)
+	g, adoptErr := t.ports.Owner.Adopt(s, carrier)
 	if adoptErr != nil {
 		return nil, result.New(result.Fault, adoptErr.Error()).Ran(result.RunUnknown)
 	}
-	t.ports.Log.Info().Str("request", string(n.Request)).Str("generation", string(s.Generation)).
-		Str("workspace", string(n.Workspace)).Str("from", string(from)).Int("tokens", len(s.Tokens)).Msg("generation taken over")
+	t.ports.Log.Info().Str("Request", string(n.Request)).Str("Generation", string(s.Generation)).
+		Str("Workspace", string(n.Workspace)).Str("From", string(from)).Uint64("Attempt", uint64(s.Attempt)).Int("Tokens", len(s.Tokens)).Msg("generation taken over")
 	return g, nil
 }
 
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -101,6 +101,9 @@
 		FormatLevel:     pair("Level"),
 		FormatMessage:   pair("Event"),
 		FormatTimestamp: pair("Time"),
+		// zerolog names the field of Err for the whole process; its own name
+		// is not in Pascal case.
+		FormatErrFieldName: func(any) string { return "Error=" },
 	}
 	return zerolog.New(out).Level(l).With().Timestamp().Logger()
 }
--- /dev/null
+++ b/telemetry/telemetry_test.go
@@ -0,0 +1,46 @@
+package telemetry
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"crocuslug/settings"
+)
+
+// TestLog asks that each event is one line of key=value pairs with keys in
+// Pascal case, whatever the values hold.
+func TestLog(t *testing.T) {
+	var out strings.Builder
+	log := NewLog(&out, "").With().Str("Instance", "a").Logger()
+	log.Debug().Msg("not printed")
+	log.Warn().Str("Request", "r 1").Int("Attempt", 2).Str("Detail", "two\nlines\x00 a=b").Err(errors.New("it\nbroke")).
+		Msg("generation\nended")
+	got := regexp.MustCompile(`^Time=\S+ `).ReplaceAllString(out.String(), "")
+	want := `Level=warn Event="generation\nended" Error="it\nbroke" Attempt=2 Detail="two\nlines\x00 a=b" Instance=a Request="r 1"` + "\n"
+	if got != want {
+		t.Errorf("line: got\n%swant\n%s", got, want)
+	}
+}
+
+// TestFile asks that spans reach the file, with the caller's trace in force.
+func TestFile(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "spans")
+	tr, err := New(settings.Trace{File: file, Share: 1}, "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, span := tr.Tracer.Start(t.Context(), "caller request")
+	span.End()
+	tr.Stop()
+	b, err := os.ReadFile(file)
+	if err != nil || !strings.Contains(string(b), "caller request") || !strings.Contains(string(b), span.SpanContext().TraceID().String()) {
+		t.Errorf("file: got %q, %v, want the span", b, err)
+	}
+	if _, err := New(settings.Trace{File: filepath.Join(file, "none")}, "a"); err == nil {
+		t.Error("file that cannot be opened: got no error, want one")
+	}
+}
