Tell queues, members, platform calls and bytes in the metrics

Cause: /metrics told the streams and latencies only, and names appeared with their first event, so that an alarm could not tell none from unknown. Change: gauges that are read when asked; all counters but those by result are there from the start; answers are counted by result. docs/operators/metrics.md lists all; a test holds it against a running instance both ways. Not metered: the processor time of control alone; ProcessorMs is the process. Seen failing: with the row of TokensStale removed and UpstreamsReadmitted not registered, TestMetricsPage named both. 17 runs with -race passed.

--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -24,6 +24,9 @@
 
 func newMeters() *meters {
 	r := metrics.NewRegistry()
+	for _, name := range counted {
+		metrics.NewRegisteredCounter(name, r)
+	}
 	return &meters{
 		registry: r,
 		resume:   metrics.NewRegisteredHistogram("ResumeLatencyUs", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
@@ -33,6 +36,13 @@
 	}
 }
 
+// counted are the counters that are there from the start. Those of results,
+// such as Generations.OK, appear with their first event.
+var counted = []string{
+	"StreamsStarted", "StreamsResumed", "StreamsContinued", "TokensStale", "TokensUnreplicated",
+	"UpstreamsEjected", "UpstreamsReadmitted", "Retries", "SpilledIn", "SpilledOut", "PollBytes",
+}
+
 func (m *meters) count(name string, n int) {
 	metrics.GetOrRegisterCounter(name, m.registry).Inc(int64(n))
 }
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -30,8 +30,9 @@
 	r.MethodNotAllowed = func(ctx *fasthttp.RequestCtx) {
 		problem.Write(ctx, result.New(result.MethodNotAllowed, "see the Allow header"), "")
 	}
+	d.buildGauges()
 	d.server = &fasthttp.Server{
-		Handler:               r.Handler,
+		Handler:               d.countAnswers(r.Handler),
 		HeaderReceived:        d.bounds,
 		ErrorHandler:          d.malformed,
 		Name:                  "crocuslug",
