--- /dev/null
+++ b/claim/fuzz_test.go
@@ -0,0 +1,55 @@
+package claim
+
+import (
+	"testing"
+	"time"
+)
+
+// FuzzLoad asks that a head that was read can be written and read again, and
+// that a claim on it is evaluated whatever it holds.
+func FuzzLoad(f *testing.F) {
+	now := time.Unix(1_700_000_000, 0)
+	b := New(Settings{})
+	op := Operation{Key: KeyOf("w", "s", "k"), Claim: "c", State: Running, StartBy: now.Add(time.Second), Until: now.Add(time.Minute)}
+	b.Apply(op, now)
+	sound, err := b.Head()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(sound)
+	f.Add([]byte(`{"Tail": [{}, {}], "Segments": [{}]}`))
+	f.Add([]byte(`null`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		b := New(Settings{})
+		read := func(string) ([]Entry, error) { return nil, nil }
+		if b.Load(value, now, read) != nil {
+			return
+		}
+		v := b.Apply(op, now)
+		head, err := b.Head()
+		if err != nil {
+			t.Fatal(err)
+		}
+		again := New(Settings{})
+		if err := again.Load(head, now, read); err != nil {
+			t.Fatalf("second reading: got %v, want none", err)
+		}
+		if w := again.Apply(op, now); v.Granted != w.Granted {
+			t.Errorf("claim on the written head: got granted %t, want %t", w.Granted, v.Granted)
+		}
+	})
+}
+
+// FuzzIssueTime asks that a key's time is read or refused, and none is no error.
+func FuzzIssueTime(f *testing.F) {
+	f.Add("0190f3c2-7b1e-7cc3-98c4-dc0c0c07398f", "")
+	f.Add("k", "Thu, 03 Dec 2026 22:41:07 GMT")
+	f.Add("k", "2026-12-03T22:41:07Z")
+	f.Add("urn:uuid:ffffffff-ffff-7fff-ffff-ffffffffffff", "")
+	f.Fuzz(func(t *testing.T, key, date string) {
+		at, err := IssueTime(key, date)
+		if err == nil && date == "" && !at.IsZero() && at.Before(time.Unix(0, 0)) {
+			t.Errorf("time in %q: got %v, want none before 1970", key, at)
+		}
+	})
+}
--- a/engineclient/client.go
+++ b/engineclient/client.go
@@ -137,6 +137,9 @@
 	if err := json.Unmarshal(r.Body, &fields); err != nil {
 		return nil, errs.Wrap(err)
 	}
+	if fields == nil {
+		return nil, errs.New("want a request in JSON")
+	}
 	set := func(name string, v any) {
 		// Strings and lists of strings always have a JSON form.
 		fields[name], _ = json.Marshal(v)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strings"
 	"time"
 
@@ -74,19 +73,6 @@
 	return &Gateway{cfg: cfg, ports: ports}
 }
 
-// completion is the part of a chat completion request that the system reads.
-type completion struct {
-	Model    string `json:"model"`
-	Messages []struct {
-		Role    string `json:"role"`
-		Content string `json:"content"`
-	} `json:"messages"`
-	Stream    bool   `json:"stream"`
-	MaxTokens int    `json:"max_tokens"`
-	Version   string `json:"version"`
-	Adapter   string `json:"adapter"`
-}
-
 // requestHeader carries the request id.
 const requestHeader = "X-Request-Id"
 
@@ -160,21 +146,10 @@
 
 // spec reads the request and pins what it is made from.
 func (g *Gateway) spec(ctx *fasthttp.RequestCtx, w ident.Workspace, id ident.Request) (generation.Spec, *result.Error) {
-	var c completion
 	body := ctx.PostBody()
-	if err := json.Unmarshal(body, &c); err != nil {
-		return generation.Spec{}, result.New(result.Malformed, "body: want a chat completion in JSON")
-	}
-	switch {
-	case c.Model == "":
-		return generation.Spec{}, result.New(result.Malformed, "model: want the name of a model")
-	case len(c.Messages) == 0:
-		return generation.Spec{}, result.New(result.Malformed, "messages: want at least one")
-	case c.MaxTokens < 0 || c.MaxTokens > g.cfg.MaxTokens:
-		return generation.Spec{}, result.Newf(result.TooLarge, "max_tokens: want 1 to %d", g.cfg.MaxTokens)
-	}
-	if c.MaxTokens == 0 {
-		c.MaxTokens = g.cfg.MaxTokens
+	c, err := readCompletion(body, g.cfg.MaxTokens)
+	if err != nil {
+		return generation.Spec{}, err
 	}
 	spec := generation.Spec{
 		Request:     id,
--- a/intent/intent.go
+++ b/intent/intent.go
@@ -10,6 +10,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"maps"
 	"reflect"
 	"slices"
@@ -60,12 +61,17 @@
 	if err := d.Decode(&in); err != nil {
 		return Intent{}, errs.New("intent: %v", err)
 	}
-	if d.More() {
+	if _, err := d.Token(); err != io.EOF || !isObject(body) {
 		return Intent{}, errs.New("intent: want one JSON object")
 	}
 	return in, nil
 }
 
+// isObject tells an object from null, which decodes into anything.
+func isObject(body []byte) bool {
+	return bytes.HasPrefix(bytes.TrimLeft(body, " \t\r\n"), []byte("{"))
+}
+
 // Apply returns the document that in makes of base, at the revision of base,
 // or all problems that it finds. Neither argument is changed.
 func Apply(base configuration.Document, in Intent) (configuration.Document, []Problem) {
--- a/operatorapi/api.go
+++ b/operatorapi/api.go
@@ -12,6 +12,7 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -329,5 +330,8 @@
 	if err := d.Decode(v); err != nil {
 		return result.New(result.Malformed, err.Error())
 	}
+	if _, err := d.Token(); err != io.EOF {
+		return result.New(result.Malformed, "want one JSON object and nothing after it")
+	}
 	return nil
 }
--- /dev/null
+++ b/problem/fuzz_test.go
@@ -0,0 +1,21 @@
+package problem
+
+import "testing"
+
+// FuzzRead asks that only known codes are read, with no wait below zero.
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(`{"Code": 201, "Run": "NotRun", "RetryAfterMs": 5}`))
+	f.Add([]byte(`{"Code": 7}`))
+	f.Add([]byte(`{"Code": 201, "RetryAfterMs": -9223372036854775808}`))
+	f.Add([]byte(`{"Code": 201, "RetryAfterMs": 9223372036854775807}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		e, ok := Read(body)
+		if !ok {
+			return
+		}
+		e.Code.Info() // panics if the code is not known
+		if e.RetryAfter < 0 {
+			t.Errorf("wait: got %v, want none below 0", e.RetryAfter)
+		}
+	})
+}
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -85,10 +85,13 @@
 		Code:       d.Code,
 		Run:        d.Run,
 		Detail:     d.Detail,
-		RetryAfter: time.Duration(d.RetryAfterMs) * time.Millisecond,
+		RetryAfter: time.Duration(min(max(d.RetryAfterMs, 0), maxRetryMs)) * time.Millisecond,
 	}, true
 }
 
+// maxRetryMs bounds what is read, so that it fits a time.Duration.
+const maxRetryMs = int64(24 * time.Hour / time.Millisecond)
+
 // ceil returns d in whole units, rounded up.
 func ceil(d, unit time.Duration) int64 {
 	if d <= 0 {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -87,8 +87,6 @@
 	}
 	if e.Base {
 		c = &copied{name: name, spec: e.Spec, origin: e.Origin}
-		s.copies[e.Generation] = c
-		s.byName[name] = e.Generation
 	} else if !known || e.Origin != c.origin {
 		ack.Status = batch.Needs
 		return ack
@@ -98,6 +96,11 @@
 		ack.Status = batch.Needs
 		return ack
 	}
+	if e.Base {
+		s.drop(e.Generation) // its name may have been another one
+		s.copies[e.Generation] = c
+		s.byName[name] = e.Generation
+	}
 	c.owner, c.touched = from, now
 	c.upstream, c.stream = e.Upstream, e.Stream
 	ack.Upto = c.log.Position()
--- a/tokenlog/tokenlog.go
+++ b/tokenlog/tokenlog.go
@@ -101,6 +101,8 @@
 	switch {
 	case a != l.attempt:
 		return Stale
+	case index < 0:
+		return Mismatch
 	case index > len(l.ends):
 		return Gap
 	}
