--- a/access/access.go
+++ b/access/access.go
@@ -42,11 +42,17 @@
 func (k *Keys) index(doc *configuration.Document) {
 	for _, w := range doc.Workspaces {
 		for _, h := range w.KeyHashes {
+			if h == "" {
+				continue // the hash of no key
+			}
 			k.workspaces[strings.ToLower(h)] = w.Name
 		}
 	}
 	for _, o := range doc.Operators {
 		for _, h := range o.KeyHashes {
+			if h == "" {
+				continue
+			}
 			k.operators[strings.ToLower(h)] = o.Name
 		}
 	}
@@ -60,16 +66,14 @@
 
 // Workspace returns the workspace that the Authorization header names.
 func (k *Keys) Workspace(authorization []byte) (ident.Workspace, bool) {
-	h := bearerHash(authorization)
-	w, ok := k.workspaces[h]
-	return w, ok && h != ""
+	w, ok := k.workspaces[bearerHash(authorization)]
+	return w, ok
 }
 
 // Operator returns the operator that the Authorization header names.
 func (k *Keys) Operator(authorization []byte) (string, bool) {
-	h := bearerHash(authorization)
-	o, ok := k.operators[h]
-	return o, ok && h != ""
+	o, ok := k.operators[bearerHash(authorization)]
+	return o, ok
 }
 
 // scheme goes before the key in the Authorization header.
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -179,7 +179,8 @@
 	if a.at.After(b.at) {
 		a, b = b, a
 	}
-	return a.upstream == b.upstream && b.at.Sub(a.at) < l.cfg.Window && !b.at.Add(-b.ran).After(a.at)
+	again := b.ran > 0 && b.at.Add(-b.ran).After(a.at)
+	return a.upstream == b.upstream && b.at.Sub(a.at) < l.cfg.Window && !again
 }
 
 // Finished notes that an answer to content fp came to its end, which acquits it.
