Refuse at once what its priority's own drain cannot start, tell engines priorities

Cause: in the lunch hour the batch work was let into the queue by the drain of all work, of which higher priorities left it nearly nothing, and expired there: a tenth of all refusals came after the whole deadline.

Change: the estimate of a wait also takes the drain of the request's own priority, which is forgotten when nothing of it waits. Engines are told the priority, with continued answers between urgent and normal ones.

--- a/admission/next.go
+++ b/admission/next.go
@@ -11,7 +11,7 @@
 func (q *Queue) Next(capacity int, now time.Time) ([]Grant, []Answer) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.drain.roll(len(q.entries) > 0, now)
+	q.roll(now)
 	var gs []Grant
 	var as []Answer
 	for len(gs) < capacity {
@@ -90,6 +90,7 @@
 	q.granted[e.ID] = e.Item
 	q.running[e.Workspace]++
 	q.drain.cost += e.Cost
+	q.drains[p].cost += e.Cost
 	return Grant{e.Item, now.Sub(e.since)}
 }
 
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -40,6 +40,7 @@
 	granted map[ident.Generation]Item
 	running map[ident.Workspace]int
 	drain   drain
+	drains  [priorities]drain // of each priority alone
 	seq     uint64
 }
 
@@ -63,6 +64,9 @@
 		running: make(map[ident.Workspace]int),
 	}
 	q.drain.window = q.cfg.Window.Std()
+	for p := range q.drains {
+		q.drains[p].window = q.cfg.Window.Std()
+	}
 	for p := range q.classes {
 		q.classes[p] = newClass()
 	}
@@ -76,7 +80,7 @@
 func (q *Queue) Offer(it Item, now time.Time) (*result.Error, []Answer) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.drain.roll(len(q.entries) > 0, now)
+	q.roll(now)
 	it.Cost = max(1, it.Cost)
 	if q.known(it.ID) {
 		return result.New(result.RequestConflict, "the generation waits or runs already"), nil
@@ -199,17 +203,30 @@
 	return as
 }
 
-// startIn estimates the wait of it from the cost that goes first and the drain.
+// roll ends the windows of the drains that are over. What a priority got is
+// forgotten when nothing of it waits.
+func (q *Queue) roll(now time.Time) {
+	q.drain.roll(len(q.entries) > 0, now)
+	for p, c := range q.classes {
+		if c.items == 0 {
+			q.drains[p].known = false
+		}
+		q.drains[p].roll(c.items > 0, now)
+	}
+}
+
+// startIn estimates the wait of it from the cost that goes first and the drain:
+// that of all, and that of its priority, which higher ones may leave little.
 func (q *Queue) startIn(it Item) time.Duration {
 	c := q.classes[it.Priority]
-	ahead := 0.0
+	ahead, own := 0.0, 0.0
 	for p := Urgent; p < it.Priority; p++ {
 		ahead += q.classes[p].cost
 	}
 	if f, ok := c.flows[it.Workspace]; ok {
-		ahead += min(c.cost, f.backlog(0)*max(c.shares, f.share))
+		own = min(c.cost, f.backlog(0)*max(c.shares, f.share))
 	}
-	return q.drain.delay(ahead, time.Hour)
+	return max(q.drain.delay(ahead+own, time.Hour), q.drains[it.Priority].delay(own, time.Hour))
 }
 
 // refusal returns the final error with a RetryAfter that a hash of the id
@@ -245,7 +262,7 @@
 func (q *Queue) Expire(now time.Time) []Answer {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.drain.roll(len(q.entries) > 0, now)
+	q.roll(now)
 	for _, c := range q.classes {
 		for _, f := range c.flows {
 			c.unpark(f)
--- a/admission/return.go
+++ b/admission/return.go
@@ -17,7 +17,9 @@
 		return nil
 	}
 	q.forget(it)
-	q.drain.cost = max(0, q.drain.cost-it.Cost)
+	for _, d := range []*drain{&q.drain, &q.drains[it.Priority]} {
+		d.cost = max(0, d.cost-it.Cost)
+	}
 	share := q.limits(it.Workspace).Share
 	if share <= 0 {
 		share = 1
--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -125,5 +125,7 @@
 		return result.Newf(result.NotFound, "model %q is not configured", spec.Model)
 	}
 	spec.Service = s
+	rule := d.doc.Load().ruleOf(spec.Workspace, s, "POST", completionsPath)
+	spec.Priority = int(priorities[rule.Priority])
 	return nil
 }
--- a/engineclient/client.go
+++ b/engineclient/client.go
@@ -54,13 +54,14 @@
 
 // Request is what a stream is started from.
 type Request struct {
-	Address string
-	Stream  string
-	Body    []byte   // the caller's request, JSON
-	Held    []string // tokens to continue from
-	Version string
-	Adapter string
-	Trace   propagation.MapCarrier // headers of the trace, may be nil
+	Address  string
+	Stream   string
+	Body     []byte   // the caller's request, JSON
+	Held     []string // tokens to continue from
+	Version  string
+	Adapter  string
+	Priority int                    // lower runs sooner
+	Trace    propagation.MapCarrier // headers of the trace, may be nil
 }
 
 // Lost is the error of a stream that could not be opened or went on.
@@ -142,6 +143,7 @@
 		fields[name], _ = json.Marshal(v)
 	}
 	set("stream", true)
+	set("priority", r.Priority)
 	if r.Version != "" {
 		set("version", r.Version)
 	}
--- a/measureload/tally.go
+++ b/measureload/tally.go
@@ -30,6 +30,7 @@
 	Whole               int
 	Refused             map[string]int // by code
 	RefusedP95Ms        *float64       // time until a refusal
+	RefusedAtOnce       float64        // share of the refusals that came within 250 ms
 }
 
 // tally counts the answers of a lunch hour.
@@ -43,6 +44,7 @@
 	offered map[ident.Workspace]float64
 	served  map[ident.Workspace]float64
 	lookUps [2]int // offered, answered
+	atOnce  int
 	f       lunchFigures
 }
 
@@ -62,6 +64,9 @@
 // lateSlack is the time beyond a deadline that an answer may take on a busy machine.
 const lateSlack = 500 * time.Millisecond
 
+// atOnce is the time within which a refusal counts as given at once.
+const atOnce = 250 * time.Millisecond
+
 // busyFrom and busyTo bound the time in which shares are compared.
 const (
 	busyFrom = 9 * time.Second
@@ -107,6 +112,9 @@
 func (t *tally) refused(a answered, k kind) {
 	t.f.Refused[a.Err.Code.String()]++
 	_ = t.refusal.RecordValue(a.Total.Microseconds())
+	if a.Total <= atOnce {
+		t.atOnce++
+	}
 	switch a.Err.Code {
 	case result.Overloaded, result.DeadlineInfeasible, result.WorkspaceLimit, result.NoUpstream:
 	default:
@@ -166,6 +174,7 @@
 	f.FirstTokenP95Ms = measure.Quantile(t.first, 95)
 	f.LookUpP95Ms = measure.Quantile(t.lookUp, 95)
 	f.RefusedP95Ms = measure.Quantile(t.refusal, 95)
+	f.RefusedAtOnce = float64(t.atOnce) / float64(max(1, int(t.refusal.TotalCount())))
 	f.LookUpsAnswered = float64(t.lookUps[1]) / float64(max(1, t.lookUps[0]))
 	total := time.Duration(0)
 	for _, p := range lunchPhases {
--- a/owner/run.go
+++ b/owner/run.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"crocuslug/admission"
 	"crocuslug/engineclient"
 	"crocuslug/generation"
 	"crocuslug/ident"
@@ -43,6 +44,10 @@
 		spec := g.machine.Spec()
 		req.Body, req.Version, req.Adapter = spec.Body, spec.Version, spec.Adapter
 		req.Held = g.machine.Log().Tokens(0, a.From)
+		req.Priority = spec.Priority
+		if a.Attempt > 1 {
+			req.Priority = min(req.Priority, int(admission.Resumed))
+		}
 	}
 	go r.run(req)
 }
