Keep a few slots for urgent work

Each instance counts the positive parts of its estimates as free slots, so that several send at once what they believe to be free, and then nobody sends for a while.

Change: work that is not urgent starts only while the slots of the failure domain less all requests there, overfull engines included, are above a share that is kept for urgent work (Load.UrgentShare, 0.03). The bounds on how often a lower priority is passed hold as before.

--- a/admission/next.go
+++ b/admission/next.go
@@ -9,13 +9,19 @@
 // Next grants up to capacity requests in their turn. The answers are of requests
 // whose deadline has passed when their turn came.
 func (q *Queue) Next(capacity int, now time.Time) ([]Grant, []Answer) {
+	return q.NextOf(Batch, capacity, now)
+}
+
+// NextOf grants like Next, but only requests of the lowest priority given or
+// higher ones, and those that were passed as often as may be.
+func (q *Queue) NextOf(lowest Priority, capacity int, now time.Time) ([]Grant, []Answer) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.roll(now)
 	var gs []Grant
 	var as []Answer
 	for len(gs) < capacity {
-		p, f := q.turn()
+		p, f := q.turn(lowest)
 		if f == nil {
 			break
 		}
@@ -29,8 +35,8 @@
 }
 
 // turn returns the flow whose turn it is: that of the priority that was passed
-// most beyond its bound, or else of the highest.
-func (q *Queue) turn() (Priority, *flow) {
+// most beyond its bound, or else of the highest down to the lowest given.
+func (q *Queue) turn(lowest Priority) (Priority, *flow) {
 	var first, due *flow
 	var firstP, dueP Priority
 	most := -1
@@ -39,7 +45,7 @@
 		if f == nil {
 			continue
 		}
-		if first == nil {
+		if first == nil && p <= lowest {
 			first, firstP = f, p
 		}
 		if over := q.classes[p].bypassed - q.bypass(p); p != Urgent && over > most {
--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"strings"
 	"time"
 
@@ -149,19 +150,31 @@
 	d.line.pump(now)
 }
 
-// free returns how many generations could start now. New work is held back
-// while a lost answer waits for an engine.
-func (d *Daemon) free(now time.Time) int {
-	if now.UnixNano() < d.heldBack.Load() {
-		return 0
-	}
-	if n := d.chooser.Free(now); n > 0 {
-		return n
-	}
-	if d.roomElsewhere(now) {
-		return 1
+// defaultUrgentShare is the share of the slots that only urgent work may take.
+const defaultUrgentShare = 0.03
+
+// unreserved returns the slots that work of any priority may take.
+func (d *Daemon) unreserved(now time.Time) float64 {
+	share := d.cfg.Load.UrgentShare
+	if share == 0 {
+		share = defaultUrgentShare
 	}
-	return 0
+	net, slots := d.chooser.Net(now)
+	return net - math.Ceil(share*slots)
+}
+
+// free returns whether a generation could start now, and of which priority at
+// the lowest. New work is held back while a lost answer waits for an engine.
+func (d *Daemon) free(now time.Time) (admission.Priority, bool) {
+	switch {
+	case now.UnixNano() < d.heldBack.Load():
+		return 0, false
+	case d.chooser.Free(now) <= 0:
+		return admission.Batch, d.roomElsewhere(now)
+	case d.unreserved(now) < 0:
+		return admission.Urgent, true
+	}
+	return admission.Batch, true
 }
 
 // place reserves an engine for a granted generation.
--- a/daemon/line.go
+++ b/daemon/line.go
@@ -17,8 +17,9 @@
 // queue, with place, or answered.
 type line struct {
 	queue *admission.Queue
-	// capacity returns how many requests could be placed now.
-	capacity func(now time.Time) int
+	// capacity returns whether a request could be placed now, and of which
+	// priority it may be at the lowest.
+	capacity func(now time.Time) (admission.Priority, bool)
 	// place finds a place for a granted request and answers it through
 	// ticket.answer, or returns false if there is none now. It must not block.
 	place func(t *ticket, now time.Time) bool
@@ -140,10 +141,14 @@
 func (l *line) round(now time.Time) {
 	var back []admission.Grant
 	for len(back) < maxMisses {
-		if n, _ := l.queue.Len(); n == 0 || l.capacity(now) <= 0 {
+		if n, _ := l.queue.Len(); n == 0 {
 			break
 		}
-		gs, late := l.queue.Next(1, now)
+		lowest, ok := l.capacity(now)
+		if !ok {
+			break
+		}
+		gs, late := l.queue.NextOf(lowest, 1, now)
 		l.refuse(late)
 		if len(gs) == 0 {
 			break
--- a/daemon/services.go
+++ b/daemon/services.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/uuid"
 
+	"crocuslug/admission"
 	"crocuslug/configuration"
 	"crocuslug/health"
 	"crocuslug/ident"
@@ -66,10 +67,10 @@
 	}, nil
 }
 
-// plainFree returns how many calls to plain services could start now.
-func (d *Daemon) plainFree(time.Time) int {
+// plainFree returns whether a call to a plain service could start now.
+func (d *Daemon) plainFree(time.Time) (admission.Priority, bool) {
 	_, running := d.services.queue.Len()
-	return d.doc.Load().calls - running
+	return admission.Batch, running < d.doc.Load().calls
 }
 
 func (d *Daemon) plainPlace(t *ticket, _ time.Time) bool {
--- a/daemon/spill.go
+++ b/daemon/spill.go
@@ -160,7 +160,7 @@
 	if n, _ := d.line.queue.Len(); n > 0 || d.leaving.Load() || now.UnixNano() < d.heldBack.Load() {
 		return 0
 	}
-	return d.chooser.Free(now) / max(1, len(d.live()))
+	return int(d.unreserved(now)) / max(1, len(d.live()))
 }
 
 // tellRoom tells one instance of each other failure domain of the room here.
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -184,6 +184,21 @@
 	c.index.Restarted(u, now)
 }
 
+// Net returns the slots of the own failure domain less all requests there as
+// estimated here, so that those that wait at one engine count against free slots
+// of another, and the number of slots.
+func (c *Chooser) Net(now time.Time) (net, slots float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range c.order {
+		if !e.out && !e.Leaving {
+			net += c.free(e, now)
+			slots += e.slots(c.cfg.Slots)
+		}
+	}
+	return net, slots
+}
+
 // Free returns the free slots of the own failure domain as estimated here, for
 // the Room that is told to other domains.
 func (c *Chooser) Free(now time.Time) int {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -68,6 +68,7 @@
 type Load struct {
 	QueueLength        int           `json:",omitempty"` // requests that wait at most; default if 0
 	QueueWait          unit.Duration `json:",omitempty"` // longest wait of a request without a deadline
+	UrgentShare        float64       `json:",omitempty"` // share of the slots of the failure domain that only urgent work may take; 0.03 if 0
 	RetryShare         float64       `json:",omitempty"` // retries as a share of requests; default if 0
 	SubsetSize         int           `json:",omitempty"` // engines whose load is asked for
 	PollInterval       unit.Duration `json:",omitempty"` // between two requests to an engine for its load; default if 0
@@ -282,7 +283,7 @@
 	for _, n := range []struct {
 		path string
 		v    float64
-	}{{"Trace.Share", cfg.Trace.Share}, {"Load.RetryShare", cfg.Load.RetryShare}} {
+	}{{"Trace.Share", cfg.Trace.Share}, {"Load.RetryShare", cfg.Load.RetryShare}, {"Load.UrgentShare", cfg.Load.UrgentShare}} {
 		if n.v < 0 || n.v > 1 {
 			bad(n.path, "want a share from 0 to 1")
 		}
