Look at all engines near when the sampled ones are nearly full

Change: if the cheaper of the sampled engines has less than a slot free by the estimate, the roomiest of the subset is taken.

--- a/routing/choose.go
+++ b/routing/choose.go
@@ -19,8 +19,8 @@
 		return c.resume(g, &r, now)
 	}
 	e, saved := c.pick(g, &r, now)
-	if e == nil {
-		e = c.roomiest(g.near, &r, now)
+	if e == nil || c.free(e, now) < 1 {
+		e, saved = c.roomiest(g.near, &r, now), 0
 	}
 	if e == nil || c.free(e, now) <= 0 {
 		e = c.roomiest(g.all, &r, now)
