Count what an engine tells before the stream, move a stream that found it full

Cause: look-ups waited up to 1.7 s in the queue of a full engine while others had free slots, also at standing load. An engine tells its load with its answer, of before the call, but it was compared with the own requests including that one; so each answer hid one request of others.

Change: the started stream is added to the load that is told. A stream that found no slot, and has no token yet, is given up for another engine if one is free by the estimate, twice at most.

--- a/daemon/load.go
+++ b/daemon/load.go
@@ -137,7 +137,7 @@
 	now := d.opt.Timer.Now()
 	if r, ok := d.away.take(spec.Generation); ok {
 		d.releaseAway(spec.Generation, r)
-	} else if cause == 0 {
+	} else if cause == 0 || cause == generation.Full {
 		d.chooser.Done(u, now)
 	} else {
 		d.chooser.Failed(u, now)
@@ -152,23 +152,40 @@
 	}
 }
 
-// opened takes in the load that an engine told when it took a stream.
-func (d *Daemon) opened(u ident.Upstream, load string) {
+// opened takes in the load that an engine told when it answered, which does not
+// count a stream that was started by that call. It reports whether the engine is
+// full while another is not.
+func (d *Daemon) opened(u ident.Upstream, load string, started bool) bool {
 	if d.opt.Naive {
-		return
+		return false
+	}
+	running, waiting, slots, ok := parseLoad(load)
+	if !ok {
+		return false
 	}
+	full := started && running >= slots
+	if started {
+		running++
+	}
+	now := d.opt.Timer.Now()
+	d.chooser.ReportLoad(routing.Report{Upstream: u, At: now, Running: running, Waiting: waiting, Slots: slots})
+	return full && d.chooser.Free(now) > 0
+}
+
+// parseLoad reads running/waiting/slots.
+func parseLoad(load string) (running, waiting, slots int, ok bool) {
 	parts := strings.Split(load, "/")
 	const fields = 3
 	if len(parts) != fields {
-		return
+		return 0, 0, 0, false
 	}
 	var n [fields]int
 	for i, p := range parts {
 		v, err := strconv.Atoi(p)
 		if err != nil {
-			return
+			return 0, 0, 0, false
 		}
 		n[i] = v
 	}
-	d.chooser.ReportLoad(routing.Report{Upstream: u, At: d.opt.Timer.Now(), Running: n[0], Waiting: n[1], Slots: n[2]})
+	return n[0], n[1], n[2], true
 }
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -46,6 +46,7 @@
 	m.count("Generations."+code.String(), 1)
 	m.count("StreamsStarted", s.Streams)
 	m.count("StreamsResumed", s.Resumes)
+	m.count("StreamsMoved", s.Moves)
 	m.count("StreamsContinued", s.Continuations)
 	m.count("TokensStale", s.StaleTokens)
 	m.count("TokensUnreplicated", s.Unreplicated)
--- a/generation/machine.go
+++ b/generation/machine.go
@@ -107,6 +107,7 @@
 	Streams        int // streams started on engines
 	Resumes        int // streams resumed on the same engine
 	Continuations  int // streams started from tokens held
+	Moves          int // streams given up before a token because the engine had no slot
 	Restarts       int // streams started anew although tokens were held
 	StaleTokens    int // tokens dropped for their attempt or index
 	Unreplicated   int // tokens released without a replica
@@ -187,7 +188,7 @@
 
 // underWay reports whether the generation had a stream before.
 func (m *Machine) underWay() bool {
-	return m.log.Len() > 0 || m.losses > 0
+	return m.log.Len() > 0 || m.losses > 0 || m.stats.Moves > 0
 }
 
 // EngineChosen starts a stream on engine u.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -64,8 +64,10 @@
 	// Progress tells of tokens that were taken in; first is the wait for the
 	// first token of the generation, or 0.
 	Progress func(u ident.Upstream, spec generation.Spec, tokens int, first time.Duration)
-	// Opened tells the load that an engine told when it answered.
-	Opened func(u ident.Upstream, load string)
+	// Opened takes in the load that an engine told when it answered, of before it
+	// took a stream that was started. It reports whether another engine should be
+	// tried because this one is full.
+	Opened func(u ident.Upstream, load string, started bool) (full bool)
 	// Paced tells how long an engine took for some tokens of one stream.
 	Paced func(u ident.Upstream, tokens int, took time.Duration, first bool)
 	// Recovered tells how long a caller waited after a loss.
--- a/owner/run.go
+++ b/owner/run.go
@@ -83,7 +83,10 @@
 		r.g.machine.Opened(now, r.act.Attempt)
 		return nil
 	})
-	r.g.owner.ports.Opened(r.act.Upstream, r.stream.Load())
+	started := r.act.Kind == generation.StartStream
+	if r.g.owner.ports.Opened(r.act.Upstream, r.stream.Load(), started) {
+		r.move()
+	}
 	return r.stream.Read(r.take)
 }
 
@@ -115,6 +118,19 @@
 	return r.wait()
 }
 
+// move asks for another engine if this one has no slot.
+func (r *run) move() {
+	g := r.g
+	g.event(func(now time.Time) []generation.Action {
+		g.cause = generation.Full
+		acts := g.machine.Move(now, r.act.Attempt)
+		if len(acts) == 0 {
+			g.cause = 0
+		}
+		return acts
+	})
+}
+
 // pace measures how fast an engine brings tokens.
 type pace struct {
 	since  time.Time // of the first token of the window
