--- a/admission/drain.go
+++ b/admission/drain.go
@@ -7,19 +7,27 @@
 	window time.Duration
 	since  time.Time
 	cost   float64
+	grants int
 	rate   float64
 	known  bool
 }
 
+// A window ends after some grants, so that a burst of long requests is not taken
+// for a standstill, but after so many times its length at the latest.
+const (
+	leastGrants = 3
+	mostWindows = 4
+)
+
 // roll ends the window if it is over. Time without a backlog does not count.
 func (d *drain) roll(backlogged bool, now time.Time) {
 	if !backlogged {
 		d.since = now
-		d.cost = 0
+		d.cost, d.grants = 0, 0
 		return
 	}
 	elapsed := now.Sub(d.since)
-	if elapsed < d.window {
+	if elapsed < d.window || d.grants < leastGrants && elapsed < mostWindows*d.window {
 		return
 	}
 	const weight = 0.3
@@ -30,7 +38,19 @@
 	d.known = true
 	d.rate += weight * (sample - d.rate)
 	d.since = now
-	d.cost = 0
+	d.cost, d.grants = 0, 0
+}
+
+// grant counts a granted request.
+func (d *drain) grant(cost float64) {
+	d.cost += cost
+	d.grants++
+}
+
+// undo takes a grant back.
+func (d *drain) undo(cost float64) {
+	d.cost = max(0, d.cost-cost)
+	d.grants = max(0, d.grants-1)
 }
 
 // delay returns the time that the granting of cost takes: none while the rate is
--- a/admission/next.go
+++ b/admission/next.go
@@ -95,8 +95,8 @@
 	delete(q.entries, e.ID)
 	q.granted[e.ID] = e.Item
 	q.running[e.Workspace]++
-	q.drain.cost += e.Cost
-	q.drains[p].cost += e.Cost
+	q.drain.grant(e.Cost)
+	q.drains[p].grant(e.Cost)
 	return Grant{e.Item, now.Sub(e.since)}
 }
 
--- a/admission/return.go
+++ b/admission/return.go
@@ -17,9 +17,8 @@
 		return nil
 	}
 	q.forget(it)
-	for _, d := range []*drain{&q.drain, &q.drains[it.Priority]} {
-		d.cost = max(0, d.cost-it.Cost)
-	}
+	q.drain.undo(it.Cost)
+	q.drains[it.Priority].undo(it.Cost)
 	share := q.limits(it.Workspace).Share
 	if share <= 0 {
 		share = 1
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -214,11 +214,19 @@
 	return e.load(c.prior, c.cfg.ReportHalfLife.Std(), now)
 }
 
+// negligible is the time in seconds below which past failures and slowness are
+// forgotten, so that they do not decide between idle engines for ever.
+const negligible = 1e-3
+
 // delay is the time in seconds that a new request is expected to lose at e.
 func (c *Chooser) delay(e *engine, now time.Time) float64 {
 	slots := e.slots(c.cfg.Slots)
 	load := c.load(e, now)
-	seconds := load/slots*c.cfg.Congestion.Std().Seconds() + c.penalty(e, now) + c.slowness(e, now)
+	past := c.penalty(e, now) + c.slowness(e, now)
+	if past < negligible {
+		past = 0
+	}
+	seconds := load/slots*c.cfg.Congestion.Std().Seconds() + past
 	if load >= slots {
 		seconds += (load - slots + 1) / slots * c.cfg.ServiceTime.Std().Seconds()
 	}
