--- a/standinsite/load_test.go
+++ b/standinsite/load_test.go
@@ -27,7 +27,7 @@
 //
 //	site domains=1 instances=1 engines=1 slots=2 queue=4   starts the site
 //	workspace NAME priority=Urgent deadline=2s rate=100 concurrent=1   before the site
-//	ask NAME WORKSPACE COUNT TOKENS    sends requests to the first instance and goes on
+//	ask NAME WORKSPACE COUNT TOKENS [INSTANCE]    sends requests to an instance, or the first, and goes on
 //	running COUNT                      waits until so many streams decode
 //	waiting COUNT                      waits until so many requests wait for admission
 //	engine NUMBER kill|restart|slow|leave   acts on an engine; leave tells the instances
@@ -92,7 +92,7 @@
 	case "site":
 		s.start(w[1:])
 	case "ask":
-		s.ask(w[1], w[2], number(w[3]), number(w[4]))
+		s.ask(w[1], w[2], number(w[3]), number(w[4]), number(append(w, "0")[5]))
 	case "running", "waiting", "idle":
 		s.reach(w)
 	case "engine":
@@ -169,13 +169,13 @@
 	s.mark()
 }
 
-func (s *loadScript) ask(name, workspace string, n, tokens int) {
+func (s *loadScript) ask(name, workspace string, n, tokens, instance int) {
 	g := &group{answers: make([]caller.Answer, n)}
 	s.groups[name] = g
 	c := s.site.Caller(caller.Settings{Key: "key-" + workspace, Silence: 10 * time.Second})
 	for i := range n {
 		s.asked++
-		r := caller.Request{ID: ident.Request(fmt.Sprintf("r%d", s.asked)), Model: Model, Prompt: fmt.Sprint("debrief ", s.asked), MaxTokens: tokens}
+		r := caller.Request{ID: ident.Request(fmt.Sprintf("r%d", s.asked)), Model: Model, Prompt: fmt.Sprint("debrief ", s.asked), MaxTokens: tokens, First: instance}
 		r.OnToken = func(index int, _ string) {
 			if index == 0 {
 				g.mu.Lock()
