--- a/standinsite/load_test.go
+++ b/standinsite/load_test.go
@@ -34,7 +34,8 @@
 //	settle ENGINE out|in               waits until no new work goes to an engine, or some does
 //	whole NAME                         waits for the answers and wants all whole
 //	refused NAME CODE COUNT            waits and wants so many refused with the code and a RetryAfter
-//	order NAME NAME                    wants all of the first to begin before all of the second
+//	order NAME NAME                    wants all of the first to begin, or to go on after a gap, before the second begin
+//	wait DURATION                      lets time pass
 //	nothing ENGINE                     wants no stream started on the engine since the last mark
 //	mark                               notes the counters of the engines
 //	spilled FROM TO                    wants streams started in failure domain TO since the mark, FROM any
@@ -53,7 +54,7 @@
 	wg      sync.WaitGroup
 	answers []caller.Answer
 	mu      sync.Mutex
-	first   []time.Time // when answers began
+	first   []time.Time // when answers began or went on
 }
 
 func TestLoad(t *testing.T) {
@@ -103,6 +104,9 @@
 		s.answers(w)
 	case "order":
 		s.order(s.groups[w[1]], s.groups[w[2]])
+	case "wait":
+		d, _ := time.ParseDuration(w[1])
+		time.Sleep(d)
 	case "mark":
 		s.mark()
 	case "nothing", "spilled":
@@ -176,13 +180,7 @@
 	for i := range n {
 		s.asked++
 		r := caller.Request{ID: ident.Request(fmt.Sprintf("r%d", s.asked)), Model: Model, Prompt: fmt.Sprint("debrief ", s.asked), MaxTokens: tokens, First: instance}
-		r.OnToken = func(index int, _ string) {
-			if index == 0 {
-				g.mu.Lock()
-				g.first = append(g.first, time.Now())
-				g.mu.Unlock()
-			}
-		}
+		r.OnToken = g.onToken()
 		g.wg.Add(1)
 		go func() {
 			defer g.wg.Done()
@@ -193,6 +191,22 @@
 	}
 }
 
+// onToken returns a function that notes when one answer began, and when it went
+// on after a gap.
+func (g *group) onToken() func(index int, text string) {
+	const gap = 300 * time.Millisecond
+	var last time.Time
+	return func(index int, _ string) {
+		now := time.Now()
+		if index == 0 || now.Sub(last) > gap {
+			g.mu.Lock()
+			g.first = append(g.first, now)
+			g.mu.Unlock()
+		}
+		last = now
+	}
+}
+
 // until waits until f holds.
 func (s *loadScript) until(what string, f func() bool) {
 	s.t.Helper()
