End the window of a priority's drain after grants to others

Cause: since windows wait for three grants, a priority that higher ones starve was known to be starved after four seconds only; its requests expired in the queue.

Change: grants to any priority end the window of each.

--- a/admission/drain.go
+++ b/admission/drain.go
@@ -41,16 +41,10 @@
 	d.cost, d.grants = 0, 0
 }
 
-// grant counts a granted request.
-func (d *drain) grant(cost float64) {
-	d.cost += cost
-	d.grants++
-}
-
-// undo takes a grant back.
-func (d *drain) undo(cost float64) {
-	d.cost = max(0, d.cost-cost)
-	d.grants = max(0, d.grants-1)
+// count counts a grant, or takes it back if n is -1.
+func (d *drain) count(cost float64, n int) {
+	d.cost = max(0, d.cost+float64(n)*cost)
+	d.grants = max(0, d.grants+n)
 }
 
 // delay returns the time that the granting of cost takes: none while the rate is
--- a/admission/next.go
+++ b/admission/next.go
@@ -95,11 +95,23 @@
 	delete(q.entries, e.ID)
 	q.granted[e.ID] = e.Item
 	q.running[e.Workspace]++
-	q.drain.grant(e.Cost)
-	q.drains[p].grant(e.Cost)
+	q.drained(p, e.Cost, 1)
 	return Grant{e.Item, now.Sub(e.since)}
 }
 
+// drained counts a grant, or takes it back if n is -1. It ends the windows of other
+// priorities as well, since they could have had it.
+func (q *Queue) drained(p Priority, cost float64, n int) {
+	q.drain.count(cost, n)
+	for o := range q.drains {
+		if Priority(o) == p {
+			q.drains[o].count(cost, n)
+		} else {
+			q.drains[o].count(0, n)
+		}
+	}
+}
+
 // Finish ends a granted request and charges its workspace for its cost in
 // tokens. An unknown id is ignored.
 func (q *Queue) Finish(id ident.Generation, cost float64) {
--- a/admission/return.go
+++ b/admission/return.go
@@ -17,8 +17,7 @@
 		return nil
 	}
 	q.forget(it)
-	q.drain.undo(it.Cost)
-	q.drains[it.Priority].undo(it.Cost)
+	q.drained(it.Priority, it.Cost, -1)
 	share := q.limits(it.Workspace).Share
 	if share <= 0 {
 		share = 1
