--- /dev/null
+++ b/claimwriter/writer_test.go
@@ -0,0 +1,71 @@
+package claimwriter
+
+import (
+	"context"
+	"flag"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"crocuslug/claim"
+	"crocuslug/ident"
+	"crocuslug/result"
+	"crocuslug/timer"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "4217"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// worlds is the number of worlds that each check draws.
+const worlds = 3
+
+func TestAtMostOnce(t *testing.T) {
+	runs, replays := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		length := rapid.IntRange(50, 2000).Draw(t, "length")
+		for i := range uint64(worlds) {
+			w := newWorld(draw(seed+i, length))
+			w.live()
+			for _, f := range w.faults {
+				t.Error(f)
+			}
+			for _, n := range w.runs {
+				runs += n
+			}
+			replays += len(w.told)
+		}
+	})
+	if runs == 0 || replays == 0 {
+		t.Errorf("runs and keys replayed: got %d, %d, want some", runs, replays)
+	}
+}
+
+// TestLateGrantIsReleased delays the answer to a claim past its start limit.
+func TestLateGrantIsReleased(t *testing.T) {
+	clock := timer.NewVirtual(time.Unix(0, 0))
+	var states []claim.State
+	w := New(Settings{}, Seams{
+		Preferred: func(int) ident.Instance { return "" },
+		Local: func(_ context.Context, op claim.Operation) (claim.Verdict, error) {
+			states = append(states, op.State)
+			clock.Advance(defaultStartLimit)
+			return claim.Verdict{Granted: op.State == claim.Running}, nil
+		},
+	}, clock, "i")
+	_, v := w.Take(context.Background(), Request{})
+	if v.Granted || v.Err == nil || v.Err.Code != result.ActionNotRun {
+		t.Errorf("verdict: got %+v, want ActionNotRun", v)
+	}
+	if want := []claim.State{claim.Running, claim.NotRun}; !slices.Equal(states, want) {
+		t.Errorf("operations: got %v, want %v", states, want)
+	}
+}
