--- a/cmd/crocuslug/demo.go
+++ b/cmd/crocuslug/demo.go
@@ -42,12 +42,15 @@
 		Engines:   3,
 		Engine:    standinengine.Settings{TokenInterval: 20 * time.Millisecond},
 		Seed:      1,
-		Log:       zerolog.Nop(),
+		// The first configuration is an operator's, too.
+		Unconfigured: true,
+		Log:          zerolog.Nop(),
 	})
 	if err := d.site.Start(); err != nil {
 		return err
 	}
 	defer d.site.Stop()
+	d.change()
 	d.generation()
 	if d.failed > 0 {
 		return result.Newf(result.Fault, "%d of the checks did not hold", d.failed)
--- a/standinsite/site.go
+++ b/standinsite/site.go
@@ -37,9 +37,11 @@
 	Options   daemon.Options // Timer, Log, Document and Cut are filled in
 	Daemon    settings.Settings
 	Document  configuration.Document // what it lists is added to the site's own
-	Tracer    trace.Tracer
-	Seed      uint64
-	Log       zerolog.Logger
+	// Unconfigured instances start without any configuration; see Configure.
+	Unconfigured bool
+	Tracer       trace.Tracer
+	Seed         uint64
+	Log          zerolog.Logger
 	// EngineAddress takes the place of the stand-ins for engines if it is set.
 	EngineAddress string
 	Slots         int // of the engine at EngineAddress
@@ -69,8 +71,10 @@
 	Engines   []*standinengine.Engine
 	Instances []*daemon.Daemon
 	alive     []bool
-	Store     *standinkeyvalue.Store // what the platform's key-value service holds
-	KeyValue  *standinkeyvalue.Server
+	Store     *standinkeyvalue.Store                   // what the platform's key-value service holds
+	KeyValue  map[ident.Domain]*standinkeyvalue.Server // by the failure domain that it answers
+	cut       map[ident.Domain]bool
+	domains   map[ident.Instance]ident.Domain
 	doc       configuration.Document
 	dir       string
 }
@@ -86,7 +90,12 @@
 	if cfg.Engines == 0 {
 		cfg.Engines = 3
 	}
-	return &Site{cfg: cfg, timer: timer.New(), stand: timer.New()}
+	return &Site{
+		cfg: cfg, timer: timer.New(), stand: timer.New(),
+		KeyValue: make(map[ident.Domain]*standinkeyvalue.Server),
+		cut:      make(map[ident.Domain]bool),
+		domains:  make(map[ident.Instance]ident.Domain),
+	}
 }
 
 // Start starts the stand-ins and the instances.
@@ -111,9 +120,11 @@
 		}
 	}
 	s.Store = standinkeyvalue.New(s.stand)
-	s.KeyValue = standinkeyvalue.NewServer(s.Store, "", nil)
-	if err := s.KeyValue.Start(); err != nil {
-		return err
+	for _, domain := range s.cfg.Domains {
+		s.KeyValue[domain] = standinkeyvalue.NewServer(s.Store, "", nil)
+		if err := s.KeyValue[domain].Start(); err != nil {
+			return err
+		}
 	}
 	if err := s.startEngines(); err != nil {
 		return err
@@ -172,7 +183,7 @@
 	cfg.Name = fmt.Sprintf("%s-%d", domain, i)
 	cfg.Domain = domain
 	cfg.Listen, cfg.PeerAddr = "127.0.0.1:0", "127.0.0.1:0"
-	cfg.Platform.KeyValue = s.KeyValue.Addr()
+	cfg.Platform.KeyValue = s.KeyValue[domain].Addr()
 	cfg.Secret = settings.Secret{File: s.dir + "/secret"}
 	cfg.Operator = settings.Secret{File: s.dir + "/operator"}
 	s.mu.Lock()
@@ -231,7 +242,12 @@
 
 func (s *Site) startInstance(cfg settings.Settings) error {
 	opt := s.cfg.Options
-	opt.Timer, opt.Document = s.timer, &s.doc
+	opt.Timer = s.timer
+	if !s.cfg.Unconfigured {
+		opt.Document = &s.doc
+	}
+	opt.Cut = func(to ident.Instance) bool { return !s.passes(cfg.Domain, s.domainOf(to)) }
+	opt.CutFrom = opt.Cut
 	opt.Log, opt.Tracer = s.cfg.Log, s.cfg.Tracer
 	opt.Seed = s.cfg.Seed + uint64(len(s.Instances)) + 1
 	d, err := daemon.New(cfg, opt)
@@ -243,6 +259,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.domains[d.ID()] = d.Domain()
 	s.Instances = append(s.Instances, d)
 	s.alive = append(s.alive, true)
 	return nil
@@ -332,7 +349,9 @@
 	for _, e := range s.Engines {
 		e.Stop()
 	}
-	s.KeyValue.Stop()
+	for _, k := range s.KeyValue {
+		k.Stop()
+	}
 	s.stop()
 	s.wg.Wait()
 	_ = os.RemoveAll(s.dir)
