Measure how changes spread and what an outage does

Cause: time to in force over real links was not measured, nor what an outage of the key-value service does to serving.

Change: config-spread and platform-outage, each with the naive version (every instance polls each second, no peers). Violations are counted for an instance that goes back, an accepted change not in force within 16 s, and an answer that is mixed or missing.

Found and not mended here: in a first form callers went on with an answer at an instance of another failure domain when theirs was killed, and got 301 GenerationLost, for a take-over asks its own failure domain only.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -14,6 +14,7 @@
 
 	"crocuslug/measure"
 	"crocuslug/measuregeneration"
+	"crocuslug/measureoperator"
 )
 
 // runLimit bounds one experiment.
@@ -21,7 +22,10 @@
 
 // entries lists all experiments in the order of list.
 func entries() []measure.Entry {
-	return slices.Concat(measuregeneration.Entries())
+	return slices.Concat(
+		measuregeneration.Entries(),
+		measureoperator.Entries(),
+	)
 }
 
 func main() {
