--- a/caller/caller.go
+++ b/caller/caller.go
@@ -121,15 +121,16 @@
 }
 
 // Do sends r and returns the answer when it is whole, has failed for good, or
-// ctx has ended.
+// ctx has ended. A caller that gives up tells the last refusal, if there was one.
 func (c *Caller) Do(ctx context.Context, r Request) Answer {
 	x := &exchange{c: c, r: r, sent: c.timer.Now()}
+	var lost error
 	for try := 0; !x.final && ctx.Err() == nil && try <= c.cfg.Reconnects; try++ {
 		address := c.cfg.Addresses[(r.First+try)%len(c.cfg.Addresses)]
 		x.answer.LastAddress = address
 		x.answer.Reconnects = try
 		err := x.connect(ctx, address)
-		if err == nil {
+		if lost = err; err == nil {
 			continue
 		}
 		if r.OnLost != nil {
@@ -137,6 +138,9 @@
 		}
 		c.sleep(ctx, c.cfg.Pause)
 	}
+	if !x.final {
+		errors.As(lost, &x.answer.Err)
+	}
 	x.answer.Total = c.timer.Now().Sub(x.sent)
 	return x.answer
 }
