--- a/owner/generation.go
+++ b/owner/generation.go
@@ -32,6 +32,7 @@
 	beat      uint64 // rises with each sign of life
 	beatAt    time.Time
 	recovered int
+	cause     generation.Cause // of the last loss since an engine was chosen, or 0
 	told      bool
 	abandoned bool
 	trace     propagation.MapCarrier // headers of the request's trace, may be nil
@@ -134,7 +135,12 @@
 }
 
 func (g *Generation) chooseEngine(now time.Time, a generation.Action) []generation.Action {
-	g.releaseEngine(generation.Reset)
+	cause := g.cause
+	if cause == 0 {
+		cause = generation.Silence
+	}
+	g.cause = 0
+	g.releaseEngine(cause)
 	u, err := g.owner.ports.ChooseEngine(EngineQuery{
 		Spec:    g.machine.Spec(),
 		Exclude: a.Exclude,
@@ -227,12 +233,15 @@
 }
 
 // tick looks at time limits and reports whether the generation can be forgotten.
-func (g *Generation) tick(now time.Time) bool {
+func (g *Generation) tick(now time.Time, late time.Duration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.abandoned {
 		return true
 	}
+	if late > 0 {
+		g.machine.Delayed(late)
+	}
 	g.do(now, g.machine.Tick(now))
 	g.settle(now)
 	if now.Sub(g.beatAt) >= g.owner.cfg.KeepAlive {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -64,6 +64,10 @@
 	// Progress tells of tokens that were taken in; first is the wait for the
 	// first token of the generation, or 0.
 	Progress func(u ident.Upstream, spec generation.Spec, tokens int, first time.Duration)
+	// Opened tells the load that an engine told when it answered.
+	Opened func(u ident.Upstream, load string)
+	// Paced tells how long an engine took for some tokens of one stream.
+	Paced func(u ident.Upstream, tokens int, took time.Duration, first bool)
 	// Recovered tells how long a caller waited after a loss.
 	Recovered func(d time.Duration)
 	// Ended tells of the end of a generation.
@@ -90,6 +94,7 @@
 	generations map[ident.Generation]*Generation
 	byName      map[replica.Name]*Generation
 	sweep       *timer.Subscription
+	lastTick    time.Time // used by tick alone
 }
 
 // New returns an owner without generations.
@@ -295,13 +300,28 @@
 		return
 	}
 	o.pause.RUnlock()
+	late := o.late(now)
 	for _, g := range o.all() {
-		if g.tick(now) {
+		if g.tick(now, late) {
 			o.drop(g)
 		}
 	}
 }
 
+// late returns by how much this tick came later than it was due, if that is
+// more than the interval, and 0 otherwise. It is called from one goroutine.
+func (o *Owner) late(now time.Time) time.Duration {
+	last := o.lastTick
+	o.lastTick = now
+	if last.IsZero() {
+		return 0
+	}
+	if late := now.Sub(last) - o.cfg.Sweep; late > o.cfg.Sweep {
+		return late
+	}
+	return 0
+}
+
 func (o *Owner) drop(g *Generation) {
 	spec := g.machine.Spec()
 	o.mu.Lock()
