--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -62,6 +62,7 @@
 	d.ledger = revision.New(d.store, d.opt.Timer.Now, revision.Settings{})
 	d.buildRollout()
 	d.buildOperators()
+	d.meterControl()
 	doc := d.opt.Document
 	if doc == nil {
 		doc = &configuration.Document{}
--- a/daemon/connections.go
+++ b/daemon/connections.go
@@ -73,9 +73,3 @@
 	}
 	return out
 }
-
-func (c *connections) count() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.open)
-}
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -1,6 +1,9 @@
 package daemon
 
 import (
+	"net"
+	"time"
+
 	"github.com/fasthttp/router"
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
@@ -60,10 +63,36 @@
 	code := result.Malformed
 	if err == fasthttp.ErrBodyTooLarge {
 		code = result.TooLarge
+		d.drain(ctx.Conn())
 	}
 	problem.Write(ctx, result.New(code, "the request could not be read"), "")
 }
 
+// Bounds of taking in a body that is refused for its size.
+const (
+	drainIdle  = 200 * time.Millisecond
+	drainTime  = 5 * time.Second
+	drainBytes = 64 << 20
+)
+
+// drain drops what the caller still sends. A connection that is closed with
+// bytes unread is reset, and the caller would not see why.
+func (d *Daemon) drain(c net.Conn) {
+	buf := make([]byte, 64<<10)
+	began := d.opt.Timer.Now()
+	for taken := 0; taken < drainBytes; {
+		now := d.opt.Timer.Now()
+		if now.Sub(began) > drainTime || c.SetReadDeadline(now.Add(drainIdle)) != nil {
+			return
+		}
+		n, err := c.Read(buf)
+		if err != nil {
+			return
+		}
+		taken += n
+	}
+}
+
 func (d *Daemon) ready(ctx *fasthttp.RequestCtx) {
 	if d.leaving.Load() {
 		problem.Write(ctx, result.New(result.InstanceLeaving, "leaving"), "")
