--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -17,6 +17,7 @@
 	"crocuslug/measure"
 	"crocuslug/measuregeneration"
 	"crocuslug/measureload"
+	"crocuslug/measureoperator"
 )
 
 // runLimit bounds one experiment.
@@ -24,7 +25,11 @@
 
 // entries lists all experiments in the order of list.
 func entries() []measure.Entry {
-	return slices.Concat(measuregeneration.Entries(), measureload.Entries())
+	return slices.Concat(
+		measuregeneration.Entries(),
+		measureload.Entries(),
+		measureoperator.Entries(),
+	)
 }
 
 func main() {
--- a/daemon/connections.go
+++ b/daemon/connections.go
@@ -80,6 +80,7 @@
 	return out
 }
 
+// count returns the number of open connections.
 func (c *connections) count() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
