--- a/standinsite/script_test.go
+++ b/standinsite/script_test.go
@@ -15,6 +15,7 @@
 
 	"crocuslug/caller"
 	"crocuslug/ident"
+	"crocuslug/membership"
 	"crocuslug/standinengine"
 )
 
@@ -24,6 +25,9 @@
 //	ask COUNT                                  sends COUNT requests
 //	at TOKEN DO WHAT                           does so when the first answer has TOKEN tokens
 //	want whole|code NUMBER                     waits for the answers and checks them
+//	ask COUNT DOMAIN                           sends them to one failure domain
+//	cut DOMAIN DOMAIN | heal                   between failure domains d0, d1 and so on
+//	sees DOMAIN STATE DOMAIN                   waits until all of the first are so to all of the second
 //
 // DO is kill, freeze, silence on engine or instance; WHAT is "serving" for the
 // one that serves the first answer, or a number.
@@ -33,6 +37,7 @@
 	tokens  int
 	hooks   map[int][]string
 	answers []caller.Answer
+	asked   int // times
 	wg      sync.WaitGroup
 }
 
@@ -78,7 +83,13 @@
 		s.hooks[n] = append(s.hooks[n], strings.Join(words[2:], " "))
 	case "ask":
 		n, _ := strconv.Atoi(words[1])
-		s.ask(n)
+		s.ask(n, words[2:])
+	case "cut":
+		s.site.Cut(ident.Domain(words[1]), ident.Domain(words[2]))
+	case "heal":
+		s.site.Heal()
+	case "sees":
+		s.sees(ident.Domain(words[1]), membership.State(words[2]), ident.Domain(words[3]))
 	case "want":
 		s.want(words[1:])
 	default:
@@ -96,6 +107,11 @@
 			cfg.Instances = n
 		case "engines":
 			cfg.Engines = n
+		case "domains":
+			cfg.Options.Membership.ForeignEvery = 1 // to see a cut sooner
+			for i := range n {
+				cfg.Domains = append(cfg.Domains, ident.Domain(fmt.Sprintf("d%d", i)))
+			}
 		case "tokens":
 			s.tokens = n
 		case "cannotcontinue":
@@ -108,11 +124,46 @@
 	}
 }
 
-func (s *script) ask(n int) {
-	c := s.site.Caller(caller.Settings{Silence: 2 * time.Second})
+// sees waits until all instances of a failure domain believe that all of
+// another are in a state.
+func (s *script) sees(of ident.Domain, want membership.State, by ident.Domain) {
+	const limit = 20 * time.Second
+	for deadline := time.Now().Add(limit); ; time.Sleep(10 * time.Millisecond) {
+		got := s.disagrees(of, want, by)
+		if got == "" {
+			return
+		}
+		if time.Now().After(deadline) {
+			s.t.Fatalf("%s to %s: got %s, want %s", of, by, got, want)
+		}
+	}
+}
+
+func (s *script) disagrees(of ident.Domain, want membership.State, by ident.Domain) string {
+	for _, d := range s.site.Instances {
+		for _, o := range s.site.Instances {
+			if d.Domain() != by || o.Domain() != of {
+				continue
+			}
+			if m, _ := d.Members().Find(o.ID()); m.State != want {
+				return fmt.Sprintf("%s %q at %s", o.ID(), m.State, d.ID())
+			}
+		}
+	}
+	return ""
+}
+
+func (s *script) ask(n int, domain []string) {
+	cfg := caller.Settings{Silence: 2 * time.Second}
+	if len(domain) > 0 {
+		cfg.Addresses = s.site.AddressesIn(ident.Domain(domain[0]))
+	}
+	c := s.site.Caller(cfg)
+	again := strings.Repeat("again-", s.asked) // a new request each time
+	s.asked++
 	s.answers = make([]caller.Answer, n)
 	for i := range n {
-		r := caller.Request{ID: ident.Request(fmt.Sprintf("r%d", i)), Model: Model, Prompt: fmt.Sprintf("debrief %d", i), MaxTokens: s.tokens, First: i}
+		r := caller.Request{ID: ident.Request(fmt.Sprintf("%sr%d", again, i)), Model: Model, Prompt: fmt.Sprintf("debrief %d", i), MaxTokens: s.tokens, First: i}
 		if i == 0 {
 			r.OnToken = s.onToken
 		}
@@ -141,6 +192,10 @@
 // do carries out a fault and reports whether it could. It runs on the goroutine
 // that reads the first answer.
 func (s *script) do(words []string) bool {
+	if words[0] == "cut" {
+		s.site.Cut(ident.Domain(words[1]), ident.Domain(words[2]))
+		return true
+	}
 	n := s.serving(words)
 	if n < 0 {
 		return false
--- a/standinsite/site.go
+++ b/standinsite/site.go
@@ -73,6 +73,7 @@
 	KeyValue  *standinkeyvalue.Server
 	doc       configuration.Document
 	dir       string
+	cuts      cuts
 }
 
 // New returns a site that is not started.
@@ -126,6 +127,12 @@
 	return s.timer
 }
 
+// Document returns the configuration that the instances start with. Call it
+// after Start.
+func (s *Site) Document() configuration.Document {
+	return s.doc
+}
+
 func (s *Site) startEngines() error {
 	s.doc = s.cfg.Document
 	s.doc.Services = append(s.doc.Services, configuration.Service{Name: "assistant", Kind: configuration.Model})
@@ -234,6 +241,9 @@
 	opt.Timer, opt.Document = s.timer, &s.doc
 	opt.Log, opt.Tracer = s.cfg.Log, s.cfg.Tracer
 	opt.Seed = s.cfg.Seed + uint64(len(s.Instances)) + 1
+	if opt.Cut == nil && opt.CutFrom == nil {
+		opt.Cut, opt.CutFrom = s.cuts.from(cfg.Domain), s.cuts.from(cfg.Domain)
+	}
 	d, err := daemon.New(cfg, opt)
 	if err != nil {
 		return err
