Read a long instance list less often

Cause: the first two instances of a failure domain read the whole list every 10 s. At 930 members of about 150 bytes that is 14 KB/s for each of them, while all control of an instance may take 5 KB/s (arithmetic, not measured).

Ruled out: fewer readers, for the second covers for the first. Members spread news themselves, so the list only introduces what they cannot know.

Change: after a list that was read, 150 ms for each member pass before the next, 140 s at 930, and the old 10 s up to 66 members. A read that failed is tried again after 10 s as before.

Seen failing: with the rest taken out, a.0 and a.1 read the list again in TestLongListIsReadSeldom, which wants no more reads.

--- a/members/members.go
+++ b/members/members.go
@@ -30,6 +30,7 @@
 	defaultTick         = 200 * time.Millisecond
 	defaultListInterval = 10 * time.Second
 	defaultListTimeout  = 2 * time.Second
+	defaultListMember   = 150 * time.Millisecond
 )
 
 // Bounds on what waits; above them messages are dropped.
@@ -56,6 +57,7 @@
 	Tick         time.Duration // between two ticks of the table
 	ListInterval time.Duration // between two reads of the instance list
 	ListTimeout  time.Duration // bound on one read
+	ListMember   time.Duration // after a list, time for each member that it holds until the next; bounds the bytes a second
 }
 
 // Members is the membership of one instance. Its methods may be called from
@@ -75,6 +77,7 @@
 	events   chan func(now time.Time) []membership.Send
 	sends    chan struct{}
 	listing  atomic.Bool
+	nextList atomic.Int64 // Unix nanoseconds before which the list is not read again
 	ctx      context.Context
 	cancel   context.CancelFunc
 	running  sync.WaitGroup
@@ -88,6 +91,7 @@
 	orDefault(&cfg.Tick, defaultTick)
 	orDefault(&cfg.ListInterval, defaultListInterval)
 	orDefault(&cfg.ListTimeout, defaultListTimeout)
+	orDefault(&cfg.ListMember, defaultListMember)
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &Members{
 		cfg:    cfg,
@@ -135,7 +139,7 @@
 	m.list()
 	m.ticks = []*timer.Subscription{
 		m.timer.Every(m.cfg.Tick, func(time.Time) { m.post(m.tick) }),
-		m.timer.Every(m.cfg.ListInterval, func(time.Time) { m.listIfDue() }),
+		m.timer.Every(m.cfg.ListInterval, m.listIfDue),
 	}
 }
 
@@ -262,10 +266,11 @@
 }
 
 // listIfDue reads the instance list if that falls to this instance.
-func (m *Members) listIfDue() {
+func (m *Members) listIfDue(now time.Time) {
 	v := m.View()
 	rank := v.Rank(v.Self)
-	if len(v.Members) == 1 || (rank >= 0 && rank < listers) {
+	due := now.UnixNano() >= m.nextList.Load()
+	if len(v.Members) == 1 || (due && rank >= 0 && rank < listers) {
 		m.list()
 	}
 }
@@ -284,6 +289,8 @@
 			m.log.Warn().Err(err).Int("Code", int(result.PlatformUnavailable)).Msg("instance list not read")
 			return
 		}
+		rest := time.Duration(len(list)) * m.cfg.ListMember
+		m.nextList.Store(m.timer.Now().Add(rest).UnixNano())
 		m.post(func(now time.Time) []membership.Send {
 			m.table.Listing(list, now)
 			return nil
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -41,7 +41,7 @@
 
 // start runs n instances of one domain that read the list if reads says so
 // for their index, and otherwise know the first instance as their seed.
-func start(t *testing.T, n int, reads func(i int) bool) []*instance {
+func start(t *testing.T, n int, reads func(i int) bool, change ...func(cfg *Settings)) []*instance {
 	clock := timer.New()
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
@@ -64,6 +64,9 @@
 			return cut != nil && *cut == to
 		}
 		cfg := Settings{Self: self, Table: quick, Tick: 20 * time.Millisecond, ListInterval: 50 * time.Millisecond, Seeds: list[:min(i, 1)]}
+		for _, f := range change {
+			f(&cfg)
+		}
 		o.Members = New(cfg, o.link, clock, rand.New(rand.NewSource(int64(i))).Intn, zerolog.Nop())
 		o.OnChange(func(v *membership.View) { o.seen.Store(v) })
 		o.List = func(context.Context) ([]membership.Member, error) {
@@ -147,7 +150,7 @@
 // TestFewReadTheList lets all but the first read the list in vain, so that they
 // know each other by gossip from their seed alone.
 func TestFewReadTheList(t *testing.T) {
-	all := start(t, 5, func(i int) bool { return i == 0 })
+	all := start(t, 5, func(i int) bool { return i == 0 }, func(cfg *Settings) { cfg.ListMember = time.Millisecond })
 	for i := range all {
 		await(t, all, ident.Instance(fmt.Sprintf("a.%d", i)), membership.Live)
 	}
@@ -164,6 +167,24 @@
 }
 
 // TestSeeds leaves the instance list out of reach of all.
+// TestLongListIsReadSeldom has a list that may not be read again while the test runs.
+func TestLongListIsReadSeldom(t *testing.T) {
+	all := start(t, 3, func(int) bool { return true }, func(cfg *Settings) { cfg.ListMember = time.Hour })
+	for _, o := range all {
+		await(t, all, o.cfg.Self.Instance, membership.Live)
+	}
+	before := make([]int32, len(all))
+	for i, o := range all {
+		before[i] = o.lists.Load()
+	}
+	time.Sleep(10 * all[0].cfg.ListInterval)
+	for i, o := range all {
+		if got := o.lists.Load() - before[i]; got != 0 {
+			t.Errorf("%s: got %d more reads of the list, want none", o.cfg.Self.Instance, got)
+		}
+	}
+}
+
 func TestSeeds(t *testing.T) {
 	all := start(t, 3, func(int) bool { return false })
 	for i := range all {
