Count the bytes of replication for a token

The data frames of the link are counted already; memory-stream divides them by the tokens of its streams.

--- a/measurecontrol/memory.go
+++ b/measurecontrol/memory.go
@@ -36,6 +36,7 @@
 	HeapMB     float64 // above the idle site, streams in progress
 	KeptMB     float64 // above the idle site, answers complete and kept
 	Goroutines int     // above the idle site
+	TokenBytes float64 // of replication, appends and acknowledgements, for a token
 }
 
 // runMemory holds streams in an owner and a replica and reads the heap.
@@ -103,8 +104,13 @@
 	hold.release()
 	wg.Wait()
 	after, _ := memory()
+	var data uint64
+	for _, d := range site.Instances {
+		data += d.Usage().Link.DataSent
+	}
 	const bytesPerMB = 1 << 20
 	p := memoryPoint{Streams: n, HeapMB: (during - heap) / bytesPerMB, KeptMB: (after - heap) / bytesPerMB, Goroutines: more - routines}
+	p.TokenBytes = float64(data) / float64(n*tokens)
 	cfg.Log.Info().Int("streams", n).Int("tokens", tokens).Float64("heap MB", p.HeapMB).Float64("kept MB", p.KeptMB).Msg("held")
 	return p, ctx.Err()
 }
