--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -37,6 +37,7 @@
 			State:       membership.Live,
 		},
 		Seeds: d.seeds(),
+		Table: d.opt.Membership,
 	}, d.link, d.opt.Timer, rand.New(rand.NewPCG(d.seed, 1)).IntN, d.log)
 	d.members.OnChange(d.membersChanged)
 	d.members.OnChange(d.readNotices)
@@ -154,3 +155,8 @@
 func (d *Daemon) PeerBytes() peerlink.Counts {
 	return d.link.Bytes()
 }
+
+// Members returns what this instance believes of all instances.
+func (d *Daemon) Members() *membership.View {
+	return d.members.View()
+}
