Run actions through the daemon

Cause: the claims and the proxy of plain services were proved apart, but no instance used them.

Change: daemon/actions.go wires the ledger (its own client and budget, 60 reads and 60 writes a second, from the settings), the writer with calls to the instance preferred by rendezvous over the live ones of all failure domains, and the proxy with admission, choice and retry of plain services; spans, logs, metrics. Leave waits for calls in progress and for outcomes that are not recorded. A killed instance starts no action any more. A claimed action dials further upstreams while no byte has left.

Found on the way and mended: the proxy said NotRun of a repeatable request whose first attempt may have run when its second one was refused at the dial. The script line "lose-then-refuse" shows it: it read NotRun with the run of the last attempt, and Unknown now. The script now also holds what is said of the run.

Services of the stand-in may share one record of runs, and a site may have plain services.

--- /dev/null
+++ b/daemon/actions.go
@@ -0,0 +1,245 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync/atomic"
+
+	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"crocuslug/claim"
+	"crocuslug/claimstore"
+	"crocuslug/claimwriter"
+	"crocuslug/configuration"
+	"crocuslug/ident"
+	"crocuslug/keyvalue"
+	"crocuslug/membership"
+	"crocuslug/platform"
+	"crocuslug/problem"
+	"crocuslug/rendezvous"
+	"crocuslug/result"
+	"crocuslug/serviceproxy"
+)
+
+// methodClaim has another instance apply an operation to its bucket.
+const methodClaim = "Actions.Claim"
+
+// Budget of an instance's calls to the platform's service for claims, where the
+// settings state none. Writers that wait for it let more operations travel in
+// each write.
+const (
+	actionReads  = 60
+	actionWrites = 60
+)
+
+// actions runs requests that must not repeat, and passes on the other calls of
+// plain services.
+type actions struct {
+	ledger  *claimstore.Ledger
+	writer  *claimwriter.Writer
+	proxy   *serviceproxy.Proxy
+	calls   func() keyvalue.Calls
+	running atomic.Int64 // requests to plain services
+	waits   metrics.Histogram
+}
+
+// buildActions wires the claims and the proxy of plain services.
+func (d *Daemon) buildActions() {
+	d.actions = &actions{calls: func() keyvalue.Calls { return keyvalue.Calls{} }}
+	sample := metrics.NewExpDecaySample(sampleSize, sampleAlpha)
+	d.actions.waits = metrics.NewRegisteredHistogram("ClaimUs", d.metrics.registry, sample)
+	run := d.id + ident.Instance("-"+runName())
+	cfg := d.opt.Actions
+	d.actions.ledger = claimstore.New(cfg, d.actionStore(), d.opt.Timer, run)
+	d.actions.writer = claimwriter.New(claimwriter.Settings{Claims: cfg.Claims}, claimwriter.Seams{
+		Local:     d.actions.ledger.Do,
+		Forward:   d.forwardClaim,
+		Preferred: d.claimWriter,
+		Spawn:     d.goRun,
+	}, d.opt.Timer, run)
+	d.link.Handle(methodClaim, d.handleClaim)
+	d.actions.proxy = serviceproxy.New(serviceproxy.Settings{MaxBody: d.cfg.Limits.BodyBytes}, serviceproxy.Seams{
+		Configuration:  func() *configuration.Document { return d.doc.Load().Document },
+		Authenticate:   d.authenticate,
+		Admit:          d.admitService,
+		Context:        spanContext,
+		ChooseUpstream: d.ChooseService,
+		Retry:          d.RetryService,
+		Take:           d.take,
+		Settle:         d.settle,
+		Problem:        d.serviceProblem,
+	}, d.opt.Timer)
+}
+
+// runNameBytes is the length of what tells the runs of a daemon apart.
+const runNameBytes = 6
+
+// runName returns a name that no other run of any daemon has had.
+func runName() string {
+	id := uuid.New()
+	return fmt.Sprintf("%x", id[:runNameBytes])
+}
+
+// actionStore returns the store of claims. It has a budget of its own, so that
+// actions and the spreading of configurations do not hold each other up.
+func (d *Daemon) actionStore() platform.Store {
+	store := d.opt.Store
+	if store.Get == nil {
+		c := keyvalue.New(keyvalue.Settings{
+			Address:         d.cfg.Platform.KeyValue,
+			ReadsPerSecond:  float64(orDefault(d.cfg.Platform.ActionReadsPerSec, actionReads)),
+			WritesPerSecond: float64(orDefault(d.cfg.Platform.ActionWritesPerSec, actionWrites)),
+			Seed:            d.seed + 1,
+		}, d.opt.Timer)
+		store = c.Port()
+		d.actions.calls = c.Calls
+		d.closers = append(d.closers, c.Close)
+	}
+	put := store.Put
+	store.Put = func(ctx context.Context, key string, value []byte, expect platform.Version, l platform.Lease) (platform.Version, error) {
+		d.metrics.count("ClaimWrites", 1)
+		d.metrics.count("ClaimBytes", len(value))
+		return put(ctx, key, value, expect, l)
+	}
+	return store
+}
+
+// claimWriter returns the instance that is preferred to write a bucket, or "".
+func (d *Daemon) claimWriter(bucket int) ident.Instance {
+	var live []ident.Instance
+	for _, m := range d.members.View().Members {
+		if m.State == membership.Live {
+			live = append(live, m.Instance)
+		}
+	}
+	order := rendezvous.Order(fmt.Sprintf("claims/%d", bucket), live)
+	if len(order) == 0 || order[0] == d.id {
+		return ""
+	}
+	return order[0]
+}
+
+func (d *Daemon) forwardClaim(ctx context.Context, to ident.Instance, op claim.Operation) (claim.Verdict, error) {
+	var v claim.Verdict
+	err := d.link.Call(ctx, to, methodClaim, op, &v)
+	d.metrics.count("ClaimsForwarded", 1)
+	return v, err
+}
+
+// handleClaim applies an operation of another instance.
+func (d *Daemon) handleClaim(ctx context.Context, _ ident.Instance, params json.RawMessage) (any, error) {
+	var op claim.Operation
+	if err := json.Unmarshal(params, &op); err != nil {
+		return nil, result.New(result.Malformed, err.Error())
+	}
+	v, err := d.actions.ledger.Do(ctx, op)
+	if err != nil {
+		return nil, result.New(result.PlatformUnavailable, err.Error())
+	}
+	return v, nil
+}
+
+func (d *Daemon) authenticate(ctx *fasthttp.RequestCtx) (ident.Workspace, *result.Error) {
+	if w, ok := d.workspace(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)); ok {
+		return w, nil
+	}
+	return "", result.New(result.Unauthorized, "want a workspace's key as bearer token")
+}
+
+func (d *Daemon) admitService(ctx *fasthttp.RequestCtx, w ident.Workspace, rule configuration.Rule) (func(), *result.Error) {
+	if d.leaving.Load() {
+		return nil, result.New(result.InstanceLeaving, "leaving").After(busyRetry)
+	}
+	return d.AdmitService(spanContext(ctx), w, rule)
+}
+
+// contextValue is the name under which a request carries its context.
+const contextValue = "context"
+
+// spanContext returns the context of the calls for a request, with its span.
+func spanContext(ctx *fasthttp.RequestCtx) context.Context {
+	if c, ok := ctx.UserValue(contextValue).(context.Context); ok {
+		return c
+	}
+	return context.Background()
+}
+
+// serveService answers a request to a plain service.
+func (d *Daemon) serveService(ctx *fasthttp.RequestCtx) {
+	d.actions.running.Add(1)
+	defer d.actions.running.Add(-1)
+	in := propagation.MapCarrier{"traceparent": string(ctx.Request.Header.Peek("traceparent"))}
+	tc := propagation.TraceContext{}
+	c, cancel := d.withStop(tc.Extract(context.Background(), in))
+	defer cancel()
+	c, span := d.opt.Tracer.Start(c, "service request",
+		trace.WithSpanKind(trace.SpanKindServer),
+		trace.WithAttributes(attribute.String("path", string(ctx.Path()))))
+	defer span.End()
+	out := propagation.MapCarrier{}
+	tc.Inject(c, out)
+	if parent := out["traceparent"]; parent != "" {
+		ctx.Request.Header.Set("traceparent", parent)
+	}
+	ctx.SetUserValue(contextValue, c)
+	d.actions.proxy.Handle(ctx)
+	span.SetAttributes(attribute.Int("status", ctx.Response.StatusCode()))
+}
+
+func (d *Daemon) serviceProblem(ctx *fasthttp.RequestCtx, e *result.Error, id ident.Request) {
+	d.metrics.count("Services."+e.Code.String(), 1)
+	d.log.Info().Int("code", int(e.Code)).Str("detail", e.Detail).Str("run", string(e.Run)).
+		Str("request", string(id)).Str("path", string(ctx.Path())).Msg("service request failed")
+	problem.Write(ctx, e, id)
+}
+
+// take claims an action within a span.
+func (d *Daemon) take(ctx context.Context, r claimwriter.Request) (claim.Operation, claim.Verdict) {
+	ctx, span := d.opt.Tracer.Start(ctx, "claim")
+	defer span.End()
+	began := d.opt.Timer.Now()
+	op, v := d.actions.writer.Take(ctx, r)
+	d.actions.waits.Update(d.opt.Timer.Now().Sub(began).Microseconds())
+	outcome := outcomeOf(v)
+	span.SetAttributes(attribute.String("claim", string(op.Claim)), attribute.String("outcome", outcome))
+	if !v.Granted {
+		d.actionEnded(op, outcome)
+	}
+	return op, v
+}
+
+// outcomeOf names a verdict for metrics and logs.
+func outcomeOf(v claim.Verdict) string {
+	switch {
+	case v.Granted:
+		return "Granted"
+	case v.Answer != nil:
+		return "Replayed"
+	case v.Err != nil:
+		return v.Err.Code.String()
+	}
+	return "Unknown"
+}
+
+// settle records what came of an action that was granted here.
+func (d *Daemon) settle(op claim.Operation) {
+	d.actions.writer.Settle(op)
+	d.actionEnded(op, string(op.State))
+}
+
+func (d *Daemon) actionEnded(op claim.Operation, outcome string) {
+	d.metrics.count("Actions."+outcome, 1)
+	d.log.Info().Str("claim", string(op.Claim)).Str("outcome", outcome).Msg("action")
+}
+
+// actionsLeft returns the requests to plain services in progress and the
+// outcomes that wait to be recorded.
+func (d *Daemon) actionsLeft() int {
+	return int(d.actions.running.Load()) + d.actions.writer.Pending()
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 
 	"crocuslug/access"
 	"crocuslug/admission"
+	"crocuslug/claimstore"
 	"crocuslug/configuration"
 	"crocuslug/control"
 	"crocuslug/estimate"
@@ -62,6 +63,7 @@
 	Seed        uint64 // of all random choices; 0 draws one
 	Cut         func(to ident.Instance) bool
 	CutFrom     func(from ident.Instance) bool
+	Actions     claimstore.Settings
 	Store       platform.Store   // the platform's key-value service; a client of the settings' address if empty
 	Rollout     rollout.Settings // HeadKey and Log are filled in
 }
@@ -115,6 +117,7 @@
 	ledger     *revision.Ledger
 	rollout    *rollout.Rollout
 	operator   *operatorapi.API
+	actions    *actions
 
 	metrics   *meters
 	bootstrap string // hash of the first operator's key, or ""
@@ -158,6 +161,7 @@
 	d.handleShares()
 	d.handleSpill()
 	d.buildGenerations()
+	d.buildActions()
 	d.buildConfiguration(key)
 	d.buildRoutes()
 	return d, nil
@@ -257,6 +261,10 @@
 // leavePoll is the interval of asking whether all work is done.
 const leavePoll = 50 * time.Millisecond
 
+// leaveIdle is how often in a row no work is seen before all answers count as
+// written.
+const leaveIdle = 2
+
 // Leave begins a graceful shutdown and returns when all work in progress is
 // done or ctx has ended. New work is refused meanwhile.
 func (d *Daemon) Leave(ctx context.Context) error {
@@ -267,9 +275,14 @@
 	done := make(chan struct{})
 	var once sync.Once
 	earliest := d.opt.Timer.Now().Add(leaveNotice)
+	idle := 0
 	sub := d.opt.Timer.Every(leavePoll, func(now time.Time) {
 		waiting, _ := d.line.queue.Len()
-		if active, _, _ := d.owner.Load(); active == 0 && waiting == 0 && now.After(earliest) {
+		idle++
+		if active, _, _ := d.owner.Load(); active > 0 || waiting > 0 || d.actionsLeft() > 0 {
+			idle = 0
+		}
+		if idle > leaveIdle && now.After(earliest) {
 			once.Do(func() { close(done) })
 		}
 	})
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -25,5 +25,16 @@
 // PlatformCalls returns what this instance has asked of the platform's service.
 // It is empty if the store came with the options.
 func (d *Daemon) PlatformCalls() keyvalue.Calls {
-	return d.calls()
+	a, b := d.calls(), d.actions.calls()
+	return keyvalue.Calls{
+		Reads:         a.Reads + b.Reads,
+		Writes:        a.Writes + b.Writes,
+		Watches:       a.Watches + b.Watches,
+		Joined:        a.Joined + b.Joined,
+		OverBudget:    a.OverBudget + b.OverBudget,
+		BackedOff:     a.BackedOff + b.BackedOff,
+		Unavailable:   a.Unavailable + b.Unavailable,
+		Unknown:       a.Unknown + b.Unknown,
+		SilentWatches: a.SilentWatches + b.SilentWatches,
+	}
 }
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -7,6 +7,7 @@
 
 	"crocuslug/problem"
 	"crocuslug/result"
+	"crocuslug/serviceproxy"
 )
 
 // Bounds of the HTTP server.
@@ -20,6 +21,7 @@
 	r := router.New()
 	r.POST("/v1/chat/completions", d.needConfiguration(d.gateway.Completions))
 	r.GET("/v1/generations/{request}", d.needConfiguration(d.gateway.Generations))
+	r.ANY(serviceproxy.Prefix+"{service}/{path:*}", d.needConfiguration(d.serveService))
 	r.ANY(operatorPath+"{call}", d.operator.Handle)
 	r.GET("/healthz", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok\n") })
 	r.GET("/readyz", d.ready)
--- a/serviceproxy/action.go
+++ b/serviceproxy/action.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -11,6 +12,9 @@
 
 	"crocuslug/claim"
 	"crocuslug/claimwriter"
+	"crocuslug/configuration"
+	"crocuslug/health"
+	"crocuslug/ident"
 	"crocuslug/result"
 )
 
@@ -32,7 +36,7 @@
 	if err != nil {
 		return result.New(result.Malformed, dateHeader+" is malformed")
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(p.seams.Context(r.ctx))
 	defer cancel()
 	sub := p.timer.After(r.limit, func(time.Time) { cancel() })
 	defer sub.Stop()
@@ -48,7 +52,7 @@
 		replay(r.ctx, *v.Answer)
 		return nil
 	case v.Granted:
-		return p.run(r, op)
+		return p.run(ctx, r, op)
 	}
 	return v.Err
 }
@@ -64,20 +68,20 @@
 }
 
 // run sends a claimed action and records what came of it.
-func (p *Proxy) run(r *request, op claim.Operation) *result.Error {
-	up, ok := p.seams.ChooseUpstream(r.service.Name, nil)
-	if !ok {
-		return p.notRun(op, "no upstream serves this")
-	}
-	conn, err := p.dial(up.Address)
-	if err != nil {
-		return p.notRun(op, "no upstream could be reached")
+func (p *Proxy) run(ctx context.Context, r *request, op claim.Operation) *result.Error {
+	conn, up, done, detail := p.connect(r, op.StartBy)
+	if conn == nil {
+		return p.notRun(op, detail)
 	}
 	defer func() { _ = conn.Close() }()
-	if !p.timer.Now().Before(op.StartBy) {
+	began := p.timer.Now()
+	if ctx.Err() != nil || !began.Before(op.StartBy) {
+		done(health.OK, 0)
 		return p.notRun(op, "the upstream was reached too late")
 	}
-	if err := p.send(r, up, conn, &r.ctx.Response); err != nil {
+	err := p.send(r, up, conn, &r.ctx.Response)
+	done(kindOf(&r.ctx.Response, err), p.timer.Now().Sub(began))
+	if err != nil {
 		op.State = claim.Unknown
 		p.seams.Settle(op)
 		r.ctx.Response.Reset()
@@ -93,6 +97,26 @@
 	return nil
 }
 
+// connect dials upstreams until one is reached; nothing is sent on the way.
+func (p *Proxy) connect(r *request, startBy time.Time) (net.Conn, configuration.Upstream, func(health.Kind, time.Duration), string) {
+	detail := "no upstream serves this"
+	var tried []ident.Upstream
+	for len(tried) < p.cfg.MaxTries && p.timer.Now().Before(startBy) {
+		up, done, ok := p.seams.ChooseUpstream(r.service.Name, tried)
+		if !ok {
+			break
+		}
+		conn, err := p.dial(up.Address)
+		if err == nil {
+			return conn, up, done, ""
+		}
+		done(health.Refused, 0)
+		tried = append(tried, up.Name)
+		detail = "no upstream could be reached"
+	}
+	return nil, configuration.Upstream{}, nil, detail
+}
+
 // runRetryAfter is when a caller may repeat an action that was not run.
 const runRetryAfter = time.Second
 
@@ -111,12 +135,9 @@
 }
 
 func (p *Proxy) ask(r *request, key string) (claim.State, claim.Answer) {
-	up, ok := p.seams.ChooseUpstream(r.service.Name, nil)
-	if !ok {
-		return claim.Unknown, claim.Answer{}
-	}
-	conn, err := p.dial(up.Address)
-	if err != nil {
+	began := p.timer.Now()
+	conn, up, done, _ := p.connect(r, began.Add(r.limit))
+	if conn == nil {
 		return claim.Unknown, claim.Answer{}
 	}
 	defer func() { _ = conn.Close() }()
@@ -124,7 +145,9 @@
 	var resp fasthttp.Response
 	req.SetRequestURI("http://" + up.Address + statusPath(r.service.StatusPath, key))
 	req.Header.Set(keyHeader, key)
-	if err := roundTrip(conn, &req, &resp, p.timer.Now().Add(r.limit), p.cfg.MaxBody); err != nil {
+	err := roundTrip(conn, &req, &resp, p.timer.Now().Add(r.limit), p.cfg.MaxBody)
+	done(kindOf(&resp, err), p.timer.Now().Sub(began))
+	if err != nil {
 		return claim.Unknown, claim.Answer{}
 	}
 	switch resp.StatusCode() {
--- a/serviceproxy/exchange.go
+++ b/serviceproxy/exchange.go
@@ -3,12 +3,15 @@
 import (
 	"bufio"
 	"net"
+	"net/http"
 	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"crocuslug/configuration"
+	"crocuslug/health"
+	"crocuslug/result"
 )
 
 // hopHeaders concern one connection and are not passed on.
@@ -25,19 +28,33 @@
 	return fasthttp.DialTimeout(address, p.cfg.DialLimit.Std())
 }
 
-// exchange sends a request to an upstream on a connection of its own. It
-// reports whether any byte may have left.
-func (p *Proxy) exchange(r *request, up configuration.Upstream) (bool, error) {
+// exchange sends a request to an upstream on a connection of its own. With an
+// error it returns whether the request can have been run.
+func (p *Proxy) exchange(r *request, up configuration.Upstream, done func(health.Kind, time.Duration)) (result.Run, error) {
+	began := p.timer.Now()
 	conn, err := p.dial(up.Address)
 	if err != nil {
-		return false, err
+		done(health.Refused, p.timer.Now().Sub(began))
+		return result.RunNot, err
 	}
 	defer func() { _ = conn.Close() }()
 	err = p.send(r, up, conn, &r.ctx.Response)
+	done(kindOf(&r.ctx.Response, err), p.timer.Now().Sub(began))
 	if err != nil {
 		r.ctx.Response.Reset()
 	}
-	return true, err
+	return result.RunUnknown, err
+}
+
+// kindOf tells what an exchange says of the health of an upstream.
+func kindOf(resp *fasthttp.Response, err error) health.Kind {
+	switch {
+	case err != nil:
+		return health.Failed
+	case resp.StatusCode() == http.StatusServiceUnavailable:
+		return health.Refused
+	}
+	return health.OK
 }
 
 func (p *Proxy) send(r *request, up configuration.Upstream, conn net.Conn, resp *fasthttp.Response) error {
--- a/serviceproxy/proxy.go
+++ b/serviceproxy/proxy.go
@@ -10,8 +10,10 @@
 	"crocuslug/claim"
 	"crocuslug/claimwriter"
 	"crocuslug/configuration"
+	"crocuslug/health"
 	"crocuslug/ident"
 	"crocuslug/result"
+	"crocuslug/retry"
 	"crocuslug/timer"
 	"crocuslug/unit"
 )
@@ -41,11 +43,14 @@
 	// Admit waits for the request's turn. The function that it returns is
 	// called when the request has ended.
 	Admit func(ctx *fasthttp.RequestCtx, w ident.Workspace, rule configuration.Rule) (func(), *result.Error)
+	// Context returns the context of the calls made for a request, which
+	// outlives ctx; nil means the background context.
+	Context func(ctx *fasthttp.RequestCtx) context.Context
 	// ChooseUpstream returns an upstream of the service other than the tried
-	// ones, or false.
-	ChooseUpstream func(s ident.Service, tried []ident.Upstream) (configuration.Upstream, bool)
-	// MayRetry draws on the retry budget.
-	MayRetry func(s ident.Service) bool
+	// ones, and what to call when the call to it is over; or false.
+	ChooseUpstream func(s ident.Service, tried []ident.Upstream) (configuration.Upstream, func(k health.Kind, took time.Duration), bool)
+	// Retry decides whether a failed request is sent again, and after what wait.
+	Retry func(a retry.Attempt) (retry.Verdict, time.Duration)
 	// Take and Settle are those of claimwriter.Writer.
 	Take   func(ctx context.Context, r claimwriter.Request) (claim.Operation, claim.Verdict)
 	Settle func(op claim.Operation)
@@ -74,6 +79,9 @@
 	if cfg.MaxTries == 0 {
 		cfg.MaxTries = defaultMaxTries
 	}
+	if seams.Context == nil {
+		seams.Context = func(*fasthttp.RequestCtx) context.Context { return context.Background() }
+	}
 	return &Proxy{cfg: cfg, seams: seams, timer: t}
 }
 
@@ -89,6 +97,7 @@
 	rule      configuration.Rule
 	path      string // decoded path at the service
 	limit     time.Duration
+	deadline  time.Time // of the last attempt's start
 }
 
 // Handle serves one request.
@@ -141,6 +150,7 @@
 	if r.limit == 0 {
 		r.limit = p.cfg.CallLimit.Std()
 	}
+	r.deadline = p.timer.Now().Add(r.limit)
 	return r, nil
 }
 
@@ -174,32 +184,57 @@
 // plain sends a request that is no action.
 func (p *Proxy) plain(r *request) *result.Error {
 	var tried []ident.Upstream
+	run := result.RunNot
 	for {
-		up, ok := p.seams.ChooseUpstream(r.service.Name, tried)
+		up, done, ok := p.seams.ChooseUpstream(r.service.Name, tried)
 		if !ok && tried == nil {
-			return result.New(result.NoUpstream, "no upstream serves this")
+			return result.New(result.NoUpstream, "no upstream serves this").After(runRetryAfter)
 		}
 		if !ok {
-			return result.New(result.UpstreamFailed, "all upstreams failed").Ran(result.RunUnknown)
+			return failed(run)
 		}
 		tried = append(tried, up.Name)
-		sent, err := p.exchange(r, up)
+		last, err := p.exchange(r, up, done)
 		if err == nil {
 			return nil
 		}
-		if sent && !r.rule.Repeatable {
-			return result.New(result.UpstreamFailed, "the upstream failed").Ran(result.RunUnknown)
+		if last != result.RunNot {
+			run = last
 		}
-		if len(tried) >= p.cfg.MaxTries || !p.seams.MayRetry(r.service.Name) {
-			return failed(sent)
+		if !p.again(r, len(tried), run) {
+			return failed(run)
 		}
 	}
 }
 
-func failed(sent bool) *result.Error {
-	err := result.New(result.UpstreamFailed, "the upstream failed")
-	if sent {
-		return err.Ran(result.RunUnknown)
+// again reports whether a failed request is sent once more, and waits until
+// then.
+func (p *Proxy) again(r *request, attempts int, run result.Run) bool {
+	if attempts >= p.cfg.MaxTries || run != result.RunNot && !r.rule.Repeatable {
+		return false
+	}
+	v, wait := p.seams.Retry(retry.Attempt{
+		Number:     attempts,
+		Run:        run,
+		Repeatable: r.rule.Repeatable,
+		Remaining:  r.deadline.Sub(p.timer.Now()),
+	})
+	if v != retry.Retry {
+		return false
+	}
+	p.sleep(wait)
+	return true
+}
+
+func (p *Proxy) sleep(d time.Duration) {
+	if d <= 0 {
+		return
 	}
-	return err
+	done := make(chan struct{})
+	p.timer.After(d, func(time.Time) { close(done) })
+	<-done
+}
+
+func failed(run result.Run) *result.Error {
+	return result.New(result.UpstreamFailed, "the upstream failed").Ran(run)
 }
--- a/serviceproxy/proxy_test.go
+++ b/serviceproxy/proxy_test.go
@@ -8,14 +8,17 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"crocuslug/claimstore"
 	"crocuslug/claimwriter"
 	"crocuslug/configuration"
+	"crocuslug/health"
 	"crocuslug/ident"
 	"crocuslug/result"
+	"crocuslug/retry"
 	"crocuslug/standinkeyvalue"
 	"crocuslug/timer"
 )
@@ -98,7 +101,7 @@
 		b.runs.Add(1)
 		ctx.SetStatusCode(fasthttp.StatusCreated)
 	}
-	if b.mode.Load() == "lose" || b.mode.Load() == "lose-once" && b.lost.Add(1) == 1 {
+	if b.mode.Load() == "lose" || b.mode.Load() == "lose-then-refuse" || b.mode.Load() == "lose-once" && b.lost.Add(1) == 1 {
 		ctx.HijackSetNoResponse(true)
 		ctx.Hijack(func(net.Conn) {})
 	}
@@ -131,26 +134,34 @@
 		Configuration:  func() *configuration.Document { return doc },
 		Authenticate:   func(*fasthttp.RequestCtx) (ident.Workspace, *result.Error) { return "w", nil },
 		ChooseUpstream: b.choose,
-		MayRetry:       func(ident.Service) bool { return true },
-		Take:           writer.Take,
-		Settle:         writer.Settle,
+		Retry: func(a retry.Attempt) (retry.Verdict, time.Duration) {
+			if a.Run != result.RunNot && !a.Repeatable {
+				return retry.MayHaveRun, 0
+			}
+			return retry.Retry, 0
+		},
+		Take:   writer.Take,
+		Settle: writer.Settle,
 		Admit: func(*fasthttp.RequestCtx, ident.Workspace, configuration.Rule) (func(), *result.Error) {
 			return func() {}, nil
 		},
 		Problem: func(ctx *fasthttp.RequestCtx, e *result.Error, _ ident.Request) {
-			ctx.SetBodyString("!" + e.Code.String())
+			ctx.SetBodyString("!" + e.Code.String() + "/" + string(e.Run))
 		},
 	}, clock)
 	return b
 }
 
-func (b *bench) choose(_ ident.Service, tried []ident.Upstream) (configuration.Upstream, bool) {
+func (b *bench) choose(_ ident.Service, tried []ident.Upstream) (configuration.Upstream, func(health.Kind, time.Duration), bool) {
 	address := b.live
 	if b.mode.Load() == "refuse" {
 		address = b.dead
 	}
 	name := ident.Upstream(strconv.Itoa(len(tried)))
-	return configuration.Upstream{Name: name, Address: address}, len(tried) < 2
+	if b.mode.Load() == "lose-then-refuse" && len(tried) > 0 {
+		address = b.dead
+	}
+	return configuration.Upstream{Name: name, Address: address}, func(health.Kind, time.Duration) {}, len(tried) < 2
 }
 
 func listen(t *testing.T, h fasthttp.RequestHandler) string {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -54,6 +54,10 @@
 	InstanceList string `json:",omitempty"` // host:port of the instance list
 	ReadsPerSec  int    `json:",omitempty"` // budget of this instance; default if 0
 	WritesPerSec int    `json:",omitempty"`
+	// Budget of this instance for the claims of actions, beside the above;
+	// default if 0.
+	ActionReadsPerSec  int `json:",omitempty"`
+	ActionWritesPerSec int `json:",omitempty"`
 }
 
 // Peer is another instance.
@@ -268,6 +272,8 @@
 	}{
 		{"Platform.ReadsPerSec", cfg.Platform.ReadsPerSec},
 		{"Platform.WritesPerSec", cfg.Platform.WritesPerSec},
+		{"Platform.ActionReadsPerSec", cfg.Platform.ActionReadsPerSec},
+		{"Platform.ActionWritesPerSec", cfg.Platform.ActionWritesPerSec},
 		{"Load.QueueLength", cfg.Load.QueueLength},
 		{"Load.SubsetSize", cfg.Load.SubsetSize},
 		{"Load.PollBytesPerSecond", cfg.Load.PollBytesPerSecond},
--- a/standinservice/service.go
+++ b/standinservice/service.go
@@ -26,9 +26,48 @@
 
 // Settings describe a service.
 type Settings struct {
-	Listen string // address; "" means 127.0.0.1:0
-	Faults Faults // in force from the start
-	Exit   func() // called after Kill; nil means nothing
+	Listen string  // address; "" means 127.0.0.1:0
+	Faults Faults  // in force from the start
+	Exit   func()  // called after Kill; nil means nothing
+	Record *Record // of all runs; its own if nil
+}
+
+// Record is what has been run. Several services may share one, as replicas
+// share a database.
+type Record struct {
+	mu       sync.Mutex
+	runs     int
+	doubled  int
+	bookings map[string]Booking
+}
+
+// NewRecord returns an empty record.
+func NewRecord() *Record {
+	return &Record{bookings: make(map[string]Booking)}
+}
+
+// add notes a run of the action with key and returns its booking.
+func (r *Record) add(key string) Booking {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs++
+	if key == "" {
+		key = fmt.Sprintf("without-key-%d", r.runs)
+	}
+	b := Booking{Booking: fmt.Sprintf("b-%d", r.runs), Key: key, Runs: r.bookings[key].Runs + 1}
+	if b.Runs > 1 {
+		r.doubled++
+	}
+	r.bookings[key] = b
+	return b
+}
+
+// find returns the booking under a key.
+func (r *Record) find(key string) (Booking, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b, ok := r.bookings[key]
+	return b, ok
 }
 
 // Faults says how the service misbehaves from now on.
@@ -66,14 +105,17 @@
 	mu       sync.Mutex
 	faults   Faults
 	calls    Calls
-	bookings map[string]Booking
+	record   *Record
 	second   int64
 	inSecond int
 }
 
 // New returns a service that is down until Start. It takes the time from t.
 func New(cfg Settings, t *timer.Service) *Service {
-	s := &Service{timer: t, faults: cfg.Faults, bookings: make(map[string]Booking)}
+	s := &Service{timer: t, faults: cfg.Faults, record: cfg.Record}
+	if s.record == nil {
+		s.record = NewRecord()
+	}
 	s.Server = standinnetwork.NewServer(standinnetwork.Settings{
 		Listen: cfg.Listen,
 		Handle: s.handle,
@@ -91,18 +133,21 @@
 	s.faults = f
 }
 
-// Calls returns the counts up to now.
+// Calls returns the counts up to now; runs are those of the record.
 func (s *Service) Calls() Calls {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.calls
+	s.record.mu.Lock()
+	defer s.record.mu.Unlock()
+	c := s.calls
+	c.Runs, c.Doubled = s.record.runs, s.record.doubled
+	return c
 }
 
 // Runs returns how often the action with key was run.
 func (s *Service) Runs(key string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.bookings[key].Runs
+	b, _ := s.record.find(key)
+	return b.Runs
 }
 
 func (s *Service) fault(kind string, body []byte) error {
@@ -198,18 +243,9 @@
 
 // book runs an action.
 func (s *Service) book(ctx *fasthttp.RequestCtx) {
-	key := string(ctx.Request.Header.Peek("Idempotency-Key"))
+	b := s.record.add(string(ctx.Request.Header.Peek("Idempotency-Key")))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls.Runs++
-	if key == "" {
-		key = fmt.Sprintf("without-key-%d", s.calls.Runs)
-	}
-	b := Booking{Booking: fmt.Sprintf("b-%d", s.calls.Runs), Key: key, Runs: s.bookings[key].Runs + 1}
-	if b.Runs > 1 {
-		s.calls.Doubled++
-	}
-	s.bookings[key] = b
 	if s.take(&s.faults.LoseAnswers, &s.calls.Dropped) {
 		standinnetwork.CloseUnanswered(ctx)
 		return
@@ -227,7 +263,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls.Status++
-	b, ok := s.bookings[key]
+	b, ok := s.record.find(key)
 	if !ok {
 		standinnetwork.Fail(ctx, http.StatusNotFound, "no such booking")
 		return
--- a/standinsite/site.go
+++ b/standinsite/site.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
 	"go.opentelemetry.io/otel/trace"
 
@@ -25,6 +26,7 @@
 	"crocuslug/settings"
 	"crocuslug/standinengine"
 	"crocuslug/standinkeyvalue"
+	"crocuslug/standinservice"
 	"crocuslug/timer"
 )
 
@@ -34,6 +36,7 @@
 	Instances int            // entry instances in each failure domain; 2 if 0
 	Engines   int            // engines in each failure domain; 3 if 0
 	Engine    standinengine.Settings
+	Services  int            // plain services in each failure domain
 	Options   daemon.Options // Timer, Log, Document and Cut are filled in
 	Daemon    settings.Settings
 	Document  configuration.Document // what it lists is added to the site's own
@@ -42,7 +45,8 @@
 	Log       zerolog.Logger
 	// EngineAddress takes the place of the stand-ins for engines if it is set.
 	EngineAddress string
-	Slots         int // of the engine at EngineAddress
+	Slots         int                   // of the engine at EngineAddress
+	ServiceFaults standinservice.Faults // of the plain services from the start
 	// OnEngineDeath is called when an engine was killed or crashed, with the
 	// function that starts it again; it may be nil.
 	OnEngineDeath func(revive func() error)
@@ -69,6 +73,8 @@
 	Engines   []*standinengine.Engine
 	Instances []*daemon.Daemon
 	alive     []bool
+	Services  []*standinservice.Service
+	client    fasthttp.Client
 	Store     *standinkeyvalue.Store // what the platform's key-value service holds
 	KeyValue  *standinkeyvalue.Server
 	doc       configuration.Document
@@ -86,7 +92,10 @@
 	if cfg.Engines == 0 {
 		cfg.Engines = 3
 	}
-	return &Site{cfg: cfg, timer: timer.New(), stand: timer.New()}
+	return &Site{
+		cfg: cfg, timer: timer.New(), stand: timer.New(),
+		client: fasthttp.Client{MaxIdemponentCallAttempts: 1},
+	}
 }
 
 // Start starts the stand-ins and the instances.
@@ -118,6 +127,9 @@
 	if err := s.startEngines(); err != nil {
 		return err
 	}
+	if err := s.startServices(); err != nil {
+		return err
+	}
 	return s.startInstances()
 }
 
@@ -332,6 +344,10 @@
 	for _, e := range s.Engines {
 		e.Stop()
 	}
+	for _, v := range s.Services {
+		v.Stop()
+	}
+	s.client.CloseIdleConnections()
 	s.KeyValue.Stop()
 	s.stop()
 	s.wg.Wait()
