Order engines from the daemon

Cause: no instance ran upstreamcontrol.

Change: daemon/orders.go makes a round a second on one goroutine, at the first two live instances of a failure domain by rank only; a leaving one gives its lease up. Engines are read 64 at a time, so that silent ones cannot use up the lease. A copy is unloaded only after all instances that are known said that they do not use the model there; one that does not answer counts as if it did.

Found on the way and mended: the planner unloaded every model that no placement names, so a deployment without placements would have lost all idle copies; such models are left alone now, and without placements no lease is taken. A placement without a version meant a version "" that no engine has; it stands for any version now.

Seen failing with the mechanism out, by upstreamcontrol's scripts: without the check right before an order, a stalled holder's order reached the engine that ignores numbers (orders 2, want 1) and undid what its successor had done; without Wait the late order stayed undone; without the question to the others a copy in use was unloaded; without the bound to placed models "other" was unloaded. standinsite's TestPlacement: a model no engine has is loaded and answers; the same again after the holder and the engine were killed.

Not mended here: routing counts every model that an engine may serve as at hand, so requests for a model that is not loaded yet are tried on engines that answer 404, many times a second, until it is.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -41,6 +41,7 @@
 	"crocuslug/takeover"
 	"crocuslug/throttle"
 	"crocuslug/timer"
+	"crocuslug/upstreamcontrol"
 )
 
 // Options are what a Daemon needs beside its settings. Only Timer is required.
@@ -64,6 +65,7 @@
 	Cut         func(to ident.Instance) bool
 	CutFrom     func(from ident.Instance) bool
 	Actions     claimstore.Settings
+	Orders      upstreamcontrol.Settings
 	Store       platform.Store   // the platform's key-value service; a client of the settings' address if empty
 	Rollout     rollout.Settings // HeadKey and Log are filled in
 }
@@ -118,6 +120,7 @@
 	rollout    *rollout.Rollout
 	operator   *operatorapi.API
 	actions    *actions
+	orders     *orders
 
 	metrics   *meters
 	bootstrap string // hash of the first operator's key, or ""
@@ -162,6 +165,7 @@
 	d.handleSpill()
 	d.buildGenerations()
 	d.buildActions()
+	d.buildOrders()
 	d.buildConfiguration(key)
 	d.buildRoutes()
 	return d, nil
@@ -180,6 +184,7 @@
 	d.every(expireInterval, d.expire)
 	d.every(suspectInterval, d.tellSuspects)
 	d.startLoad()
+	d.startOrders()
 	d.goRun(func() {
 		if err := d.server.Serve(d.conns.wrap(d.listener)); err != nil {
 			d.log.Error().Err(err).Msg("serving ended")
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -285,6 +285,19 @@
 	return n
 }
 
+// Each calls f with the spec of every generation in progress and the engine
+// that it runs on, or "" if it runs on none now.
+func (o *Owner) Each(f func(spec generation.Spec, u ident.Upstream)) {
+	for _, g := range o.all() {
+		g.mu.Lock()
+		over, spec := g.machine.Over(), g.machine.Spec()
+		g.mu.Unlock()
+		if !over {
+			f(spec, g.Upstream())
+		}
+	}
+}
+
 func (o *Owner) all() []*Generation {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -42,6 +42,21 @@
 	Adapter string
 }
 
+// Covers reports whether o is what m asks for: an empty version stands for any.
+func (m Model) Covers(o Model) bool {
+	return m.Name == o.Name && m.Adapter == o.Adapter && (m.Version == "" || m.Version == o.Version)
+}
+
+// heldBy reports whether one of ms is what m asks for.
+func (m Model) heldBy(ms []Model) bool {
+	return slices.ContainsFunc(ms, m.Covers)
+}
+
+// usedBy reports whether one of the asked-for ms is m.
+func (m Model) usedBy(ms []Model) bool {
+	return slices.ContainsFunc(ms, func(o Model) bool { return o.Covers(m) })
+}
+
 // Engine is what is known of one engine.
 type Engine struct {
 	Name    ident.Upstream
@@ -135,7 +150,7 @@
 
 func shows(engines []Engine, t target) bool {
 	return slices.ContainsFunc(engines, func(e Engine) bool {
-		return e.Name == t.upstream && slices.Contains(e.Loaded, t.model)
+		return e.Name == t.upstream && t.model.heldBy(e.Loaded)
 	})
 }
 
@@ -155,7 +170,7 @@
 			break
 		}
 		kind := Load
-		if m.Adapter != "" && slices.Contains(engines[i].Loaded, Model{Name: m.Name, Version: m.Version}) {
+		if m.Adapter != "" && (Model{Name: m.Name, Version: m.Version}).heldBy(engines[i].Loaded) {
 			kind = LoadAdapter
 		}
 		orders = append(orders, Order{kind, engines[i].Name, m})
@@ -173,7 +188,7 @@
 // has reports whether e holds m or is loading it.
 func (p *Planner) has(e Engine, m Model) bool {
 	_, loading := p.loading[target{e.Name, m}]
-	return loading || slices.Contains(e.Loaded, m)
+	return loading || m.heldBy(e.Loaded)
 }
 
 // choose returns the engine with the fewest models that may load m, or -1.
@@ -205,6 +220,9 @@
 func (p *Planner) unload(wanted []configuration.Placement, engines []Engine, given []Order) []Order {
 	var orders []Order
 	for _, m := range loaded(engines) {
+		if !p.placed(wanted, m) {
+			continue
+		}
 		stay := max(p.wantedCopies(wanted, m), least(engines, m))
 		copies := count(engines, m)
 		for _, e := range engines {
@@ -221,10 +239,18 @@
 	return orders
 }
 
+// placed reports whether placements govern the copies of a model. Others were
+// loaded by other means and are left alone.
+func (p *Planner) placed(wanted []configuration.Placement, m Model) bool {
+	return slices.ContainsFunc(wanted, func(w configuration.Placement) bool {
+		return (w.Domain == "" || w.Domain == p.domain) && w.Model == m.Name
+	})
+}
+
 func (p *Planner) wantedCopies(wanted []configuration.Placement, m Model) int {
 	n := 0
 	for _, w := range wanted {
-		if (w.Domain == "" || w.Domain == p.domain) && (Model{w.Model, w.Version, w.Adapter}) == m {
+		if (w.Domain == "" || w.Domain == p.domain) && (Model{w.Model, w.Version, w.Adapter}).Covers(m) {
 			n += w.Copies
 		}
 	}
@@ -233,7 +259,7 @@
 
 // least is 1 for a model that is in use anywhere in the failure domain.
 func least(engines []Engine, m Model) int {
-	if slices.ContainsFunc(engines, func(e Engine) bool { return slices.Contains(e.InUse, m) }) {
+	if slices.ContainsFunc(engines, func(e Engine) bool { return m.usedBy(e.InUse) }) {
 		return 1
 	}
 	return 0
@@ -256,7 +282,7 @@
 	adapted := func(o Model) bool {
 		return m.Adapter == "" && o.Adapter != "" && o.Name == m.Name && o.Version == m.Version
 	}
-	return slices.Contains(e.InUse, m) || slices.ContainsFunc(e.Loaded, adapted)
+	return m.usedBy(e.InUse) || slices.ContainsFunc(e.Loaded, adapted)
 }
 
 func loaded(engines []Engine) []Model {
--- a/standinsite/site.go
+++ b/standinsite/site.go
@@ -36,6 +36,7 @@
 	Instances int            // entry instances in each failure domain; 2 if 0
 	Engines   int            // engines in each failure domain; 3 if 0
 	Engine    standinengine.Settings
+	Models    []string       // that the engines may serve beside Model
 	Services  int            // plain services in each failure domain
 	Options   daemon.Options // Timer, Log, Document and Cut are filled in
 	Daemon    settings.Settings
@@ -166,12 +167,13 @@
 			}
 			s.Engines = append(s.Engines, e)
 			s.doc.Upstreams = append(s.doc.Upstreams, configuration.Upstream{
-				Name:    ident.Upstream(cfg.Name),
-				Service: "assistant",
-				Address: e.Addr(),
-				Domain:  domain,
-				Models:  []string{Model},
-				Slots:   cfg.Slots,
+				Name:          ident.Upstream(cfg.Name),
+				Service:       "assistant",
+				Address:       e.Addr(),
+				Domain:        domain,
+				Models:        append([]string{Model}, s.cfg.Models...),
+				Slots:         cfg.Slots,
+				ChecksFencing: cfg.ChecksFencing,
 			})
 		}
 	}
--- a/upstreamcontrol/control.go
+++ b/upstreamcontrol/control.go
@@ -8,11 +8,14 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
 
 	"crocuslug/configuration"
 	"crocuslug/ident"
@@ -43,6 +46,16 @@
 	Configuration func() *configuration.Document
 	// InUse returns the models that generations run on or wait for at an engine.
 	InUse func(u ident.Upstream) []placement.Model
+	// MayUnload reports whether no other instance uses the model at the engine;
+	// nil means that there is no other instance.
+	MayUnload func(ctx context.Context, o placement.Order) bool
+}
+
+// Given is an order that went out. With an error it is not known to be in
+// force; the next rounds read what became of it.
+type Given struct {
+	placement.Order
+	Err error
 }
 
 // Control orders the engines of one failure domain. It is not safe for
@@ -78,29 +91,72 @@
 // Holds reports whether this instance holds the lease.
 func (c *Control) Holds() bool { return c.holder.Remaining(c.timer.Now()) > 0 }
 
-// Round keeps the lease and, while it is held, gives the orders of this round.
-// It returns the orders that engines accepted.
-func (c *Control) Round(ctx context.Context) []placement.Order {
-	c.keep(ctx)
+// Round keeps the lease and, while it is held, gives the orders of this round
+// and returns them.
+func (c *Control) Round(ctx context.Context) []Given {
 	doc := c.seams.Configuration()
-	if doc == nil || !c.Holds() {
+	if doc == nil || len(doc.Placements) == 0 {
+		c.Release(ctx)
+		return nil
+	}
+	c.keep(ctx)
+	if !c.Holds() {
 		return nil
 	}
 	ups := make(map[ident.Upstream]configuration.Upstream)
-	var engines []placement.Engine
 	for _, u := range doc.Upstreams {
 		if u.Domain == c.domain && len(u.Models) > 0 {
 			ups[u.Name] = u
-			engines = append(engines, c.read(u))
 		}
 	}
-	var accepted []placement.Order
+	engines := c.readAll(ups)
+	c.keep(ctx)
+	var given []Given
 	for _, o := range c.planner.Plan(doc.Placements, engines, c.timer.Now()) {
-		if err := c.order(ups[o.Upstream], o); err == nil {
-			accepted = append(accepted, o)
+		if o.Kind == placement.Unload && c.seams.MayUnload != nil && !c.seams.MayUnload(ctx, o) {
+			continue
+		}
+		if err := c.order(ups[o.Upstream], o); !errors.Is(err, errLease) {
+			given = append(given, Given{o, err})
 		}
 	}
-	return accepted
+	return given
+}
+
+// Release gives up the lease if it is held, so that another instance can have
+// it at once.
+func (c *Control) Release(ctx context.Context) {
+	if l := c.holder.Lease(); l != 0 {
+		// Without an answer the lease lapses.
+		_ = c.store.Revoke(ctx, l)
+		c.holder.Lost(c.timer.Now())
+	}
+}
+
+// Close closes the idle connections to engines.
+func (c *Control) Close() {
+	c.client.CloseIdleConnections()
+}
+
+// readsAtOnce is how many engines are read at once.
+const readsAtOnce = 64
+
+func (c *Control) readAll(ups map[ident.Upstream]configuration.Upstream) []placement.Engine {
+	var mu sync.Mutex
+	var engines []placement.Engine
+	var g errgroup.Group
+	g.SetLimit(readsAtOnce)
+	for _, u := range ups {
+		g.Go(func() error {
+			e := c.read(u)
+			mu.Lock()
+			defer mu.Unlock()
+			engines = append(engines, e)
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return engines
 }
 
 // keep acquires or renews the lease if it is time to.
@@ -212,7 +268,9 @@
 	req.Header.SetMethod(method)
 	req.SetRequestURI(uri)
 	req.SetBody(body)
-	req.SetConnectionClose()
+	if method != http.MethodGet {
+		req.SetConnectionClose()
+	}
 	if err := c.client.DoTimeout(req, resp, limit); err != nil {
 		return err
 	}
--- a/upstreamcontrol/control_test.go
+++ b/upstreamcontrol/control_test.go
@@ -26,6 +26,8 @@
 	highest platform.Version
 	loaded  []string
 	numbers []platform.Version
+	refused int
+	delay   func() // before the next order takes effect
 }
 
 func (e *engine) serve(ctx *fasthttp.RequestCtx) {
@@ -45,7 +47,14 @@
 	}
 	var o order
 	_ = json.Unmarshal(ctx.PostBody(), &o)
+	if f := e.delay; f != nil {
+		e.delay = nil
+		e.mu.Unlock()
+		f()
+		e.mu.Lock()
+	}
 	if e.checks && o.Fencing < e.highest {
+		e.refused++
 		ctx.SetStatusCode(fasthttp.StatusConflict)
 		return
 	}
