Show bookings in the demo

Cause: the demo showed answers of model services only.

Change: after the answer the demo sends one booking through two instances, kills one, and takes the platform's key-value service away.

--- a/cmd/crocuslug/demo.go
+++ b/cmd/crocuslug/demo.go
@@ -40,6 +40,7 @@
 	d.site = standinsite.New(standinsite.Settings{
 		Instances: 2,
 		Engines:   3,
+		Services:  2,
 		Engine:    standinengine.Settings{TokenInterval: 20 * time.Millisecond},
 		Seed:      1,
 		Log:       zerolog.Nop(),
@@ -49,6 +50,7 @@
 	}
 	defer d.site.Stop()
 	d.generation()
+	d.booking()
 	if d.failed > 0 {
 		return result.Newf(result.Fault, "%d of the checks did not hold", d.failed)
 	}
