--- a/standinsite/services.go
+++ b/standinsite/services.go
@@ -22,7 +22,7 @@
 	if s.cfg.Services == 0 {
 		return nil
 	}
-	s.doc.Services = append(s.doc.Services, configuration.Service{Name: Booking, Kind: configuration.Plain, StatusPath: "/bookings/{key}"})
+	s.doc.Services = append(s.doc.Services, configuration.Service{Name: Booking, Kind: configuration.Plain, StatusPath: "/bookings/{key}", Timeout: s.cfg.ServiceTimeout})
 	s.doc.Rules = append(s.doc.Rules,
 		configuration.Rule{Name: "book", Service: Booking, Method: fasthttp.MethodPost, PathPrefix: "/bookings", Once: true},
 		configuration.Rule{Name: "look up", Service: Booking, Method: fasthttp.MethodGet, Repeatable: true})
--- a/standinsite/site.go
+++ b/standinsite/site.go
@@ -23,11 +23,13 @@
 	"crocuslug/configuration"
 	"crocuslug/daemon"
 	"crocuslug/ident"
+	"crocuslug/platform"
 	"crocuslug/settings"
 	"crocuslug/standinengine"
 	"crocuslug/standinkeyvalue"
 	"crocuslug/standinservice"
 	"crocuslug/timer"
+	"crocuslug/unit"
 )
 
 // Settings describe a site. Zero values mean the defaults.
@@ -44,10 +46,14 @@
 	Tracer    trace.Tracer
 	Seed      uint64
 	Log       zerolog.Logger
+	// Wrap returns the store that instance i uses, given the platform's; the
+	// instances call the stand-in over HTTP if it is nil.
+	Wrap func(i int, p platform.Store) platform.Store
 	// EngineAddress takes the place of the stand-ins for engines if it is set.
-	EngineAddress string
-	Slots         int                   // of the engine at EngineAddress
-	ServiceFaults standinservice.Faults // of the plain services from the start
+	EngineAddress  string
+	Slots          int                   // of the engine at EngineAddress
+	ServiceFaults  standinservice.Faults // of the plain services from the start
+	ServiceTimeout unit.Duration         // of one call to them; the default if 0
 	// OnEngineDeath is called when an engine was killed or crashed, with the
 	// function that starts it again; it may be nil.
 	OnEngineDeath func(revive func() error)
@@ -248,6 +254,9 @@
 	opt.Timer, opt.Document = s.timer, &s.doc
 	opt.Log, opt.Tracer = s.cfg.Log, s.cfg.Tracer
 	opt.Seed = s.cfg.Seed + uint64(len(s.Instances)) + 1
+	if s.cfg.Wrap != nil {
+		opt.Store = s.cfg.Wrap(len(s.Instances), s.Store.Port())
+	}
 	d, err := daemon.New(cfg, opt)
 	if err != nil {
 		return err
