--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"crocuslug/measure"
+	"crocuslug/measureaction"
 	"crocuslug/measuregeneration"
 	"crocuslug/measureload"
 )
@@ -24,7 +25,7 @@
 
 // entries lists all experiments in the order of list.
 func entries() []measure.Entry {
-	return slices.Concat(measuregeneration.Entries(), measureload.Entries())
+	return slices.Concat(measuregeneration.Entries(), measureload.Entries(), measureaction.Entries())
 }
 
 func main() {
