--- a/measureaction/claims.go
+++ b/measureaction/claims.go
@@ -78,7 +78,7 @@
 	}
 	settings.Options.Actions.Claims = claim.Settings{Settle: unit.Duration(settleTime), Skew: unit.Duration(clockError)}
 	if cfg.Baseline {
-		settings.Document.Rules = []configuration.Rule{{Name: "at once", Method: fasthttp.MethodPost, Repeatable: true}}
+		settings.Document.Rules = []configuration.Rule{{Name: "at-once", Method: fasthttp.MethodPost, Repeatable: true}}
 	}
 	site := standinsite.New(settings)
 	defer site.Stop()
--- a/standinsite/services.go
+++ b/standinsite/services.go
@@ -25,7 +25,7 @@
 	s.doc.Services = append(s.doc.Services, configuration.Service{Name: Booking, Kind: configuration.Plain, StatusPath: "/bookings/{key}", Timeout: s.cfg.ServiceTimeout})
 	s.doc.Rules = append(s.doc.Rules,
 		configuration.Rule{Name: "book", Service: Booking, Method: fasthttp.MethodPost, PathPrefix: "/bookings", Once: true},
-		configuration.Rule{Name: "look up", Service: Booking, Method: fasthttp.MethodGet, Repeatable: true})
+		configuration.Rule{Name: "look-up", Service: Booking, Method: fasthttp.MethodGet, Repeatable: true})
 	record := standinservice.NewRecord()
 	for _, domain := range s.cfg.Domains {
 		for i := range s.cfg.Services {
@@ -93,3 +93,8 @@
 func (s *Site) Book(address, key, body string) Reply {
 	return s.Send(address, Call{Method: fasthttp.MethodPost, Path: "/bookings", Key: key, Body: body})
 }
+
+// Document returns the configuration that the site began with.
+func (s *Site) Document() configuration.Document {
+	return s.doc
+}
--- a/standinsite/site.go
+++ b/standinsite/site.go
@@ -315,6 +315,16 @@
 
 // KillInstance ends the instance that takes callers at address, as a crash would.
 func (s *Site) KillInstance(address string) bool {
+	return s.endInstance(address, (*daemon.Daemon).Kill)
+}
+
+// StopInstance ends the instance that takes callers at address; Leave goes
+// before it in a planned stop.
+func (s *Site) StopInstance(address string) bool {
+	return s.endInstance(address, (*daemon.Daemon).Stop)
+}
+
+func (s *Site) endInstance(address string, end func(*daemon.Daemon)) bool {
 	for i, d := range s.Instances {
 		if d.Addr() != address {
 			continue
@@ -324,7 +334,7 @@
 		s.alive[i] = false
 		s.mu.Unlock()
 		if was {
-			d.Kill()
+			end(d)
 		}
 		return was
 	}
