--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"crocuslug/measure"
+	"crocuslug/measureaction"
 	"crocuslug/measurecontrol"
 	"crocuslug/measuregeneration"
 	"crocuslug/measureload"
@@ -31,6 +32,7 @@
 		measureload.Entries(),
 		measureoperator.Entries(),
 		measurecontrol.Entries(),
+		measureaction.Entries(),
 	)
 }
 
--- a/serviceproxy/proxy.go
+++ b/serviceproxy/proxy.go
@@ -12,8 +12,10 @@
 	"crocuslug/claim"
 	"crocuslug/claimwriter"
 	"crocuslug/configuration"
+	"crocuslug/health"
 	"crocuslug/ident"
 	"crocuslug/result"
+	"crocuslug/retry"
 	"crocuslug/timer"
 	"crocuslug/unit"
 )
@@ -44,13 +46,16 @@
 	// called when the request has ended.
 	Admit func(ctx *fasthttp.RequestCtx, w ident.Workspace, rule configuration.Rule) (func(), *result.Error)
 	// ChooseUpstream returns an upstream of the service other than the tried
-	// ones, or false.
-	ChooseUpstream func(s ident.Service, tried []ident.Upstream) (configuration.Upstream, bool)
-	// MayRetry draws on the retry budget.
-	MayRetry func(s ident.Service) bool
+	// ones, and what to call when the call to it is over; or false.
+	ChooseUpstream func(s ident.Service, tried []ident.Upstream) (configuration.Upstream, func(k health.Kind, took time.Duration), bool)
+	// Retry decides whether a failed request is sent again, and after what wait.
+	Retry func(a retry.Attempt) (retry.Verdict, time.Duration)
 	// Take and Settle are those of claimwriter.Writer.
 	Take   func(ctx context.Context, r claimwriter.Request) (claim.Operation, claim.Verdict)
 	Settle func(op claim.Operation)
+	// Context returns what the contexts of calls are made from; it ends with the
+	// instance. nil means the background.
+	Context func() context.Context
 	// Tracer makes spans; nil makes none.
 	Tracer trace.Tracer
 	// Problem writes a failure to the caller.
@@ -78,6 +83,9 @@
 	if cfg.MaxTries == 0 {
 		cfg.MaxTries = defaultMaxTries
 	}
+	if seams.Context == nil {
+		seams.Context = context.Background
+	}
 	if seams.Tracer == nil {
 		seams.Tracer = noop.NewTracerProvider().Tracer("")
 	}
@@ -97,6 +105,7 @@
 	rule      configuration.Rule
 	path      string // decoded path at the service
 	limit     time.Duration
+	deadline  time.Time // of the last attempt's start
 }
 
 // Handle serves one request.
@@ -152,6 +161,7 @@
 	if r.limit == 0 {
 		r.limit = p.cfg.CallLimit.Std()
 	}
+	r.deadline = p.timer.Now().Add(r.limit)
 	return r, nil
 }
 
@@ -185,32 +195,57 @@
 // plain sends a request that is no action.
 func (p *Proxy) plain(r *request) *result.Error {
 	var tried []ident.Upstream
+	run := result.RunNot
 	for {
-		up, ok := p.seams.ChooseUpstream(r.service.Name, tried)
+		up, done, ok := p.seams.ChooseUpstream(r.service.Name, tried)
 		if !ok && tried == nil {
-			return result.New(result.NoUpstream, "no upstream serves this")
+			return result.New(result.NoUpstream, "no upstream serves this").After(runRetryAfter)
 		}
 		if !ok {
-			return result.New(result.UpstreamFailed, "all upstreams failed").Ran(result.RunUnknown)
+			return failed(run)
 		}
 		tried = append(tried, up.Name)
-		sent, err := p.exchange(r, up)
+		last, err := p.exchange(r, up, done)
 		if err == nil {
 			return nil
 		}
-		if sent && !r.rule.Repeatable {
-			return result.New(result.UpstreamFailed, "the upstream failed").Ran(result.RunUnknown)
+		if last != result.RunNot {
+			run = last
 		}
-		if len(tried) >= p.cfg.MaxTries || !p.seams.MayRetry(r.service.Name) {
-			return failed(sent)
+		if !p.again(r, len(tried), run) {
+			return failed(run)
 		}
 	}
 }
 
-func failed(sent bool) *result.Error {
-	err := result.New(result.UpstreamFailed, "the upstream failed")
-	if sent {
-		return err.Ran(result.RunUnknown)
+// again reports whether a failed request is sent once more, and waits until
+// then.
+func (p *Proxy) again(r *request, attempts int, run result.Run) bool {
+	if attempts >= p.cfg.MaxTries || run != result.RunNot && !r.rule.Repeatable {
+		return false
+	}
+	v, wait := p.seams.Retry(retry.Attempt{
+		Number:     attempts,
+		Run:        run,
+		Repeatable: r.rule.Repeatable,
+		Remaining:  r.deadline.Sub(p.timer.Now()),
+	})
+	if v != retry.Retry {
+		return false
+	}
+	p.sleep(wait)
+	return true
+}
+
+func (p *Proxy) sleep(d time.Duration) {
+	if d <= 0 {
+		return
 	}
-	return err
+	done := make(chan struct{})
+	p.timer.After(d, func(time.Time) { close(done) })
+	<-done
+}
+
+func failed(run result.Run) *result.Error {
+	return result.New(result.UpstreamFailed, "the upstream failed").Ran(run)
 }
--- a/standinsite/site.go
+++ b/standinsite/site.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
 	"go.opentelemetry.io/otel/trace"
 
@@ -21,10 +22,13 @@
 	"crocuslug/configuration"
 	"crocuslug/daemon"
 	"crocuslug/ident"
+	"crocuslug/platform"
 	"crocuslug/settings"
 	"crocuslug/standinengine"
 	"crocuslug/standinkeyvalue"
+	"crocuslug/standinservice"
 	"crocuslug/timer"
+	"crocuslug/unit"
 )
 
 // Settings describe a site. Zero values mean the defaults.
@@ -33,6 +37,8 @@
 	Instances int            // entry instances in each failure domain; 2 if 0
 	Engines   int            // engines in each failure domain; 3 if 0
 	Engine    standinengine.Settings
+	Models    []string       // that the engines may serve beside Model
+	Services  int            // plain services in each failure domain
 	Options   daemon.Options // Timer, Log, Document and Cut are filled in
 	Daemon    settings.Settings
 	Document  configuration.Document // what it lists is added to the site's own
@@ -41,9 +47,14 @@
 	Tracer       trace.Tracer
 	Seed         uint64
 	Log          zerolog.Logger
+	// Wrap returns the store that instance i uses, given the platform's; the
+	// instances call the stand-in over HTTP if it is nil.
+	Wrap func(i int, p platform.Store) platform.Store
 	// EngineAddress takes the place of the stand-ins for engines if it is set.
-	EngineAddress string
-	Slots         int // of the engine at EngineAddress
+	EngineAddress  string
+	Slots          int                   // of the engine at EngineAddress
+	ServiceFaults  standinservice.Faults // of the plain services from the start
+	ServiceTimeout unit.Duration         // of one call to them; the default if 0
 	// OnEngineDeath is called when an engine was killed or crashed, with the
 	// function that starts it again; it may be nil.
 	OnEngineDeath func(revive func() error)
@@ -73,6 +84,8 @@
 	Store     *standinkeyvalue.Store                   // what the platform's key-value service holds
 	KeyValue  map[ident.Domain]*standinkeyvalue.Server // by the failure domain that it answers
 	cut       map[ident.Domain]bool
+	Services  []*standinservice.Service
+	client    fasthttp.Client
 	doc       configuration.Document
 	dir       string
 	cuts      cuts
@@ -93,6 +106,7 @@
 		cfg: cfg, timer: timer.New(), stand: timer.New(),
 		KeyValue: make(map[ident.Domain]*standinkeyvalue.Server),
 		cut:      make(map[ident.Domain]bool),
+		client:   fasthttp.Client{MaxIdemponentCallAttempts: 1},
 	}
 }
 
@@ -127,6 +141,9 @@
 	if err := s.startEngines(); err != nil {
 		return err
 	}
+	if err := s.startServices(); err != nil {
+		return err
+	}
 	return s.startInstances()
 }
 
@@ -169,12 +186,13 @@
 			}
 			s.Engines = append(s.Engines, e)
 			s.doc.Upstreams = append(s.doc.Upstreams, configuration.Upstream{
-				Name:    ident.Upstream(cfg.Name),
-				Service: "assistant",
-				Address: e.Addr(),
-				Domain:  domain,
-				Models:  []string{Model},
-				Slots:   cfg.Slots,
+				Name:          ident.Upstream(cfg.Name),
+				Service:       "assistant",
+				Address:       e.Addr(),
+				Domain:        domain,
+				Models:        append([]string{Model}, s.cfg.Models...),
+				Slots:         cfg.Slots,
+				ChecksFencing: cfg.ChecksFencing,
 			})
 		}
 	}
@@ -255,6 +273,9 @@
 	if opt.Cut == nil && opt.CutFrom == nil {
 		opt.Cut, opt.CutFrom = s.lost(cfg.Domain), s.lost(cfg.Domain)
 	}
+	if s.cfg.Wrap != nil {
+		opt.Store = s.cfg.Wrap(len(s.Instances), s.Store.Port())
+	}
 	d, err := daemon.New(cfg, opt)
 	if err != nil {
 		return err
@@ -322,6 +343,10 @@
 	for _, k := range s.KeyValue {
 		k.Stop()
 	}
+	for _, v := range s.Services {
+		v.Stop()
+	}
+	s.client.CloseIdleConnections()
 	s.stop()
 	s.wg.Wait()
 	_ = os.RemoveAll(s.dir)
