Count the bytes of configuration at an instance, measure a large document

Cause: bytes a change were the difference of two large numbers, and the time to in force was measured with a small document only.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -79,42 +79,43 @@
 	ending  sync.Mutex
 	over    bool
 
-	loop       *control.Loop
-	link       *peerlink.Link
-	members    *members.Members
-	outbox     *outbox.Outbox
-	owner      *owner.Owner
-	replicas   *replica.Store
-	taker      *takeover.Taker
-	gateway    *gateway.Gateway
-	chooser    *routing.Chooser
-	suspects   *suspect.Ledger
-	trials     *trials          // of suspects of this instance
-	plain      *routing.Chooser // of plain services
-	line       *line            // generations that wait
-	services   *line            // calls to plain services that wait
-	throttle   *throttle.Throttle
-	shares     *quota.Shares
-	estimator  *estimate.Estimator
-	retries    *retry.Budget
-	polls      *polls
-	trackers   map[ident.Service]*health.Tracker // of the loop
-	reserved   *reservations                     // engines for generations that are about to start
-	away       *reservations                     // engines of other failure domains in use
-	guests     *reservations                     // engines here in use from other failure domains
-	neighbours neighbours
-	shared     []ident.Instance // members of shares, of the timer
-	heldBack   atomic.Int64     // time in Unix nanoseconds until which new work waits for lost answers
-	turn       atomic.Uint64
-	server     *fasthttp.Server
-	listener   net.Listener
-	conns      connections
-	store      platform.Store
-	calls      func() keyvalue.Calls // to the platform's service
-	closers    []func()
-	ledger     *revision.Ledger
-	rollout    *rollout.Rollout
-	operator   *operatorapi.API
+	loop        *control.Loop
+	link        *peerlink.Link
+	members     *members.Members
+	outbox      *outbox.Outbox
+	owner       *owner.Owner
+	replicas    *replica.Store
+	taker       *takeover.Taker
+	gateway     *gateway.Gateway
+	chooser     *routing.Chooser
+	suspects    *suspect.Ledger
+	trials      *trials          // of suspects of this instance
+	plain       *routing.Chooser // of plain services
+	line        *line            // generations that wait
+	services    *line            // calls to plain services that wait
+	throttle    *throttle.Throttle
+	shares      *quota.Shares
+	estimator   *estimate.Estimator
+	retries     *retry.Budget
+	polls       *polls
+	trackers    map[ident.Service]*health.Tracker // of the loop
+	reserved    *reservations                     // engines for generations that are about to start
+	away        *reservations                     // engines of other failure domains in use
+	guests      *reservations                     // engines here in use from other failure domains
+	neighbours  neighbours
+	shared      []ident.Instance // members of shares, of the timer
+	heldBack    atomic.Int64     // time in Unix nanoseconds until which new work waits for lost answers
+	turn        atomic.Uint64
+	server      *fasthttp.Server
+	listener    net.Listener
+	conns       connections
+	store       platform.Store
+	calls       func() keyvalue.Calls // to the platform's service
+	closers     []func()
+	ledger      *revision.Ledger
+	rollout     *rollout.Rollout
+	operator    *operatorapi.API
+	configBytes atomic.Uint64 // of configuration taken from others
 
 	metrics   *meters
 	bootstrap string // hash of the first operator's key, or ""
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -148,8 +148,3 @@
 func (d *Daemon) Live() []ident.Instance {
 	return d.live()
 }
-
-// PeerBytes returns the bytes exchanged with other instances.
-func (d *Daemon) PeerBytes() peerlink.Counts {
-	return d.link.Bytes()
-}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -45,6 +45,7 @@
 		"Peers.ControlTaken":   func() uint64 { return d.link.Bytes().ControlReceived },
 		"Peers.DataSent":       func() uint64 { return d.link.Bytes().DataSent },
 		"Peers.DataTaken":      func() uint64 { return d.link.Bytes().DataReceived },
+		"ConfigurationTaken":   d.ConfigurationBytes,
 		"Revision":             func() uint64 { return uint64(d.Revision()) },
 	} {
 		_ = d.metrics.registry.Register(name, metrics.NewFunctionalGauge(func() int64 { return int64(value()) }))
--- a/daemon/rollout.go
+++ b/daemon/rollout.go
@@ -71,7 +71,9 @@
 
 func (d *Daemon) pullConfiguration(ctx context.Context, to ident.Instance, a rollout.PageAsk) (rollout.Page, error) {
 	var p rollout.Page
-	return p, d.link.Call(ctx, to, methodConfigurationPage, a, &p)
+	err := d.link.Call(ctx, to, methodConfigurationPage, a, &p)
+	d.configBytes.Add(uint64(len(p.Body)))
+	return p, err
 }
 
 func (d *Daemon) askReport(ctx context.Context, to ident.Instance) (rollout.Report, error) {
@@ -80,6 +82,7 @@
 }
 
 func (d *Daemon) handleNotice(_ context.Context, from ident.Instance, params json.RawMessage) (any, error) {
+	d.configBytes.Add(uint64(len(params)))
 	var n distribution.Notice
 	if err := json.Unmarshal(params, &n); err != nil {
 		return nil, result.New(result.Malformed, err.Error())
@@ -101,3 +104,9 @@
 func (d *Daemon) Revision() ident.Revision {
 	return d.doc.Load().Revision
 }
+
+// ConfigurationBytes returns the bytes of notices and documents that this
+// instance has taken from others.
+func (d *Daemon) ConfigurationBytes() uint64 {
+	return d.configBytes.Load()
+}
--- a/measureoperator/fleet.go
+++ b/measureoperator/fleet.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"crocuslug/access"
 	"crocuslug/configuration"
 	"crocuslug/ident"
 	"crocuslug/intent"
@@ -32,14 +33,40 @@
 // domains are the failure domains of a fleet.
 var domains = []ident.Domain{"accra", "bamako", "cotonou"}
 
-// newFleet starts size instances in three failure domains and has the site's own
-// configuration confirmed. They count as cut off after a time; 0 means the default.
-func newFleet(ctx context.Context, cfg measure.Settings, size int, cutOffAfter time.Duration, report *measure.Report) (*fleet, error) {
+// shape says what a fleet is to be.
+type shape struct {
+	size        int           // instances, in three failure domains
+	workspaces  int           // in the document, beside the site's own
+	upstreams   int           // in the document, beside the site's own
+	cutOffAfter time.Duration // without word of the service; 0 means the default
+}
+
+// document returns the parts that make a document as large as the shape says.
+// Its upstreams are in a failure domain without instances.
+func (h shape) document() configuration.Document {
+	var doc configuration.Document
+	for i := range h.workspaces {
+		name := fmt.Sprintf("workspace-%04d", i)
+		doc.Workspaces = append(doc.Workspaces, configuration.Workspace{Name: ident.Workspace(name), KeyHashes: []string{access.Hash([]byte(name))}})
+	}
+	for i := range h.upstreams {
+		doc.Upstreams = append(doc.Upstreams, configuration.Upstream{
+			Name: ident.Upstream(fmt.Sprintf("upstream-%04d", i)), Service: "assistant",
+			Address: fmt.Sprintf("127.1.%d.%d:80", i/200, i%200+1), Domain: "dakar", Models: []string{standinsite.Model}, Slots: 16,
+		})
+	}
+	return doc
+}
+
+// newFleet starts a fleet and has the site's own configuration confirmed.
+func newFleet(ctx context.Context, cfg measure.Settings, h shape, report *measure.Report) (*fleet, error) {
+	size := h.size
 	s := standinsite.Settings{
-		Domains: domains, Instances: size / len(domains), Engines: 1, Seed: cfg.Seed, Unconfigured: true,
+		Document: h.document(),
+		Domains:  domains, Instances: size / len(domains), Engines: 1, Seed: cfg.Seed, Unconfigured: true,
 		Engine: standinengine.Settings{TokenInterval: 5 * time.Millisecond, Slots: 64},
 	}
-	s.Options.Rollout.Distribution.CutOffAfter = unit.Duration(cutOffAfter)
+	s.Options.Rollout.Distribution.CutOffAfter = unit.Duration(h.cutOffAfter)
 	if cfg.Baseline {
 		s.Domains, s.Instances = domains[:1], 1
 	}
@@ -129,11 +156,11 @@
 	return in
 }
 
-// peerBytes sums what the instances have sent to each other.
+// peerBytes sums what the instances have taken of configuration from each other.
 func (f *fleet) peerBytes() uint64 {
 	var sum uint64
 	for _, d := range f.site.Instances {
-		sum += d.PeerBytes().ControlSent
+		sum += d.ConfigurationBytes()
 	}
 	return sum
 }
--- a/measureoperator/outage.go
+++ b/measureoperator/outage.go
@@ -65,7 +65,7 @@
 // baseline every instance polls the service each second and knows no peers.
 func runOutage(ctx context.Context, cfg measure.Settings) (measure.Report, error) {
 	var report measure.Report
-	f, err := newFleet(ctx, cfg, outageInstances, outageCutOff, &report)
+	f, err := newFleet(ctx, cfg, shape{size: outageInstances, cutOffAfter: outageCutOff}, &report)
 	if err != nil {
 		return report, err
 	}
