--- a/caller/caller.go
+++ b/caller/caller.go
@@ -68,6 +68,7 @@
 	Prompt    string
 	MaxTokens int
 	First     int                                // index of the address to begin with
+	Trace     string                             // traceparent header, may be empty
 	OnToken   func(index int, text string)       // called for each token, may be nil
 	OnLost    func(address string, reason error) // called for each lost connection, may be nil
 }
@@ -83,6 +84,7 @@
 	LongestGap  time.Duration // between two tokens
 	Reconnects  int
 	LastAddress string
+	Cursor      string // of the last token
 }
 
 // message is one message of a chat completion request.
@@ -207,6 +209,9 @@
 
 func (x *exchange) fill(req *fasthttp.Request, address string) {
 	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+x.c.cfg.Key)
+	if x.r.Trace != "" {
+		req.Header.Set("traceparent", x.r.Trace)
+	}
 	if x.cursor != "" && !x.c.cfg.NoCursor {
 		req.SetRequestURI("http://" + address + "/v1/generations/" + string(x.r.ID))
 		req.Header.Set("Last-Event-ID", x.cursor)
@@ -297,6 +302,7 @@
 	}
 	x.last = now
 	x.cursor = ev.LastEventID
+	x.answer.Cursor = x.cursor
 	x.answer.Tokens = append(x.answer.Tokens, c.Choices[0].Delta.Content)
 	if x.r.OnToken != nil {
 		x.r.OnToken(len(x.answer.Tokens)-1, c.Choices[0].Delta.Content)
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"crocuslug/measure"
+	"crocuslug/measurecontrol"
 	"crocuslug/measuregeneration"
 	"crocuslug/measureload"
 	"crocuslug/measureoperator"
@@ -29,6 +30,7 @@
 		measuregeneration.Entries(),
 		measureload.Entries(),
 		measureoperator.Entries(),
+		measurecontrol.Entries(),
 	)
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"crocuslug/ident"
 	"crocuslug/keyvalue"
 	"crocuslug/members"
+	"crocuslug/membership"
 	"crocuslug/operatorapi"
 	"crocuslug/outbox"
 	"crocuslug/owner"
@@ -60,6 +61,7 @@
 	Naive       bool   // takes engines in turn and admits all at once; for comparison
 	FixedShares bool   // moves no shares of limits among instances; for comparison
 	Seed        uint64 // of all random choices; 0 draws one
+	Membership  membership.Settings
 	Cut         func(to ident.Instance) bool
 	CutFrom     func(from ident.Instance) bool
 	Store       platform.Store   // the platform's key-value service; a client of the settings' address if empty
@@ -143,7 +145,7 @@
 		opt.Tracer = noop.NewTracerProvider().Tracer("")
 	}
 	d := &Daemon{cfg: cfg, opt: opt, id: ident.Instance(cfg.Name), loop: control.New()}
-	d.log = opt.Log.With().Str("instance", string(d.id)).Str("domain", string(cfg.Domain)).Logger()
+	d.log = opt.Log.With().Str("Instance", string(d.id)).Str("Domain", string(cfg.Domain)).Logger()
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.conns.open = make(map[net.Conn]struct{})
 	if d.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
@@ -182,7 +184,7 @@
 			d.log.Error().Err(err).Msg("serving ended")
 		}
 	})
-	d.log.Info().Str("listen", d.Addr()).Str("peer", d.link.Addr()).Msg("started")
+	d.log.Info().Str("Listen", d.Addr()).Str("PeerAddr", d.link.Addr()).Msg("started")
 	return nil
 }
 
--- a/engineclient/client.go
+++ b/engineclient/client.go
@@ -54,13 +54,14 @@
 
 // Request is what a stream is started from.
 type Request struct {
-	Address string
-	Stream  string
-	Body    []byte   // the caller's request, JSON
-	Held    []string // tokens to continue from
-	Version string
-	Adapter string
-	Trace   propagation.MapCarrier // headers of the trace, may be nil
+	Address  string
+	Stream   string
+	Body     []byte   // the caller's request, JSON
+	Held     []string // tokens to continue from
+	Version  string
+	Adapter  string
+	Priority int                    // lower runs sooner
+	Trace    propagation.MapCarrier // headers of the trace, may be nil
 }
 
 // Lost is the error of a stream that could not be opened or went on.
@@ -137,11 +138,15 @@
 	if err := json.Unmarshal(r.Body, &fields); err != nil {
 		return nil, errs.Wrap(err)
 	}
+	if fields == nil {
+		return nil, errs.New("want a request in JSON")
+	}
 	set := func(name string, v any) {
 		// Strings and lists of strings always have a JSON form.
 		fields[name], _ = json.Marshal(v)
 	}
 	set("stream", true)
+	set("priority", r.Priority)
 	if r.Version != "" {
 		set("version", r.Version)
 	}
--- a/standinsite/operate_test.go
+++ b/standinsite/operate_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -80,11 +79,6 @@
 	}
 }
 
-func number(word string) int {
-	n, _ := strconv.Atoi(word)
-	return n
-}
-
 func (o *operation) line(line string, words []string) {
 	o.t.Helper()
 	var err error
@@ -99,7 +93,7 @@
 	case "lose":
 		o.site.Store.SetFaults(standinkeyvalue.Faults{LoseAnswers: number(words[1])})
 	case "cut", "heal":
-		err = o.site.Cut(ident.Domain(words[1]), words[0] == "cut")
+		err = o.site.Isolate(ident.Domain(words[1]), words[0] == "cut")
 	case "kill":
 		o.site.KillInstance(o.site.Instances[number(words[1])].Addr())
 	case "add":
--- a/standinsite/serving.go
+++ b/standinsite/serving.go
@@ -84,3 +84,29 @@
 	}
 	return s.KillInstance(s.Instances[i].Addr())
 }
+
+// holder returns the number of a live instance that holds a copy of a request's
+// generation without owning it, or -1.
+func (s *Site) holder(w ident.Workspace, r ident.Request) int {
+	owner := s.owner(w, r)
+	for i, d := range s.Instances {
+		s.mu.Lock()
+		alive := s.alive[i]
+		s.mu.Unlock()
+		if alive && i != owner && d.Holds(w, r) {
+			return i
+		}
+	}
+	return -1
+}
+
+// StopInstance ends instance n as the end of a planned stop does.
+func (s *Site) StopInstance(n int) {
+	s.mu.Lock()
+	was := s.alive[n]
+	s.alive[n] = false
+	s.mu.Unlock()
+	if was {
+		s.Instances[n].Stop()
+	}
+}
--- a/standinsite/site.go
+++ b/standinsite/site.go
@@ -73,9 +73,9 @@
 	Store     *standinkeyvalue.Store                   // what the platform's key-value service holds
 	KeyValue  map[ident.Domain]*standinkeyvalue.Server // by the failure domain that it answers
 	cut       map[ident.Domain]bool
-	domains   map[ident.Instance]ident.Domain
 	doc       configuration.Document
 	dir       string
+	cuts      cuts
 }
 
 // New returns a site that is not started.
@@ -93,7 +93,6 @@
 		cfg: cfg, timer: timer.New(), stand: timer.New(),
 		KeyValue: make(map[ident.Domain]*standinkeyvalue.Server),
 		cut:      make(map[ident.Domain]bool),
-		domains:  make(map[ident.Instance]ident.Domain),
 	}
 }
 
@@ -136,6 +135,12 @@
 	return s.timer
 }
 
+// Document returns the configuration that the instances start with. Call it
+// after Start.
+func (s *Site) Document() configuration.Document {
+	return s.doc
+}
+
 func (s *Site) startEngines() error {
 	s.doc = s.cfg.Document
 	s.doc.Services = append(s.doc.Services, configuration.Service{Name: "assistant", Kind: configuration.Model})
@@ -245,10 +250,11 @@
 	if !s.cfg.Unconfigured {
 		opt.Document = &s.doc
 	}
-	opt.Cut = func(to ident.Instance) bool { return !s.passes(cfg.Domain, s.domainOf(to)) }
-	opt.CutFrom = opt.Cut
 	opt.Log, opt.Tracer = s.cfg.Log, s.cfg.Tracer
 	opt.Seed = s.cfg.Seed + uint64(len(s.Instances)) + 1
+	if opt.Cut == nil && opt.CutFrom == nil {
+		opt.Cut, opt.CutFrom = s.lost(cfg.Domain), s.lost(cfg.Domain)
+	}
 	d, err := daemon.New(cfg, opt)
 	if err != nil {
 		return err
@@ -258,7 +264,6 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.domains[d.ID()] = d.Domain()
 	s.Instances = append(s.Instances, d)
 	s.alive = append(s.alive, true)
 	return nil
@@ -308,14 +313,8 @@
 
 // Stop ends everything that was started.
 func (s *Site) Stop() {
-	for i, d := range s.Instances {
-		s.mu.Lock()
-		was := s.alive[i]
-		s.alive[i] = false
-		s.mu.Unlock()
-		if was {
-			d.Stop()
-		}
+	for i := range s.Instances {
+		s.StopInstance(i)
 	}
 	for _, e := range s.Engines {
 		e.Stop()
