--- a/upstreamcontrol/script_test.go
+++ b/upstreamcontrol/script_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -39,6 +40,7 @@
 	cut      map[string]*bool
 	stall    map[string]func()
 	used     placement.Order
+	mu       sync.Mutex // of stall, while engines are read
 }
 
 func TestScripts(t *testing.T) {
@@ -51,6 +53,15 @@
 	}
 }
 
+// takeStall returns the stall that a control has before it, once.
+func (b *bench) takeStall(who string) func() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f := b.stall[who]
+	delete(b.stall, who)
+	return f
+}
+
 func run(t *testing.T, file string) {
 	b := &bench{
 		t: t, clock: timer.NewVirtual(time.Unix(0, 0)), doc: &configuration.Document{},
@@ -61,9 +72,9 @@
 	for _, who := range []string{"a", "b"} {
 		b.cut[who] = new(bool)
 		c := control(b.clock, b.doc, store.Port(), ident.Instance(who), b.cut[who])
+		// Engines are read at once, and the first read stalls.
 		c.seams.InUse = func(ident.Upstream) []placement.Model {
-			if f := b.stall[who]; f != nil {
-				delete(b.stall, who)
+			if f := b.takeStall(who); f != nil {
 				f()
 			}
 			return nil
