--- /dev/null
+++ b/daemon/poll_test.go
@@ -0,0 +1,40 @@
+package daemon
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"crocuslug/ident"
+)
+
+// TestPollsStayWithinBudget polls a full subset, with answers of cache events of
+// any size, and holds the bytes to the budget and the polls to all engines.
+func TestPollsStayWithinBudget(t *testing.T) {
+	const engines, seconds, perSecond, largest = 32, 120, 4000, 20000
+	p := &polls{interval: 500 * time.Millisecond, rate: perSecond}
+	var names []ident.Upstream
+	for i := range engines {
+		names = append(names, ident.Upstream(fmt.Sprint(i)))
+	}
+	p.follow(names, func(u ident.Upstream) (string, bool) { return string(u), true })
+	now := time.Unix(1_000_000, 0)
+	sum := 0
+	polled := make(map[ident.Upstream]int)
+	for end := now.Add(seconds * time.Second); now.Before(end); now = now.Add(pollTick) {
+		for one := p.due(now); one != nil; one = p.due(now) {
+			n := 450 + len(polled)*sum%largest
+			polled[one.name]++
+			sum += n
+			p.done(one, n)
+		}
+	}
+	if most := perSecond*(seconds+1) + largest; sum > most {
+		t.Errorf("bytes: got %d in %d s, want at most %d", sum, seconds, most)
+	}
+	for _, u := range names {
+		if polled[u] == 0 {
+			t.Errorf("engine %s: got no poll, want some", u)
+		}
+	}
+}
