--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 
 	"crocuslug/access"
 	"crocuslug/admission"
+	"crocuslug/claimstore"
 	"crocuslug/configuration"
 	"crocuslug/control"
 	"crocuslug/estimate"
@@ -24,6 +25,7 @@
 	"crocuslug/ident"
 	"crocuslug/keyvalue"
 	"crocuslug/members"
+	"crocuslug/membership"
 	"crocuslug/operatorapi"
 	"crocuslug/outbox"
 	"crocuslug/owner"
@@ -40,6 +42,7 @@
 	"crocuslug/takeover"
 	"crocuslug/throttle"
 	"crocuslug/timer"
+	"crocuslug/upstreamcontrol"
 )
 
 // Options are what a Daemon needs beside its settings. Only Timer is required.
@@ -60,8 +63,11 @@
 	Naive       bool   // takes engines in turn and admits all at once; for comparison
 	FixedShares bool   // moves no shares of limits among instances; for comparison
 	Seed        uint64 // of all random choices; 0 draws one
+	Membership  membership.Settings
 	Cut         func(to ident.Instance) bool
 	CutFrom     func(from ident.Instance) bool
+	Actions     claimstore.Settings
+	Orders      upstreamcontrol.Settings
 	Store       platform.Store   // the platform's key-value service; a client of the settings' address if empty
 	Rollout     rollout.Settings // HeadKey and Log are filled in
 }
@@ -115,6 +121,8 @@
 	ledger     *revision.Ledger
 	rollout    *rollout.Rollout
 	operator   *operatorapi.API
+	actions    *actions
+	orders     *orders
 
 	metrics   *meters
 	bootstrap string // hash of the first operator's key, or ""
@@ -142,7 +150,7 @@
 		opt.Tracer = noop.NewTracerProvider().Tracer("")
 	}
 	d := &Daemon{cfg: cfg, opt: opt, id: ident.Instance(cfg.Name), loop: control.New()}
-	d.log = opt.Log.With().Str("instance", string(d.id)).Str("domain", string(cfg.Domain)).Logger()
+	d.log = opt.Log.With().Str("Instance", string(d.id)).Str("Domain", string(cfg.Domain)).Logger()
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.conns.open = make(map[net.Conn]struct{})
 	if d.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
@@ -158,6 +166,8 @@
 	d.handleShares()
 	d.handleSpill()
 	d.buildGenerations()
+	d.buildActions()
+	d.buildOrders()
 	d.buildConfiguration(key)
 	d.buildRoutes()
 	return d, nil
@@ -176,12 +186,13 @@
 	d.every(expireInterval, d.expire)
 	d.every(suspectInterval, d.tellSuspects)
 	d.startLoad()
+	d.startOrders()
 	d.goRun(func() {
 		if err := d.server.Serve(d.conns.wrap(d.listener)); err != nil {
 			d.log.Error().Err(err).Msg("serving ended")
 		}
 	})
-	d.log.Info().Str("listen", d.Addr()).Str("peer", d.link.Addr()).Msg("started")
+	d.log.Info().Str("Listen", d.Addr()).Str("PeerAddr", d.link.Addr()).Msg("started")
 	return nil
 }
 
@@ -257,6 +268,10 @@
 // leavePoll is the interval of asking whether all work is done.
 const leavePoll = 50 * time.Millisecond
 
+// leaveIdle is how often in a row no work is seen before all answers count as
+// written.
+const leaveIdle = 2
+
 // Leave begins a graceful shutdown and returns when all work in progress is
 // done or ctx has ended. New work is refused meanwhile.
 func (d *Daemon) Leave(ctx context.Context) error {
@@ -267,9 +282,14 @@
 	done := make(chan struct{})
 	var once sync.Once
 	earliest := d.opt.Timer.Now().Add(leaveNotice)
+	idle := 0
 	sub := d.opt.Timer.Every(leavePoll, func(now time.Time) {
 		waiting, _ := d.line.queue.Len()
-		if active, _, _ := d.owner.Load(); active == 0 && waiting == 0 && now.After(earliest) {
+		idle++
+		if active, _, _ := d.owner.Load(); active > 0 || waiting > 0 || d.actionsLeft() > 0 {
+			idle = 0
+		}
+		if idle > leaveIdle && now.After(earliest) {
 			once.Do(func() { close(done) })
 		}
 	})
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -25,6 +25,7 @@
 	}, d.opt.Timer, d.log)
 	d.link.Cut = d.opt.Cut
 	d.link.CutFrom = d.opt.CutFrom
+	d.link.Tracer = d.opt.Tracer
 	d.link.OnDown(func(id ident.Instance) { d.owner.ReplicaLost(id) })
 	d.members = members.New(members.Settings{
 		Self: membership.Member{
@@ -36,6 +37,7 @@
 			State:       membership.Live,
 		},
 		Seeds: d.seeds(),
+		Table: d.opt.Membership,
 	}, d.link, d.opt.Timer, rand.New(rand.NewPCG(d.seed, 1)).IntN, d.log)
 	d.members.OnChange(d.membersChanged)
 	d.members.OnChange(d.readNotices)
@@ -148,3 +150,13 @@
 func (d *Daemon) Live() []ident.Instance {
 	return d.live()
 }
+
+// PeerBytes returns the bytes exchanged with other instances.
+func (d *Daemon) PeerBytes() peerlink.Counts {
+	return d.link.Bytes()
+}
+
+// Members returns what this instance believes of all instances.
+func (d *Daemon) Members() *membership.View {
+	return d.members.View()
+}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -6,9 +6,9 @@
 
 // buildPlatform wires the platform's key-value service.
 func (d *Daemon) buildPlatform() {
-	d.store = d.opt.Store
 	d.calls = func() keyvalue.Calls { return keyvalue.Calls{} }
-	if d.store.Get != nil {
+	if d.opt.Store.Get != nil {
+		d.store = tracedStore(d.opt.Store, d.opt.Tracer)
 		return
 	}
 	c := keyvalue.New(keyvalue.Settings{
@@ -17,7 +17,7 @@
 		WritesPerSecond: float64(d.cfg.Platform.WritesPerSec),
 		Seed:            d.seed,
 	}, d.opt.Timer)
-	d.store = c.Port()
+	d.store = tracedStore(c.Port(), d.opt.Tracer)
 	d.calls = c.Calls
 	d.closers = append(d.closers, c.Close)
 }
@@ -25,5 +25,16 @@
 // PlatformCalls returns what this instance has asked of the platform's service.
 // It is empty if the store came with the options.
 func (d *Daemon) PlatformCalls() keyvalue.Calls {
-	return d.calls()
+	a, b := d.calls(), d.actions.calls()
+	return keyvalue.Calls{
+		Reads:         a.Reads + b.Reads,
+		Writes:        a.Writes + b.Writes,
+		Watches:       a.Watches + b.Watches,
+		Joined:        a.Joined + b.Joined,
+		OverBudget:    a.OverBudget + b.OverBudget,
+		BackedOff:     a.BackedOff + b.BackedOff,
+		Unavailable:   a.Unavailable + b.Unavailable,
+		Unknown:       a.Unknown + b.Unknown,
+		SilentWatches: a.SilentWatches + b.SilentWatches,
+	}
 }
--- a/owner/generation.go
+++ b/owner/generation.go
@@ -80,6 +80,13 @@
 	Position   int
 }
 
+// Progress returns how many tokens are held and how many the caller has taken.
+func (g *Generation) Progress() (held, delivered int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.machine.Log().Len(), g.delivered
+}
+
 // Describe returns how far the generation is.
 func (g *Generation) Describe() Description {
 	g.mu.Lock()
@@ -169,7 +176,7 @@
 	}
 	go func() {
 		if err := g.owner.ports.Engines.Cancel(address, a.Stream); err != nil {
-			g.owner.ports.Log.Debug().Str("upstream", string(a.Upstream)).Str("stream", a.Stream).Err(err).Msg("cancel failed")
+			g.owner.ports.Log.Debug().Str("Upstream", string(a.Upstream)).Str("Stream", a.Stream).Err(err).Msg("cancel failed")
 		}
 	}()
 }
