--- a/caller/caller.go
+++ b/caller/caller.go
@@ -68,6 +68,7 @@
 	Prompt    string
 	MaxTokens int
 	First     int                                // index of the address to begin with
+	Trace     string                             // traceparent header, may be empty
 	OnToken   func(index int, text string)       // called for each token, may be nil
 	OnLost    func(address string, reason error) // called for each lost connection, may be nil
 }
@@ -83,6 +84,7 @@
 	LongestGap  time.Duration // between two tokens
 	Reconnects  int
 	LastAddress string
+	Cursor      string // of the last token
 }
 
 // message is one message of a chat completion request.
@@ -121,15 +123,16 @@
 }
 
 // Do sends r and returns the answer when it is whole, has failed for good, or
-// ctx has ended.
+// ctx has ended. A caller that gives up tells the last refusal, if there was one.
 func (c *Caller) Do(ctx context.Context, r Request) Answer {
 	x := &exchange{c: c, r: r, sent: c.timer.Now()}
+	var lost error
 	for try := 0; !x.final && ctx.Err() == nil && try <= c.cfg.Reconnects; try++ {
 		address := c.cfg.Addresses[(r.First+try)%len(c.cfg.Addresses)]
 		x.answer.LastAddress = address
 		x.answer.Reconnects = try
 		err := x.connect(ctx, address)
-		if err == nil {
+		if lost = err; err == nil {
 			continue
 		}
 		if r.OnLost != nil {
@@ -137,6 +140,9 @@
 		}
 		c.sleep(ctx, c.cfg.Pause)
 	}
+	if !x.final {
+		errors.As(lost, &x.answer.Err)
+	}
 	x.answer.Total = c.timer.Now().Sub(x.sent)
 	return x.answer
 }
@@ -203,6 +209,9 @@
 
 func (x *exchange) fill(req *fasthttp.Request, address string) {
 	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+x.c.cfg.Key)
+	if x.r.Trace != "" {
+		req.Header.Set("traceparent", x.r.Trace)
+	}
 	if x.cursor != "" && !x.c.cfg.NoCursor {
 		req.SetRequestURI("http://" + address + "/v1/generations/" + string(x.r.ID))
 		req.Header.Set("Last-Event-ID", x.cursor)
@@ -293,6 +302,7 @@
 	}
 	x.last = now
 	x.cursor = ev.LastEventID
+	x.answer.Cursor = x.cursor
 	x.answer.Tokens = append(x.answer.Tokens, c.Choices[0].Delta.Content)
 	if x.r.OnToken != nil {
 		x.r.OnToken(len(x.answer.Tokens)-1, c.Choices[0].Delta.Content)
--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -62,6 +62,7 @@
 	d.ledger = revision.New(d.store, d.opt.Timer.Now, revision.Settings{})
 	d.buildRollout()
 	d.buildOperators()
+	d.meterControl()
 	doc := d.opt.Document
 	if doc == nil {
 		doc = &configuration.Document{}
@@ -149,5 +150,7 @@
 		return result.Newf(result.NotFound, "model %q is not configured", spec.Model)
 	}
 	spec.Service = s
+	rule := d.doc.Load().ruleOf(spec.Workspace, s, "POST", completionsPath)
+	spec.Priority = int(priorities[rule.Priority])
 	return nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strings"
 	"time"
 
@@ -74,19 +73,6 @@
 	return &Gateway{cfg: cfg, ports: ports}
 }
 
-// completion is the part of a chat completion request that the system reads.
-type completion struct {
-	Model    string `json:"model"`
-	Messages []struct {
-		Role    string `json:"role"`
-		Content string `json:"content"`
-	} `json:"messages"`
-	Stream    bool   `json:"stream"`
-	MaxTokens int    `json:"max_tokens"`
-	Version   string `json:"version"`
-	Adapter   string `json:"adapter"`
-}
-
 // requestHeader carries the request id.
 const requestHeader = "X-Request-Id"
 
@@ -132,10 +118,10 @@
 		problem.Write(ctx, err, id)
 		return
 	}
-	span, carrier := g.span(ctx, spec)
-	gen, err := g.known(spec, given)
+	c, span := g.span(ctx, spec)
+	gen, err := g.known(c, spec, given)
 	if gen == nil && err == nil {
-		gen, err = g.start(spec, carrier)
+		gen, err = g.start(c, spec)
 	}
 	if err != nil {
 		span.RecordError(err)
@@ -146,38 +132,24 @@
 	g.answer(ctx, gen, cursor.New(gen.Spec().Generation), spec.Streamed, span)
 }
 
-// span begins the span of the caller's hop.
-func (g *Gateway) span(ctx *fasthttp.RequestCtx, spec generation.Spec) (trace.Span, propagation.MapCarrier) {
+// span begins the span of the caller's hop. The context that holds it does not
+// end with the handler.
+func (g *Gateway) span(ctx *fasthttp.RequestCtx, spec generation.Spec) (context.Context, trace.Span) {
 	in := propagation.MapCarrier{"traceparent": string(ctx.Request.Header.Peek("traceparent"))}
-	tc := propagation.TraceContext{}
-	c, span := g.ports.Tracer.Start(tc.Extract(context.Background(), in), "caller request",
+	return g.ports.Tracer.Start(propagation.TraceContext{}.Extract(context.Background(), in), "caller request",
 		trace.WithSpanKind(trace.SpanKindServer),
 		trace.WithAttributes(
-			attribute.String("request", string(spec.Request)),
-			attribute.String("workspace", string(spec.Workspace)),
-			attribute.String("model", spec.Model)))
-	out := propagation.MapCarrier{}
-	tc.Inject(c, out)
-	return span, out
+			attribute.String("Request", string(spec.Request)),
+			attribute.String("Workspace", string(spec.Workspace)),
+			attribute.String("Model", spec.Model)))
 }
 
 // spec reads the request and pins what it is made from.
 func (g *Gateway) spec(ctx *fasthttp.RequestCtx, w ident.Workspace, id ident.Request) (generation.Spec, *result.Error) {
-	var c completion
 	body := ctx.PostBody()
-	if err := json.Unmarshal(body, &c); err != nil {
-		return generation.Spec{}, result.New(result.Malformed, "body: want a chat completion in JSON")
-	}
-	switch {
-	case c.Model == "":
-		return generation.Spec{}, result.New(result.Malformed, "model: want the name of a model")
-	case len(c.Messages) == 0:
-		return generation.Spec{}, result.New(result.Malformed, "messages: want at least one")
-	case c.MaxTokens < 0 || c.MaxTokens > g.cfg.MaxTokens:
-		return generation.Spec{}, result.Newf(result.TooLarge, "max_tokens: want 1 to %d", g.cfg.MaxTokens)
-	}
-	if c.MaxTokens == 0 {
-		c.MaxTokens = g.cfg.MaxTokens
+	c, err := readCompletion(body, g.cfg.MaxTokens)
+	if err != nil {
+		return generation.Spec{}, err
 	}
 	spec := generation.Spec{
 		Request:     id,
@@ -204,11 +176,11 @@
 }
 
 // known returns the generation of a request that the caller sent before.
-func (g *Gateway) known(spec generation.Spec, given bool) (*owner.Generation, *result.Error) {
+func (g *Gateway) known(c context.Context, spec generation.Spec, given bool) (*owner.Generation, *result.Error) {
 	if !given || g.cfg.NoLookUp {
 		return nil, nil
 	}
-	gen, err := g.ports.Find(context.Background(), replica.Name{Workspace: spec.Workspace, Request: spec.Request}, nil)
+	gen, err := g.ports.Find(c, replica.Name{Workspace: spec.Workspace, Request: spec.Request}, nil)
 	switch {
 	case err != nil && err.Code == result.NotFound:
 		return nil, nil
@@ -221,14 +193,16 @@
 }
 
 // start admits a new generation and begins it.
-func (g *Gateway) start(spec generation.Spec, carrier propagation.MapCarrier) (*owner.Generation, *result.Error) {
+func (g *Gateway) start(c context.Context, spec generation.Spec) (*owner.Generation, *result.Error) {
 	if g.ports.Leaving() {
 		return nil, result.New(result.InstanceLeaving, "send the request again; another instance will take it").After(time.Second)
 	}
-	finish, err := g.ports.Admit(context.Background(), spec)
+	finish, err := g.ports.Admit(c, spec)
 	if err != nil {
 		return nil, err
 	}
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(c, carrier)
 	return g.ports.Owner.Start(spec, carrier, finish), nil
 }
 
@@ -269,8 +243,8 @@
 
 // goOn answers from a cursor, or from the start if there is none.
 func (g *Gateway) goOn(ctx *fasthttp.RequestCtx, n replica.Name, c *cursor.Cursor) {
-	span, _ := g.span(ctx, generation.Spec{Request: n.Request, Workspace: n.Workspace})
-	gen, err := g.ports.Find(context.Background(), n, c)
+	tc, span := g.span(ctx, generation.Spec{Request: n.Request, Workspace: n.Workspace})
+	gen, err := g.ports.Find(tc, n, c)
 	if err != nil {
 		span.RecordError(err)
 		span.End()
