--- a/standinsite/cut.go
+++ b/standinsite/cut.go
@@ -2,41 +2,30 @@
 
 import (
 	"strings"
-	"sync/atomic"
 
 	"crocuslug/ident"
 )
 
-// cuts are the pairs of failure domains that have lost each other.
-type cuts struct {
-	pairs atomic.Pointer[map[[2]ident.Domain]bool]
-}
-
-// Cut makes everything that instances of two failure domains send each other
-// get lost, both ways, until Heal.
-func (s *Site) Cut(a, b ident.Domain) {
-	pairs := map[[2]ident.Domain]bool{{a, b}: true, {b, a}: true}
-	if old := s.cuts.pairs.Load(); old != nil {
-		for p := range *old {
-			pairs[p] = true
-		}
-	}
-	s.cuts.pairs.Store(&pairs)
+// CutBetween ends all traffic between two failure domains until HealBetween.
+// Both keep their way to the others and to the platform.
+func (s *Site) CutBetween(a, b ident.Domain) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pairs[[2]ident.Domain{a, b}] = true
+	s.pairs[[2]ident.Domain{b, a}] = true
 }
 
-// Heal ends all cuts.
-func (s *Site) Heal() {
-	s.cuts.pairs.Store(nil)
+// HealBetween ends all cuts that CutBetween made.
+func (s *Site) HealBetween() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.pairs)
 }
 
 // lost returns whether what passes between an instance of a failure domain and
 // another instance is lost.
 func (s *Site) lost(domain ident.Domain) func(other ident.Instance) bool {
-	return func(id ident.Instance) bool {
-		other := domainOf(id)
-		pairs := s.cuts.pairs.Load()
-		return pairs != nil && (*pairs)[[2]ident.Domain{domain, other}] || !s.passes(domain, other)
-	}
+	return func(other ident.Instance) bool { return !s.passes(domain, domainOf(other)) }
 }
 
 // domainOf returns the failure domain of an instance, whose name begins with it.
--- a/standinsite/script_test.go
+++ b/standinsite/script_test.go
@@ -86,9 +86,9 @@
 		n, _ := strconv.Atoi(words[1])
 		s.ask(n, words[2:])
 	case "cut":
-		s.site.Cut(ident.Domain(words[1]), ident.Domain(words[2]))
+		s.site.CutBetween(ident.Domain(words[1]), ident.Domain(words[2]))
 	case "heal":
-		s.site.Heal()
+		s.site.HealBetween()
 	case "sees":
 		s.sees(ident.Domain(words[1]), membership.State(words[2]), ident.Domain(words[3]))
 	case "want":
@@ -194,7 +194,7 @@
 // that reads the first answer.
 func (s *script) do(words []string) bool {
 	if words[0] == "cut" {
-		s.site.Cut(ident.Domain(words[1]), ident.Domain(words[2]))
+		s.site.CutBetween(ident.Domain(words[1]), ident.Domain(words[2]))
 		return true
 	}
 	n := s.serving(words)
