--- a/cmd/crocuslug/demo.go
+++ b/cmd/crocuslug/demo.go
@@ -43,12 +43,15 @@
 		Services:  2,
 		Engine:    standinengine.Settings{TokenInterval: 20 * time.Millisecond},
 		Seed:      1,
-		Log:       zerolog.Nop(),
+		// The first configuration is an operator's, too.
+		Unconfigured: true,
+		Log:          zerolog.Nop(),
 	})
 	if err := d.site.Start(); err != nil {
 		return err
 	}
 	defer d.site.Stop()
+	d.change()
 	d.generation()
 	d.booking()
 	if d.failed > 0 {
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -18,6 +18,7 @@
 	"crocuslug/measureaction"
 	"crocuslug/measuregeneration"
 	"crocuslug/measureload"
+	"crocuslug/measureoperator"
 )
 
 // runLimit bounds one experiment.
@@ -25,7 +26,12 @@
 
 // entries lists all experiments in the order of list.
 func entries() []measure.Entry {
-	return slices.Concat(measuregeneration.Entries(), measureload.Entries(), measureaction.Entries())
+	return slices.Concat(
+		measuregeneration.Entries(),
+		measureload.Entries(),
+		measureoperator.Entries(),
+		measureaction.Entries(),
+	)
 }
 
 func main() {
--- a/daemon/actions.go
+++ b/daemon/actions.go
@@ -10,8 +10,6 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/propagation"
-	"go.opentelemetry.io/otel/trace"
 
 	"crocuslug/claim"
 	"crocuslug/claimstore"
@@ -54,6 +52,10 @@
 	d.actions = &actions{calls: func() keyvalue.Calls { return keyvalue.Calls{} }}
 	sample := metrics.NewExpDecaySample(sampleSize, sampleAlpha)
 	d.actions.waits = metrics.NewRegisteredHistogram("ClaimUs", d.metrics.registry, sample)
+	for _, name := range []string{"ClaimWrites", "ClaimBytes", "ClaimsForwarded"} {
+		d.metrics.count(name, 0)
+	}
+	d.gauge("ActionsLeft", d.actionsLeft)
 	run := d.id + ident.Instance("-"+runName())
 	cfg := d.opt.Actions
 	d.actions.ledger = claimstore.New(cfg, d.actionStore(), d.opt.Timer, run)
@@ -68,11 +70,12 @@
 		Configuration:  func() *configuration.Document { return d.doc.Load().Document },
 		Authenticate:   d.authenticate,
 		Admit:          d.admitService,
-		Context:        spanContext,
+		Context:        callContext,
 		ChooseUpstream: d.ChooseService,
 		Retry:          d.RetryService,
 		Take:           d.take,
 		Settle:         d.settle,
+		Tracer:         d.opt.Tracer,
 		Problem:        d.serviceProblem,
 	}, d.opt.Timer)
 }
@@ -156,14 +159,15 @@
 	if d.leaving.Load() {
 		return nil, result.New(result.InstanceLeaving, "leaving").After(busyRetry)
 	}
-	return d.AdmitService(spanContext(ctx), w, rule)
+	return d.AdmitService(callContext(ctx), w, rule)
 }
 
 // contextValue is the name under which a request carries its context.
 const contextValue = "context"
 
-// spanContext returns the context of the calls for a request, with its span.
-func spanContext(ctx *fasthttp.RequestCtx) context.Context {
+// callContext returns the context of the calls for a request, which ends with
+// the daemon.
+func callContext(ctx *fasthttp.RequestCtx) context.Context {
 	if c, ok := ctx.UserValue(contextValue).(context.Context); ok {
 		return c
 	}
@@ -174,26 +178,13 @@
 func (d *Daemon) serveService(ctx *fasthttp.RequestCtx) {
 	d.actions.running.Add(1)
 	defer d.actions.running.Add(-1)
-	in := propagation.MapCarrier{"traceparent": string(ctx.Request.Header.Peek("traceparent"))}
-	tc := propagation.TraceContext{}
-	c, cancel := d.withStop(tc.Extract(context.Background(), in))
+	c, cancel := d.withStop(context.Background())
 	defer cancel()
-	c, span := d.opt.Tracer.Start(c, "service request",
-		trace.WithSpanKind(trace.SpanKindServer),
-		trace.WithAttributes(attribute.String("path", string(ctx.Path()))))
-	defer span.End()
-	out := propagation.MapCarrier{}
-	tc.Inject(c, out)
-	if parent := out["traceparent"]; parent != "" {
-		ctx.Request.Header.Set("traceparent", parent)
-	}
 	ctx.SetUserValue(contextValue, c)
 	d.actions.proxy.Handle(ctx)
-	span.SetAttributes(attribute.Int("status", ctx.Response.StatusCode()))
 }
 
 func (d *Daemon) serviceProblem(ctx *fasthttp.RequestCtx, e *result.Error, id ident.Request) {
-	d.metrics.count("Services."+e.Code.String(), 1)
 	d.log.Info().Int("code", int(e.Code)).Str("detail", e.Detail).Str("run", string(e.Run)).
 		Str("request", string(id)).Str("path", string(ctx.Path())).Msg("service request failed")
 	problem.Write(ctx, e, id)
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -24,6 +24,9 @@
 
 func newMeters() *meters {
 	r := metrics.NewRegistry()
+	for _, name := range counted {
+		metrics.NewRegisteredCounter(name, r)
+	}
 	return &meters{
 		registry: r,
 		resume:   metrics.NewRegisteredHistogram("ResumeLatencyUs", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
@@ -33,6 +36,13 @@
 	}
 }
 
+// counted are the counters that are there from the start. Those of results,
+// such as Generations.OK, appear with their first event.
+var counted = []string{
+	"StreamsStarted", "StreamsResumed", "StreamsContinued", "TokensStale", "TokensUnreplicated",
+	"UpstreamsEjected", "UpstreamsReadmitted", "Retries", "SpilledIn", "SpilledOut", "PollBytes",
+}
+
 func (m *meters) count(name string, n int) {
 	metrics.GetOrRegisterCounter(name, m.registry).Inc(int64(n))
 }
@@ -46,6 +56,7 @@
 	m.count("Generations."+code.String(), 1)
 	m.count("StreamsStarted", s.Streams)
 	m.count("StreamsResumed", s.Resumes)
+	m.count("StreamsMoved", s.Moves)
 	m.count("StreamsContinued", s.Continuations)
 	m.count("TokensStale", s.StaleTokens)
 	m.count("TokensUnreplicated", s.Unreplicated)
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -64,8 +64,10 @@
 	// Progress tells of tokens that were taken in; first is the wait for the
 	// first token of the generation, or 0.
 	Progress func(u ident.Upstream, spec generation.Spec, tokens int, first time.Duration)
-	// Opened tells the load that an engine told when it answered.
-	Opened func(u ident.Upstream, load string)
+	// Opened takes in the load that an engine told when it answered, of before it
+	// took a stream that was started. It reports whether another engine should be
+	// tried because this one is full.
+	Opened func(u ident.Upstream, load string, started bool) (full bool)
 	// Paced tells how long an engine took for some tokens of one stream.
 	Paced func(u ident.Upstream, tokens int, took time.Duration, first bool)
 	// Recovered tells how long a caller waited after a loss.
@@ -153,9 +155,10 @@
 	return o.add(g)
 }
 
-// Adopt goes on with a generation that was taken over. It returns an error if
-// the snapshot's spec cannot be read.
-func (o *Owner) Adopt(s replica.Snapshot) (*Generation, error) {
+// Adopt goes on with a generation that was taken over. Carrier holds the headers
+// of the trace of the request that made it move, and may be nil. It returns an
+// error if the snapshot's spec cannot be read.
+func (o *Owner) Adopt(s replica.Snapshot, carrier propagation.MapCarrier) (*Generation, error) {
 	var spec generation.Spec
 	if err := json.Unmarshal(s.Spec, &spec); err != nil {
 		return nil, err
@@ -168,7 +171,9 @@
 		Finish:   s.Finish,
 		Done:     s.Done,
 	})
-	return o.add(newGeneration(o, m, len(s.Tokens))), nil
+	g := newGeneration(o, m, len(s.Tokens))
+	g.trace = carrier
+	return o.add(g), nil
 }
 
 func (o *Owner) add(g *Generation) *Generation {
--- a/standinsite/site.go
+++ b/standinsite/site.go
@@ -9,7 +9,6 @@
 	"context"
 	"fmt"
 	"os"
-	"slices"
 	"sync"
 	"time"
 
@@ -43,12 +42,14 @@
 	Options   daemon.Options // Timer, Log, Document and Cut are filled in
 	Daemon    settings.Settings
 	Document  configuration.Document // what it lists is added to the site's own
-	Tracer    trace.Tracer
-	Seed      uint64
-	Log       zerolog.Logger
 	// Wrap returns the store that instance i uses, given the platform's; the
 	// instances call the stand-in over HTTP if it is nil.
 	Wrap func(i int, p platform.Store) platform.Store
+	// Unconfigured instances start without any configuration; see Configure.
+	Unconfigured bool
+	Tracer       trace.Tracer
+	Seed         uint64
+	Log          zerolog.Logger
 	// EngineAddress takes the place of the stand-ins for engines if it is set.
 	EngineAddress  string
 	Slots          int                   // of the engine at EngineAddress
@@ -82,8 +83,10 @@
 	alive     []bool
 	Services  []*standinservice.Service
 	client    fasthttp.Client
-	Store     *standinkeyvalue.Store // what the platform's key-value service holds
-	KeyValue  *standinkeyvalue.Server
+	Store     *standinkeyvalue.Store                   // what the platform's key-value service holds
+	KeyValue  map[ident.Domain]*standinkeyvalue.Server // by the failure domain that it answers
+	cut       map[ident.Domain]bool
+	domains   map[ident.Instance]ident.Domain
 	doc       configuration.Document
 	dir       string
 }
@@ -101,7 +104,10 @@
 	}
 	return &Site{
 		cfg: cfg, timer: timer.New(), stand: timer.New(),
-		client: fasthttp.Client{MaxIdemponentCallAttempts: 1},
+		client:   fasthttp.Client{MaxIdemponentCallAttempts: 1},
+		KeyValue: make(map[ident.Domain]*standinkeyvalue.Server),
+		cut:      make(map[ident.Domain]bool),
+		domains:  make(map[ident.Instance]ident.Domain),
 	}
 }
 
@@ -127,9 +133,11 @@
 		}
 	}
 	s.Store = standinkeyvalue.New(s.stand)
-	s.KeyValue = standinkeyvalue.NewServer(s.Store, "", nil)
-	if err := s.KeyValue.Start(); err != nil {
-		return err
+	for _, domain := range s.cfg.Domains {
+		s.KeyValue[domain] = standinkeyvalue.NewServer(s.Store, "", nil)
+		if err := s.KeyValue[domain].Start(); err != nil {
+			return err
+		}
 	}
 	if err := s.startEngines(); err != nil {
 		return err
@@ -192,7 +200,7 @@
 	cfg.Name = fmt.Sprintf("%s-%d", domain, i)
 	cfg.Domain = domain
 	cfg.Listen, cfg.PeerAddr = "127.0.0.1:0", "127.0.0.1:0"
-	cfg.Platform.KeyValue = s.KeyValue.Addr()
+	cfg.Platform.KeyValue = s.KeyValue[domain].Addr()
 	cfg.Secret = settings.Secret{File: s.dir + "/secret"}
 	cfg.Operator = settings.Secret{File: s.dir + "/operator"}
 	s.mu.Lock()
@@ -251,7 +259,12 @@
 
 func (s *Site) startInstance(cfg settings.Settings) error {
 	opt := s.cfg.Options
-	opt.Timer, opt.Document = s.timer, &s.doc
+	opt.Timer = s.timer
+	if !s.cfg.Unconfigured {
+		opt.Document = &s.doc
+	}
+	opt.Cut = func(to ident.Instance) bool { return !s.passes(cfg.Domain, s.domainOf(to)) }
+	opt.CutFrom = opt.Cut
 	opt.Log, opt.Tracer = s.cfg.Log, s.cfg.Tracer
 	opt.Seed = s.cfg.Seed + uint64(len(s.Instances)) + 1
 	if s.cfg.Wrap != nil {
@@ -266,6 +279,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.domains[d.ID()] = d.Domain()
 	s.Instances = append(s.Instances, d)
 	s.alive = append(s.alive, true)
 	return nil
@@ -279,16 +293,6 @@
 	return s.meet()
 }
 
-// Placed returns the number of the engine that runs a request, or -1, and where
-// the instance that owns it takes callers, or "".
-func (s *Site) Placed(w ident.Workspace, r ident.Request) (engine int, address string) {
-	i := s.owner(w, r)
-	if i < 0 {
-		return -1, ""
-	}
-	return slices.Index(s.Engines, s.Engine(w, r)), s.Instances[i].Addr()
-}
-
 // Addresses returns where the instances that were not killed take callers.
 func (s *Site) Addresses() []string {
 	s.mu.Lock()
@@ -313,34 +317,6 @@
 	return caller.New(cfg, s.timer)
 }
 
-// KillInstance ends the instance that takes callers at address, as a crash would.
-func (s *Site) KillInstance(address string) bool {
-	return s.endInstance(address, (*daemon.Daemon).Kill)
-}
-
-// StopInstance ends the instance that takes callers at address; Leave goes
-// before it in a planned stop.
-func (s *Site) StopInstance(address string) bool {
-	return s.endInstance(address, (*daemon.Daemon).Stop)
-}
-
-func (s *Site) endInstance(address string, end func(*daemon.Daemon)) bool {
-	for i, d := range s.Instances {
-		if d.Addr() != address {
-			continue
-		}
-		s.mu.Lock()
-		was := s.alive[i]
-		s.alive[i] = false
-		s.mu.Unlock()
-		if was {
-			end(d)
-		}
-		return was
-	}
-	return false
-}
-
 // Decoded returns the tokens that all engines have decoded and prefilled.
 func (s *Site) Decoded() (decoded, prefilled uint64) {
 	for _, e := range s.Engines {
@@ -353,14 +329,8 @@
 
 // Stop ends everything that was started.
 func (s *Site) Stop() {
-	for i, d := range s.Instances {
-		s.mu.Lock()
-		was := s.alive[i]
-		s.alive[i] = false
-		s.mu.Unlock()
-		if was {
-			d.Stop()
-		}
+	for i := range s.Instances {
+		s.StopInstance(i)
 	}
 	for _, e := range s.Engines {
 		e.Stop()
@@ -369,58 +339,10 @@
 		v.Stop()
 	}
 	s.client.CloseIdleConnections()
-	s.KeyValue.Stop()
+	for _, k := range s.KeyValue {
+		k.Stop()
+	}
 	s.stop()
 	s.wg.Wait()
 	_ = os.RemoveAll(s.dir)
 }
-
-// owner returns the number of the live instance that owns a request, or -1.
-func (s *Site) owner(w ident.Workspace, r ident.Request) int {
-	for i, d := range s.Instances {
-		s.mu.Lock()
-		alive := s.alive[i]
-		s.mu.Unlock()
-		if !alive {
-			continue
-		}
-		if _, ok := d.Serving(w, r); ok {
-			return i
-		}
-	}
-	return -1
-}
-
-// KillServing kills the engine that runs a request and reports whether there was one.
-func (s *Site) KillServing(w ident.Workspace, r ident.Request) bool {
-	e := s.Engine(w, r)
-	if e == nil {
-		return false
-	}
-	e.Kill()
-	return true
-}
-
-// Engine returns the engine that runs a request, or nil.
-func (s *Site) Engine(w ident.Workspace, r ident.Request) *standinengine.Engine {
-	i := s.owner(w, r)
-	if i < 0 {
-		return nil
-	}
-	u, _ := s.Instances[i].Serving(w, r)
-	for j, e := range s.Engines {
-		if s.doc.Upstreams[j].Name == u {
-			return e
-		}
-	}
-	return nil
-}
-
-// KillOwner kills the instance that owns a request and reports whether there was one.
-func (s *Site) KillOwner(w ident.Workspace, r ident.Request) bool {
-	i := s.owner(w, r)
-	if i < 0 {
-		return false
-	}
-	return s.KillInstance(s.Instances[i].Addr())
-}
