--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -16,6 +16,7 @@
 
 	"crocuslug/measure"
 	"crocuslug/measureaction"
+	"crocuslug/measurecontrol"
 	"crocuslug/measuregeneration"
 	"crocuslug/measureload"
 	"crocuslug/measureoperator"
@@ -31,6 +32,7 @@
 		measureload.Entries(),
 		measureoperator.Entries(),
 		measureaction.Entries(),
+		measurecontrol.Entries(),
 	)
 }
 
--- a/daemon/actions.go
+++ b/daemon/actions.go
@@ -42,14 +42,13 @@
 	ledger  *claimstore.Ledger
 	writer  *claimwriter.Writer
 	proxy   *serviceproxy.Proxy
-	calls   func() keyvalue.Calls
 	running atomic.Int64 // requests to plain services
 	waits   metrics.Histogram
 }
 
 // buildActions wires the claims and the proxy of plain services.
 func (d *Daemon) buildActions() {
-	d.actions = &actions{calls: func() keyvalue.Calls { return keyvalue.Calls{} }}
+	d.actions = &actions{}
 	sample := metrics.NewExpDecaySample(sampleSize, sampleAlpha)
 	d.actions.waits = metrics.NewRegisteredHistogram("ClaimUs", d.metrics.registry, sample)
 	for _, name := range []string{"ClaimWrites", "ClaimBytes", "ClaimsForwarded"} {
@@ -101,7 +100,8 @@
 			Seed:            d.seed + 1,
 		}, d.opt.Timer)
 		store = c.Port()
-		d.actions.calls = c.Calls
+		others := d.calls
+		d.calls = func() keyvalue.Calls { return sum(others(), c.Calls()) }
 		d.closers = append(d.closers, c.Close)
 	}
 	put := store.Put
@@ -113,6 +113,21 @@
 	return store
 }
 
+// sum adds up what two clients have done.
+func sum(a, b keyvalue.Calls) keyvalue.Calls {
+	return keyvalue.Calls{
+		Reads:         a.Reads + b.Reads,
+		Writes:        a.Writes + b.Writes,
+		Watches:       a.Watches + b.Watches,
+		Joined:        a.Joined + b.Joined,
+		OverBudget:    a.OverBudget + b.OverBudget,
+		BackedOff:     a.BackedOff + b.BackedOff,
+		Unavailable:   a.Unavailable + b.Unavailable,
+		Unknown:       a.Unknown + b.Unknown,
+		SilentWatches: a.SilentWatches + b.SilentWatches,
+	}
+}
+
 // claimWriter returns the instance that is preferred to write a bucket, or "".
 func (d *Daemon) claimWriter(bucket int) ident.Instance {
 	var live []ident.Instance
--- a/standinsite/operate.go
+++ b/standinsite/operate.go
@@ -93,10 +93,10 @@
 	}
 }
 
-// Cut ends all traffic between a failure domain and the others, and its way to
+// Isolate ends all traffic between a failure domain and the others, and its way to
 // the platform's key-value service, or with false lets both pass again. It
 // returns an error if the service cannot listen again.
-func (s *Site) Cut(domain ident.Domain, cut bool) error {
+func (s *Site) Isolate(domain ident.Domain, cut bool) error {
 	s.mu.Lock()
 	s.cut[domain] = cut
 	s.mu.Unlock()
@@ -113,10 +113,3 @@
 	defer s.mu.Unlock()
 	return a == b || !s.cut[a] && !s.cut[b]
 }
-
-// domainOf returns the failure domain of an instance.
-func (s *Site) domainOf(id ident.Instance) ident.Domain {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.domains[id]
-}
--- a/standinsite/operate_test.go
+++ b/standinsite/operate_test.go
@@ -93,7 +93,7 @@
 	case "lose":
 		o.site.Store.SetFaults(standinkeyvalue.Faults{LoseAnswers: number(words[1])})
 	case "cut", "heal":
-		err = o.site.Cut(ident.Domain(words[1]), words[0] == "cut")
+		err = o.site.Isolate(ident.Domain(words[1]), words[0] == "cut")
 	case "kill":
 		o.site.KillInstance(o.site.Instances[number(words[1])].Addr())
 	case "add":
--- a/standinsite/services.go
+++ b/standinsite/services.go
@@ -93,8 +93,3 @@
 func (s *Site) Book(address, key, body string) Reply {
 	return s.Send(address, Call{Method: fasthttp.MethodPost, Path: "/bookings", Key: key, Body: body})
 }
-
-// Document returns the configuration that the site began with.
-func (s *Site) Document() configuration.Document {
-	return s.doc
-}
--- a/standinsite/site.go
+++ b/standinsite/site.go
@@ -86,9 +86,9 @@
 	Store     *standinkeyvalue.Store                   // what the platform's key-value service holds
 	KeyValue  map[ident.Domain]*standinkeyvalue.Server // by the failure domain that it answers
 	cut       map[ident.Domain]bool
-	domains   map[ident.Instance]ident.Domain
 	doc       configuration.Document
 	dir       string
+	cuts      cuts
 }
 
 // New returns a site that is not started.
@@ -107,7 +107,6 @@
 		client:   fasthttp.Client{MaxIdemponentCallAttempts: 1},
 		KeyValue: make(map[ident.Domain]*standinkeyvalue.Server),
 		cut:      make(map[ident.Domain]bool),
-		domains:  make(map[ident.Instance]ident.Domain),
 	}
 }
 
@@ -153,6 +152,12 @@
 	return s.timer
 }
 
+// Document returns the configuration that the instances start with. Call it
+// after Start.
+func (s *Site) Document() configuration.Document {
+	return s.doc
+}
+
 func (s *Site) startEngines() error {
 	s.doc = s.cfg.Document
 	s.doc.Services = append(s.doc.Services, configuration.Service{Name: "assistant", Kind: configuration.Model})
@@ -263,13 +268,14 @@
 	if !s.cfg.Unconfigured {
 		opt.Document = &s.doc
 	}
-	opt.Cut = func(to ident.Instance) bool { return !s.passes(cfg.Domain, s.domainOf(to)) }
-	opt.CutFrom = opt.Cut
 	opt.Log, opt.Tracer = s.cfg.Log, s.cfg.Tracer
 	opt.Seed = s.cfg.Seed + uint64(len(s.Instances)) + 1
 	if s.cfg.Wrap != nil {
 		opt.Store = s.cfg.Wrap(len(s.Instances), s.Store.Port())
 	}
+	if opt.Cut == nil && opt.CutFrom == nil {
+		opt.Cut, opt.CutFrom = s.lost(cfg.Domain), s.lost(cfg.Domain)
+	}
 	d, err := daemon.New(cfg, opt)
 	if err != nil {
 		return err
@@ -279,7 +285,6 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.domains[d.ID()] = d.Domain()
 	s.Instances = append(s.Instances, d)
 	s.alive = append(s.alive, true)
 	return nil
