--- a/daemon/actions.go
+++ b/daemon/actions.go
@@ -42,16 +42,19 @@
 	ledger  *claimstore.Ledger
 	writer  *claimwriter.Writer
 	proxy   *serviceproxy.Proxy
-	calls   func() keyvalue.Calls
 	running atomic.Int64 // requests to plain services
 	waits   metrics.Histogram
 }
 
 // buildActions wires the claims and the proxy of plain services.
 func (d *Daemon) buildActions() {
-	d.actions = &actions{calls: func() keyvalue.Calls { return keyvalue.Calls{} }}
+	d.actions = &actions{}
 	sample := metrics.NewExpDecaySample(sampleSize, sampleAlpha)
 	d.actions.waits = metrics.NewRegisteredHistogram("ClaimUs", d.metrics.registry, sample)
+	for _, name := range []string{"ClaimWrites", "ClaimBytes", "ClaimsForwarded"} {
+		d.metrics.count(name, 0)
+	}
+	d.gauge("ActionsLeft", d.actionsLeft)
 	run := d.id + ident.Instance("-"+runName())
 	cfg := d.opt.Actions
 	d.actions.ledger = claimstore.New(cfg, d.actionStore(), d.opt.Timer, run)
@@ -97,7 +100,8 @@
 			Seed:            d.seed + 1,
 		}, d.opt.Timer)
 		store = c.Port()
-		d.actions.calls = c.Calls
+		others := d.calls
+		d.calls = func() keyvalue.Calls { return sum(others(), c.Calls()) }
 		d.closers = append(d.closers, c.Close)
 	}
 	put := store.Put
@@ -109,6 +113,21 @@
 	return store
 }
 
+// sum adds up what two clients have done.
+func sum(a, b keyvalue.Calls) keyvalue.Calls {
+	return keyvalue.Calls{
+		Reads:         a.Reads + b.Reads,
+		Writes:        a.Writes + b.Writes,
+		Watches:       a.Watches + b.Watches,
+		Joined:        a.Joined + b.Joined,
+		OverBudget:    a.OverBudget + b.OverBudget,
+		BackedOff:     a.BackedOff + b.BackedOff,
+		Unavailable:   a.Unavailable + b.Unavailable,
+		Unknown:       a.Unknown + b.Unknown,
+		SilentWatches: a.SilentWatches + b.SilentWatches,
+	}
+}
+
 // claimWriter returns the instance that is preferred to write a bucket, or "".
 func (d *Daemon) claimWriter(bucket int) ident.Instance {
 	var live []ident.Instance
@@ -168,7 +187,6 @@
 }
 
 func (d *Daemon) serviceProblem(ctx *fasthttp.RequestCtx, e *result.Error, id ident.Request) {
-	d.metrics.count("Services."+e.Code.String(), 1)
 	d.log.Info().Int("Code", int(e.Code)).Str("Detail", e.Detail).Str("Run", string(e.Run)).
 		Str("Request", string(id)).Str("Path", string(ctx.Path())).Msg("service request failed")
 	problem.Write(ctx, e, id)
