Give up requests that wait when the caller has closed its connection

Cause: a request in the queue was held until its turn or deadline although its caller had gone, since the HTTP server does not tell.

Seen failing: without it caller-gone fails with "engine 0: got 2 streams started, want none".

--- a/daemon/connections.go
+++ b/daemon/connections.go
@@ -3,6 +3,9 @@
 import (
 	"net"
 	"sync"
+	"syscall"
+
+	"github.com/zeebo/errs"
 )
 
 // connections keeps the callers' connections, so that they can be closed.
@@ -46,6 +49,15 @@
 	return c, nil
 }
 
+// SyscallConn gives access to the connection below, or an error if there is none.
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errs.New("not a connection of the system")
+	}
+	return sc.SyscallConn()
+}
+
 // Close closes the connection.
 func (c *conn) Close() error {
 	c.conns.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"strings"
 	"time"
 
@@ -121,7 +122,7 @@
 	c, span := g.span(ctx, spec)
 	gen, err := g.known(c, spec, given)
 	if gen == nil && err == nil {
-		gen, err = g.start(c, spec)
+		gen, err = g.start(c, ctx.Conn(), spec)
 	}
 	if err != nil {
 		span.RecordError(err)
@@ -193,11 +194,13 @@
 }
 
 // start admits a new generation and begins it.
-func (g *Gateway) start(c context.Context, spec generation.Spec) (*owner.Generation, *result.Error) {
+func (g *Gateway) start(c context.Context, conn net.Conn, spec generation.Spec) (*owner.Generation, *result.Error) {
 	if g.ports.Leaving() {
 		return nil, result.New(result.InstanceLeaving, "send the request again; another instance will take it").After(time.Second)
 	}
-	finish, err := g.ports.Admit(c, spec)
+	there, end := g.whileThere(c, conn)
+	defer end()
+	finish, err := g.ports.Admit(there, spec)
 	if err != nil {
 		return nil, err
 	}
--- a/standinsite/load_test.go
+++ b/standinsite/load_test.go
@@ -28,6 +28,7 @@
 //	site domains=1 instances=1 engines=1 slots=2 queue=4   starts the site
 //	workspace NAME priority=Urgent deadline=2s rate=100 concurrent=1   before the site
 //	ask NAME WORKSPACE COUNT TOKENS [INSTANCE]    sends requests to an instance, or the first, and goes on
+//	leave NAME                         lets the callers close their connections
 //	running COUNT                      waits until so many streams decode
 //	waiting COUNT                      waits until so many requests wait for admission
 //	engine NUMBER kill|restart|slow|leave   acts on an engine; leave tells the instances
@@ -52,6 +53,7 @@
 // group is the requests of one ask line.
 type group struct {
 	wg      sync.WaitGroup
+	cancel  context.CancelFunc
 	answers []caller.Answer
 	mu      sync.Mutex
 	first   []time.Time // when answers began or went on
@@ -107,6 +109,8 @@
 	case "wait":
 		d, _ := time.ParseDuration(w[1])
 		time.Sleep(d)
+	case "leave":
+		s.groups[w[1]].cancel()
 	case "mark":
 		s.mark()
 	case "nothing", "spilled":
@@ -174,7 +178,9 @@
 }
 
 func (s *loadScript) ask(name, workspace string, n, tokens, instance int) {
-	g := &group{answers: make([]caller.Answer, n)}
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	s.t.Cleanup(cancel)
+	g := &group{answers: make([]caller.Answer, n), cancel: cancel}
 	s.groups[name] = g
 	c := s.site.Caller(caller.Settings{Key: "key-" + workspace, Silence: 10 * time.Second})
 	for i := range n {
@@ -184,8 +190,6 @@
 		g.wg.Add(1)
 		go func() {
 			defer g.wg.Done()
-			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
-			defer cancel()
 			g.answers[i] = c.Do(ctx, r)
 		}()
 	}
