--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -31,6 +31,7 @@
 		measuregeneration.Entries(),
 		measureload.Entries(),
 		measureoperator.Entries(),
+		measureaction.Entries(),
 		measurecontrol.Entries(),
 		measureaction.Entries(),
 	)
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -52,6 +52,8 @@
 		MayUnload:     d.mayUnload,
 	}, d.store, d.opt.Timer, d.id, d.cfg.Domain)
 	d.link.Handle(methodInUse, d.handleInUse)
+	d.metrics.count("OrdersFailed", 0)
+	d.gauge("HoldsOrders", func() int { return truth(d.HoldsOrders()) })
 }
 
 // startOrders begins the rounds. A round that takes longer than the interval
--- a/daemon/trials.go
+++ b/daemon/trials.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -29,6 +30,7 @@
 type trials struct {
 	mu        sync.Mutex
 	byContent map[uint64]*trial
+	tried     map[uint64][]ident.Upstream // engines that a content had, the last one last
 }
 
 type trial struct {
@@ -39,10 +41,11 @@
 }
 
 func newTrials() *trials {
-	return &trials{byContent: make(map[uint64]*trial)}
+	return &trials{byContent: make(map[uint64]*trial), tried: make(map[uint64][]ident.Upstream)}
 }
 
-// engine returns the engine that is set apart for fp.
+// engine returns the engine that is set apart for fp. With false it returns the
+// one whose trial is over because of exclude or the time, or "".
 func (t *trials) engine(now time.Time, fp uint64, exclude []ident.Upstream) (ident.Upstream, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -52,7 +55,7 @@
 	}
 	if !now.Before(one.until) || slices.Contains(exclude, one.upstream) {
 		delete(t.byContent, fp)
-		return "", false
+		return one.upstream, false
 	}
 	return one.upstream, true
 }
@@ -72,6 +75,35 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.byContent[fp] = &trial{upstream: u, from: now.Add(trialTell), until: until}
+	had := slices.DeleteFunc(t.tried[fp], func(v ident.Upstream) bool { return v == u })
+	t.tried[fp] = append(had, u)
+}
+
+// inTurn returns engines in an order in which those that fp had come last, the
+// latest at the end. An engine that is down is thus not asked for again before
+// all others.
+func (t *trials) inTurn(fp uint64, engines []ident.Upstream) []ident.Upstream {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []ident.Upstream
+	for _, u := range engines {
+		if !slices.Contains(t.tried[fp], u) {
+			out = append(out, u)
+		}
+	}
+	for _, u := range t.tried[fp] {
+		if slices.Contains(engines, u) {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// forget drops what is known of contents that are no suspects any more.
+func (t *trials) forget(suspected func(fp uint64) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	maps.DeleteFunc(t.tried, func(fp uint64, _ []ident.Upstream) bool { return !suspected(fp) })
 }
 
 // begin notes that fp begins to run on u and reports whether that is its trial.
@@ -125,11 +157,16 @@
 			names = append(names, ident.Instance(u.Name))
 		}
 	}
-	var out []ident.Upstream
+	now := d.opt.Timer.Now()
+	var sound, doubtful []ident.Upstream
 	for _, n := range rendezvous.Order(string(spec.Generation), names) {
-		out = append(out, ident.Upstream(n))
+		if u := ident.Upstream(n); d.chooser.Sound(u, now) {
+			sound = append(sound, u)
+		} else {
+			doubtful = append(doubtful, u)
+		}
 	}
-	return out
+	return append(d.trials.inTurn(spec.Fingerprint, sound), d.trials.inTurn(spec.Fingerprint, doubtful)...)
 }
 
 // setApart asks the instance that decides about an engine.
--- a/standinsite/operate.go
+++ b/standinsite/operate.go
@@ -111,5 +111,5 @@
 func (s *Site) passes(a, b ident.Domain) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return a == b || !s.cut[a] && !s.cut[b]
+	return a == b || !s.cut[a] && !s.cut[b] && !s.pairs[[2]ident.Domain{a, b}]
 }
--- a/standinsite/site.go
+++ b/standinsite/site.go
@@ -88,7 +88,7 @@
 	client    fasthttp.Client
 	doc       configuration.Document
 	dir       string
-	cuts      cuts
+	pairs     map[[2]ident.Domain]bool
 }
 
 // New returns a site that is not started.
@@ -107,6 +107,7 @@
 		KeyValue: make(map[ident.Domain]*standinkeyvalue.Server),
 		cut:      make(map[ident.Domain]bool),
 		client:   fasthttp.Client{MaxIdemponentCallAttempts: 1},
+		pairs:    make(map[[2]ident.Domain]bool),
 	}
 }
 
