Leave upstreams alone once they say that they leave

Cause: an answer 503, by which a leaving engine or service refuses new work, was taken for 'full' or for a refused connection.

Ruled out: a longer back-off of trials, since each instance tries by itself.

--- a/daemon/actions.go
+++ b/daemon/actions.go
@@ -71,6 +71,7 @@
 		Admit:          d.admitService,
 		Context:        callContext,
 		ChooseUpstream: d.ChooseService,
+		Signalled:      func(u ident.Upstream) { d.loop.Post(func() { d.signalled(u) }) },
 		Retry:          d.RetryService,
 		Take:           d.take,
 		Settle:         d.settle,
--- a/daemon/load.go
+++ b/daemon/load.go
@@ -49,6 +49,7 @@
 	d.every(expireTick, d.line.expire)
 	d.every(expireTick, d.services.expire)
 	d.every(healthTick, d.checkHealth)
+	d.every(signalTick, func(time.Time) { d.readNotices(d.members.View()) })
 	if d.opt.Naive {
 		return
 	}
@@ -144,6 +145,9 @@
 		d.chooser.Failed(u, now)
 	}
 	d.observeCause(u, cause)
+	if cause == generation.Leaving {
+		d.loop.Post(func() { d.signalled(u) })
+	}
 }
 
 func (d *Daemon) progress(_ ident.Upstream, _ generation.Spec, tokens int, first time.Duration) {
--- a/engineclient/stream.go
+++ b/engineclient/stream.go
@@ -104,8 +104,10 @@
 		return nil
 	case fasthttp.StatusNotFound:
 		cause = generation.UnknownStream
-	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+	case fasthttp.StatusTooManyRequests:
 		cause = generation.Full
+	case fasthttp.StatusServiceUnavailable:
+		cause = generation.Leaving
 	case fasthttp.StatusNotImplemented:
 		cause = generation.CannotContinue
 	}
--- a/generation/action.go
+++ b/generation/action.go
@@ -52,6 +52,7 @@
 	CannotContinue                  // the engine cannot go on from tokens held
 	Rejected                        // the engine refuses the request for good
 	Corrupt                         // the stream is not the one that was asked for
+	Leaving                         // the engine takes no new streams any more
 )
 
 // Spec is what a generation is made from. It is pinned: every attempt runs the
--- a/generation/machine.go
+++ b/generation/machine.go
@@ -330,7 +330,7 @@
 		return m.end(result.New(result.UpstreamFailed, "the engine refuses the request"))
 	case CannotContinue:
 		return m.cannotContinue(now)
-	case Full:
+	case Full, Leaving:
 		return m.another(now)
 	case Corrupt:
 		return append(m.cancel(), m.another(now)...)
--- a/measureaction/drain.go
+++ b/measureaction/drain.go
@@ -40,6 +40,7 @@
 	SignallingEngineLastMs  float64 // new streams that it took
 	SignallingEngineAsked   uint64  // streams that it refused after it said so
 	SignallingServiceAsked  int     // calls that callers saw refused by it
+	SignallingServiceLastMs float64 // the last of them
 	InstanceLeftMs          float64 // until it had no work
 	Generations             int
 	Calls                   int
@@ -57,6 +58,7 @@
 	mu     sync.Mutex
 	f      drainFigures
 	report measure.Report
+	signal time.Time // when the second engine and service began to leave
 }
 
 func runDrain(ctx context.Context, cfg measure.Settings) (measure.Report, error) {
@@ -82,6 +84,9 @@
 	d.instance(ctx)
 	cancel()
 	d.wg.Wait()
+	if d.f.SignallingServiceLastMs > float64(drainBound.Milliseconds()) {
+		d.report.Violate("the second service got new work later than the bound")
+	}
 	d.report.Figures = d.f
 	if n := d.f.NotWhole + d.f.Unanswered + d.f.Reconnects; n > 0 {
 		d.report.Violate(fmt.Sprintf("answers or calls cut: %d", n))
@@ -149,6 +154,9 @@
 // bySignal has the second engine and service answer 503 to new work.
 func (d *drain) bySignal() {
 	began := time.Now()
+	d.mu.Lock()
+	d.signal = began
+	d.mu.Unlock()
 	engine := d.site.Engines[1]
 	before := engine.Counters().Refused
 	engine.Leave()
@@ -225,6 +233,7 @@
 	switch {
 	case r.Status == http.StatusServiceUnavailable && r.Problem.Code == 0:
 		d.f.SignallingServiceAsked++
+		d.f.SignallingServiceLastMs = float64(time.Since(d.signal).Microseconds()) / 1000
 	case r.Status != http.StatusOK && r.Status != http.StatusCreated:
 		d.f.Unanswered++
 	}
--- a/serviceproxy/exchange.go
+++ b/serviceproxy/exchange.go
@@ -76,6 +76,9 @@
 	if err != nil {
 		return err
 	}
+	if resp.StatusCode() == http.StatusServiceUnavailable && p.seams.Signalled != nil {
+		p.seams.Signalled(up.Name)
+	}
 	for _, h := range hopHeaders {
 		resp.Header.Del(h)
 	}
--- a/serviceproxy/proxy.go
+++ b/serviceproxy/proxy.go
@@ -51,6 +51,9 @@
 	// ChooseUpstream returns an upstream of the service other than the tried
 	// ones, and what to call when the call to it is over; or false.
 	ChooseUpstream func(s ident.Service, tried []ident.Upstream) (configuration.Upstream, func(k health.Kind, took time.Duration), bool)
+	// Signalled tells that an upstream answered 503, which it does when it takes
+	// no new work; nil means that nobody wants to know.
+	Signalled func(u ident.Upstream)
 	// Retry decides whether a failed request is sent again, and after what wait.
 	Retry func(a retry.Attempt) (retry.Verdict, time.Duration)
 	// Take and Settle are those of claimwriter.Writer.
