--- a/claim/book.go
+++ b/claim/book.go
@@ -35,7 +35,7 @@
 	defaultSkew      = time.Minute
 	defaultSettle    = 30 * time.Second
 	defaultMaxTail   = 16 << 10
-	defaultMaxKeys   = 100_000
+	defaultMaxKeys   = 150_000
 	defaultMaxAnswer = 16 << 10
 )
 
--- a/daemon/actions.go
+++ b/daemon/actions.go
@@ -56,7 +56,7 @@
 	}
 	d.gauge("ActionsLeft", d.actionsLeft)
 	run := d.id + ident.Instance("-"+runName())
-	cfg := d.opt.Actions
+	cfg := d.actionSettings()
 	d.actions.ledger = claimstore.New(cfg, d.actionStore(), d.opt.Timer, run)
 	d.actions.writer = claimwriter.New(claimwriter.Settings{Claims: cfg.Claims}, claimwriter.Seams{
 		Local:     d.actions.ledger.Do,
@@ -80,6 +80,19 @@
 	}, d.opt.Timer)
 }
 
+// actionSettings joins the options with the settings file.
+func (d *Daemon) actionSettings() claimstore.Settings {
+	cfg := d.opt.Actions
+	a := d.cfg.Actions
+	cfg.Claims.Buckets = orDefault(cfg.Claims.Buckets, a.Buckets)
+	cfg.Claims.MaxKeys = orDefault(cfg.Claims.MaxKeys, a.Keys)
+	cfg.Claims.Dated = cfg.Claims.Dated || a.DatedKeys
+	if cfg.Claims.Retention == 0 {
+		cfg.Claims.Retention = a.Retention
+	}
+	return cfg
+}
+
 // runNameBytes is the length of what tells the runs of a daemon apart.
 const runNameBytes = 6
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -33,6 +33,7 @@
 	Peers    []Peer        `json:",omitempty"` // known from the start, beside the instance list
 	Load     Load          `json:",omitempty"`
 	Limits   Limits        `json:",omitempty"`
+	Actions  Actions       `json:",omitempty"` // the same at all instances
 	Resume   Resume        `json:",omitempty"`
 	Trace    Trace         `json:",omitempty"`
 	LogLevel string        `json:",omitempty"` // debug, info, warn or error; info if empty
@@ -57,6 +58,15 @@
 	ActionWritesPerSec int `json:",omitempty"`
 }
 
+// Actions sets what is kept of actions that run at most once. All instances
+// need the same.
+type Actions struct {
+	Buckets   int           `json:",omitempty"` // records that they are spread over; default if 0
+	Keys      int           `json:",omitempty"` // kept in one bucket; default if 0
+	Retention unit.Duration `json:",omitempty"` // age up to which a key is accepted; default if 0
+	DatedKeys bool          `json:",omitempty"` // refuses keys without a time of issue
+}
+
 // Peer is another instance.
 type Peer struct {
 	Instance ident.Instance
@@ -195,6 +205,8 @@
 		{"Platform.WritesPerSec", cfg.Platform.WritesPerSec},
 		{"Platform.ActionReadsPerSec", cfg.Platform.ActionReadsPerSec},
 		{"Platform.ActionWritesPerSec", cfg.Platform.ActionWritesPerSec},
+		{"Actions.Buckets", cfg.Actions.Buckets},
+		{"Actions.Keys", cfg.Actions.Keys},
 		{"Load.QueueLength", cfg.Load.QueueLength},
 		{"Load.SubsetSize", cfg.Load.SubsetSize},
 		{"Load.PollBytesPerSecond", cfg.Load.PollBytesPerSecond},
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -65,6 +65,7 @@
 // pageTypes names the types of settings on the page.
 var pageTypes = map[reflect.Kind]string{
 	reflect.String: "text", reflect.Int: "whole number", reflect.Float64: "number", reflect.Int64: "duration",
+	reflect.Bool: "true or false",
 }
 
 // paths returns the path and type of each value in a struct.
