--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -33,6 +33,7 @@
 		measureoperator.Entries(),
 		measureaction.Entries(),
 		measurecontrol.Entries(),
+		measureaction.Entries(),
 	)
 }
 
--- a/daemon/actions.go
+++ b/daemon/actions.go
@@ -69,13 +69,13 @@
 		Configuration:  func() *configuration.Document { return d.doc.Load().Document },
 		Authenticate:   d.authenticate,
 		Admit:          d.admitService,
-		Context:        callContext,
+		Context:        func() context.Context { return d.ctx },
+		Tracer:         d.opt.Tracer,
 		ChooseUpstream: d.ChooseService,
 		Signalled:      func(u ident.Upstream) { d.loop.Post(func() { d.signalled(u) }) },
 		Retry:          d.RetryService,
 		Take:           d.take,
 		Settle:         d.settle,
-		Tracer:         d.opt.Tracer,
 		Problem:        d.serviceProblem,
 	}, d.opt.Timer)
 }
@@ -184,38 +184,25 @@
 	return "", result.New(result.Unauthorized, "want a workspace's key as bearer token")
 }
 
-func (d *Daemon) admitService(ctx *fasthttp.RequestCtx, w ident.Workspace, rule configuration.Rule) (func(), *result.Error) {
+func (d *Daemon) admitService(_ *fasthttp.RequestCtx, w ident.Workspace, rule configuration.Rule) (func(), *result.Error) {
 	if d.leaving.Load() {
 		return nil, result.New(result.InstanceLeaving, "leaving").After(busyRetry)
 	}
-	return d.AdmitService(callContext(ctx), w, rule)
-}
-
-// contextValue is the name under which a request carries its context.
-const contextValue = "context"
-
-// callContext returns the context of the calls for a request, which ends with
-// the daemon.
-func callContext(ctx *fasthttp.RequestCtx) context.Context {
-	if c, ok := ctx.UserValue(contextValue).(context.Context); ok {
-		return c
-	}
-	return context.Background()
+	c, cancel := d.withStop(context.Background())
+	defer cancel()
+	return d.AdmitService(c, w, rule)
 }
 
 // serveService answers a request to a plain service.
 func (d *Daemon) serveService(ctx *fasthttp.RequestCtx) {
 	d.actions.running.Add(1)
 	defer d.actions.running.Add(-1)
-	c, cancel := d.withStop(context.Background())
-	defer cancel()
-	ctx.SetUserValue(contextValue, c)
 	d.actions.proxy.Handle(ctx)
 }
 
 func (d *Daemon) serviceProblem(ctx *fasthttp.RequestCtx, e *result.Error, id ident.Request) {
-	d.log.Info().Int("code", int(e.Code)).Str("detail", e.Detail).Str("run", string(e.Run)).
-		Str("request", string(id)).Str("path", string(ctx.Path())).Msg("service request failed")
+	d.log.Info().Int("Code", int(e.Code)).Str("Detail", e.Detail).Str("Run", string(e.Run)).
+		Str("Request", string(id)).Str("Path", string(ctx.Path())).Msg("service request failed")
 	problem.Write(ctx, e, id)
 }
 
@@ -255,7 +242,7 @@
 
 func (d *Daemon) actionEnded(op claim.Operation, outcome string) {
 	d.metrics.count("Actions."+outcome, 1)
-	d.log.Info().Str("claim", string(op.Claim)).Str("outcome", outcome).Msg("action")
+	d.log.Info().Str("Claim", string(op.Claim)).Str("Outcome", outcome).Msg("action")
 }
 
 // actionsLeft returns the requests to plain services in progress and the
--- a/daemon/leaving.go
+++ b/daemon/leaving.go
@@ -56,7 +56,7 @@
 	}
 	d.chooser.SetLeaving(u, true)
 	d.plain.SetLeaving(u, true)
-	d.log.Info().Str("upstream", string(u)).Msg("upstream signals that it leaves")
+	d.log.Info().Str("Upstream", string(u)).Msg("upstream signals that it leaves")
 	d.members.Announce(membership.Notice{Key: key, Version: uint64(d.opt.Timer.Now().UnixNano()), Value: noticeSignalled})
 }
 
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -93,8 +93,8 @@
 		} else {
 			d.metrics.count("Orders."+string(g.Kind), 1)
 		}
-		e.Str("order", string(g.Kind)).Str("upstream", string(g.Upstream)).Str("model", g.Model.Name).
-			Str("version", g.Model.Version).Str("adapter", g.Model.Adapter).Msg("order to an engine")
+		e.Str("Order", string(g.Kind)).Str("Upstream", string(g.Upstream)).Str("Model", g.Model.Name).
+			Str("Version", g.Model.Version).Str("Adapter", g.Model.Adapter).Msg("order to an engine")
 	}
 	d.noteHolder()
 }
@@ -102,7 +102,7 @@
 func (d *Daemon) noteHolder() {
 	holds := d.orders.control.Holds()
 	if d.orders.holds.Swap(holds) != holds {
-		d.log.Info().Bool("holds", holds).Msg("lease of orders to engines")
+		d.log.Info().Bool("Holds", holds).Msg("lease of orders to engines")
 	}
 }
 
@@ -166,7 +166,7 @@
 	}
 	if err := g.Wait(); err != nil {
 		d.orders.resume = d.opt.Timer.Now().Add(inUsePause)
-		d.log.Info().Err(err).Str("upstream", string(o.Upstream)).Str("model", o.Model.Name).Msg("a copy is kept")
+		d.log.Info().Err(err).Str("Upstream", string(o.Upstream)).Str("Model", o.Model.Name).Msg("a copy is kept")
 		return false
 	}
 	return true
--- a/serviceproxy/proxy.go
+++ b/serviceproxy/proxy.go
@@ -45,9 +45,6 @@
 	// Admit waits for the request's turn. The function that it returns is
 	// called when the request has ended.
 	Admit func(ctx *fasthttp.RequestCtx, w ident.Workspace, rule configuration.Rule) (func(), *result.Error)
-	// Context returns the context of the calls made for a request, which
-	// outlives ctx; nil means the background context.
-	Context func(ctx *fasthttp.RequestCtx) context.Context
 	// ChooseUpstream returns an upstream of the service other than the tried
 	// ones, and what to call when the call to it is over; or false.
 	ChooseUpstream func(s ident.Service, tried []ident.Upstream) (configuration.Upstream, func(k health.Kind, took time.Duration), bool)
@@ -59,6 +56,9 @@
 	// Take and Settle are those of claimwriter.Writer.
 	Take   func(ctx context.Context, r claimwriter.Request) (claim.Operation, claim.Verdict)
 	Settle func(op claim.Operation)
+	// Context returns what the contexts of calls are made from; it ends with the
+	// instance. nil means the background.
+	Context func() context.Context
 	// Tracer makes spans; nil makes none.
 	Tracer trace.Tracer
 	// Problem writes a failure to the caller.
@@ -87,7 +87,7 @@
 		cfg.MaxTries = defaultMaxTries
 	}
 	if seams.Context == nil {
-		seams.Context = func(*fasthttp.RequestCtx) context.Context { return context.Background() }
+		seams.Context = context.Background
 	}
 	if seams.Tracer == nil {
 		seams.Tracer = noop.NewTracerProvider().Tracer("")
--- a/standinsite/site.go
+++ b/standinsite/site.go
@@ -42,14 +42,14 @@
 	Options   daemon.Options // Timer, Log, Document and Cut are filled in
 	Daemon    settings.Settings
 	Document  configuration.Document // what it lists is added to the site's own
-	// Wrap returns the store that instance i uses, given the platform's; the
-	// instances call the stand-in over HTTP if it is nil.
-	Wrap func(i int, p platform.Store) platform.Store
 	// Unconfigured instances start without any configuration; see Configure.
 	Unconfigured bool
 	Tracer       trace.Tracer
 	Seed         uint64
 	Log          zerolog.Logger
+	// Wrap returns the store that instance i uses, given the platform's; the
+	// instances call the stand-in over HTTP if it is nil.
+	Wrap func(i int, p platform.Store) platform.Store
 	// EngineAddress takes the place of the stand-ins for engines if it is set.
 	EngineAddress  string
 	Slots          int                   // of the engine at EngineAddress
@@ -81,14 +81,14 @@
 	Engines   []*standinengine.Engine
 	Instances []*daemon.Daemon
 	alive     []bool
-	Services  []*standinservice.Service
-	client    fasthttp.Client
 	Store     *standinkeyvalue.Store                   // what the platform's key-value service holds
 	KeyValue  map[ident.Domain]*standinkeyvalue.Server // by the failure domain that it answers
 	cut       map[ident.Domain]bool
+	Services  []*standinservice.Service
+	client    fasthttp.Client
 	doc       configuration.Document
 	dir       string
-	cuts      cuts
+	pairs     map[[2]ident.Domain]bool
 }
 
 // New returns a site that is not started.
@@ -104,9 +104,10 @@
 	}
 	return &Site{
 		cfg: cfg, timer: timer.New(), stand: timer.New(),
-		client:   fasthttp.Client{MaxIdemponentCallAttempts: 1},
 		KeyValue: make(map[ident.Domain]*standinkeyvalue.Server),
 		cut:      make(map[ident.Domain]bool),
+		client:   fasthttp.Client{MaxIdemponentCallAttempts: 1},
+		pairs:    make(map[[2]ident.Domain]bool),
 	}
 }
 
@@ -270,12 +271,12 @@
 	}
 	opt.Log, opt.Tracer = s.cfg.Log, s.cfg.Tracer
 	opt.Seed = s.cfg.Seed + uint64(len(s.Instances)) + 1
-	if s.cfg.Wrap != nil {
-		opt.Store = s.cfg.Wrap(len(s.Instances), s.Store.Port())
-	}
 	if opt.Cut == nil && opt.CutFrom == nil {
 		opt.Cut, opt.CutFrom = s.lost(cfg.Domain), s.lost(cfg.Domain)
 	}
+	if s.cfg.Wrap != nil {
+		opt.Store = s.cfg.Wrap(len(s.Instances), s.Store.Port())
+	}
 	d, err := daemon.New(cfg, opt)
 	if err != nil {
 		return err
@@ -340,13 +341,13 @@
 	for _, e := range s.Engines {
 		e.Stop()
 	}
+	for _, k := range s.KeyValue {
+		k.Stop()
+	}
 	for _, v := range s.Services {
 		v.Stop()
 	}
 	s.client.CloseIdleConnections()
-	for _, k := range s.KeyValue {
-		k.Stop()
-	}
 	s.stop()
 	s.wg.Wait()
 	_ = os.RemoveAll(s.dir)
