--- a/daemon/actions.go
+++ b/daemon/actions.go
@@ -56,7 +56,7 @@
 	}
 	d.gauge("ActionsLeft", d.actionsLeft)
 	run := d.id + ident.Instance("-"+runName())
-	cfg := d.opt.Actions
+	cfg := d.actionSettings()
 	d.actions.ledger = claimstore.New(cfg, d.actionStore(), d.opt.Timer, run)
 	d.actions.writer = claimwriter.New(claimwriter.Settings{Claims: cfg.Claims}, claimwriter.Seams{
 		Local:     d.actions.ledger.Do,
@@ -72,6 +72,7 @@
 		Context:        func() context.Context { return d.ctx },
 		Tracer:         d.opt.Tracer,
 		ChooseUpstream: d.ChooseService,
+		Signalled:      func(u ident.Upstream) { d.loop.Post(func() { d.signalled(u) }) },
 		Retry:          d.RetryService,
 		Take:           d.take,
 		Settle:         d.settle,
@@ -79,6 +80,19 @@
 	}, d.opt.Timer)
 }
 
+// actionSettings joins the options with the settings file.
+func (d *Daemon) actionSettings() claimstore.Settings {
+	cfg := d.opt.Actions
+	a := d.cfg.Actions
+	cfg.Claims.Buckets = orDefault(cfg.Claims.Buckets, a.Buckets)
+	cfg.Claims.MaxKeys = orDefault(cfg.Claims.MaxKeys, a.Keys)
+	cfg.Claims.Dated = cfg.Claims.Dated || a.DatedKeys
+	if cfg.Claims.Retention == 0 {
+		cfg.Claims.Retention = a.Retention
+	}
+	return cfg
+}
+
 // runNameBytes is the length of what tells the runs of a daemon apart.
 const runNameBytes = 6
 
@@ -228,7 +242,7 @@
 
 func (d *Daemon) actionEnded(op claim.Operation, outcome string) {
 	d.metrics.count("Actions."+outcome, 1)
-	d.log.Info().Str("claim", string(op.Claim)).Str("outcome", outcome).Msg("action")
+	d.log.Info().Str("Claim", string(op.Claim)).Str("Outcome", outcome).Msg("action")
 }
 
 // actionsLeft returns the requests to plain services in progress and the
