Do not call an answer lost while a peer is silent

Cause: TestProcesses failed once while another package's tests ran at the same time: in the round with a stopped instance a caller got 301 GenerationLost ('no instance in reach holds the answer'). A take-over took a peer that did not reply within its 300 ms for one that holds nothing, and 301 is final.

Ruled out: a longer limit, which only makes it rarer.

Change: if nobody has the answer and a peer was silent (not: out of reach), the caller with a cursor gets 603 PeerUnavailable with when to come back. A peer that refuses connections counts as before.

Not shown: the failure was seen once in about 13 runs and was not provoked, so that the cause is read from the code, not from a failing test. Seen after: 3 runs of TestProcesses, two of them under the same load, and the scripts pass.

--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -40,6 +40,9 @@
 	defaultAfterFirst = 40 * time.Millisecond
 )
 
+// askAgain is when a caller shall come back while a peer is silent.
+const askAgain = 200 * time.Millisecond
+
 // Methods of the calls between instances.
 const (
 	MethodFind = "Generation.Find"
@@ -179,7 +182,11 @@
 	if g, ok := t.ports.Owner.Find(n); ok && (c == nil || g.Spec().Generation == c.Generation) {
 		return g, nil
 	}
-	best, from := t.best(ctx, p, n)
+	best, from, silent := t.best(ctx, p, n)
+	if !best.Known && silent && c != nil {
+		return nil, result.New(result.PeerUnavailable, "an instance that may hold the answer does not reply; ask again").
+			Ran(result.RunUnknown).After(askAgain)
+	}
 	if !best.Known {
 		return nil, t.notFound(c)
 	}
@@ -234,21 +241,23 @@
 
 // found is an answer to FindParams.
 type found struct {
-	from ident.Instance
+	silent bool // somebody asked did not reply in time
+	from   ident.Instance
 	FindResult
 }
 
 // best asks the likely holders, then all others, for the furthest copy.
-func (t *Taker) best(ctx context.Context, p FindParams, n replica.Name) (FindResult, ident.Instance) {
+func (t *Taker) best(ctx context.Context, p FindParams, n replica.Name) (best FindResult, from ident.Instance, silent bool) {
 	top := found{from: t.ports.Instance, FindResult: t.local(p)}
 	order := t.ports.Order(n)
 	likely := order[:min(len(order), t.cfg.Likely)]
 	top = t.ask(ctx, p, likely, top)
+	silent = top.silent
 	if !top.Known {
 		rest := order[len(likely):min(len(order), t.cfg.AskAtMost)]
 		top = t.ask(ctx, p, rest, top)
 	}
-	return top.FindResult, top.from
+	return top.FindResult, top.from, silent || top.silent
 }
 
 // ask asks peers all at once and returns the best answer, top included.
@@ -265,17 +274,20 @@
 		go func() {
 			defer wg.Done()
 			f := found{from: id}
-			// A peer that does not answer holds nothing that can be reached.
-			_ = t.ports.Call(ctx, id, MethodFind, p, &f.FindResult)
+			// A peer that cannot be reached holds nothing; one that is silent may.
+			err := t.ports.Call(ctx, id, MethodFind, p, &f.FindResult)
+			f.silent = err != nil && ctx.Err() != nil
 			answers <- f
 		}()
 	}
 	var late *timer.Subscription
 	for range peers {
 		f := <-answers
+		silent := top.silent || f.silent
 		if better(f.FindResult, top.FindResult) {
 			top = f
 		}
+		top.silent = silent
 		if top.Known && late == nil {
 			late = t.ports.Timer.After(t.cfg.AfterFirst, func(time.Time) { cancel() })
 		}
