--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -303,9 +303,19 @@
 	}
 }
 
+// stopGrace is how long a leaving instance answers what has reached it after it
+// takes no more connections.
+const stopGrace = 100 * time.Millisecond
+
 // Stop ends the instance. Callers still connected are cut off, so Leave goes
 // before it in a planned stop.
 func (d *Daemon) Stop() {
+	if d.leaving.Load() {
+		_ = d.listener.Close()
+		answered := make(chan struct{})
+		d.opt.Timer.After(stopGrace, func(time.Time) { close(answered) })
+		<-answered
+	}
 	d.halt()
 	d.members.Stop()
 	d.link.Stop()
