--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -204,6 +204,10 @@
 func (d *Daemon) expire(now time.Time) {
 	d.replicas.Expire(now)
 	d.suspects.Expire(now)
+	d.trials.forget(func(fp uint64) bool {
+		t, _ := d.suspects.Treat(now, fp)
+		return t != suspect.Free
+	})
 	d.throttle.Expire(now)
 }
 
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -212,3 +212,15 @@
 	}
 	return int(free)
 }
+
+// Sound reports whether an upstream is neither leaving nor ejected, and has not
+// failed within the half-life of the penalty.
+func (c *Chooser) Sound(u ident.Upstream, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, ok := c.engines[u]
+	if !ok || e.out || e.Leaving {
+		return false
+	}
+	return e.failed.IsZero() || now.Sub(e.failed) > c.cfg.PenaltyHalfLife.Std()
+}
