--- a/cmd/crocuslug/demo_booking.go
+++ b/cmd/crocuslug/demo_booking.go
@@ -21,6 +21,10 @@
 		d.check(false, "another instance starts: %v", err)
 		return
 	}
+	if err := d.site.AwaitInForce(d.ctx, 1); err != nil {
+		d.check(false, "the configuration reaches it: %v", err)
+		return
+	}
 	const key = "debrief-4-booking"
 	at := d.site.Addresses()
 	first := d.site.Book(at[0], key, "crane 4, Monday 9:00")
--- a/daemon/actions.go
+++ b/daemon/actions.go
@@ -42,18 +42,21 @@
 	ledger  *claimstore.Ledger
 	writer  *claimwriter.Writer
 	proxy   *serviceproxy.Proxy
-	calls   func() keyvalue.Calls
 	running atomic.Int64 // requests to plain services
 	waits   metrics.Histogram
 }
 
 // buildActions wires the claims and the proxy of plain services.
 func (d *Daemon) buildActions() {
-	d.actions = &actions{calls: func() keyvalue.Calls { return keyvalue.Calls{} }}
+	d.actions = &actions{}
 	sample := metrics.NewExpDecaySample(sampleSize, sampleAlpha)
 	d.actions.waits = metrics.NewRegisteredHistogram("ClaimUs", d.metrics.registry, sample)
+	for _, name := range []string{"ClaimWrites", "ClaimBytes", "ClaimsForwarded"} {
+		d.metrics.count(name, 0)
+	}
+	d.gauge("ActionsLeft", d.actionsLeft)
 	run := d.id + ident.Instance("-"+runName())
-	cfg := d.opt.Actions
+	cfg := d.actionSettings()
 	d.actions.ledger = claimstore.New(cfg, d.actionStore(), d.opt.Timer, run)
 	d.actions.writer = claimwriter.New(claimwriter.Settings{Claims: cfg.Claims}, claimwriter.Seams{
 		Local:     d.actions.ledger.Do,
@@ -69,6 +72,7 @@
 		Context:        func() context.Context { return d.ctx },
 		Tracer:         d.opt.Tracer,
 		ChooseUpstream: d.ChooseService,
+		Signalled:      func(u ident.Upstream) { d.loop.Post(func() { d.signalled(u) }) },
 		Retry:          d.RetryService,
 		Take:           d.take,
 		Settle:         d.settle,
@@ -76,6 +80,19 @@
 	}, d.opt.Timer)
 }
 
+// actionSettings joins the options with the settings file.
+func (d *Daemon) actionSettings() claimstore.Settings {
+	cfg := d.opt.Actions
+	a := d.cfg.Actions
+	cfg.Claims.Buckets = orDefault(cfg.Claims.Buckets, a.Buckets)
+	cfg.Claims.MaxKeys = orDefault(cfg.Claims.MaxKeys, a.Keys)
+	cfg.Claims.Dated = cfg.Claims.Dated || a.DatedKeys
+	if cfg.Claims.Retention == 0 {
+		cfg.Claims.Retention = a.Retention
+	}
+	return cfg
+}
+
 // runNameBytes is the length of what tells the runs of a daemon apart.
 const runNameBytes = 6
 
@@ -97,7 +114,8 @@
 			Seed:            d.seed + 1,
 		}, d.opt.Timer)
 		store = c.Port()
-		d.actions.calls = c.Calls
+		others := d.calls
+		d.calls = func() keyvalue.Calls { return sum(others(), c.Calls()) }
 		d.closers = append(d.closers, c.Close)
 	}
 	put := store.Put
@@ -109,6 +127,21 @@
 	return store
 }
 
+// sum adds up what two clients have done.
+func sum(a, b keyvalue.Calls) keyvalue.Calls {
+	return keyvalue.Calls{
+		Reads:         a.Reads + b.Reads,
+		Writes:        a.Writes + b.Writes,
+		Watches:       a.Watches + b.Watches,
+		Joined:        a.Joined + b.Joined,
+		OverBudget:    a.OverBudget + b.OverBudget,
+		BackedOff:     a.BackedOff + b.BackedOff,
+		Unavailable:   a.Unavailable + b.Unavailable,
+		Unknown:       a.Unknown + b.Unknown,
+		SilentWatches: a.SilentWatches + b.SilentWatches,
+	}
+}
+
 // claimWriter returns the instance that is preferred to write a bucket, or "".
 func (d *Daemon) claimWriter(bucket int) ident.Instance {
 	var live []ident.Instance
@@ -168,7 +201,6 @@
 }
 
 func (d *Daemon) serviceProblem(ctx *fasthttp.RequestCtx, e *result.Error, id ident.Request) {
-	d.metrics.count("Services."+e.Code.String(), 1)
 	d.log.Info().Int("Code", int(e.Code)).Str("Detail", e.Detail).Str("Run", string(e.Run)).
 		Str("Request", string(id)).Str("Path", string(ctx.Path())).Msg("service request failed")
 	problem.Write(ctx, e, id)
@@ -210,7 +242,7 @@
 
 func (d *Daemon) actionEnded(op claim.Operation, outcome string) {
 	d.metrics.count("Actions."+outcome, 1)
-	d.log.Info().Str("claim", string(op.Claim)).Str("outcome", outcome).Msg("action")
+	d.log.Info().Str("Claim", string(op.Claim)).Str("Outcome", outcome).Msg("action")
 }
 
 // actionsLeft returns the requests to plain services in progress and the
--- a/measureaction/drain.go
+++ b/measureaction/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -13,7 +14,6 @@
 	"crocuslug/ident"
 	"crocuslug/intent"
 	"crocuslug/measure"
-	"crocuslug/operatorclient"
 	"crocuslug/result"
 	"crocuslug/standinengine"
 	"crocuslug/standinservice"
@@ -40,10 +40,12 @@
 	SignallingEngineLastMs  float64 // new streams that it took
 	SignallingEngineAsked   uint64  // streams that it refused after it said so
 	SignallingServiceAsked  int     // calls that callers saw refused by it
+	SignallingServiceLastMs float64 // the last of them
 	InstanceLeftMs          float64 // until it had no work
 	Generations             int
 	Calls                   int
-	Reconnects              int // of callers
+	Redirected              int // answers that an instance left to another before it began them
+	Reconnects              int // of callers for other reasons
 	NotWhole                int // answers
 	Unanswered              int // calls, with those of unknown outcome
 }
@@ -56,6 +58,7 @@
 	mu     sync.Mutex
 	f      drainFigures
 	report measure.Report
+	signal time.Time // when the second engine and service began to leave
 }
 
 func runDrain(ctx context.Context, cfg measure.Settings) (measure.Report, error) {
@@ -81,6 +84,9 @@
 	d.instance(ctx)
 	cancel()
 	d.wg.Wait()
+	if d.f.SignallingServiceLastMs > float64(drainBound.Milliseconds()) {
+		d.report.Violate("the second service got new work later than the bound")
+	}
 	d.report.Figures = d.f
 	if n := d.f.NotWhole + d.f.Unanswered + d.f.Reconnects; n > 0 {
 		d.report.Violate(fmt.Sprintf("answers or calls cut: %d", n))
@@ -136,28 +142,21 @@
 	if d.naive {
 		return nil
 	}
-	client, e := operatorclient.New(operatorclient.Settings{Addresses: d.site.Addresses(), Key: standinsite.OperatorKey})
-	if e != nil {
-		return e
-	}
 	in := intent.Intent{Whole: true, Set: d.site.Document()}
 	in.Set.Upstreams = slices.Clone(in.Set.Upstreams)
 	for i, u := range in.Set.Upstreams {
 		in.Set.Upstreams[i].Leaving = u.Name == "engine-accra-0" || u.Name == ident.Upstream(standinsite.Booking+"-accra-0")
 	}
-	p, e := client.Plan(ctx, in)
-	if e == nil {
-		_, e = client.Confirm(ctx, p)
-	}
-	if e != nil {
-		return e
-	}
-	return nil
+	_, err := d.site.Change(ctx, d.site.Operator(), in)
+	return err
 }
 
 // bySignal has the second engine and service answer 503 to new work.
 func (d *drain) bySignal() {
 	began := time.Now()
+	d.mu.Lock()
+	d.signal = began
+	d.mu.Unlock()
 	engine := d.site.Engines[1]
 	before := engine.Counters().Refused
 	engine.Leave()
@@ -195,23 +194,26 @@
 
 func (d *drain) generate(i int) {
 	defer d.wg.Done()
-	c := d.site.Caller(caller.Settings{Addresses: d.addresses()})
-	a := c.Do(context.Background(), caller.Request{
+	redirected := 0
+	a := d.site.Caller(caller.Settings{}).Do(context.Background(), caller.Request{
 		ID: ident.Request(fmt.Sprintf("g%d", i)), Model: standinsite.Model, Prompt: fmt.Sprintf("debrief %d", i), MaxTokens: drainTokens, First: i,
+		OnLost: func(_ string, err error) {
+			var e *result.Error
+			if errors.As(err, &e) && e.Code == result.InstanceLeaving {
+				redirected++
+			}
+		},
 	})
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.f.Generations++
-	d.f.Reconnects += a.Reconnects
+	d.f.Redirected += redirected
+	d.f.Reconnects += a.Reconnects - redirected
 	if !a.Whole || a.Err != nil {
 		d.f.NotWhole++
 	}
 }
 
-func (d *drain) addresses() []string {
-	return d.site.Addresses()
-}
-
 // call sends an action or a look-up in turn, at another instance if one is
 // leaving.
 func (d *drain) call(i int) {
@@ -220,7 +222,7 @@
 	if i%2 == 0 {
 		c = standinsite.Call{Method: http.MethodPost, Path: "/bookings", Key: fmt.Sprintf("c%d", i), Body: "crane"}
 	}
-	at := d.addresses()
+	at := d.site.Addresses()
 	r := d.site.Send(at[i%len(at)], c)
 	for j := 1; r.Problem.Run == result.RunNot && r.Problem.Code != 0 && j < len(at); j++ {
 		r = d.site.Send(at[(i+j)%len(at)], c)
@@ -231,6 +233,7 @@
 	switch {
 	case r.Status == http.StatusServiceUnavailable && r.Problem.Code == 0:
 		d.f.SignallingServiceAsked++
+		d.f.SignallingServiceLastMs = float64(time.Since(d.signal).Microseconds()) / 1000
 	case r.Status != http.StatusOK && r.Status != http.StatusCreated:
 		d.f.Unanswered++
 	}
--- a/upstreamcontrol/control.go
+++ b/upstreamcontrol/control.go
@@ -156,6 +156,9 @@
 		})
 	}
 	_ = g.Wait()
+	for i := range engines {
+		engines[i].InUse = c.seams.InUse(engines[i].Name)
+	}
 	return engines
 }
 
@@ -222,7 +225,7 @@
 // read returns the state of an engine; it is not Known if the engine does not
 // answer.
 func (c *Control) read(u configuration.Upstream) placement.Engine {
-	e := placement.Engine{Name: u.Name, May: u.Models, Leaving: u.Leaving, InUse: c.seams.InUse(u.Name)}
+	e := placement.Engine{Name: u.Name, May: u.Models, Leaving: u.Leaving}
 	var s state
 	if err := c.call(http.MethodGet, "http://"+u.Address+"/v1/state", nil, &s, c.cfg.ReadLimit.Std()); err != nil {
 		return e
