Find answers in other failure domains, ask few for new requests

Change: a new request asks the three likely holders; a caller that comes back is looked for in the whole failure domain and at the likely holders of the others. Seen failing: without the others, instance-killed-other-domain.script ends in 301.

--- a/daemon/generations.go
+++ b/daemon/generations.go
@@ -55,6 +55,7 @@
 		Owner:    d.owner,
 		Replicas: d.replicas,
 		Order:    d.holders,
+		Far:      d.farHolders,
 		Call:     d.link.Call,
 	})
 	d.link.Handle(takeover.MethodFind, d.taker.HandleFind)
@@ -67,6 +68,7 @@
 		Tracer:    d.opt.Tracer,
 		Owner:     d.owner,
 		Workspace: d.workspace,
+		Known:     d.taker.Known,
 		Find:      d.taker.Find,
 		Pin:       d.pin,
 		Admit:     d.admit,
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 
@@ -136,6 +137,23 @@
 	return slices.DeleteFunc(out, func(id ident.Instance) bool { return id == d.id })
 }
 
+// farHolders returns the k likeliest holders of n in each other failure domain.
+func (d *Daemon) farHolders(n replica.Name, k int) []ident.Instance {
+	v := d.members.View()
+	domains := make(map[ident.Domain]bool)
+	for _, m := range v.Members {
+		domains[m.Domain] = m.Domain != d.cfg.Domain
+	}
+	var out []ident.Instance
+	for _, domain := range slices.Sorted(maps.Keys(domains)) {
+		if domains[domain] {
+			order := rendezvous.Order(string(n.Workspace)+"/"+string(n.Request), v.Live(domain))
+			out = append(out, order[:min(len(order), k)]...)
+		}
+	}
+	return out
+}
+
 func (d *Daemon) chooseReplica(spec generation.Spec, avoid []ident.Instance) ident.Instance {
 	key := string(spec.Workspace) + "/" + string(spec.Request)
 	for _, id := range rendezvous.Order(key, d.live()) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,7 +45,9 @@
 	Owner  *owner.Owner
 	// Workspace returns whose key an Authorization header holds.
 	Workspace func(authorization []byte) (ident.Workspace, bool)
-	// Find finds a generation and takes it over.
+	// Known finds a generation that the caller may have sent before.
+	Known func(ctx context.Context, n replica.Name) (*owner.Generation, *result.Error)
+	// Find finds a generation wherever it is and takes it over.
 	Find func(ctx context.Context, n replica.Name, c *cursor.Cursor) (*owner.Generation, *result.Error)
 	// Pin completes a spec from the configuration: service, version, adapter.
 	Pin func(spec *generation.Spec) *result.Error
@@ -181,7 +183,7 @@
 	if !given || g.cfg.NoLookUp {
 		return nil, nil
 	}
-	gen, err := g.ports.Find(c, replica.Name{Workspace: spec.Workspace, Request: spec.Request}, nil)
+	gen, err := g.ports.Known(c, replica.Name{Workspace: spec.Workspace, Request: spec.Request})
 	switch {
 	case err != nil && err.Code == result.NotFound:
 		return nil, nil
--- a/standinsite/script_test.go
+++ b/standinsite/script_test.go
@@ -26,7 +26,8 @@
 //	at TOKEN DO WHAT                           does so when the first answer has TOKEN tokens
 //	want whole [uncut]                         waits for the answers and checks them
 //	want code NUMBER                           the same, where they end with a code
-//	ask COUNT DOMAIN                           sends them to one failure domain
+//	ask COUNT DOMAIN                           sends them to two instances of a failure domain
+//	ask COUNT DOMAIN DOMAIN                    sends them to one instance of each in turn
 //	cut DOMAIN DOMAIN | heal                   between failure domains d0, d1 and so on
 //	sees DOMAIN STATE DOMAIN                   waits until all of the first are so to all of the second
 //
@@ -156,8 +157,8 @@
 
 func (s *script) ask(n int, domain []string) {
 	cfg := caller.Settings{Silence: 2 * time.Second}
-	if len(domain) > 0 {
-		cfg.Addresses = s.site.AddressesIn(ident.Domain(domain[0]))
+	for _, d := range domain {
+		cfg.Addresses = append(cfg.Addresses, s.site.AddressesIn(ident.Domain(d))[:3-len(domain)]...)
 	}
 	c := s.site.Caller(cfg)
 	again := strings.Repeat("again-", s.asked) // a new request each time
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -80,6 +81,8 @@
 	// Order returns the live instances of the failure domain, the most likely
 	// holder first, without this one.
 	Order func(n replica.Name) []ident.Instance
+	// Far returns the k most likely holders in each other failure domain.
+	Far func(n replica.Name, k int) []ident.Instance
 	// Call calls a method of another instance.
 	Call func(ctx context.Context, to ident.Instance, method string, params, out any) error
 }
@@ -170,11 +173,27 @@
 	return t.ports.Replicas.Take(t.ports.Timer.Now(), g, to)
 }
 
+// Known returns the generation of a request that the caller may have sent
+// before, taking it over if another instance has it. Only the likely holders are
+// asked, since almost all requests are new ones. The result is NotFound if none
+// of them knows the request.
+func (t *Taker) Known(ctx context.Context, n replica.Name) (*owner.Generation, *result.Error) {
+	return t.find(ctx, n, nil, t.likely)
+}
+
 // Find returns the generation of a request, taking it over if another instance
-// has it. With a cursor only the cursor's generation will do. The result is
+// has it. With a cursor only the cursor's generation will do. All instances of
+// the failure domain and the likely holders in others are asked. The result is
 // NotFound if nobody in reach knows the request, and GenerationLost if the
 // answer that the cursor belongs to cannot go on.
 func (t *Taker) Find(ctx context.Context, n replica.Name, c *cursor.Cursor) (*owner.Generation, *result.Error) {
+	return t.find(ctx, n, c, t.anywhere)
+}
+
+// search asks instances for the furthest copy.
+type search func(ctx context.Context, p FindParams, n replica.Name) found
+
+func (t *Taker) find(ctx context.Context, n replica.Name, c *cursor.Cursor, ask search) (*owner.Generation, *result.Error) {
 	p := FindParams{Workspace: n.Workspace, Request: n.Request}
 	if c != nil {
 		p.Generation = c.Generation
@@ -182,15 +201,15 @@
 	if g, ok := t.ports.Owner.Find(n); ok && (c == nil || g.Spec().Generation == c.Generation) {
 		return g, nil
 	}
-	best, from, silent := t.best(ctx, p, n)
-	if !best.Known && silent && c != nil {
+	best := ask(ctx, p, n)
+	if !best.Known && best.silent && c != nil {
 		return nil, result.New(result.PeerUnavailable, "an instance that may hold the answer does not reply; ask again").
 			Ran(result.RunUnknown).After(askAgain)
 	}
 	if !best.Known {
 		return nil, t.notFound(c)
 	}
-	s, err := t.take(ctx, best, from)
+	s, err := t.take(ctx, best.FindResult, best.from)
 	if err != nil {
 		return nil, err
 	}
@@ -204,7 +223,7 @@
 		return nil, result.New(result.Fault, adoptErr.Error()).Ran(result.RunUnknown)
 	}
 	t.ports.Log.Info().Str("Request", string(n.Request)).Str("Generation", string(s.Generation)).
-		Str("Workspace", string(n.Workspace)).Str("From", string(from)).Uint64("Attempt", uint64(s.Attempt)).Int("Tokens", len(s.Tokens)).Msg("generation taken over")
+		Str("Workspace", string(n.Workspace)).Str("From", string(best.from)).Uint64("Attempt", uint64(s.Attempt)).Int("Tokens", len(s.Tokens)).Msg("generation taken over")
 	return g, nil
 }
 
@@ -246,18 +265,23 @@
 	FindResult
 }
 
-// best asks the likely holders, then all others, for the furthest copy.
-func (t *Taker) best(ctx context.Context, p FindParams, n replica.Name) (best FindResult, from ident.Instance, silent bool) {
+// likely asks the likely holders of the failure domain.
+func (t *Taker) likely(ctx context.Context, p FindParams, n replica.Name) found {
 	top := found{from: t.ports.Instance, FindResult: t.local(p)}
 	order := t.ports.Order(n)
-	likely := order[:min(len(order), t.cfg.Likely)]
-	top = t.ask(ctx, p, likely, top)
-	silent = top.silent
-	if !top.Known {
-		rest := order[len(likely):min(len(order), t.cfg.AskAtMost)]
-		top = t.ask(ctx, p, rest, top)
+	return t.ask(ctx, p, order[:min(len(order), t.cfg.Likely)], top)
+}
+
+// anywhere asks the likely holders, then all others of the failure domain and
+// the likely ones elsewhere.
+func (t *Taker) anywhere(ctx context.Context, p FindParams, n replica.Name) found {
+	top := t.likely(ctx, p, n)
+	if top.Known {
+		return top
 	}
-	return top.FindResult, top.from, silent || top.silent
+	order := t.ports.Order(n)
+	rest := order[min(len(order), t.cfg.Likely):min(len(order), t.cfg.AskAtMost)]
+	return t.ask(ctx, p, slices.Concat(rest, t.ports.Far(n, t.cfg.Likely)), top)
 }
 
 // ask asks peers all at once and returns the best answer, top included.
