Tell the failure domain of deaths and everybody of verdicts

Cause: each engine's death made an instance dial all 929 others (found by reading, docs/CAPACITY.md).

--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -42,6 +42,7 @@
 	}, d.link, d.opt.Timer, rand.New(rand.NewPCG(d.seed, 1)).IntN, d.log)
 	d.members.OnChange(d.membersChanged)
 	d.members.OnChange(d.readNotices)
+	d.members.OnChange(d.readVerdicts)
 	if d.cfg.Platform.InstanceList != "" {
 		list := instancelist.New(instancelist.Settings{Address: d.cfg.Platform.InstanceList})
 		d.members.List = func(ctx context.Context) ([]membership.Member, error) { return listed(ctx, list) }
--- a/daemon/suspects.go
+++ b/daemon/suspects.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
+	"strings"
 	"time"
 
 	"crocuslug/generation"
 	"crocuslug/ident"
+	"crocuslug/membership"
 	"crocuslug/result"
 	"crocuslug/suspect"
 )
@@ -40,17 +43,48 @@
 		Str("Workspace", string(spec.Workspace)).Msg("engine lost")
 }
 
-// tellSuspects sends what is new to the other live instances.
+// tellSuspects sends what is new to the live instances of the failure domain,
+// and verdicts to all by the notices of the membership.
 func (d *Daemon) tellSuspects(time.Time) {
+	for _, v := range d.suspects.Proven() {
+		d.members.Announce(membership.Notice{
+			Key:     refusedKey + strconv.FormatUint(v.Fingerprint, hexadecimal),
+			Version: uint64(v.Until.UnixNano()),
+		})
+	}
 	r, ok := d.suspects.Take()
 	if !ok {
 		return
 	}
-	for _, id := range d.everyone() {
-		go func() {
+	for _, id := range d.live() {
+		if id == d.id {
+			continue
+		}
+		d.goRun(func() {
 			// A peer that is out of reach hears of later deaths; its own count.
 			_ = d.link.Notify(d.ctx, id, methodSuspects, r)
-		}()
+		})
+	}
+}
+
+// refusedKey begins the keys of the notices of contents that are refused; the
+// fingerprint follows, and the version is the end of the verdict.
+const refusedKey = "refused/"
+
+// hexadecimal is the base of fingerprints in notices.
+const hexadecimal = 16
+
+// readVerdicts takes in which contents are refused. It runs on the control
+// goroutine of members.
+func (d *Daemon) readVerdicts(v *membership.View) {
+	for _, n := range v.Notices {
+		text, ok := strings.CutPrefix(n.Key, refusedKey)
+		if !ok {
+			continue
+		}
+		if fp, err := strconv.ParseUint(text, hexadecimal, 64); err == nil {
+			d.suspects.Refuse(suspect.Verdict{Fingerprint: fp, Until: time.Unix(0, int64(n.Version))})
+		}
 	}
 }
 
--- a/standinsite/script_test.go
+++ b/standinsite/script_test.go
@@ -29,6 +29,8 @@
 //	ask COUNT DOMAIN                           sends them to two instances of a failure domain
 //	ask COUNT DOMAIN DOMAIN                    sends them to one instance of each in turn
 //	cut DOMAIN DOMAIN | heal                   between failure domains d0, d1 and so on
+//	prompt TEXT                                of the requests from now on
+//	refuses DOMAIN                             waits until all instances there have heard of a verdict
 //	sees DOMAIN STATE DOMAIN                   waits until all of the first are so to all of the second
 //
 // DO is one of the cases of do; WHAT is "serving" for the engine, instance or
@@ -37,6 +39,7 @@
 	t       *testing.T
 	site    *Site
 	tokens  int
+	prompt  string
 	hooks   map[int][]string
 	answers []caller.Answer
 	asked   int // times
@@ -62,7 +65,7 @@
 		t.Fatal(err)
 	}
 	defer f.Close()
-	s := &script{t: t, hooks: make(map[int][]string)}
+	s := &script{t: t, prompt: "debrief", hooks: make(map[int][]string)}
 	defer func() {
 		if s.site != nil {
 			s.site.Stop()
@@ -86,6 +89,10 @@
 	case "ask":
 		n, _ := strconv.Atoi(words[1])
 		s.ask(n, words[2:])
+	case "prompt":
+		s.prompt = strings.Join(words[1:], " ")
+	case "refuses":
+		s.refuses(ident.Domain(words[1]))
 	case "cut":
 		s.site.CutBetween(ident.Domain(words[1]), ident.Domain(words[2]))
 	case "heal":
@@ -126,6 +133,25 @@
 	}
 }
 
+// refuses waits until a verdict has reached all instances of a failure domain.
+func (s *script) refuses(domain ident.Domain) {
+	const limit = 20 * time.Second
+	for deadline := time.Now().Add(limit); ; time.Sleep(10 * time.Millisecond) {
+		heard := true
+		for _, d := range s.site.Instances {
+			heard = heard && (d.Domain() != domain || slices.ContainsFunc(d.Members().Notices, func(n membership.Notice) bool {
+				return strings.HasPrefix(n.Key, "refused/")
+			}))
+		}
+		if heard {
+			return
+		}
+		if time.Now().After(deadline) {
+			s.t.Fatalf("verdict: got none at some instance of %s, want one at each", domain)
+		}
+	}
+}
+
 // sees waits until all instances of a failure domain believe that all of
 // another are in a state.
 func (s *script) sees(of ident.Domain, want membership.State, by ident.Domain) {
@@ -165,7 +191,7 @@
 	s.asked++
 	s.answers = make([]caller.Answer, n)
 	for i := range n {
-		r := caller.Request{ID: ident.Request(fmt.Sprintf("%sr%d", again, i)), Model: Model, Prompt: fmt.Sprintf("debrief %d", i), MaxTokens: s.tokens, First: i}
+		r := caller.Request{ID: ident.Request(fmt.Sprintf("%sr%d", again, i)), Model: Model, Prompt: fmt.Sprintf("%s %d", s.prompt, i), MaxTokens: s.tokens, First: i}
 		if i == 0 {
 			r.OnToken = s.onToken
 		}
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -80,6 +80,7 @@
 	places  map[ident.Upstream]map[uint64]*place // what runs here, by engine
 	trials  map[ident.Upstream]Trial
 	pending Report
+	proven  []Verdict // not yet told
 }
 
 // content is what is known of one content.
@@ -166,8 +167,9 @@
 		}
 	}
 	c.deaths = append(c.deaths, one)
-	if len(c.deaths) >= deathsRefuse {
+	if len(c.deaths) >= deathsRefuse && !now.Before(c.refused) {
 		c.refused = now.Add(l.cfg.Verdict)
+		l.proven = append(l.proven, Verdict{fp, c.refused})
 	}
 	return true
 }
@@ -324,8 +326,8 @@
 		if now.Before(c.refused) {
 			continue
 		}
-		last := c.deaths[len(c.deaths)-1]
-		if now.Sub(last.at) > l.cfg.Memory || !c.refused.IsZero() {
+		old := !slices.ContainsFunc(c.deaths, func(d death) bool { return now.Sub(d.at) <= l.cfg.Memory })
+		if old || !c.refused.IsZero() {
 			delete(l.cases, fp)
 		}
 	}
