--- /dev/null
+++ b/claim/example_test.go
@@ -0,0 +1,32 @@
+package claim_test
+
+import (
+	"fmt"
+	"time"
+
+	"crocuslug/claim"
+)
+
+// ExampleBook lets one of two requests with one key run, and gives the other
+// the answer.
+func ExampleBook() {
+	now := time.Unix(1_700_000_000, 0)
+	b := claim.New(claim.Settings{})
+	op := claim.Operation{
+		Key:     claim.KeyOf("w", "booking", "k1"),
+		Claim:   "a-1",
+		State:   claim.Running,
+		StartBy: now.Add(time.Second),
+		Until:   now.Add(time.Minute),
+	}
+	first := b.Apply(op, now)
+	second := op
+	second.Claim = "b-1"
+	refused := b.Apply(second, now)
+	op.State, op.Answer = claim.Done, claim.Answer{Status: 201}
+	b.Apply(op, now)
+	second.Claim = "b-2"
+	replayed := b.Apply(second, now)
+	fmt.Println(first.Granted, refused.Err.Code, replayed.Answer.Status)
+	// Output: true ActionInProgress 201
+}
