--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -15,8 +15,11 @@
 	"github.com/rs/zerolog"
 
 	"crocuslug/measure"
+	"crocuslug/measureaction"
+	"crocuslug/measurecontrol"
 	"crocuslug/measuregeneration"
 	"crocuslug/measureload"
+	"crocuslug/measureoperator"
 )
 
 // runLimit bounds one experiment.
@@ -24,7 +27,14 @@
 
 // entries lists all experiments in the order of list.
 func entries() []measure.Entry {
-	return slices.Concat(measuregeneration.Entries(), measureload.Entries())
+	return slices.Concat(
+		measuregeneration.Entries(),
+		measureload.Entries(),
+		measureoperator.Entries(),
+		measureaction.Entries(),
+		measurecontrol.Entries(),
+		measureaction.Entries(),
+	)
 }
 
 func main() {
--- a/daemon/connections.go
+++ b/daemon/connections.go
@@ -3,6 +3,9 @@
 import (
 	"net"
 	"sync"
+	"syscall"
+
+	"github.com/zeebo/errs"
 )
 
 // connections keeps the callers' connections, so that they can be closed.
@@ -27,12 +30,18 @@
 	return &listener{l, c}
 }
 
+// callerBuffer bounds what the kernel keeps for a caller that does not read, in bytes.
+const callerBuffer = 64 << 10
+
 // Accept waits for the next connection.
 func (l *listener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(callerBuffer)
+	}
 	c := &conn{nc, l.conns}
 	l.conns.mu.Lock()
 	l.conns.open[c] = struct{}{}
@@ -40,6 +49,15 @@
 	return c, nil
 }
 
+// SyscallConn gives access to the connection below, or an error if there is none.
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errs.New("not a connection of the system")
+	}
+	return sc.SyscallConn()
+}
+
 // Close closes the connection.
 func (c *conn) Close() error {
 	c.conns.mu.Lock()
@@ -74,6 +92,7 @@
 	return out
 }
 
+// count returns the number of open connections.
 func (c *connections) count() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 
 	"crocuslug/access"
 	"crocuslug/admission"
+	"crocuslug/claimstore"
 	"crocuslug/configuration"
 	"crocuslug/control"
 	"crocuslug/estimate"
@@ -24,6 +25,7 @@
 	"crocuslug/ident"
 	"crocuslug/keyvalue"
 	"crocuslug/members"
+	"crocuslug/membership"
 	"crocuslug/operatorapi"
 	"crocuslug/outbox"
 	"crocuslug/owner"
@@ -40,6 +42,7 @@
 	"crocuslug/takeover"
 	"crocuslug/throttle"
 	"crocuslug/timer"
+	"crocuslug/upstreamcontrol"
 )
 
 // Options are what a Daemon needs beside its settings. Only Timer is required.
@@ -60,8 +63,11 @@
 	Naive       bool   // takes engines in turn and admits all at once; for comparison
 	FixedShares bool   // moves no shares of limits among instances; for comparison
 	Seed        uint64 // of all random choices; 0 draws one
+	Membership  membership.Settings
 	Cut         func(to ident.Instance) bool
 	CutFrom     func(from ident.Instance) bool
+	Actions     claimstore.Settings
+	Orders      upstreamcontrol.Settings
 	Store       platform.Store   // the platform's key-value service; a client of the settings' address if empty
 	Rollout     rollout.Settings // HeadKey and Log are filled in
 }
@@ -79,42 +85,45 @@
 	ending  sync.Mutex
 	over    bool
 
-	loop       *control.Loop
-	link       *peerlink.Link
-	members    *members.Members
-	outbox     *outbox.Outbox
-	owner      *owner.Owner
-	replicas   *replica.Store
-	taker      *takeover.Taker
-	gateway    *gateway.Gateway
-	chooser    *routing.Chooser
-	suspects   *suspect.Ledger
-	trials     *trials          // of suspects of this instance
-	plain      *routing.Chooser // of plain services
-	line       *line            // generations that wait
-	services   *line            // calls to plain services that wait
-	throttle   *throttle.Throttle
-	shares     *quota.Shares
-	estimator  *estimate.Estimator
-	retries    *retry.Budget
-	polls      *polls
-	trackers   map[ident.Service]*health.Tracker // of the loop
-	reserved   *reservations                     // engines for generations that are about to start
-	away       *reservations                     // engines of other failure domains in use
-	guests     *reservations                     // engines here in use from other failure domains
-	neighbours neighbours
-	shared     []ident.Instance // members of shares, of the timer
-	heldBack   atomic.Int64     // time in Unix nanoseconds until which new work waits for lost answers
-	turn       atomic.Uint64
-	server     *fasthttp.Server
-	listener   net.Listener
-	conns      connections
-	store      platform.Store
-	calls      func() keyvalue.Calls // to the platform's service
-	closers    []func()
-	ledger     *revision.Ledger
-	rollout    *rollout.Rollout
-	operator   *operatorapi.API
+	loop        *control.Loop
+	link        *peerlink.Link
+	members     *members.Members
+	outbox      *outbox.Outbox
+	owner       *owner.Owner
+	replicas    *replica.Store
+	taker       *takeover.Taker
+	gateway     *gateway.Gateway
+	chooser     *routing.Chooser
+	suspects    *suspect.Ledger
+	trials      *trials          // of suspects of this instance
+	plain       *routing.Chooser // of plain services
+	line        *line            // generations that wait
+	services    *line            // calls to plain services that wait
+	throttle    *throttle.Throttle
+	shares      *quota.Shares
+	estimator   *estimate.Estimator
+	retries     *retry.Budget
+	polls       *polls
+	trackers    map[ident.Service]*health.Tracker // of the loop
+	reserved    *reservations                     // engines for generations that are about to start
+	away        *reservations                     // engines of other failure domains in use
+	guests      *reservations                     // engines here in use from other failure domains
+	neighbours  neighbours
+	shared      []ident.Instance // members of shares, of the timer
+	heldBack    atomic.Int64     // time in Unix nanoseconds until which new work waits for lost answers
+	turn        atomic.Uint64
+	server      *fasthttp.Server
+	listener    net.Listener
+	conns       connections
+	store       platform.Store
+	calls       func() keyvalue.Calls // to the platform's service
+	closers     []func()
+	ledger      *revision.Ledger
+	rollout     *rollout.Rollout
+	operator    *operatorapi.API
+	actions     *actions
+	orders      *orders
+	configBytes atomic.Uint64 // of configuration taken from others
 
 	metrics   *meters
 	bootstrap string // hash of the first operator's key, or ""
@@ -158,6 +167,8 @@
 	d.handleShares()
 	d.handleSpill()
 	d.buildGenerations()
+	d.buildActions()
+	d.buildOrders()
 	d.buildConfiguration(key)
 	d.buildRoutes()
 	return d, nil
@@ -176,6 +187,7 @@
 	d.every(expireInterval, d.expire)
 	d.every(suspectInterval, d.tellSuspects)
 	d.startLoad()
+	d.startOrders()
 	d.goRun(func() {
 		if err := d.server.Serve(d.conns.wrap(d.listener)); err != nil {
 			d.log.Error().Err(err).Msg("serving ended")
@@ -192,6 +204,10 @@
 func (d *Daemon) expire(now time.Time) {
 	d.replicas.Expire(now)
 	d.suspects.Expire(now)
+	d.trials.forget(func(fp uint64) bool {
+		t, _ := d.suspects.Treat(now, fp)
+		return t != suspect.Free
+	})
 	d.throttle.Expire(now)
 }
 
@@ -257,6 +273,10 @@
 // leavePoll is the interval of asking whether all work is done.
 const leavePoll = 50 * time.Millisecond
 
+// leaveIdle is how often in a row no work is seen before all answers count as
+// written.
+const leaveIdle = 2
+
 // Leave begins a graceful shutdown and returns when all work in progress is
 // done or ctx has ended. New work is refused meanwhile.
 func (d *Daemon) Leave(ctx context.Context) error {
@@ -267,9 +287,14 @@
 	done := make(chan struct{})
 	var once sync.Once
 	earliest := d.opt.Timer.Now().Add(leaveNotice)
+	idle := 0
 	sub := d.opt.Timer.Every(leavePoll, func(now time.Time) {
 		waiting, _ := d.line.queue.Len()
-		if active, _, _ := d.owner.Load(); active == 0 && waiting == 0 && now.After(earliest) {
+		idle++
+		if active, _, _ := d.owner.Load(); active > 0 || waiting > 0 || d.actionsLeft() > 0 {
+			idle = 0
+		}
+		if idle > leaveIdle && now.After(earliest) {
 			once.Do(func() { close(done) })
 		}
 	})
--- a/daemon/suspects.go
+++ b/daemon/suspects.go
@@ -77,6 +77,9 @@
 	case suspect.Alone:
 		u, ok := d.trials.engine(now, fp, exclude)
 		if !ok {
+			if u != "" {
+				d.suspects.End(u, fp)
+			}
 			d.askTrial(now, spec, exclude)
 			return screening{}, result.New(result.Overloaded, "the request has to run alone and no engine is set apart yet").After(busyRetry)
 		}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -64,8 +64,10 @@
 	// Progress tells of tokens that were taken in; first is the wait for the
 	// first token of the generation, or 0.
 	Progress func(u ident.Upstream, spec generation.Spec, tokens int, first time.Duration)
-	// Opened tells the load that an engine told when it answered.
-	Opened func(u ident.Upstream, load string)
+	// Opened takes in the load that an engine told when it answered, of before it
+	// took a stream that was started. It reports whether another engine should be
+	// tried because this one is full.
+	Opened func(u ident.Upstream, load string, started bool) (full bool)
 	// Paced tells how long an engine took for some tokens of one stream.
 	Paced func(u ident.Upstream, tokens int, took time.Duration, first bool)
 	// Recovered tells how long a caller waited after a loss.
@@ -288,6 +290,19 @@
 	return n
 }
 
+// Each calls f with the spec of every generation in progress and the engine
+// that it runs on, or "" if it runs on none now.
+func (o *Owner) Each(f func(spec generation.Spec, u ident.Upstream)) {
+	for _, g := range o.all() {
+		g.mu.Lock()
+		over, spec := g.machine.Over(), g.machine.Spec()
+		g.mu.Unlock()
+		if !over {
+			f(spec, g.Upstream())
+		}
+	}
+}
+
 func (o *Owner) all() []*Generation {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/serviceproxy/trace.go
+++ b/serviceproxy/trace.go
@@ -1,8 +1,6 @@
 package serviceproxy
 
 import (
-	"context"
-
 	"github.com/valyala/fasthttp"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
@@ -17,7 +15,7 @@
 // received begins the span of the caller's hop.
 func (p *Proxy) received(r *request) trace.Span {
 	in := propagation.MapCarrier{traceHeader: string(r.ctx.Request.Header.Peek(traceHeader))}
-	ctx := propagation.TraceContext{}.Extract(context.Background(), in)
+	ctx := propagation.TraceContext{}.Extract(p.seams.Context(), in)
 	ctx, span := p.seams.Tracer.Start(ctx, "caller request", trace.WithSpanKind(trace.SpanKindServer), trace.WithAttributes(
 		attribute.String("Request", string(r.id)),
 		attribute.String("Workspace", string(r.workspace)),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -33,6 +33,7 @@
 	Peers    []Peer        `json:",omitempty"` // known from the start, beside the instance list
 	Load     Load          `json:",omitempty"`
 	Limits   Limits        `json:",omitempty"`
+	Actions  Actions       `json:",omitempty"` // the same at all instances
 	Resume   Resume        `json:",omitempty"`
 	Trace    Trace         `json:",omitempty"`
 	LogLevel string        `json:",omitempty"` // debug, info, warn or error; info if empty
@@ -51,6 +52,19 @@
 	InstanceList string `json:",omitempty"` // host:port of the instance list
 	ReadsPerSec  int    `json:",omitempty"` // budget of this instance; default if 0
 	WritesPerSec int    `json:",omitempty"`
+	// Budget of this instance for the claims of actions, beside the above;
+	// default if 0.
+	ActionReadsPerSec  int `json:",omitempty"`
+	ActionWritesPerSec int `json:",omitempty"`
+}
+
+// Actions sets what is kept of actions that run at most once. All instances
+// need the same.
+type Actions struct {
+	Buckets   int           `json:",omitempty"` // records that they are spread over; default if 0
+	Keys      int           `json:",omitempty"` // kept in one bucket; default if 0
+	Retention unit.Duration `json:",omitempty"` // age up to which a key is accepted; default if 0
+	DatedKeys bool          `json:",omitempty"` // refuses keys without a time of issue
 }
 
 // Peer is another instance.
@@ -65,6 +79,7 @@
 type Load struct {
 	QueueLength        int           `json:",omitempty"` // requests that wait at most; default if 0
 	QueueWait          unit.Duration `json:",omitempty"` // longest wait of a request without a deadline
+	UrgentShare        float64       `json:",omitempty"` // share of the slots of the failure domain that only urgent work may take; 0.03 if 0
 	RetryShare         float64       `json:",omitempty"` // retries as a share of requests; default if 0
 	SubsetSize         int           `json:",omitempty"` // engines whose load is asked for
 	PollInterval       unit.Duration `json:",omitempty"` // between two requests to an engine for its load; default if 0
@@ -188,6 +203,10 @@
 	}{
 		{"Platform.ReadsPerSec", cfg.Platform.ReadsPerSec},
 		{"Platform.WritesPerSec", cfg.Platform.WritesPerSec},
+		{"Platform.ActionReadsPerSec", cfg.Platform.ActionReadsPerSec},
+		{"Platform.ActionWritesPerSec", cfg.Platform.ActionWritesPerSec},
+		{"Actions.Buckets", cfg.Actions.Buckets},
+		{"Actions.Keys", cfg.Actions.Keys},
 		{"Load.QueueLength", cfg.Load.QueueLength},
 		{"Load.SubsetSize", cfg.Load.SubsetSize},
 		{"Load.PollBytesPerSecond", cfg.Load.PollBytesPerSecond},
@@ -202,7 +221,7 @@
 	for _, n := range []struct {
 		path string
 		v    float64
-	}{{"Trace.Share", cfg.Trace.Share}, {"Load.RetryShare", cfg.Load.RetryShare}} {
+	}{{"Trace.Share", cfg.Trace.Share}, {"Load.RetryShare", cfg.Load.RetryShare}, {"Load.UrgentShare", cfg.Load.UrgentShare}} {
 		if n.v < 0 || n.v > 1 {
 			bad(n.path, "want a share from 0 to 1")
 		}
--- a/standinsite/site.go
+++ b/standinsite/site.go
@@ -9,11 +9,11 @@
 	"context"
 	"fmt"
 	"os"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
 	"go.opentelemetry.io/otel/trace"
 
@@ -22,10 +22,13 @@
 	"crocuslug/configuration"
 	"crocuslug/daemon"
 	"crocuslug/ident"
+	"crocuslug/platform"
 	"crocuslug/settings"
 	"crocuslug/standinengine"
 	"crocuslug/standinkeyvalue"
+	"crocuslug/standinservice"
 	"crocuslug/timer"
+	"crocuslug/unit"
 )
 
 // Settings describe a site. Zero values mean the defaults.
@@ -34,15 +37,24 @@
 	Instances int            // entry instances in each failure domain; 2 if 0
 	Engines   int            // engines in each failure domain; 3 if 0
 	Engine    standinengine.Settings
+	Models    []string       // that the engines may serve beside Model
+	Services  int            // plain services in each failure domain
 	Options   daemon.Options // Timer, Log, Document and Cut are filled in
 	Daemon    settings.Settings
 	Document  configuration.Document // what it lists is added to the site's own
-	Tracer    trace.Tracer
-	Seed      uint64
-	Log       zerolog.Logger
+	// Unconfigured instances start without any configuration; see Configure.
+	Unconfigured bool
+	Tracer       trace.Tracer
+	Seed         uint64
+	Log          zerolog.Logger
+	// Wrap returns the store that instance i uses, given the platform's; the
+	// instances call the stand-in over HTTP if it is nil.
+	Wrap func(i int, p platform.Store) platform.Store
 	// EngineAddress takes the place of the stand-ins for engines if it is set.
-	EngineAddress string
-	Slots         int // of the engine at EngineAddress
+	EngineAddress  string
+	Slots          int                   // of the engine at EngineAddress
+	ServiceFaults  standinservice.Faults // of the plain services from the start
+	ServiceTimeout unit.Duration         // of one call to them; the default if 0
 	// OnEngineDeath is called when an engine was killed or crashed, with the
 	// function that starts it again; it may be nil.
 	OnEngineDeath func(revive func() error)
@@ -69,10 +81,14 @@
 	Engines   []*standinengine.Engine
 	Instances []*daemon.Daemon
 	alive     []bool
-	Store     *standinkeyvalue.Store // what the platform's key-value service holds
-	KeyValue  *standinkeyvalue.Server
+	Store     *standinkeyvalue.Store                   // what the platform's key-value service holds
+	KeyValue  map[ident.Domain]*standinkeyvalue.Server // by the failure domain that it answers
+	cut       map[ident.Domain]bool
+	Services  []*standinservice.Service
+	client    fasthttp.Client
 	doc       configuration.Document
 	dir       string
+	pairs     map[[2]ident.Domain]bool
 }
 
 // New returns a site that is not started.
@@ -86,7 +102,13 @@
 	if cfg.Engines == 0 {
 		cfg.Engines = 3
 	}
-	return &Site{cfg: cfg, timer: timer.New(), stand: timer.New()}
+	return &Site{
+		cfg: cfg, timer: timer.New(), stand: timer.New(),
+		KeyValue: make(map[ident.Domain]*standinkeyvalue.Server),
+		cut:      make(map[ident.Domain]bool),
+		client:   fasthttp.Client{MaxIdemponentCallAttempts: 1},
+		pairs:    make(map[[2]ident.Domain]bool),
+	}
 }
 
 // Start starts the stand-ins and the instances.
@@ -111,13 +133,18 @@
 		}
 	}
 	s.Store = standinkeyvalue.New(s.stand)
-	s.KeyValue = standinkeyvalue.NewServer(s.Store, "", nil)
-	if err := s.KeyValue.Start(); err != nil {
-		return err
+	for _, domain := range s.cfg.Domains {
+		s.KeyValue[domain] = standinkeyvalue.NewServer(s.Store, "", nil)
+		if err := s.KeyValue[domain].Start(); err != nil {
+			return err
+		}
 	}
 	if err := s.startEngines(); err != nil {
 		return err
 	}
+	if err := s.startServices(); err != nil {
+		return err
+	}
 	return s.startInstances()
 }
 
@@ -126,6 +153,12 @@
 	return s.timer
 }
 
+// Document returns the configuration that the instances start with. Call it
+// after Start.
+func (s *Site) Document() configuration.Document {
+	return s.doc
+}
+
 func (s *Site) startEngines() error {
 	s.doc = s.cfg.Document
 	s.doc.Services = append(s.doc.Services, configuration.Service{Name: "assistant", Kind: configuration.Model})
@@ -154,12 +187,13 @@
 			}
 			s.Engines = append(s.Engines, e)
 			s.doc.Upstreams = append(s.doc.Upstreams, configuration.Upstream{
-				Name:    ident.Upstream(cfg.Name),
-				Service: "assistant",
-				Address: e.Addr(),
-				Domain:  domain,
-				Models:  []string{Model},
-				Slots:   cfg.Slots,
+				Name:          ident.Upstream(cfg.Name),
+				Service:       "assistant",
+				Address:       e.Addr(),
+				Domain:        domain,
+				Models:        append([]string{Model}, s.cfg.Models...),
+				Slots:         cfg.Slots,
+				ChecksFencing: cfg.ChecksFencing,
 			})
 		}
 	}
@@ -172,7 +206,7 @@
 	cfg.Name = fmt.Sprintf("%s-%d", domain, i)
 	cfg.Domain = domain
 	cfg.Listen, cfg.PeerAddr = "127.0.0.1:0", "127.0.0.1:0"
-	cfg.Platform.KeyValue = s.KeyValue.Addr()
+	cfg.Platform.KeyValue = s.KeyValue[domain].Addr()
 	cfg.Secret = settings.Secret{File: s.dir + "/secret"}
 	cfg.Operator = settings.Secret{File: s.dir + "/operator"}
 	s.mu.Lock()
@@ -231,9 +265,18 @@
 
 func (s *Site) startInstance(cfg settings.Settings) error {
 	opt := s.cfg.Options
-	opt.Timer, opt.Document = s.timer, &s.doc
+	opt.Timer = s.timer
+	if !s.cfg.Unconfigured {
+		opt.Document = &s.doc
+	}
 	opt.Log, opt.Tracer = s.cfg.Log, s.cfg.Tracer
 	opt.Seed = s.cfg.Seed + uint64(len(s.Instances)) + 1
+	if opt.Cut == nil && opt.CutFrom == nil {
+		opt.Cut, opt.CutFrom = s.lost(cfg.Domain), s.lost(cfg.Domain)
+	}
+	if s.cfg.Wrap != nil {
+		opt.Store = s.cfg.Wrap(len(s.Instances), s.Store.Port())
+	}
 	d, err := daemon.New(cfg, opt)
 	if err != nil {
 		return err
@@ -256,16 +299,6 @@
 	return s.meet()
 }
 
-// Placed returns the number of the engine that runs a request, or -1, and where
-// the instance that owns it takes callers, or "".
-func (s *Site) Placed(w ident.Workspace, r ident.Request) (engine int, address string) {
-	i := s.owner(w, r)
-	if i < 0 {
-		return -1, ""
-	}
-	return slices.Index(s.Engines, s.Engine(w, r)), s.Instances[i].Addr()
-}
-
 // Addresses returns where the instances that were not killed take callers.
 func (s *Site) Addresses() []string {
 	s.mu.Lock()
@@ -290,24 +323,6 @@
 	return caller.New(cfg, s.timer)
 }
 
-// KillInstance ends the instance that takes callers at address, as a crash would.
-func (s *Site) KillInstance(address string) bool {
-	for i, d := range s.Instances {
-		if d.Addr() != address {
-			continue
-		}
-		s.mu.Lock()
-		was := s.alive[i]
-		s.alive[i] = false
-		s.mu.Unlock()
-		if was {
-			d.Kill()
-		}
-		return was
-	}
-	return false
-}
-
 // Decoded returns the tokens that all engines have decoded and prefilled.
 func (s *Site) Decoded() (decoded, prefilled uint64) {
 	for _, e := range s.Engines {
@@ -320,70 +335,20 @@
 
 // Stop ends everything that was started.
 func (s *Site) Stop() {
-	for i, d := range s.Instances {
-		s.mu.Lock()
-		was := s.alive[i]
-		s.alive[i] = false
-		s.mu.Unlock()
-		if was {
-			d.Stop()
-		}
+	for i := range s.Instances {
+		s.StopInstance(i)
 	}
 	for _, e := range s.Engines {
 		e.Stop()
 	}
-	s.KeyValue.Stop()
+	for _, k := range s.KeyValue {
+		k.Stop()
+	}
+	for _, v := range s.Services {
+		v.Stop()
+	}
+	s.client.CloseIdleConnections()
 	s.stop()
 	s.wg.Wait()
 	_ = os.RemoveAll(s.dir)
 }
-
-// owner returns the number of the live instance that owns a request, or -1.
-func (s *Site) owner(w ident.Workspace, r ident.Request) int {
-	for i, d := range s.Instances {
-		s.mu.Lock()
-		alive := s.alive[i]
-		s.mu.Unlock()
-		if !alive {
-			continue
-		}
-		if _, ok := d.Serving(w, r); ok {
-			return i
-		}
-	}
-	return -1
-}
-
-// KillServing kills the engine that runs a request and reports whether there was one.
-func (s *Site) KillServing(w ident.Workspace, r ident.Request) bool {
-	e := s.Engine(w, r)
-	if e == nil {
-		return false
-	}
-	e.Kill()
-	return true
-}
-
-// Engine returns the engine that runs a request, or nil.
-func (s *Site) Engine(w ident.Workspace, r ident.Request) *standinengine.Engine {
-	i := s.owner(w, r)
-	if i < 0 {
-		return nil
-	}
-	u, _ := s.Instances[i].Serving(w, r)
-	for j, e := range s.Engines {
-		if s.doc.Upstreams[j].Name == u {
-			return e
-		}
-	}
-	return nil
-}
-
-// KillOwner kills the instance that owns a request and reports whether there was one.
-func (s *Site) KillOwner(w ident.Workspace, r ident.Request) bool {
-	i := s.owner(w, r)
-	if i < 0 {
-		return false
-	}
-	return s.KillInstance(s.Instances[i].Addr())
-}
