--- a/engineclient/stream.go
+++ b/engineclient/stream.go
@@ -153,7 +153,7 @@
 		return Token{Finish: string(r)}, nil
 	}
 	i, err := strconv.Atoi(ev.LastEventID)
-	if err != nil {
+	if err != nil || i < 0 {
 		return Token{}, errs.New("event without an index")
 	}
 	return Token{Index: i, Text: string(choices[0].GetStringBytes("delta", "content"))}, nil
