Give a claim time to outlast a preferred writer that has died

Cause: with four runs of the whole-path scripts under the race detector, killed-after-run once got ActionNotRun instead of the replay: the service's limit of 500 ms bounded the claim, too, and a forward to the instance that had just died used it up, so that the claim was not tried here.

Ruled out: easing the script; its wanted answers are unchanged.

Change: a claim may take 2 s whatever the limit of the call.

--- a/serviceproxy/action.go
+++ b/serviceproxy/action.go
@@ -26,6 +26,10 @@
 	omittedHeader = "Idempotency-Body-Omitted"
 )
 
+// claimLimit is the shortest time that a claim may take, whatever the limit of
+// the call: a preferred writer that has just died is waited for within it.
+const claimLimit = 2 * time.Second
+
 // action claims and runs a request that must not repeat.
 func (p *Proxy) action(r *request) *result.Error {
 	key := string(r.ctx.Request.Header.Peek(keyHeader))
@@ -38,7 +42,7 @@
 	}
 	ctx, cancel := context.WithCancel(r.trace)
 	defer cancel()
-	sub := p.timer.After(r.limit, func(time.Time) { cancel() })
+	sub := p.timer.After(max(r.limit, claimLimit), func(time.Time) { cancel() })
 	defer sub.Stop()
 	op, v := p.seams.Take(ctx, claimwriter.Request{
 		Key:         claim.KeyOf(r.workspace, r.service.Name, key),
@@ -52,7 +56,7 @@
 		replay(r.ctx, *v.Answer)
 		return nil
 	case v.Granted:
-		return p.run(ctx, r, op)
+		return p.run(r.trace, r, op)
 	}
 	return v.Err
 }
