Write streams to the caller's connection directly, wait before the same engine again

Cause: a profile of relay showed a fifth of the processor time in the server's way for streamed bodies, which hands each token to a second goroutine. And relay's engine, which knows no resumes, brought out a loop: an answer whose only engine was given up on asked it again at once, for ever. Ruled out: larger batches (add latency at the engines' cadence).

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -1,9 +1,9 @@
 package gateway
 
 import (
-	"bufio"
 	"encoding/json"
 	"net"
+	"strconv"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -30,15 +30,15 @@
 		g.whole(ctx, gen, r)
 		return
 	}
-	ctx.SetContentType("text/event-stream")
-	ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-store")
-	ctx.Response.ImmediateHeaderFlush = true
-	s := &sender{g: g, conn: ctx.Conn(), spec: gen.Spec(), cursor: c}
+	s := &sender{g: g, spec: gen.Spec(), cursor: c, chunked: ctx.Request.Header.IsHTTP11()}
 	s.frame()
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+	// The stream writes to the connection itself: the server's way for streamed
+	// bodies hands each token to another goroutine.
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(conn net.Conn) {
 		defer span.End()
 		defer r.Close()
-		s.send(w, r)
+		s.send(conn, r)
 	})
 }
 
@@ -107,16 +107,25 @@
 	ctx.SetBody(b)
 }
 
-// sender streams one answer to one caller.
+// sender streams one answer to one caller, as chunks of HTTP/1.1 or, to older
+// callers, until the connection's end.
 type sender struct {
-	g      *Gateway
-	conn   net.Conn
-	spec   generation.Spec
-	cursor cursor.Cursor
-	before []byte // of an event, between its id and its token
-	buf    []byte
+	g       *Gateway
+	conn    net.Conn
+	spec    generation.Spec
+	cursor  cursor.Cursor
+	chunked bool
+	before  []byte // of an event, between its id and its token
+	buf     []byte // what is written next, from sizeRoom on
 }
 
+// sizeRoom is the room before a chunk's data for its size: hexadecimal digits
+// and the end of the line.
+const sizeRoom = 10
+
+// lastChunk ends a chunked body.
+const lastChunk = "0\r\n\r\n"
+
 // frame prepares the parts of an event that are the same for all tokens.
 func (s *sender) frame() {
 	id, _ := json.Marshal(s.spec.Request)
@@ -126,23 +135,37 @@
 }
 
 // send writes the answer until it ends or the caller is gone.
-func (s *sender) send(w *bufio.Writer, r *owner.Reader) {
+func (s *sender) send(conn net.Conn, r *owner.Reader) {
+	s.conn = conn
+	if !s.writeRaw(s.header()) {
+		return
+	}
 	for {
 		p := r.Next()
-		s.buf = s.buf[:0]
+		s.buf = append(s.buf[:0], make([]byte, sizeRoom)...)
 		for _, t := range p.Tokens {
 			s.token(t)
 		}
 		over := s.end(p)
-		if len(s.buf) == 0 {
+		if len(s.buf) == sizeRoom {
 			s.buf = append(s.buf, ": keep-alive\n\n"...)
 		}
-		if !s.write(w) || over {
+		if !s.write(over) || over {
 			return
 		}
 	}
 }
 
+// header returns the head of the response.
+func (s *sender) header() []byte {
+	b := []byte("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-store\r\nConnection: close\r\n")
+	b = append(b, requestHeader+": "+string(s.spec.Request)+"\r\n"...)
+	if s.chunked {
+		b = append(b, "Transfer-Encoding: chunked\r\n"...)
+	}
+	return append(b, "\r\n"...)
+}
+
 // token appends the event of one token.
 func (s *sender) token(t string) {
 	s.cursor = s.cursor.Next([]byte(t))
@@ -177,15 +200,32 @@
 	return false
 }
 
-// write sends what is gathered and reports whether the caller is there.
-func (s *sender) write(w *bufio.Writer) bool {
-	if err := s.conn.SetWriteDeadline(s.g.ports.Timer.Now().Add(s.g.cfg.WriteLimit)); err != nil {
-		return false
+// write sends what is gathered, and the end of the body with the last of it. It
+// reports whether the caller is there.
+func (s *sender) write(last bool) bool {
+	if !s.chunked {
+		return s.writeRaw(s.buf[sizeRoom:])
 	}
-	if _, err := w.Write(s.buf); err != nil {
+	size := strconv.AppendUint(nil, uint64(len(s.buf)-sizeRoom), hexadecimal)
+	size = append(size, "\r\n"...)
+	start := sizeRoom - len(size)
+	copy(s.buf[start:], size)
+	s.buf = append(s.buf, "\r\n"...)
+	if last {
+		s.buf = append(s.buf, lastChunk...)
+	}
+	return s.writeRaw(s.buf[start:])
+}
+
+// hexadecimal is the base of the sizes of chunks.
+const hexadecimal = 16
+
+func (s *sender) writeRaw(b []byte) bool {
+	if err := s.conn.SetWriteDeadline(s.g.ports.Timer.Now().Add(s.g.cfg.WriteLimit)); err != nil {
 		return false
 	}
-	return w.Flush() == nil
+	_, err := s.conn.Write(b)
+	return err == nil
 }
 
 // appendString appends the JSON form of text to b.
--- a/generation/machine.go
+++ b/generation/machine.go
@@ -91,6 +91,7 @@
 	retryAt  time.Time
 	paused   bool
 	probes   int  // probes since the last token
+	waits    int  // waits for an engine since the last token
 	adopted  bool // taken over, so that tokens may have been delivered
 	quiet    *silence.Detector
 	released int
@@ -226,15 +227,7 @@
 	if !m.underWay() || r.Code == result.RequestCrashes {
 		return m.end(r)
 	}
-	if m.lost.IsZero() {
-		m.lost = now
-	}
-	if now.Sub(m.lost) > m.cfg.ResumeLimit {
-		return m.end(result.New(result.GenerationLost, "no engine could go on with the answer").Ran(result.RunUnknown))
-	}
-	m.exclude = nil
-	m.phase, m.retryAt = waiting, now.Add(m.cfg.EngineRetry)
-	return nil
+	return m.wait(now)
 }
 
 // Opened tells that the engine took the request of an attempt.
@@ -289,7 +282,7 @@
 
 // recovered notes that tokens came again after a loss.
 func (m *Machine) recovered(now time.Time) {
-	m.probes = 0
+	m.probes, m.waits = 0, 0
 	if m.lost.IsZero() {
 		return
 	}
@@ -389,12 +382,33 @@
 // another excludes the present engine and looks for a different one.
 func (m *Machine) another(now time.Time) []Action {
 	m.log.Raise(m.log.Attempt() + 1)
+	again := slices.Contains(m.exclude, m.engine)
 	m.exclude = append(m.exclude, m.engine)
 	m.engine, m.stream = "", ""
 	m.probes = 0
+	if again {
+		return m.wait(now) // all others are out, so a new choice would be the same
+	}
 	return m.choose(now)
 }
 
+// maxRetryShift bounds the doubling of the wait for an engine.
+const maxRetryShift = 5
+
+// wait looks for an engine again after a while, or gives up after the limit.
+func (m *Machine) wait(now time.Time) []Action {
+	if m.lost.IsZero() {
+		m.lost = now
+	}
+	if now.Sub(m.lost) > m.cfg.ResumeLimit {
+		return m.end(result.New(result.GenerationLost, "no engine could go on with the answer").Ran(result.RunUnknown))
+	}
+	m.exclude = nil
+	m.phase, m.retryAt = waiting, now.Add(m.cfg.EngineRetry<<min(m.waits, maxRetryShift))
+	m.waits++
+	return nil
+}
+
 // cannotContinue starts anew if nothing was released and ends the answer otherwise.
 func (m *Machine) cannotContinue(now time.Time) []Action {
 	if m.released > 0 || m.adopted {
--- a/measuregeneration/entries.go
+++ b/measuregeneration/entries.go
@@ -15,7 +15,8 @@
 		lossEntry("router-kill", "instances die by a reset", killInstance),
 		{Name: "resume-storm", Help: "one of five engines dies at 60% load", Run: runStorm},
 		{Name: "crashing-request", Help: "a request crashes engines and is sent again and again", Run: runCrashing},
-		{Name: "relay", Help: "what the relay of a token costs", Run: runRelay},
+		{Name: "relay", Help: "what the relay of a token costs at the engines' cadence", Run: runRelay},
+		{Name: "relay-fast", Help: "how many tokens a second go through", Run: runRelayFast},
 		{Name: "resume-balance", Help: "resume latency against extra work over the limits of silence", Run: runBalance},
 	}
 }
--- a/measuregeneration/relay.go
+++ b/measuregeneration/relay.go
@@ -18,29 +18,28 @@
 	"crocuslug/ident"
 	"crocuslug/measure"
 	"crocuslug/owner"
+	"crocuslug/silence"
 	"crocuslug/standinsite"
 )
 
-// Shape of the relay experiment: streams at the engine's cadence, then as fast
-// as the relay goes.
+// Shape of the relay experiments: as many streams at the engine's cadence as
+// one instance has at the target size, and a few as fast as the relay goes.
 const (
-	relayStreams  = 200
-	relayTokens   = 250
-	relayInterval = 25 * time.Millisecond
+	relayStreams  = 450
+	relayTokens   = 400
+	relayInterval = 26 * time.Millisecond
 	fastStreams   = 64
-	fastTokens    = 4000
+	fastTokens    = 8000
 )
 
-// relayFigures are what relay reports. The processor times are those of the
-// whole process, so the direct run, without any instance, is taken off.
+// relayFigures are what the relay experiments report. The processor times are
+// those of the whole process, so the direct run, without any instance, is taken off.
 type relayFigures struct {
-	Paced, PacedDirect     relayRun
+	Relayed, Direct        relayRun
 	AddedLatencyP50Us      float64 // of a token, against the direct run
 	AddedLatencyP95Us      float64
-	InstanceCPUPerTokenUs  float64 // owner and replica together, paced
-	Fast, FastDirect       relayRun
-	FastCPUPerTokenUs      float64 // owner and replica together
-	TokensPerSecondPerCore float64 // of one instance that owns and holds copies alike
+	CPUPerTokenUs          float64 // owner and replica together
+	TokensPerSecondPerCore float64 // of an instance that owns and holds copies alike
 }
 
 // relayRun is one run of the relay.
@@ -55,48 +54,54 @@
 	LatencyP99Us    float64
 }
 
-// runRelay measures what the way through an instance adds to each token.
-// The baseline relays without a replica.
+// runRelay measures what the way through an instance adds to each token at the
+// engine's cadence. The baseline relays without a replica.
 func runRelay(ctx context.Context, cfg measure.Settings) (measure.Report, error) {
+	return relay(ctx, cfg, relayStreams, relayTokens, relayInterval)
+}
+
+// runRelayFast measures how fast tokens go through.
+func runRelayFast(ctx context.Context, cfg measure.Settings) (measure.Report, error) {
+	return relay(ctx, cfg, fastStreams, fastTokens, 0)
+}
+
+func relay(ctx context.Context, cfg measure.Settings, streams, tokens int, interval time.Duration) (measure.Report, error) {
 	var report measure.Report
 	fig := relayFigures{}
-	for _, part := range []struct {
-		run      *relayRun
-		direct   bool
-		streams  int
-		tokens   int
-		interval time.Duration
-	}{
-		{&fig.PacedDirect, true, relayStreams, relayTokens, relayInterval},
-		{&fig.Paced, false, relayStreams, relayTokens, relayInterval},
-		{&fig.FastDirect, true, fastStreams, fastTokens, 0},
-		{&fig.Fast, false, fastStreams, fastTokens, 0},
-	} {
-		e := &clockEngine{tokens: part.tokens, interval: part.interval}
+	for _, direct := range []bool{true, false} {
+		e := &clockEngine{tokens: tokens, interval: interval}
 		if err := e.start(); err != nil {
 			return report, err
 		}
-		r, err := relayOnce(ctx, cfg, e, part.direct, part.streams, part.tokens, &report)
+		r, err := relayOnce(ctx, cfg, e, direct, streams, tokens, &report)
 		e.stop()
 		if err != nil {
 			return report, err
 		}
-		*part.run = r
-		cfg.Log.Info().Bool("direct", part.direct).Float64("tokens/s", r.TokensPerSecond).Float64("cpu us/token", r.CPUPerTokenUs).Float64("p95 us", r.LatencyP95Us).Msg("part over")
+		if direct {
+			fig.Direct = r
+		} else {
+			fig.Relayed = r
+		}
 	}
-	fig.AddedLatencyP50Us = fig.Paced.LatencyP50Us - fig.PacedDirect.LatencyP50Us
-	fig.AddedLatencyP95Us = fig.Paced.LatencyP95Us - fig.PacedDirect.LatencyP95Us
-	fig.InstanceCPUPerTokenUs = fig.Paced.CPUPerTokenUs - fig.PacedDirect.CPUPerTokenUs
-	fig.FastCPUPerTokenUs = fig.Fast.CPUPerTokenUs - fig.FastDirect.CPUPerTokenUs
+	fig.AddedLatencyP50Us = fig.Relayed.LatencyP50Us - fig.Direct.LatencyP50Us
+	fig.AddedLatencyP95Us = fig.Relayed.LatencyP95Us - fig.Direct.LatencyP95Us
+	fig.CPUPerTokenUs = fig.Relayed.CPUPerTokenUs - fig.Direct.CPUPerTokenUs
 	const microsPerSecond = 1e6
-	fig.TokensPerSecondPerCore = microsPerSecond / fig.FastCPUPerTokenUs
+	fig.TokensPerSecondPerCore = microsPerSecond / fig.CPUPerTokenUs
 	report.Figures = fig
 	return report, nil
 }
 
+// unhurried is a limit of silence that no stream comes to.
+const unhurried = 30 * time.Second
+
 func relayOnce(ctx context.Context, cfg measure.Settings, e *clockEngine, direct bool, streams, tokens int, report *measure.Report) (relayRun, error) {
 	s := standinsite.Settings{Instances: 2, Engines: 1, Seed: cfg.Seed, EngineAddress: e.addr(), Slots: 2 * streams}
-	s.Options = daemon.Options{Owner: owner.Settings{Generation: generation.Settings{DisableReplic: cfg.Baseline}}}
+	s.Options = daemon.Options{Owner: owner.Settings{Generation: generation.Settings{
+		DisableReplic: cfg.Baseline,
+		Silence:       silence.Settings{FirstFloor: unhurried, GapFloor: unhurried, Ceiling: unhurried}, // the engine knows no resumes
+	}}}
 	site := standinsite.New(s)
 	if err := site.Start(); err != nil {
 		return relayRun{}, err
