Move lost answers off full engines, tell other domains in turn, count streams as connections

Lost answers waited for a slot of a full engine while others were free. Besides, a new request that no engine took could wait 20 s for its final answer; streams had left the bound on connections; polls and news of free slots took most of the bytes for control (docs/CAPACITY.md). TestExactlyOnce draws moves as well.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -109,6 +109,7 @@
 	away        *reservations                     // engines of other failure domains in use
 	guests      *reservations                     // engines here in use from other failure domains
 	neighbours  neighbours
+	roomTurn    int              // failure domain whose turn it is to hear of free slots; of the timer
 	shared      []ident.Instance // members of shares, of the timer
 	heldBack    atomic.Int64     // time in Unix nanoseconds until which new work waits for lost answers
 	turn        atomic.Uint64
@@ -154,6 +155,8 @@
 	d.log = opt.Log.With().Str("Instance", string(d.id)).Str("Domain", string(cfg.Domain)).Logger()
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.conns.open = make(map[net.Conn]struct{})
+	d.conns.now = opt.Timer.Now
+	d.conns.limit = orDefault(cfg.Limits.Connections, defaultConnections)
 	if d.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
 		return nil, errs.Wrap(err)
 	}
--- a/daemon/poll.go
+++ b/daemon/poll.go
@@ -20,7 +20,7 @@
 // Defaults of the settings of polls.
 const (
 	defaultPollInterval = unit.Duration(500 * time.Millisecond)
-	defaultPollBytes    = 4000 // per second
+	defaultPollBytes    = 1500 // per second
 	defaultSubset       = 32
 )
 
--- a/daemon/spill.go
+++ b/daemon/spill.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,7 +24,9 @@
 	methodRelease = "Spill.Release"
 )
 
-// roomTick is the interval of telling another failure domain of free slots.
+// roomTick is the interval of telling one other failure domain of free slots, of
+// which each takes its turn. An instance hears from all instances of another
+// failure domain that chose it, so the news is fresher than the turns are.
 const roomTick = time.Second
 
 // roomFresh is the age up to which what another failure domain told counts.
@@ -174,14 +178,15 @@
 	if len(domains) == 0 {
 		return
 	}
+	d.roomTurn++
+	names := slices.Sorted(maps.Keys(domains))
+	ids := domains[names[d.roomTurn%len(names)]]
+	to := rendezvous.Order(string(d.id), ids)[0]
 	r := room{d.cfg.Domain, d.spare(now)}
-	for _, ids := range domains {
-		to := rendezvous.Order(string(d.id), ids)[0]
-		d.goRun(func() {
-			// A report that is lost is followed by the next one.
-			_ = d.link.Notify(d.ctx, to, methodRoom, r)
-		})
-	}
+	d.goRun(func() {
+		// A report that is lost is followed by the next one.
+		_ = d.link.Notify(d.ctx, to, methodRoom, r)
+	})
 }
 
 // takeGuest reserves an engine for a generation of another failure domain. It
--- a/generation/loss.go
+++ b/generation/loss.go
@@ -21,7 +21,7 @@
 	}
 	switch c {
 	case Rejected:
-		return m.end(result.New(result.UpstreamFailed, "the engine refuses the request"))
+		return m.end(result.New(result.UpstreamFailed, "the engine refuses the request").Ran(m.ran()))
 	case CannotContinue:
 		return m.cannotContinue(now)
 	case Full, Leaving:
@@ -87,12 +87,24 @@
 	m.exclude = append(m.exclude, m.engine)
 	m.engine, m.stream = "", ""
 	m.probes = 0
-	if again {
+	switch {
+	case again && !m.opened:
+		r := result.New(result.Overloaded, "no engine in reach takes the request")
+		return m.end(r.After(m.cfg.ComeBack))
+	case again:
 		return m.wait(now) // all others are out, so a new choice would be the same
 	}
 	return m.choose(now)
 }
 
+// ran says whether an engine may have run the request.
+func (m *Machine) ran() result.Run {
+	if m.opened || m.adopted {
+		return result.RunUnknown
+	}
+	return result.RunNot
+}
+
 // maxRetryShift bounds the doubling of the wait for an engine.
 const maxRetryShift = 5
 
--- a/generation/machine.go
+++ b/generation/machine.go
@@ -42,6 +42,8 @@
 	paused   bool
 	probes   int  // probes since the last token
 	waits    int  // waits for an engine since the last token
+	moves    int  // moves since the last token
+	opened   bool // an engine took the request, so that it may have run
 	adopted  bool // taken over, so that tokens may have been delivered
 	quiet    *silence.Detector
 	released int
@@ -182,6 +184,7 @@
 
 // Opened tells that the engine took the request of an attempt.
 func (m *Machine) Opened(now time.Time, a ident.Attempt) {
+	m.opened = true
 	if a != m.log.Attempt() || m.phase != connecting && m.phase != probing {
 		return
 	}
@@ -232,7 +235,7 @@
 
 // recovered notes that tokens came again after a loss.
 func (m *Machine) recovered(now time.Time) {
-	m.probes, m.waits = 0, 0
+	m.probes, m.waits, m.moves = 0, 0, 0
 	if m.lost.IsZero() {
 		return
 	}
--- a/generation/machine_test.go
+++ b/generation/machine_test.go
@@ -36,6 +36,10 @@
 		o := rapid.IntRange(0, len(w.owners)-1).Draw(w.t, "owner")
 		c := rapid.SampledFrom([]Cause{Refused, Reset, Silence, TimedOut, UnknownStream, Full, CannotContinue}).Draw(w.t, "cause")
 		w.lose(o, w.owners[o].machine.Log().Attempt(), c)
+	case kind == 18:
+		o := rapid.IntRange(0, len(w.owners)-1).Draw(w.t, "owner")
+		a := w.owners[o].machine.Log().Attempt()
+		w.later(o, "move", func(m *Machine) []Action { return m.Move(w.now, a) })
 	case kind == 14:
 		for _, s := range w.streams {
 			s.dead = true
--- a/generation/settings.go
+++ b/generation/settings.go
@@ -14,6 +14,7 @@
 	ReplicaWait   time.Duration // how long tokens wait for a replica if none of those in reach answers
 	ReplicaRetry  time.Duration // wait before a replica is looked for again
 	EngineRetry   time.Duration // wait before an engine is looked for again
+	ComeBack      time.Duration // when a caller may come back whose request no engine takes
 	ResumeLimit   time.Duration // how long a resumed generation waits for an engine
 	CallerLimit   time.Duration // how long a generation goes on without its caller
 	EngineLosses  int           // losses after which the generation ends
@@ -31,6 +32,7 @@
 	defaultReplicaWait  = 2 * time.Second
 	defaultReplicaRetry = time.Second
 	defaultEngineRetry  = 50 * time.Millisecond
+	defaultComeBack     = time.Second
 	defaultResumeLimit  = 20 * time.Second
 	defaultCallerLimit  = 15 * time.Second
 	defaultEngineLosses = 8
@@ -48,6 +50,7 @@
 	def(&cfg.ReplicaWait, defaultReplicaWait)
 	def(&cfg.ReplicaRetry, defaultReplicaRetry)
 	def(&cfg.EngineRetry, defaultEngineRetry)
+	def(&cfg.ComeBack, defaultComeBack)
 	def(&cfg.ResumeLimit, defaultResumeLimit)
 	def(&cfg.CallerLimit, defaultCallerLimit)
 	if cfg.EngineLosses == 0 {
--- a/measuregeneration/round.go
+++ b/measuregeneration/round.go
@@ -37,10 +37,10 @@
 // asked is one answer that a caller waits for.
 type asked struct {
 	id      ident.Request
-	before  time.Time // last token before the fault
-	after   time.Time // first token after it that the caller did not have before
-	count   int       // tokens that the caller has
-	atFault int       // tokens that it had when the fault came
+	last    time.Time     // last token that the caller did not have before
+	wait    time.Duration // longest wait for such a token since the fault
+	count   int           // tokens that the caller has
+	atFault int           // tokens that it had when the fault came
 	struck  bool
 }
 
@@ -154,11 +154,14 @@
 		return
 	}
 	a.count = n
-	if r.strikeAt.IsZero() {
-		a.before = now
-	} else if a.after.IsZero() && n > a.atFault {
-		a.after = now
+	if !r.strikeAt.IsZero() {
+		since := a.last
+		if since.Before(r.strikeAt) {
+			since = r.strikeAt
+		}
+		a.wait = max(a.wait, now.Sub(since))
 	}
+	a.last = now
 }
 
 // judge holds an answer against the naive one and takes its resume latency.
@@ -172,8 +175,8 @@
 	if text := disorder(ans.Tokens, r.tokens); text != "" {
 		r.report.Violate(string(a.id) + ": " + text)
 	}
-	if a.struck && !a.after.IsZero() {
-		_ = r.resume.RecordValue(a.after.Sub(r.strikeAt).Microseconds())
+	if a.struck {
+		_ = r.resume.RecordValue(a.wait.Microseconds())
 	}
 }
 
--- a/measuregeneration/storm.go
+++ b/measuregeneration/storm.go
@@ -59,7 +59,6 @@
 	ResumeLatencyP50Ms float64
 	ResumeLatencyP95Ms float64
 	ExtraWorkRatio     float64
-	Resumes            int64 // streams asked for again, of which some had no loss
 }
 
 // runBalance freezes engines under settings from quick to patient, while other
--- a/routing/types.go
+++ b/routing/types.go
@@ -17,7 +17,7 @@
 	ServiceTime     unit.Duration // time that a slot is held by a generation of the mean length; 0 means 10s
 	Congestion      unit.Duration // delay of a token that a full engine adds to an idle one's, over an answer; 0 means 1s
 	MaxHops         int           // failure domains that a request may be spilled to; 0 means 1
-	RoomExpiry      unit.Duration // age at which a Room is ignored; 0 means 5s
+	RoomExpiry      unit.Duration // age at which a Room is ignored; 0 means 20s
 	FailurePenalty  unit.Duration // extra cost of an upstream right after a failure; 0 means 2s
 	PenaltyHalfLife unit.Duration // time in which that cost halves; 0 means 2s
 	AnswerTokens    float64       // tokens of an answer of the mean length; 0 means 400
@@ -33,7 +33,7 @@
 	defaultServiceTime     = 10 * time.Second
 	defaultCongestion      = time.Second
 	defaultMaxHops         = 1
-	defaultRoomExpiry      = 5 * time.Second
+	defaultRoomExpiry      = 20 * time.Second
 	defaultFailurePenalty  = 2 * time.Second
 	defaultPenaltyHalfLife = 2 * time.Second
 	defaultAnswerTokens    = 400
--- a/standinsite/caller_test.go
+++ b/standinsite/caller_test.go
@@ -181,3 +181,18 @@
 		}
 	}
 }
+
+// TestConnectionLimit refuses connections above the limit at once, streams counted.
+func TestConnectionLimit(t *testing.T) {
+	t.Parallel()
+	cfg := Settings{Instances: 1}
+	cfg.Daemon.Limits.Connections = 2
+	s := startSite(t, cfg)
+	body := `{"model":"m","messages":[{"role":"user","content":"p"}],"stream":true,"max_tokens":3000}`
+	for i, want := range []string{"200", "200", "503"} {
+		_, r := raw(t, s.Addresses()[0], "POST", "/v1/chat/completions", WorkspaceKey, fmt.Sprintf("X-Request-Id: c%d\r\n", i), body)
+		if got := status(t, r); got != want {
+			t.Errorf("connection %d: got %s, want %s", i, got, want)
+		}
+	}
+}
