--- a/control/control.go
+++ b/control/control.go
@@ -8,6 +8,8 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
 // Loop runs functions in the order in which they were posted.
@@ -16,6 +18,10 @@
 	pending []func()
 	wake    chan struct{}
 	stopped bool
+	busy    atomic.Int64 // nanoseconds
+	// Now is the clock by which Busy counts; nil means that it does not. It is
+	// set before Run.
+	Now func() time.Time
 }
 
 // New returns a loop that does not run yet.
@@ -56,9 +62,23 @@
 	fs := l.pending
 	l.pending = nil
 	l.mu.Unlock()
+	began := l.clock()
 	for _, f := range fs {
 		f()
 	}
+	l.busy.Add(int64(l.clock().Sub(began)))
+}
+
+func (l *Loop) clock() time.Time {
+	if l.Now == nil {
+		return time.Time{}
+	}
+	return l.Now()
+}
+
+// Busy returns for how long functions have run since the start.
+func (l *Loop) Busy() time.Duration {
+	return time.Duration(l.busy.Load())
 }
 
 func (l *Loop) stop() {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -152,6 +152,7 @@
 		opt.Tracer = noop.NewTracerProvider().Tracer("")
 	}
 	d := &Daemon{cfg: cfg, opt: opt, id: ident.Instance(cfg.Name), loop: control.New()}
+	d.loop.Now = opt.Timer.Now
 	d.log = opt.Log.With().Str("Instance", string(d.id)).Str("Domain", string(cfg.Domain)).Logger()
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.conns.open = make(map[net.Conn]struct{})
--- a/members/members.go
+++ b/members/members.go
@@ -77,6 +77,7 @@
 	events   chan func(now time.Time) []membership.Send
 	sends    chan struct{}
 	listing  atomic.Bool
+	busy     atomic.Int64 // nanoseconds
 	nextList atomic.Int64 // Unix nanoseconds before which the list is not read again
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -194,17 +195,24 @@
 	}
 }
 
+// Busy returns for how long the control goroutine has worked since the start.
+func (m *Members) Busy() time.Duration {
+	return time.Duration(m.busy.Load())
+}
+
 func (m *Members) run() {
 	for {
 		select {
 		case <-m.ctx.Done():
 			return
 		case f := <-m.events:
-			out := f(m.timer.Now())
+			began := m.timer.Now()
+			out := f(began)
 			m.publish()
 			for _, s := range out {
 				m.send(s)
 			}
+			m.busy.Add(int64(m.timer.Now().Sub(began)))
 		}
 	}
 }
