--- a/claimstore/ledger.go
+++ b/claimstore/ledger.go
@@ -7,7 +7,7 @@
 
 	"crocuslug/claim"
 	"crocuslug/ident"
-	"crocuslug/platform"
+	"crocuslug/store"
 	"crocuslug/timer"
 	"crocuslug/unit"
 )
@@ -35,14 +35,14 @@
 // called from any goroutine.
 type Ledger struct {
 	cfg     Settings
-	store   platform.Store
+	store   store.Store
 	timer   *timer.Service
 	self    ident.Instance
 	buckets []*bucket
 }
 
 // New returns a ledger on store for the instance self.
-func New(cfg Settings, store platform.Store, t *timer.Service, self ident.Instance) *Ledger {
+func New(cfg Settings, store store.Store, t *timer.Service, self ident.Instance) *Ledger {
 	cfg.Claims = cfg.Claims.WithDefaults()
 	if cfg.Interval == 0 {
 		cfg.Interval = unit.Duration(defaultInterval)
@@ -82,13 +82,13 @@
 	case <-ctx.Done():
 	}
 	if b.leave(w) {
-		return claim.Verdict{}, platform.Unavailable.Wrap(ctx.Err())
+		return claim.Verdict{}, store.Unavailable.Wrap(ctx.Err())
 	}
 	select {
 	case <-w.done:
 		return w.verdict, w.err
 	default:
-		return claim.Verdict{}, platform.Unknown.Wrap(ctx.Err())
+		return claim.Verdict{}, store.Unknown.Wrap(ctx.Err())
 	}
 }
 
--- a/claimstore/ledger_test.go
+++ b/claimstore/ledger_test.go
@@ -10,8 +10,8 @@
 
 	"crocuslug/claim"
 	"crocuslug/ident"
-	"crocuslug/platform"
 	"crocuslug/standinkeyvalue"
+	"crocuslug/store"
 	"crocuslug/timer"
 	"crocuslug/unit"
 )
@@ -29,14 +29,14 @@
 func TestConcurrentClaims(t *testing.T) {
 	const keys, instances = 200, 3
 	clock := timer.NewVirtual(time.Unix(0, 0))
-	store := standinkeyvalue.New(clock)
-	store.SetFaults(standinkeyvalue.Faults{LoseAnswers: 20})
+	backing := standinkeyvalue.New(clock)
+	backing.SetFaults(standinkeyvalue.Faults{LoseAnswers: 20})
 	cfg := Settings{Claims: claim.Settings{Buckets: 2, MaxTail: 2000}, Interval: -1}
 	var mu sync.Mutex
 	granted := make(map[string]int)
 	var wg sync.WaitGroup
 	for i := range instances {
-		l := New(cfg, store.Port(), clock, ident.Instance(fmt.Sprintf("i%d", i)))
+		l := New(cfg, backing.Port(), clock, ident.Instance(fmt.Sprintf("i%d", i)))
 		for k := range keys {
 			wg.Go(func() {
 				key := fmt.Sprint(k)
@@ -58,7 +58,7 @@
 	if got := len(granted); got == 0 {
 		t.Error("keys granted: got 0, want some")
 	}
-	if got, limit := store.Calls().Writes, keys*instances; got >= limit {
+	if got, limit := backing.Calls().Writes, keys*instances; got >= limit {
 		t.Errorf("writes of %d operations: got %d, want fewer", limit, got)
 	}
 }
@@ -67,15 +67,15 @@
 // requires that they are never written.
 func TestAbandonedBeforeWrite(t *testing.T) {
 	clock := timer.NewVirtual(time.Unix(0, 0))
-	store := standinkeyvalue.New(clock)
-	l := New(Settings{Claims: claim.Settings{Buckets: 1}, Interval: unit.Duration(time.Second)}, store.Port(), clock, "i")
+	backing := standinkeyvalue.New(clock)
+	l := New(Settings{Claims: claim.Settings{Buckets: 1}, Interval: unit.Duration(time.Second)}, backing.Port(), clock, "i")
 	if v, err := l.Do(context.Background(), operation(clock, "a", "1")); err != nil || !v.Granted {
 		t.Fatalf("first claim: got %+v, %v, want it granted", v, err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	_, err := l.Do(ctx, operation(clock, "b", "2"))
-	if !platform.Unavailable.Has(err) {
+	if !store.Unavailable.Has(err) {
 		t.Fatalf("abandoned claim: got %v, want Unavailable", err)
 	}
 	done := make(chan struct{})
@@ -92,7 +92,7 @@
 			runtime.Gosched()
 		}
 	}
-	other := New(Settings{Claims: claim.Settings{Buckets: 1}, Interval: -1}, store.Port(), clock, "j")
+	other := New(Settings{Claims: claim.Settings{Buckets: 1}, Interval: -1}, backing.Port(), clock, "j")
 	if v, err := other.Do(context.Background(), operation(clock, "b", "3")); err != nil || !v.Granted {
 		t.Errorf("claim after an abandoned one: got %+v, %v, want it granted", v, err)
 	}
@@ -101,28 +101,28 @@
 // TestUnknownStaysUnknown loses the answer of a write and then the service.
 func TestUnknownStaysUnknown(t *testing.T) {
 	clock := timer.NewVirtual(time.Unix(0, 0))
-	store := standinkeyvalue.New(clock)
-	p := store.Port()
+	backing := standinkeyvalue.New(clock)
+	p := backing.Port()
 	put := p.Put
-	p.Put = func(ctx context.Context, key string, value []byte, expect platform.Version, l platform.Lease) (platform.Version, error) {
-		defer store.SetFaults(standinkeyvalue.Faults{Outage: true})
+	p.Put = func(ctx context.Context, key string, value []byte, expect store.Version, l store.Lease) (store.Version, error) {
+		defer backing.SetFaults(standinkeyvalue.Faults{Outage: true})
 		_, _ = put(ctx, key, value, expect, l)
-		return 0, platform.Unknown.New("answer lost")
+		return 0, store.Unknown.New("answer lost")
 	}
 	l := New(Settings{Interval: -1}, p, clock, "i")
 	_, err := l.Do(context.Background(), operation(clock, "a", "1"))
-	if !platform.Unknown.Has(err) || platform.Unavailable.Has(err) {
+	if !store.Unknown.Has(err) || store.Unavailable.Has(err) {
 		t.Errorf("claim whose write had no answer: got %v, want Unknown alone", err)
 	}
 }
 
 func TestOutageIsNotRun(t *testing.T) {
 	clock := timer.NewVirtual(time.Unix(0, 0))
-	store := standinkeyvalue.New(clock)
-	l := New(Settings{Interval: -1}, store.Port(), clock, "i")
-	store.SetFaults(standinkeyvalue.Faults{Outage: true})
+	backing := standinkeyvalue.New(clock)
+	l := New(Settings{Interval: -1}, backing.Port(), clock, "i")
+	backing.SetFaults(standinkeyvalue.Faults{Outage: true})
 	_, err := l.Do(context.Background(), operation(clock, "a", "1"))
-	if !platform.Unavailable.Has(err) || platform.Unknown.Has(err) {
+	if !store.Unavailable.Has(err) || store.Unknown.Has(err) {
 		t.Errorf("claim in an outage: got %v, want Unavailable alone", err)
 	}
 }
--- a/claimstore/shelf.go
+++ b/claimstore/shelf.go
@@ -7,7 +7,7 @@
 	"slices"
 
 	"crocuslug/claim"
-	"crocuslug/platform"
+	"crocuslug/store"
 )
 
 // headPrefix and segmentPrefix are the keys of buckets in the service.
@@ -24,7 +24,7 @@
 	l        *Ledger
 	number   int
 	book     *claim.Book
-	version  platform.Version
+	version  store.Version
 	current  bool // the book is what the service held under version
 	segments map[string][]claim.Entry
 	written  uint64   // segments that this instance has named
@@ -49,15 +49,15 @@
 			return nil
 		}
 		s.current = false
-		unknown = unknown || platform.Unknown.Has(err)
-		if ctx.Err() != nil || platform.Unavailable.Has(err) {
+		unknown = unknown || store.Unknown.Has(err)
+		if ctx.Err() != nil || store.Unavailable.Has(err) {
 			break
 		}
 	}
 	if unknown {
-		return platform.Unknown.New("claims of bucket %d: %v", s.number, err)
+		return store.Unknown.New("claims of bucket %d: %v", s.number, err)
 	}
-	return platform.Unavailable.New("claims of bucket %d: %v", s.number, err)
+	return store.Unavailable.New("claims of bucket %d: %v", s.number, err)
 }
 
 // try makes one round. A refusal is not given on a book that others may have
@@ -116,7 +116,7 @@
 		return nil
 	}
 	e, err := s.l.store.Get(ctx, s.key())
-	if err != nil && !platform.Absent.Has(err) {
+	if err != nil && !store.Absent.Has(err) {
 		return err
 	}
 	read := func(name string) ([]claim.Entry, error) { return s.readSegment(ctx, name) }
--- a/claimwriter/world_test.go
+++ b/claimwriter/world_test.go
@@ -11,9 +11,9 @@
 	"crocuslug/claim"
 	"crocuslug/claimstore"
 	"crocuslug/ident"
-	"crocuslug/platform"
 	"crocuslug/result"
 	"crocuslug/standinkeyvalue"
+	"crocuslug/store"
 	"crocuslug/timer"
 	"crocuslug/unit"
 )
@@ -95,7 +95,7 @@
 func (n *node) local(ctx context.Context, op claim.Operation) (claim.Verdict, error) {
 	v, err := n.ledger.Do(context.WithoutCancel(ctx), op)
 	if ctx.Err() != nil {
-		return claim.Verdict{}, platform.Unknown.New("%v", ctx.Err())
+		return claim.Verdict{}, store.Unknown.New("%v", ctx.Err())
 	}
 	return v, err
 }
@@ -132,30 +132,30 @@
 }
 
 // port is the store with interleavings, lost answers, late writes and outages.
-func (n *node) port() platform.Store {
+func (n *node) port() store.Store {
 	w := n.w
 	p := w.store.Port()
 	get, put := p.Get, p.Put
-	p.Get = func(ctx context.Context, key string) (platform.Entry, error) {
+	p.Get = func(ctx context.Context, key string) (store.Entry, error) {
 		e, err := get(ctx, key)
 		w.interleave()
 		return e, err
 	}
-	p.Put = func(ctx context.Context, key string, value []byte, expect platform.Version, l platform.Lease) (platform.Version, error) {
+	p.Put = func(ctx context.Context, key string, value []byte, expect store.Version, l store.Lease) (store.Version, error) {
 		w.interleave()
 		switch w.choose(8) {
 		case 1:
 			_, err := put(ctx, key, value, expect, l)
-			if platform.Unavailable.Has(err) || platform.Conflict.Has(err) {
+			if store.Unavailable.Has(err) || store.Conflict.Has(err) {
 				return 0, err
 			}
-			return 0, platform.Unknown.New("answer lost")
+			return 0, store.Unknown.New("answer lost")
 		case 2:
 			v := append([]byte(nil), value...)
 			w.late = append(w.late, func() { _, _ = put(context.Background(), key, v, expect, l) })
-			return 0, platform.Unknown.New("no answer yet")
+			return 0, store.Unknown.New("no answer yet")
 		case 3:
-			return 0, platform.Unavailable.New("outage")
+			return 0, store.Unavailable.New("outage")
 		}
 		return put(ctx, key, value, expect, l)
 	}
--- a/claimwriter/writer.go
+++ b/claimwriter/writer.go
@@ -14,8 +14,8 @@
 
 	"crocuslug/claim"
 	"crocuslug/ident"
-	"crocuslug/platform"
 	"crocuslug/result"
+	"crocuslug/store"
 	"crocuslug/timer"
 	"crocuslug/unit"
 )
@@ -121,7 +121,7 @@
 	op := w.operation(r)
 	v, err := w.do(ctx, op)
 	if err != nil {
-		if !platform.Unavailable.Has(err) {
+		if !store.Unavailable.Has(err) {
 			w.release(op)
 		}
 		return op, claim.Verdict{Err: w.notRun("the record of actions is out of reach")}
@@ -185,7 +185,7 @@
 	}
 	v, err = w.seams.Local(ctx, op)
 	if err != nil {
-		return v, platform.Unknown.New("after a forward without an answer: %v", err)
+		return v, store.Unknown.New("after a forward without an answer: %v", err)
 	}
 	return v, nil
 }
--- a/daemon/actions.go
+++ b/daemon/actions.go
@@ -18,11 +18,11 @@
 	"crocuslug/ident"
 	"crocuslug/keyvalue"
 	"crocuslug/membership"
-	"crocuslug/platform"
 	"crocuslug/problem"
 	"crocuslug/rendezvous"
 	"crocuslug/result"
 	"crocuslug/serviceproxy"
+	"crocuslug/store"
 )
 
 // methodClaim has another instance apply an operation to its bucket.
@@ -104,27 +104,27 @@
 
 // actionStore returns the store of claims. It has a budget of its own, so that
 // actions and the spreading of configurations do not hold each other up.
-func (d *Daemon) actionStore() platform.Store {
-	store := d.opt.Store
-	if store.Get == nil {
+func (d *Daemon) actionStore() store.Store {
+	inner := d.opt.Store
+	if inner.Get == nil {
 		c := keyvalue.New(keyvalue.Settings{
 			Address:         d.cfg.Platform.KeyValue,
 			ReadsPerSecond:  float64(orDefault(d.cfg.Platform.ActionReadsPerSec, actionReads)),
 			WritesPerSecond: float64(orDefault(d.cfg.Platform.ActionWritesPerSec, actionWrites)),
 			Seed:            d.seed + 1,
 		}, d.opt.Timer)
-		store = c.Port()
+		inner = c.Port()
 		others := d.calls
 		d.calls = func() keyvalue.Calls { return sum(others(), c.Calls()) }
 		d.closers = append(d.closers, c.Close)
 	}
-	put := store.Put
-	store.Put = func(ctx context.Context, key string, value []byte, expect platform.Version, l platform.Lease) (platform.Version, error) {
+	put := inner.Put
+	inner.Put = func(ctx context.Context, key string, value []byte, expect store.Version, l store.Lease) (store.Version, error) {
 		d.metrics.count("ClaimWrites", 1)
 		d.metrics.count("ClaimBytes", len(value))
 		return put(ctx, key, value, expect, l)
 	}
-	return store
+	return inner
 }
 
 // sum adds up what two clients have done.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -30,7 +30,6 @@
 	"crocuslug/outbox"
 	"crocuslug/owner"
 	"crocuslug/peerlink"
-	"crocuslug/platform"
 	"crocuslug/quota"
 	"crocuslug/replica"
 	"crocuslug/retry"
@@ -38,6 +37,7 @@
 	"crocuslug/rollout"
 	"crocuslug/routing"
 	"crocuslug/settings"
+	"crocuslug/store"
 	"crocuslug/suspect"
 	"crocuslug/takeover"
 	"crocuslug/throttle"
@@ -68,7 +68,7 @@
 	CutFrom     func(from ident.Instance) bool
 	Actions     claimstore.Settings
 	Orders      upstreamcontrol.Settings
-	Store       platform.Store   // the platform's key-value service; a client of the settings' address if empty
+	Store       store.Store      // the platform's key-value service; a client of the settings' address if empty
 	Rollout     rollout.Settings // HeadKey and Log are filled in
 }
 
@@ -116,7 +116,7 @@
 	server      *fasthttp.Server
 	listener    net.Listener
 	conns       connections
-	store       platform.Store
+	store       store.Store
 	calls       func() keyvalue.Calls // to the platform's service
 	closers     []func()
 	ledger      *revision.Ledger
--- a/daemon/trace.go
+++ b/daemon/trace.go
@@ -7,19 +7,19 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
-	"crocuslug/platform"
+	"crocuslug/store"
 )
 
 // platformSpans makes a span for each call to the platform's service.
 type platformSpans struct {
 	tracer trace.Tracer
-	store  platform.Store
+	store  store.Store
 }
 
-// tracedStore returns store with a span around each call.
-func tracedStore(store platform.Store, tracer trace.Tracer) platform.Store {
-	p := platformSpans{tracer, store}
-	return platform.Store{
+// tracedStore returns s with a span around each call.
+func tracedStore(s store.Store, tracer trace.Tracer) store.Store {
+	p := platformSpans{tracer, s}
+	return store.Store{
 		Get:    p.get,
 		List:   p.list,
 		Put:    p.put,
@@ -43,56 +43,56 @@
 	span.End()
 }
 
-func (p platformSpans) get(ctx context.Context, key string) (platform.Entry, error) {
+func (p platformSpans) get(ctx context.Context, key string) (store.Entry, error) {
 	ctx, span := p.start(ctx, "Get", key)
 	e, err := p.store.Get(ctx, key)
 	finishSpan(span, err)
 	return e, err
 }
 
-func (p platformSpans) list(ctx context.Context, prefix string) ([]platform.Entry, error) {
+func (p platformSpans) list(ctx context.Context, prefix string) ([]store.Entry, error) {
 	ctx, span := p.start(ctx, "List", prefix)
 	es, err := p.store.List(ctx, prefix)
 	finishSpan(span, err)
 	return es, err
 }
 
-func (p platformSpans) put(ctx context.Context, key string, value []byte, expect platform.Version, lease platform.Lease) (platform.Version, error) {
+func (p platformSpans) put(ctx context.Context, key string, value []byte, expect store.Version, lease store.Lease) (store.Version, error) {
 	ctx, span := p.start(ctx, "Put", key)
 	v, err := p.store.Put(ctx, key, value, expect, lease)
 	finishSpan(span, err)
 	return v, err
 }
 
-func (p platformSpans) delete(ctx context.Context, key string, expect platform.Version) error {
+func (p platformSpans) delete(ctx context.Context, key string, expect store.Version) error {
 	ctx, span := p.start(ctx, "Delete", key)
 	err := p.store.Delete(ctx, key, expect)
 	finishSpan(span, err)
 	return err
 }
 
-func (p platformSpans) watch(ctx context.Context, prefix string, after platform.Version) ([]platform.Entry, platform.Version, error) {
+func (p platformSpans) watch(ctx context.Context, prefix string, after store.Version) ([]store.Entry, store.Version, error) {
 	ctx, span := p.start(ctx, "Watch", prefix)
 	es, v, err := p.store.Watch(ctx, prefix, after)
 	finishSpan(span, err)
 	return es, v, err
 }
 
-func (p platformSpans) grant(ctx context.Context, ttl time.Duration) (platform.Lease, error) {
+func (p platformSpans) grant(ctx context.Context, ttl time.Duration) (store.Lease, error) {
 	ctx, span := p.start(ctx, "Grant", "")
 	l, err := p.store.Grant(ctx, ttl)
 	finishSpan(span, err)
 	return l, err
 }
 
-func (p platformSpans) renew(ctx context.Context, lease platform.Lease) error {
+func (p platformSpans) renew(ctx context.Context, lease store.Lease) error {
 	ctx, span := p.start(ctx, "Renew", "")
 	err := p.store.Renew(ctx, lease)
 	finishSpan(span, err)
 	return err
 }
 
-func (p platformSpans) revoke(ctx context.Context, lease platform.Lease) error {
+func (p platformSpans) revoke(ctx context.Context, lease store.Lease) error {
 	ctx, span := p.start(ctx, "Revoke", "")
 	err := p.store.Revoke(ctx, lease)
 	finishSpan(span, err)
--- a/keyvalue/call.go
+++ b/keyvalue/call.go
@@ -9,7 +9,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
 
-	"crocuslug/platform"
+	"crocuslug/store"
 )
 
 // kind tells calls apart by what they cost and what their failure means.
@@ -63,9 +63,9 @@
 		return o.reply, o.err
 	case <-ctx.Done():
 		if q.kind == write {
-			return reply{}, platform.Unknown.Wrap(ctx.Err())
+			return reply{}, store.Unknown.Wrap(ctx.Err())
 		}
-		return reply{}, platform.Unavailable.Wrap(ctx.Err())
+		return reply{}, store.Unavailable.Wrap(ctx.Err())
 	}
 }
 
@@ -76,7 +76,7 @@
 // anything is spent.
 func (c *Client) enter(ctx context.Context, k kind) (probe bool, err error) {
 	if err := ctx.Err(); err != nil {
-		return false, platform.Unavailable.Wrap(err)
+		return false, store.Unavailable.Wrap(err)
 	}
 	if c.resumesIn() > 0 {
 		return false, c.backOff()
@@ -106,7 +106,7 @@
 // backOff counts a call that is refused here.
 func (c *Client) backOff() error {
 	c.count(&c.calls.BackedOff)
-	return platform.Unavailable.Wrap(errBackingOff)
+	return store.Unavailable.Wrap(errBackingOff)
 }
 
 func (c *Client) counter(k kind) *uint64 {
@@ -119,7 +119,7 @@
 	return &c.calls.Reads
 }
 
-// spend takes one call from the budget, or returns platform.Unavailable if
+// spend takes one call from the budget, or returns store.Unavailable if
 // that would take too long.
 func (c *Client) spend(ctx context.Context, k kind) error {
 	budget := c.reads
@@ -132,10 +132,10 @@
 	if wait > c.cfg.BudgetWait {
 		r.CancelAt(now)
 		c.count(&c.calls.OverBudget)
-		return platform.Unavailable.New("budget is spent")
+		return store.Unavailable.New("budget is spent")
 	}
 	if err := c.sleep(ctx, wait); err != nil {
-		return platform.Unavailable.Wrap(err)
+		return store.Unavailable.Wrap(err)
 	}
 	return nil
 }
@@ -144,8 +144,8 @@
 func (c *Client) leave(err error, probe bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	unknown := platform.Unknown.Has(err)
-	if !unknown && !platform.Unavailable.Has(err) {
+	unknown := store.Unknown.Has(err)
+	if !unknown && !store.Unavailable.Has(err) {
 		c.breaker.succeed()
 		return
 	}
@@ -186,11 +186,11 @@
 func classify(k kind, r reply, err error) error {
 	switch {
 	case errDial.Has(err) || errors.Is(err, fasthttp.ErrNoFreeConns):
-		return platform.Unavailable.Wrap(err)
+		return store.Unavailable.Wrap(err)
 	case err != nil && k == write:
-		return platform.Unknown.Wrap(err)
+		return store.Unknown.Wrap(err)
 	case err != nil:
-		return platform.Unavailable.Wrap(err)
+		return store.Unavailable.Wrap(err)
 	case r.status < http.StatusMultipleChoices:
 		return nil
 	}
@@ -200,17 +200,17 @@
 func classifyStatus(k kind, r reply) error {
 	switch r.status {
 	case http.StatusNotFound:
-		return platform.Absent.New("status 404")
+		return store.Absent.New("status 404")
 	case http.StatusPreconditionFailed:
-		return platform.Conflict.New("status 412")
+		return store.Conflict.New("status 412")
 	case http.StatusRequestEntityTooLarge:
-		return platform.TooLarge.New("status 413")
+		return store.TooLarge.New("status 413")
 	case http.StatusGone:
-		return platform.Trimmed.New("status 410")
+		return store.Trimmed.New("status 410")
 	}
 	refused := r.status < http.StatusInternalServerError || r.status == http.StatusServiceUnavailable
 	if k == write && !refused {
-		return platform.Unknown.New("status %d", r.status)
+		return store.Unknown.New("status %d", r.status)
 	}
-	return platform.Unavailable.New("status %d", r.status)
+	return store.Unavailable.New("status %d", r.status)
 }
--- a/keyvalue/client.go
+++ b/keyvalue/client.go
@@ -15,7 +15,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
 
-	"crocuslug/platform"
+	"crocuslug/store"
 	"crocuslug/timer"
 )
 
@@ -118,8 +118,8 @@
 }
 
 // Port returns the client as the platform's port.
-func (c *Client) Port() platform.Store {
-	return platform.Store{
+func (c *Client) Port() store.Store {
+	return store.Store{
 		Get:    c.Get,
 		List:   c.List,
 		Put:    c.Put,
--- a/keyvalue/client_test.go
+++ b/keyvalue/client_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/zeebo/errs"
 
-	"crocuslug/platform"
 	"crocuslug/standinkeyvalue"
+	"crocuslug/store"
 	"crocuslug/timer"
 )
 
@@ -43,8 +43,8 @@
 // class names the class of an error for comparison.
 func class(err error) string {
 	for _, c := range []*errs.Class{
-		&platform.Unknown, &platform.Absent, &platform.Conflict,
-		&platform.TooLarge, &platform.Trimmed, &platform.Unavailable,
+		&store.Unknown, &store.Absent, &store.Conflict,
+		&store.TooLarge, &store.Trimmed, &store.Unavailable,
 	} {
 		if c.Has(err) {
 			return string(*c)
@@ -62,7 +62,7 @@
 		name    string
 		prepare func(r *rig)
 		value   []byte
-		expect  platform.Version
+		expect  store.Version
 		want    string
 		applied bool
 	}{
@@ -198,7 +198,7 @@
 	r := newRig(t, Settings{WatchTimeout: time.Second})
 	ctx := context.Background()
 	type found struct {
-		entries []platform.Entry
+		entries []store.Entry
 		err     error
 	}
 	done := make(chan found, 1)
--- a/keyvalue/join.go
+++ b/keyvalue/join.go
@@ -4,7 +4,7 @@
 	"context"
 	"sync"
 
-	"crocuslug/platform"
+	"crocuslug/store"
 )
 
 // flight is one read on its way to the service for all who wait for it.
@@ -32,7 +32,7 @@
 	case <-f.done:
 		return f.reply, joined, f.err
 	case <-ctx.Done():
-		return reply{}, joined, platform.Unavailable.Wrap(ctx.Err())
+		return reply{}, joined, store.Unavailable.Wrap(ctx.Err())
 	}
 }
 
--- a/keyvalue/operation.go
+++ b/keyvalue/operation.go
@@ -8,33 +8,33 @@
 	"strconv"
 	"time"
 
-	"crocuslug/platform"
+	"crocuslug/store"
 )
 
 // Messages of the service.
 
 type entriesBody struct {
-	Entries []platform.Entry
-	Version platform.Version
+	Entries []store.Entry
+	Version store.Version
 }
 
 type versionBody struct {
-	Version platform.Version
+	Version store.Version
 }
 
 type leaseBody struct {
-	Lease platform.Lease
+	Lease store.Lease
 }
 
-// Get returns the entry under key, or platform.Absent.
-func (c *Client) Get(ctx context.Context, key string) (platform.Entry, error) {
-	var e platform.Entry
+// Get returns the entry under key, or store.Absent.
+func (c *Client) Get(ctx context.Context, key string) (store.Entry, error) {
+	var e store.Entry
 	err := c.read(ctx, keyURI(key), &e)
 	return e, err
 }
 
 // List returns the entries whose keys start with prefix, by key.
-func (c *Client) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+func (c *Client) List(ctx context.Context, prefix string) ([]store.Entry, error) {
 	var b entriesBody
 	err := c.read(ctx, "/v1/keys?prefix="+url.QueryEscape(prefix), &b)
 	return b.Entries, err
@@ -53,13 +53,13 @@
 		return err
 	}
 	if err := json.Unmarshal(r.body, v); err != nil {
-		return platform.Unavailable.Wrap(err)
+		return store.Unavailable.Wrap(err)
 	}
 	return nil
 }
 
 // Put writes value if the version under key is expect.
-func (c *Client) Put(ctx context.Context, key string, value []byte, expect platform.Version, l platform.Lease) (platform.Version, error) {
+func (c *Client) Put(ctx context.Context, key string, value []byte, expect store.Version, l store.Lease) (store.Version, error) {
 	uri := keyURI(key) + "?expect=" + strconv.FormatUint(uint64(expect), 10)
 	if l != 0 {
 		uri += "&lease=" + strconv.FormatUint(uint64(l), 10)
@@ -70,26 +70,26 @@
 }
 
 // Delete removes key if its version is expect.
-func (c *Client) Delete(ctx context.Context, key string, expect platform.Version) error {
+func (c *Client) Delete(ctx context.Context, key string, expect store.Version) error {
 	uri := keyURI(key) + "?expect=" + strconv.FormatUint(uint64(expect), 10)
 	return c.write(ctx, http.MethodDelete, uri, nil, nil)
 }
 
 // Grant makes a lease that lapses after ttl without renewal.
-func (c *Client) Grant(ctx context.Context, ttl time.Duration) (platform.Lease, error) {
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (store.Lease, error) {
 	var b leaseBody
 	err := c.write(ctx, http.MethodPost, "/v1/leases?ttl="+ttl.String(), nil, &b)
 	return b.Lease, err
 }
 
-// Renew starts the ttl of a lease anew, or returns platform.Absent if it has
+// Renew starts the ttl of a lease anew, or returns store.Absent if it has
 // lapsed.
-func (c *Client) Renew(ctx context.Context, l platform.Lease) error {
+func (c *Client) Renew(ctx context.Context, l store.Lease) error {
 	return c.write(ctx, http.MethodPost, leaseURI(l)+"/renew", nil, nil)
 }
 
 // Revoke ends a lease and removes the keys that are tied to it.
-func (c *Client) Revoke(ctx context.Context, l platform.Lease) error {
+func (c *Client) Revoke(ctx context.Context, l store.Lease) error {
 	return c.write(ctx, http.MethodDelete, leaseURI(l), nil, nil)
 }
 
@@ -102,7 +102,7 @@
 		return err
 	}
 	if err := json.Unmarshal(r.body, v); err != nil {
-		return platform.Unknown.Wrap(err)
+		return store.Unknown.Wrap(err)
 	}
 	return nil
 }
@@ -113,7 +113,7 @@
 // Watch waits for writes after a version to keys that start with prefix. A
 // watch whose connection has gone silent is replaced once. While the client
 // backs off Watch waits too, because callers watch in a loop.
-func (c *Client) Watch(ctx context.Context, prefix string, after platform.Version) ([]platform.Entry, platform.Version, error) {
+func (c *Client) Watch(ctx context.Context, prefix string, after store.Version) ([]store.Entry, store.Version, error) {
 	if err := c.awaitService(ctx); err != nil {
 		return nil, after, err
 	}
@@ -128,12 +128,12 @@
 		}
 		c.count(&c.calls.SilentWatches)
 	}
-	if err != nil && !platform.Trimmed.Has(err) {
+	if err != nil && !store.Trimmed.Has(err) {
 		return nil, after, err
 	}
 	var b entriesBody
 	if malformed := json.Unmarshal(r.body, &b); malformed != nil {
-		return nil, after, platform.Unavailable.Wrap(malformed)
+		return nil, after, store.Unavailable.Wrap(malformed)
 	}
 	return b.Entries, b.Version, err
 }
@@ -153,10 +153,10 @@
 		return nil
 	}
 	if err := c.sleep(ctx, wait); err != nil {
-		return platform.Unavailable.Wrap(err)
+		return store.Unavailable.Wrap(err)
 	}
 	_, err := c.Get(ctx, probeKey)
-	if platform.Absent.Has(err) {
+	if store.Absent.Has(err) {
 		return nil
 	}
 	return err
@@ -164,6 +164,6 @@
 
 func keyURI(key string) string { return "/v1/keys/" + url.PathEscape(key) }
 
-func leaseURI(l platform.Lease) string {
+func leaseURI(l store.Lease) string {
 	return "/v1/leases/" + strconv.FormatUint(uint64(l), 10)
 }
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -10,7 +10,7 @@
 import (
 	"time"
 
-	"crocuslug/platform"
+	"crocuslug/store"
 	"crocuslug/unit"
 )
 
@@ -46,8 +46,8 @@
 // concurrent use. All times are the instance's monotonic time.
 type Holder struct {
 	cfg     Settings
-	lease   platform.Lease
-	fencing platform.Version
+	lease   store.Lease
+	fencing store.Version
 	until   time.Time // the service keeps the lease at least as long
 	since   time.Time // when the lease record was written at the latest
 	next    time.Time // time of the next action
@@ -88,7 +88,7 @@
 // Acquired says that the lease was granted and its record written with version
 // v. The calls began at began and ended at now. The version is the fencing
 // number: versions rise with every write.
-func (h *Holder) Acquired(l platform.Lease, v platform.Version, began, now time.Time) {
+func (h *Holder) Acquired(l store.Lease, v store.Version, began, now time.Time) {
 	h.lease = l
 	h.fencing = v
 	h.since = now
@@ -131,10 +131,10 @@
 func (h *Holder) TTL() time.Duration { return h.cfg.TTL.Std() }
 
 // Lease returns the lease held, or 0.
-func (h *Holder) Lease() platform.Lease { return h.lease }
+func (h *Holder) Lease() store.Lease { return h.lease }
 
 // Fencing returns the fencing number of the lease held, or 0.
-func (h *Holder) Fencing() platform.Version { return h.fencing }
+func (h *Holder) Fencing() store.Version { return h.fencing }
 
 // Remaining returns how long the lease may still be relied on.
 func (h *Holder) Remaining(now time.Time) time.Duration {
--- a/lease/holder_test.go
+++ b/lease/holder_test.go
@@ -9,7 +9,7 @@
 
 	"pgregory.net/rapid"
 
-	"crocuslug/platform"
+	"crocuslug/store"
 )
 
 func TestMain(m *testing.M) {
@@ -23,13 +23,13 @@
 // effect is an order that reaches an engine.
 type effect struct {
 	at      time.Time
-	fencing platform.Version
+	fencing store.Version
 }
 
 // service is the naive lease: at most one, held until it lapses.
 type service struct {
-	lease   platform.Lease
-	version platform.Version
+	lease   store.Lease
+	version store.Version
 	lapses  time.Time
 }
 
@@ -88,7 +88,7 @@
 			return end
 		}
 		s.version++
-		s.lease = platform.Lease(s.version)
+		s.lease = store.Lease(s.version)
 		s.lapses = now.Add(ttl)
 		h.Acquired(s.lease, s.version, now, end)
 	case Renew:
--- a/measureoperator/naive.go
+++ b/measureoperator/naive.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"crocuslug/ident"
-	"crocuslug/platform"
 	"crocuslug/revision"
+	"crocuslug/store"
 	"crocuslug/timer"
 )
 
@@ -26,7 +26,7 @@
 }
 
 // startPoller starts one that asks first after a delay.
-func startPoller(store platform.Store, t *timer.Service, delay time.Duration) *poller {
+func startPoller(store store.Store, t *timer.Service, delay time.Duration) *poller {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &poller{ledger: revision.New(store, t.Now, revision.Settings{}), timer: t, stop: cancel}
 	p.running.Go(func() {
--- a/revision/history.go
+++ b/revision/history.go
@@ -6,8 +6,8 @@
 
 	"crocuslug/configuration"
 	"crocuslug/ident"
-	"crocuslug/platform"
 	"crocuslug/result"
+	"crocuslug/store"
 )
 
 // Bounds of reads of the history.
@@ -30,7 +30,7 @@
 			break
 		}
 		rec, err = l.record(ctx, rec.Previous)
-		if platform.Absent.Has(err) {
+		if store.Absent.Has(err) {
 			break
 		}
 		if err != nil {
@@ -58,7 +58,7 @@
 	if err == nil {
 		doc, err = l.load(ctx, rec)
 	}
-	if platform.Absent.Has(err) || platform.Unknown.Has(err) {
+	if store.Absent.Has(err) || store.Unknown.Has(err) {
 		return configuration.Document{}, missing(rev)
 	}
 	if err != nil {
@@ -142,7 +142,7 @@
 			continue
 		}
 		e, err := l.store.Get(ctx, key)
-		if platform.Absent.Has(err) {
+		if store.Absent.Has(err) {
 			continue
 		}
 		if err != nil {
@@ -172,12 +172,12 @@
 	return nil
 }
 
-func (l *Ledger) deleteChunk(ctx context.Context, e platform.Entry, needed map[string]bool) error {
+func (l *Ledger) deleteChunk(ctx context.Context, e store.Entry, needed map[string]bool) error {
 	if needed[e.Key] {
 		return nil
 	}
 	err := l.store.Delete(ctx, e.Key, e.Version)
-	if platform.Absent.Has(err) || platform.Conflict.Has(err) {
+	if store.Absent.Has(err) || store.Conflict.Has(err) {
 		return nil
 	}
 	return err
--- a/revision/ledger.go
+++ b/revision/ledger.go
@@ -24,8 +24,8 @@
 	"crocuslug/configuration"
 	"crocuslug/ident"
 	"crocuslug/plan"
-	"crocuslug/platform"
 	"crocuslug/result"
+	"crocuslug/store"
 )
 
 // Settings bound what the ledger keeps. The zero value works.
@@ -64,7 +64,7 @@
 // Ledger reads and extends the accepted revisions. Its methods may be called
 // from any goroutine.
 type Ledger struct {
-	store platform.Store
+	store store.Store
 	now   func() time.Time
 	cfg   Settings
 
@@ -74,7 +74,7 @@
 }
 
 // New returns a ledger in store that dates changes by now.
-func New(store platform.Store, now func() time.Time, cfg Settings) *Ledger {
+func New(store store.Store, now func() time.Time, cfg Settings) *Ledger {
 	if cfg.Prefix == "" {
 		cfg.Prefix = defaultPrefix
 	}
@@ -149,7 +149,7 @@
 		return l.settled(ctx, p, head)
 	}
 	if head.Revision < p.BaseRevision {
-		return Record{}, nil, platform.Unknown.New("the service answers with revision %d, older than that of the plan", head.Revision)
+		return Record{}, nil, store.Unknown.New("the service answers with revision %d, older than that of the plan", head.Revision)
 	}
 	base, err := l.load(ctx, head)
 	if err != nil {
@@ -210,7 +210,7 @@
 			return rec.Previous, nil
 		}
 	}
-	return "", platform.Unknown.New("the history does not reach back to revision %d", rev)
+	return "", store.Unknown.New("the history does not reach back to revision %d", rev)
 }
 
 // prepare writes the chunks and the record that the head will name.
@@ -263,14 +263,14 @@
 	var err error
 	for range l.cfg.Attempts {
 		_, err = l.store.Put(ctx, key, body, 0, 0)
-		if err == nil || platform.Conflict.Has(err) {
+		if err == nil || store.Conflict.Has(err) {
 			return nil
 		}
 	}
 	return err
 }
 
-func (l *Ledger) swap(ctx context.Context, rec Record, version platform.Version) error {
+func (l *Ledger) swap(ctx context.Context, rec Record, version store.Version) error {
 	body, err := json.Marshal(rec)
 	if err != nil {
 		return err
@@ -279,9 +279,9 @@
 	return err
 }
 
-func (l *Ledger) head(ctx context.Context) (Record, platform.Version, error) {
+func (l *Ledger) head(ctx context.Context) (Record, store.Version, error) {
 	e, err := l.store.Get(ctx, l.HeadKey())
-	if platform.Absent.Has(err) {
+	if store.Absent.Has(err) {
 		return Record{}, 0, nil
 	}
 	if err != nil {
--- a/revision/ledger_test.go
+++ b/revision/ledger_test.go
@@ -16,9 +16,9 @@
 	"crocuslug/ident"
 	"crocuslug/intent"
 	"crocuslug/plan"
-	"crocuslug/platform"
 	"crocuslug/result"
 	"crocuslug/standinkeyvalue"
+	"crocuslug/store"
 	"crocuslug/timer"
 )
 
@@ -36,11 +36,11 @@
 // were ever written. Before any call another operator may run.
 type faulty struct {
 	t       *rapid.T
-	store   platform.Store
+	store   store.Store
 	on      bool
 	depth   int
 	between func()
-	heads   []platform.Entry
+	heads   []store.Entry
 	delayed []func()
 }
 
@@ -61,13 +61,13 @@
 	f.depth--
 }
 
-func (f *faulty) port() platform.Store {
+func (f *faulty) port() store.Store {
 	s := f.store
-	s.Get = func(ctx context.Context, key string) (platform.Entry, error) {
+	s.Get = func(ctx context.Context, key string) (store.Entry, error) {
 		f.interleave()
 		switch f.draw(12, "get") {
 		case 0:
-			return platform.Entry{}, platform.Unavailable.New("outage")
+			return store.Entry{}, store.Unavailable.New("outage")
 		case 1:
 			if strings.HasSuffix(key, "head") && len(f.heads) > 1 {
 				return f.heads[rapid.IntRange(0, len(f.heads)-1).Draw(f.t, "stale")], nil
@@ -75,32 +75,32 @@
 		}
 		return f.store.Get(ctx, key)
 	}
-	s.List = func(ctx context.Context, prefix string) ([]platform.Entry, error) {
+	s.List = func(ctx context.Context, prefix string) ([]store.Entry, error) {
 		if f.draw(6, "list") == 0 {
 			return nil, nil
 		}
 		return f.store.List(ctx, prefix)
 	}
-	s.Put = func(ctx context.Context, key string, value []byte, expect platform.Version, l platform.Lease) (platform.Version, error) {
+	s.Put = func(ctx context.Context, key string, value []byte, expect store.Version, l store.Lease) (store.Version, error) {
 		f.interleave()
-		put := func() (platform.Version, error) {
+		put := func() (store.Version, error) {
 			v, err := f.store.Put(ctx, key, value, expect, l)
 			if err == nil && strings.HasSuffix(key, "head") {
-				f.heads = append(f.heads, platform.Entry{Key: key, Value: value, Version: v})
+				f.heads = append(f.heads, store.Entry{Key: key, Value: value, Version: v})
 			}
 			return v, err
 		}
 		switch f.draw(8, "put") {
 		case 0:
-			return 0, platform.Unavailable.New("outage")
+			return 0, store.Unavailable.New("outage")
 		case 1:
 			if _, err := put(); err != nil {
 				return 0, err
 			}
-			return 0, platform.Unknown.New("answer lost")
+			return 0, store.Unknown.New("answer lost")
 		case 2:
 			f.delayed = append(f.delayed, func() { _, _ = put() })
-			return 0, platform.Unknown.New("answer lost")
+			return 0, store.Unknown.New("answer lost")
 		}
 		return put()
 	}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -17,9 +17,9 @@
 	"crocuslug/configuration"
 	"crocuslug/distribution"
 	"crocuslug/ident"
-	"crocuslug/platform"
 	"crocuslug/result"
 	"crocuslug/revision"
+	"crocuslug/store"
 	"crocuslug/timer"
 	"crocuslug/unit"
 )
@@ -29,8 +29,8 @@
 	// Head returns the newest record, Load its document, as revision.Ledger does.
 	Head func(ctx context.Context) (revision.Record, *result.Error)
 	Load func(ctx context.Context, rec revision.Record) (configuration.Document, *result.Error)
-	// Watch waits for writes, as platform.Store does.
-	Watch func(ctx context.Context, prefix string, after platform.Version) ([]platform.Entry, platform.Version, error)
+	// Watch waits for writes, as store.Store does.
+	Watch func(ctx context.Context, prefix string, after store.Version) ([]store.Entry, store.Version, error)
 	// Notify sends n to a peer and does not block; it may be lost.
 	Notify func(to ident.Instance, n distribution.Notice)
 	// Pull has the peer's Asked answer a.
@@ -289,7 +289,7 @@
 // watch holds a watch while the instance is a watcher. Each return of the watch
 // is followed by a read of the head, also when it names no write.
 func (r *Rollout) watch(ctx context.Context) {
-	var after platform.Version
+	var after store.Version
 	r.mu.Lock()
 	delay := r.core.StartDelay()
 	r.mu.Unlock()
--- a/standinkeyvalue/fault.go
+++ b/standinkeyvalue/fault.go
@@ -7,7 +7,7 @@
 
 	"github.com/zeebo/errs"
 
-	"crocuslug/platform"
+	"crocuslug/store"
 )
 
 // Faults says how the service misbehaves from now on.
@@ -93,7 +93,7 @@
 	f := s.faults
 	s.mu.Unlock()
 	if exceeded {
-		return platform.Unavailable.Wrap(errRate)
+		return store.Unavailable.Wrap(errRate)
 	}
 	if f.Delay > 0 {
 		done := make(chan struct{})
@@ -102,11 +102,11 @@
 		select {
 		case <-done:
 		case <-ctx.Done():
-			return platform.Unavailable.Wrap(ctx.Err())
+			return store.Unavailable.Wrap(ctx.Err())
 		}
 	}
 	if f.Outage || write && f.RejectWrites {
-		return platform.Unavailable.New("outage")
+		return store.Unavailable.New("outage")
 	}
 	return nil
 }
@@ -131,5 +131,5 @@
 		return nil
 	}
 	s.faults.LoseAnswers--
-	return platform.Unknown.New("answer lost")
+	return store.Unknown.New("answer lost")
 }
--- a/standinkeyvalue/lease.go
+++ b/standinkeyvalue/lease.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"crocuslug/platform"
+	"crocuslug/store"
 )
 
 type lease struct {
@@ -13,7 +13,7 @@
 }
 
 // Grant makes a lease that lapses after ttl without renewal.
-func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.Lease, error) {
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (store.Lease, error) {
 	if err := s.begin(ctx, true); err != nil {
 		return 0, err
 	}
@@ -27,7 +27,7 @@
 }
 
 // Renew starts the ttl of a lease anew.
-func (s *Store) Renew(ctx context.Context, id platform.Lease) error {
+func (s *Store) Renew(ctx context.Context, id store.Lease) error {
 	if err := s.begin(ctx, true); err != nil {
 		return err
 	}
@@ -36,7 +36,7 @@
 	s.lapse()
 	l, ok := s.leases[id]
 	if !ok {
-		return platform.Absent.New("lease %d has lapsed", id)
+		return store.Absent.New("lease %d has lapsed", id)
 	}
 	l.lapses = s.timer.Now().Add(l.ttl)
 	s.await(l.ttl)
@@ -44,7 +44,7 @@
 }
 
 // Revoke ends a lease and removes the keys that are tied to it.
-func (s *Store) Revoke(ctx context.Context, id platform.Lease) error {
+func (s *Store) Revoke(ctx context.Context, id store.Lease) error {
 	if err := s.begin(ctx, true); err != nil {
 		return err
 	}
@@ -52,7 +52,7 @@
 	defer s.mu.Unlock()
 	s.lapse()
 	if _, ok := s.leases[id]; !ok {
-		return platform.Absent.New("lease %d has lapsed", id)
+		return store.Absent.New("lease %d has lapsed", id)
 	}
 	s.end(id)
 	return s.loseAnswer()
@@ -78,7 +78,7 @@
 	}
 }
 
-func (s *Store) end(id platform.Lease) {
+func (s *Store) end(id store.Lease) {
 	delete(s.leases, id)
 	for k, e := range s.entries {
 		if e.lease == id {
--- a/standinkeyvalue/model_test.go
+++ b/standinkeyvalue/model_test.go
@@ -12,7 +12,7 @@
 
 	"pgregory.net/rapid"
 
-	"crocuslug/platform"
+	"crocuslug/store"
 )
 
 func TestMain(m *testing.M) {
@@ -33,11 +33,11 @@
 
 type naiveKey struct {
 	key, value string
-	version    platform.Version
-	lease      platform.Lease
+	version    store.Version
+	lease      store.Lease
 }
 
-func (n *naive) live(l platform.Lease) bool { return n.lapses[l-1] > n.now }
+func (n *naive) live(l store.Lease) bool { return n.lapses[l-1] > n.now }
 
 func (n *naive) find(key string) *naiveKey {
 	n.keys = slices.DeleteFunc(n.keys, func(k naiveKey) bool { return k.lease != 0 && !n.live(k.lease) })
@@ -49,7 +49,7 @@
 	return nil
 }
 
-func (n *naive) version(key string) platform.Version {
+func (n *naive) version(key string) store.Version {
 	if k := n.find(key); k != nil {
 		return k.version
 	}
@@ -59,9 +59,9 @@
 func (n *naive) list() string {
 	n.find("")
 	keys := slices.SortedFunc(slices.Values(n.keys), func(a, b naiveKey) int { return strings.Compare(a.key, b.key) })
-	var out []platform.Entry
+	var out []store.Entry
 	for _, k := range keys {
-		out = append(out, platform.Entry{Key: k.key, Value: []byte(k.value), Version: k.version})
+		out = append(out, store.Entry{Key: k.key, Value: []byte(k.value), Version: k.version})
 	}
 	return show(out)
 }
@@ -82,8 +82,8 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"put": func(t *rapid.T) {
 				k, v := key.Draw(t, "key"), rapid.StringMatching("[a-z]").Draw(t, "value")
-				l := platform.Lease(rapid.IntRange(0, len(n.leases)).Draw(t, "lease"))
-				expect := n.version(k) + platform.Version(rapid.SampledFrom([]int{0, 0, 0, 1}).Draw(t, "off"))
+				l := store.Lease(rapid.IntRange(0, len(n.leases)).Draw(t, "lease"))
+				expect := n.version(k) + store.Version(rapid.SampledFrom([]int{0, 0, 0, 1}).Draw(t, "off"))
 				want := ""
 				if expect != n.version(k) || l != 0 && !n.live(l) {
 					want = "conflict"
@@ -113,7 +113,7 @@
 				if len(n.leases) == 0 {
 					grant(t)
 				}
-				l := platform.Lease(rapid.IntRange(1, len(n.leases)).Draw(t, "lease"))
+				l := store.Lease(rapid.IntRange(1, len(n.leases)).Draw(t, "lease"))
 				want, call, lapses := "absent", b.port.Renew, n.now+n.leases[l-1]
 				if rapid.Bool().Draw(t, "revoke") {
 					call, lapses = b.port.Revoke, 0
@@ -153,17 +153,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	last := make(map[string]platform.Entry)
+	last := make(map[string]store.Entry)
 	for _, e := range seen {
 		last[e.Key] = e
 	}
-	var replayed []platform.Entry
+	var replayed []store.Entry
 	for _, e := range last {
 		if !e.Deleted {
 			replayed = append(replayed, e)
 		}
 	}
-	slices.SortFunc(replayed, func(a, b platform.Entry) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(replayed, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) })
 	if got, want := show(replayed), show(listed); got != want {
 		t.Fatalf("replayed watch: got %q, want %q", got, want)
 	}
--- a/standinkeyvalue/script_test.go
+++ b/standinkeyvalue/script_test.go
@@ -14,8 +14,8 @@
 	"github.com/zeebo/errs"
 
 	"crocuslug/keyvalue"
-	"crocuslug/platform"
 	"crocuslug/standinkeyvalue"
+	"crocuslug/store"
 	"crocuslug/timer"
 )
 
@@ -24,7 +24,7 @@
 type bench struct {
 	clock *timer.Service
 	store *standinkeyvalue.Store
-	port  platform.Store
+	port  store.Store
 }
 
 func newStoreBench() *bench {
@@ -87,27 +87,27 @@
 	}
 	switch w[0] {
 	case "put":
-		v, err := b.port.Put(ctx, w[1], []byte(w[2]), platform.Version(number(3)), platform.Lease(number(4)))
+		v, err := b.port.Put(ctx, w[1], []byte(w[2]), store.Version(number(3)), store.Lease(number(4)))
 		return result(strconv.Itoa(int(v)), err)
 	case "get":
 		e, err := b.port.Get(ctx, w[1])
 		return result(fmt.Sprintf("%s@%d", e.Value, e.Version), err)
 	case "delete":
-		return result("ok", b.port.Delete(ctx, w[1], platform.Version(number(2))))
+		return result("ok", b.port.Delete(ctx, w[1], store.Version(number(2))))
 	case "list":
 		entries, err := b.port.List(ctx, w[1])
 		return result(show(entries), err)
 	case "watch":
-		entries, now, err := b.port.Watch(ctx, w[1], platform.Version(number(2)))
+		entries, now, err := b.port.Watch(ctx, w[1], store.Version(number(2)))
 		return strings.TrimSpace(result(show(entries), err) + fmt.Sprintf(" now %d", now))
 	case "grant":
 		ttl, _ := time.ParseDuration(w[1])
 		l, err := b.port.Grant(ctx, ttl)
 		return result(strconv.Itoa(int(l)), err)
 	case "renew":
-		return result("ok", b.port.Renew(ctx, platform.Lease(number(1))))
+		return result("ok", b.port.Renew(ctx, store.Lease(number(1))))
 	case "revoke":
-		return result("ok", b.port.Revoke(ctx, platform.Lease(number(1))))
+		return result("ok", b.port.Revoke(ctx, store.Lease(number(1))))
 	case "advance":
 		d, _ := time.ParseDuration(w[1])
 		b.clock.Advance(d)
@@ -123,7 +123,7 @@
 	return ""
 }
 
-func show(entries []platform.Entry) string {
+func show(entries []store.Entry) string {
 	var out []string
 	for _, e := range entries {
 		if e.Deleted {
@@ -141,8 +141,8 @@
 		return text
 	}
 	for _, c := range []*errs.Class{
-		&platform.Unknown, &platform.Absent, &platform.Conflict,
-		&platform.TooLarge, &platform.Trimmed, &platform.Unavailable,
+		&store.Unknown, &store.Absent, &store.Conflict,
+		&store.TooLarge, &store.Trimmed, &store.Unavailable,
 	} {
 		if c.Has(err) {
 			return string(*c)
--- a/standinkeyvalue/server.go
+++ b/standinkeyvalue/server.go
@@ -13,8 +13,8 @@
 	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
 
-	"crocuslug/platform"
 	"crocuslug/standinnetwork"
+	"crocuslug/store"
 	"crocuslug/unit"
 )
 
@@ -72,16 +72,16 @@
 // Messages of the service.
 
 type entriesBody struct {
-	Entries []platform.Entry
-	Version platform.Version
+	Entries []store.Entry
+	Version store.Version
 }
 
 type versionBody struct {
-	Version platform.Version
+	Version store.Version
 }
 
 type leaseBody struct {
-	Lease platform.Lease
+	Lease store.Lease
 }
 
 // Paths of the service.
@@ -116,13 +116,13 @@
 }
 
 func (s *Server) handleKey(life context.Context, ctx *fasthttp.RequestCtx, method, key string) {
-	expect := platform.Version(number(ctx, "expect"))
+	expect := store.Version(number(ctx, "expect"))
 	switch method {
 	case http.MethodGet:
 		e, err := s.store.Get(life, key)
 		answer(ctx, e, err)
 	case http.MethodPut:
-		v, err := s.store.Put(life, key, ctx.PostBody(), expect, platform.Lease(number(ctx, "lease")))
+		v, err := s.store.Put(life, key, ctx.PostBody(), expect, store.Lease(number(ctx, "lease")))
 		answer(ctx, versionBody{v}, err)
 	case http.MethodDelete:
 		answer(ctx, nil, s.store.Delete(life, key, expect))
@@ -137,9 +137,9 @@
 }
 
 func (s *Server) watch(life context.Context, ctx *fasthttp.RequestCtx) {
-	after := platform.Version(number(ctx, "after"))
+	after := store.Version(number(ctx, "after"))
 	entries, v, err := s.store.Watch(life, string(ctx.QueryArgs().Peek("prefix")), after)
-	if platform.Trimmed.Has(err) {
+	if store.Trimmed.Has(err) {
 		standinnetwork.WriteJSON(ctx, http.StatusGone, versionBody{v})
 		return
 	}
@@ -163,9 +163,9 @@
 	case err != nil:
 		standinnetwork.Fail(ctx, http.StatusNotFound, "no such lease")
 	case renew && method == http.MethodPost:
-		answer(ctx, nil, s.store.Renew(life, platform.Lease(id)))
+		answer(ctx, nil, s.store.Renew(life, store.Lease(id)))
 	case !renew && method == http.MethodDelete:
-		answer(ctx, nil, s.store.Revoke(life, platform.Lease(id)))
+		answer(ctx, nil, s.store.Revoke(life, store.Lease(id)))
 	default:
 		standinnetwork.Fail(ctx, http.StatusMethodNotAllowed, method)
 	}
@@ -180,7 +180,7 @@
 // answer writes the result of a call: a body or none, or the status of err.
 func answer(ctx *fasthttp.RequestCtx, body any, err error) {
 	switch {
-	case platform.Unknown.Has(err):
+	case store.Unknown.Has(err):
 		standinnetwork.CloseUnanswered(ctx)
 	case err != nil:
 		standinnetwork.Fail(ctx, status(err), err.Error())
@@ -193,11 +193,11 @@
 
 func status(err error) int {
 	switch {
-	case platform.Absent.Has(err):
+	case store.Absent.Has(err):
 		return http.StatusNotFound
-	case platform.Conflict.Has(err):
+	case store.Conflict.Has(err):
 		return http.StatusPreconditionFailed
-	case platform.TooLarge.Has(err):
+	case store.TooLarge.Has(err):
 		return http.StatusRequestEntityTooLarge
 	case errors.Is(err, errRate):
 		return http.StatusTooManyRequests
--- a/standinkeyvalue/store.go
+++ b/standinkeyvalue/store.go
@@ -11,7 +11,7 @@
 	"strings"
 	"sync"
 
-	"crocuslug/platform"
+	"crocuslug/store"
 	"crocuslug/timer"
 )
 
@@ -21,13 +21,13 @@
 	timer *timer.Service
 
 	mu      sync.Mutex
-	version platform.Version
+	version store.Version
 	entries map[string]stored
 	stale   *view // what reads see while they are stale, or nil
-	history []platform.Entry
-	trimmed platform.Version // newest version that the history no longer has
-	leases  map[platform.Lease]*lease
-	nextID  platform.Lease
+	history []store.Entry
+	trimmed store.Version // newest version that the history no longer has
+	leases  map[store.Lease]*lease
+	nextID  store.Lease
 	changed chan struct{}
 	faults  Faults
 	calls   Calls
@@ -36,14 +36,14 @@
 }
 
 type stored struct {
-	platform.Entry
-	lease platform.Lease
+	store.Entry
+	lease store.Lease
 }
 
 // view is the content of the store at a version.
 type view struct {
 	entries map[string]stored
-	version platform.Version
+	version store.Version
 }
 
 // New returns an empty store.
@@ -51,14 +51,14 @@
 	return &Store{
 		timer:   t,
 		entries: make(map[string]stored),
-		leases:  make(map[platform.Lease]*lease),
+		leases:  make(map[store.Lease]*lease),
 		changed: make(chan struct{}),
 	}
 }
 
 // Port returns the store as the platform's port.
-func (s *Store) Port() platform.Store {
-	return platform.Store{
+func (s *Store) Port() store.Store {
+	return store.Store{
 		Get:    s.Get,
 		List:   s.List,
 		Put:    s.Put,
@@ -70,28 +70,28 @@
 	}
 }
 
-// Get returns the entry under key, or platform.Absent.
-func (s *Store) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get returns the entry under key, or store.Absent.
+func (s *Store) Get(ctx context.Context, key string) (store.Entry, error) {
 	if err := s.begin(ctx, false); err != nil {
-		return platform.Entry{}, err
+		return store.Entry{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, ok := s.read()[key]
 	if !ok {
-		return platform.Entry{}, platform.Absent.New("%s", key)
+		return store.Entry{}, store.Absent.New("%s", key)
 	}
 	return e.Entry, nil
 }
 
 // List returns the entries whose keys start with prefix, by key.
-func (s *Store) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+func (s *Store) List(ctx context.Context, prefix string) ([]store.Entry, error) {
 	if err := s.begin(ctx, false); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []platform.Entry
+	var out []store.Entry
 	for k, e := range s.read() {
 		if strings.HasPrefix(k, prefix) {
 			out = append(out, e.Entry)
@@ -111,8 +111,8 @@
 }
 
 // Put writes value if the version under key is expect. It returns
-// platform.TooLarge if the value exceeds the bound.
-func (s *Store) Put(ctx context.Context, key string, value []byte, expect platform.Version, l platform.Lease) (platform.Version, error) {
+// store.TooLarge if the value exceeds the bound.
+func (s *Store) Put(ctx context.Context, key string, value []byte, expect store.Version, l store.Lease) (store.Version, error) {
 	if err := s.begin(ctx, true); err != nil {
 		return 0, err
 	}
@@ -123,32 +123,32 @@
 		return 0, err
 	}
 	s.version++
-	e := platform.Entry{Key: key, Value: append([]byte(nil), value...), Version: s.version}
+	e := store.Entry{Key: key, Value: append([]byte(nil), value...), Version: s.version}
 	s.entries[key] = stored{e, l}
 	s.record(e)
 	return s.version, s.loseAnswer()
 }
 
 // check returns why a write cannot be applied.
-func (s *Store) check(key string, value []byte, expect platform.Version, l platform.Lease) error {
+func (s *Store) check(key string, value []byte, expect store.Version, l store.Lease) error {
 	limit := s.faults.MaxValueBytes
 	if limit == 0 {
 		limit = defaultMaxValueBytes
 	}
 	if len(value) > limit {
-		return platform.TooLarge.New("%d bytes, want at most %d", len(value), limit)
+		return store.TooLarge.New("%d bytes, want at most %d", len(value), limit)
 	}
 	if s.entries[key].Version != expect {
-		return platform.Conflict.New("%s is at version %d", key, s.entries[key].Version)
+		return store.Conflict.New("%s is at version %d", key, s.entries[key].Version)
 	}
 	if _, ok := s.leases[l]; l != 0 && !ok {
-		return platform.Conflict.New("lease %d has lapsed", l)
+		return store.Conflict.New("lease %d has lapsed", l)
 	}
 	return nil
 }
 
 // Delete removes key if its version is expect.
-func (s *Store) Delete(ctx context.Context, key string, expect platform.Version) error {
+func (s *Store) Delete(ctx context.Context, key string, expect store.Version) error {
 	if err := s.begin(ctx, true); err != nil {
 		return err
 	}
@@ -157,7 +157,7 @@
 	s.lapse()
 	e, ok := s.entries[key]
 	if !ok || e.Version != expect {
-		return platform.Conflict.New("%s is at version %d", key, e.Version)
+		return store.Conflict.New("%s is at version %d", key, e.Version)
 	}
 	s.remove(key)
 	return s.loseAnswer()
@@ -166,5 +166,5 @@
 func (s *Store) remove(key string) {
 	delete(s.entries, key)
 	s.version++
-	s.record(platform.Entry{Key: key, Version: s.version, Deleted: true})
+	s.record(store.Entry{Key: key, Version: s.version, Deleted: true})
 }
--- a/standinkeyvalue/watch.go
+++ b/standinkeyvalue/watch.go
@@ -6,13 +6,13 @@
 	"strings"
 	"time"
 
-	"crocuslug/platform"
+	"crocuslug/store"
 )
 
 // Watch waits for writes after a version to keys that start with prefix. If
-// that is further back than the history it returns platform.Trimmed and the
+// that is further back than the history it returns store.Trimmed and the
 // present version.
-func (s *Store) Watch(ctx context.Context, prefix string, after platform.Version) ([]platform.Entry, platform.Version, error) {
+func (s *Store) Watch(ctx context.Context, prefix string, after store.Version) ([]store.Entry, store.Version, error) {
 	if err := s.begin(ctx, false); err != nil {
 		return nil, after, err
 	}
@@ -31,7 +31,7 @@
 		case <-done:
 			return nil, r.now, nil
 		case <-ctx.Done():
-			return nil, after, platform.Unavailable.Wrap(ctx.Err())
+			return nil, after, store.Unavailable.Wrap(ctx.Err())
 		}
 	}
 }
@@ -57,15 +57,15 @@
 
 // recent is what a watch finds at one look.
 type recent struct {
-	found   []platform.Entry
-	now     platform.Version
+	found   []store.Entry
+	now     store.Version
 	changed chan struct{} // closed at the next write
 	err     error
 }
 
 // since looks for writes after a version. If there are none it counts the
 // watch as waiting, once.
-func (s *Store) since(prefix string, after platform.Version, waiting *bool) recent {
+func (s *Store) since(prefix string, after store.Version, waiting *bool) recent {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lapse()
@@ -74,7 +74,7 @@
 		r.now = max(s.stale.version, after)
 	}
 	if after < s.trimmed {
-		r.err = platform.Trimmed.New("history begins after version %d", s.trimmed)
+		r.err = store.Trimmed.New("history begins after version %d", s.trimmed)
 		return r
 	}
 	i := sort.Search(len(s.history), func(i int) bool { return s.history[i].Version > after })
@@ -91,7 +91,7 @@
 }
 
 // record appends a write to the history, trims that and wakes the watches.
-func (s *Store) record(e platform.Entry) {
+func (s *Store) record(e store.Entry) {
 	s.history = append(s.history, e)
 	limit := s.faults.HistoryLimit
 	if limit == 0 {
--- a/standinsite/actions_test.go
+++ b/standinsite/actions_test.go
@@ -16,9 +16,9 @@
 
 	"crocuslug/claim"
 	"crocuslug/ident"
-	"crocuslug/platform"
 	"crocuslug/standinkeyvalue"
 	"crocuslug/standinservice"
+	"crocuslug/store"
 	"crocuslug/unit"
 )
 
@@ -164,21 +164,21 @@
 }
 
 // wrap returns the store of an instance, with the trap.
-func (a *actions) wrap(i int, p platform.Store) platform.Store {
+func (a *actions) wrap(i int, p store.Store) store.Store {
 	put := p.Put
-	p.Put = func(ctx context.Context, key string, value []byte, expect platform.Version, l platform.Lease) (platform.Version, error) {
+	p.Put = func(ctx context.Context, key string, value []byte, expect store.Version, l store.Lease) (store.Version, error) {
 		if !strings.HasPrefix(key, "claims/") {
 			return put(ctx, key, value, expect, l)
 		}
 		if a.dead[i].Load() {
-			return 0, platform.Unavailable.New("killed")
+			return 0, store.Unavailable.New("killed")
 		}
 		n := a.writes.Add(1)
 		trap := a.armed.Load()
 		due := trap != nil && trap.write == n
 		if due && trap.before {
 			a.kill(trap.victim)
-			return 0, platform.Unavailable.New("killed")
+			return 0, store.Unavailable.New("killed")
 		}
 		v, err := put(ctx, key, value, expect, l)
 		if due {
--- a/standinsite/site.go
+++ b/standinsite/site.go
@@ -22,11 +22,11 @@
 	"crocuslug/configuration"
 	"crocuslug/daemon"
 	"crocuslug/ident"
-	"crocuslug/platform"
 	"crocuslug/settings"
 	"crocuslug/standinengine"
 	"crocuslug/standinkeyvalue"
 	"crocuslug/standinservice"
+	"crocuslug/store"
 	"crocuslug/timer"
 	"crocuslug/unit"
 )
@@ -49,7 +49,7 @@
 	Log          zerolog.Logger
 	// Wrap returns the store that instance i uses, given the platform's; the
 	// instances call the stand-in over HTTP if it is nil.
-	Wrap func(i int, p platform.Store) platform.Store
+	Wrap func(i int, p store.Store) store.Store
 	// EngineAddress takes the place of the stand-ins for engines if it is set.
 	EngineAddress  string
 	Slots          int                   // of the engine at EngineAddress
--- a/platform/platform.go
+++ b/store/store.go
@@ -1,10 +1,10 @@
-// Package platform is the port to the platform's key-value service.
+// Package store is the port to the platform's key-value service.
 //
 // Decision packages take a Store and never a client, so that tests drive them
 // with an in-memory store and the daemon with the client over HTTP. What lasts
 // lives here and nowhere else; each call and each waiting watch counts against
 // the rates of the service.
-package platform
+package store
 
 import (
 	"context"
--- a/upstreamcontrol/control.go
+++ b/upstreamcontrol/control.go
@@ -21,7 +21,7 @@
 	"crocuslug/ident"
 	"crocuslug/lease"
 	"crocuslug/placement"
-	"crocuslug/platform"
+	"crocuslug/store"
 	"crocuslug/timer"
 	"crocuslug/unit"
 )
@@ -63,7 +63,7 @@
 type Control struct {
 	cfg     Settings
 	seams   Seams
-	store   platform.Store
+	store   store.Store
 	timer   *timer.Service
 	self    ident.Instance
 	domain  ident.Domain
@@ -73,7 +73,7 @@
 }
 
 // New returns a control for the failure domain d at the instance self.
-func New(cfg Settings, seams Seams, store platform.Store, t *timer.Service, self ident.Instance, d ident.Domain) *Control {
+func New(cfg Settings, seams Seams, store store.Store, t *timer.Service, self ident.Instance, d ident.Domain) *Control {
 	if cfg.OrderLimit == 0 {
 		cfg.OrderLimit = unit.Duration(defaultOrderLimit)
 	}
@@ -179,7 +179,7 @@
 
 func (c *Control) acquire(ctx context.Context, began time.Time) {
 	key := leasePrefix + string(c.domain)
-	if _, err := c.store.Get(ctx, key); !platform.Absent.Has(err) {
+	if _, err := c.store.Get(ctx, key); !store.Absent.Has(err) {
 		c.holder.Failed(c.timer.Now())
 		return
 	}
@@ -206,7 +206,7 @@
 	switch {
 	case err == nil:
 		c.holder.Renewed(began)
-	case platform.Absent.Has(err):
+	case store.Absent.Has(err):
 		c.holder.Lost(c.timer.Now())
 	default:
 		c.holder.Failed(c.timer.Now())
@@ -242,11 +242,11 @@
 
 // order is the body of POST /v1/orders.
 type order struct {
-	Kind    placement.Kind   `json:"kind"`
-	Model   string           `json:"model"`
-	Version string           `json:"version,omitempty"`
-	Adapter string           `json:"adapter,omitempty"`
-	Fencing platform.Version `json:"fencing_number"`
+	Kind    placement.Kind `json:"kind"`
+	Model   string         `json:"model"`
+	Version string         `json:"version,omitempty"`
+	Adapter string         `json:"adapter,omitempty"`
+	Fencing store.Version  `json:"fencing_number"`
 }
 
 var errLease = errs.New("the lease does not allow the order")
--- a/upstreamcontrol/control_test.go
+++ b/upstreamcontrol/control_test.go
@@ -14,8 +14,8 @@
 	"crocuslug/configuration"
 	"crocuslug/ident"
 	"crocuslug/placement"
-	"crocuslug/platform"
 	"crocuslug/standinkeyvalue"
+	"crocuslug/store"
 	"crocuslug/timer"
 )
 
@@ -23,9 +23,9 @@
 type engine struct {
 	mu      sync.Mutex
 	checks  bool
-	highest platform.Version
+	highest store.Version
 	loaded  []string
-	numbers []platform.Version
+	numbers []store.Version
 	refused int
 	delay   func() // before the next order takes effect
 }
@@ -121,17 +121,17 @@
 	}
 }
 
-func control(clock *timer.Service, doc *configuration.Document, p platform.Store, self ident.Instance, cut *bool) *Control {
+func control(clock *timer.Service, doc *configuration.Document, p store.Store, self ident.Instance, cut *bool) *Control {
 	renew, grant := p.Renew, p.Grant
-	p.Renew = func(ctx context.Context, l platform.Lease) error {
+	p.Renew = func(ctx context.Context, l store.Lease) error {
 		if *cut {
-			return platform.Unavailable.New("cut off")
+			return store.Unavailable.New("cut off")
 		}
 		return renew(ctx, l)
 	}
-	p.Grant = func(ctx context.Context, ttl time.Duration) (platform.Lease, error) {
+	p.Grant = func(ctx context.Context, ttl time.Duration) (store.Lease, error) {
 		if *cut {
-			return 0, platform.Unavailable.New("cut off")
+			return 0, store.Unavailable.New("cut off")
 		}
 		return grant(ctx, ttl)
 	}
