--- a/cmd/crocuslug/main.go
+++ b/cmd/crocuslug/main.go
@@ -28,6 +28,7 @@
 	app.HelpFlag.Short('h')
 	commands := []command{
 		serveCommand(app),
+		edgeCommand(app),
 		checkCommand(app),
 		demoCommand(app),
 		versionCommand(app),
--- a/daemon/trace.go
+++ b/daemon/trace.go
@@ -22,6 +22,7 @@
 	return store.Store{
 		Get:    p.get,
 		List:   p.list,
+		Scan:   p.scan,
 		Put:    p.put,
 		Delete: p.delete,
 		Watch:  p.watch,
@@ -57,6 +58,13 @@
 	return es, err
 }
 
+func (p platformSpans) scan(ctx context.Context, prefix string) ([]store.Entry, store.Version, error) {
+	ctx, span := p.start(ctx, "Scan", prefix)
+	es, v, err := p.store.Scan(ctx, prefix)
+	finishSpan(span, err)
+	return es, v, err
+}
+
 func (p platformSpans) put(ctx context.Context, key string, value []byte, expect store.Version, lease store.Lease) (store.Version, error) {
 	ctx, span := p.start(ctx, "Put", key)
 	v, err := p.store.Put(ctx, key, value, expect, lease)
--- /dev/null
+++ b/directory/upstream.go
@@ -0,0 +1,18 @@
+package directory
+
+import (
+	"crocuslug/ident"
+	"crocuslug/store"
+)
+
+// Upstream is an upstream as it registered itself.
+type Upstream struct {
+	ID       ident.Upstream
+	Service  ident.Service
+	Address  string // IP:port
+	Domain   ident.Domain
+	Slots    int
+	Draining bool          // takes no new work and is going to leave
+	Born     int64         // start of this incarnation, in Unix milliseconds by its own clock; 0 if not told
+	Revision store.Version // of the entry
+}
--- /dev/null
+++ b/dispatch/dispatcher.go
@@ -0,0 +1,197 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"crocuslug/directory"
+	"crocuslug/exchange"
+	"crocuslug/fleet"
+	"crocuslug/ident"
+	"crocuslug/result"
+	"crocuslug/retry"
+	"crocuslug/routing"
+	"crocuslug/timer"
+	"crocuslug/work"
+)
+
+// Dispatcher answers the requests of one instance. Its methods may be called
+// from any goroutine.
+type Dispatcher struct {
+	cfg    Settings
+	ports  work.Ports
+	fleet  *fleet.Fleet
+	client *exchange.Client
+	timer  *timer.Service
+	random func() uint64
+	log    zerolog.Logger
+
+	mu      sync.Mutex
+	budget  retry.Settings
+	budgets map[ident.Service]*retry.Budget
+}
+
+// New returns a dispatcher. The budget bounds the retries at one service; the
+// function random returns 64 random bits and is called from any goroutine.
+func New(cfg Settings, ports work.Ports, f *fleet.Fleet, c *exchange.Client, budget retry.Settings, t *timer.Service, random func() uint64, log zerolog.Logger) *Dispatcher {
+	return &Dispatcher{
+		cfg:     cfg.withDefaults(),
+		ports:   ports,
+		fleet:   f,
+		client:  c,
+		timer:   t,
+		random:  random,
+		log:     log,
+		budget:  budget,
+		budgets: make(map[ident.Service]*retry.Budget),
+	}
+}
+
+// budgetOf returns the budget of retries at a service.
+func (d *Dispatcher) budgetOf(s ident.Service) *retry.Budget {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b, ok := d.budgets[s]
+	if !ok {
+		b = retry.New(d.budget, d.random)
+		d.budgets[s] = b
+	}
+	return b
+}
+
+// attempts is what was tried for one request.
+type attempts struct {
+	w       *work.Work
+	made    int              // sendings, those included that cannot have arrived
+	arrived int              // sendings that may have arrived
+	ran     bool             // one of them may have run
+	exclude []ident.Upstream // not tried again
+	last    string           // how the last one ended
+}
+
+// pick chooses the upstream of the next sending.
+func (d *Dispatcher) pick(a *attempts, now time.Time) (directory.Upstream, *result.Error) {
+	ask := fleet.Ask{Service: a.w.Service.Name, Tokens: a.w.Tokens, Exclude: a.exclude}
+	u, kind := d.fleet.Pick(ask, now)
+	if kind == routing.Wait {
+		ask.Full = true
+		u, kind = d.fleet.Pick(ask, now)
+	}
+	if kind != routing.Send {
+		return directory.Upstream{}, d.refuse(a, result.NoUpstream, "no upstream of the service takes requests")
+	}
+	return u, nil
+}
+
+// refuse returns the final failure of a request. It says that the request was
+// not run only if no sending can have run.
+func (d *Dispatcher) refuse(a *attempts, code result.Code, detail string) *result.Error {
+	if a.last != "" {
+		detail += "; before that: " + a.last
+	}
+	e := result.New(code, detail)
+	if a.ran {
+		return e.Ran(result.RunUnknown)
+	}
+	spread := d.cfg.RetryAfter/2 + time.Duration(d.random()%uint64(d.cfg.RetryAfter))
+	return e.After(spread)
+}
+
+// mayRetry decides whether a request is sent again after a sending has failed.
+func (d *Dispatcher) mayRetry(a *attempts, now time.Time, resumed bool) *result.Error {
+	w := a.w
+	remaining := w.Deadline.Sub(now)
+	switch {
+	case remaining < d.cfg.MinRemaining:
+		return d.refuse(a, result.DeadlineInfeasible, "no time is left")
+	case a.made >= d.cfg.Sends:
+		return d.refuse(a, result.UpstreamFailed, "all sendings failed")
+	case w.Route.MaxAttempts > 0 && a.arrived >= w.Route.MaxAttempts:
+		return d.refuse(a, result.UpstreamFailed, "the route's attempts are used up")
+	}
+	run := result.RunNot
+	if a.ran {
+		run = result.RunUnknown
+	}
+	verdict, _ := d.budgetOf(w.Service.Name).Decide(retry.Attempt{
+		Number:     a.made,
+		Run:        run,
+		Repeatable: w.Route.Repeatable(),
+		Resumed:    resumed,
+		Remaining:  remaining,
+	})
+	switch verdict {
+	case retry.MayHaveRun:
+		return d.refuse(a, result.UpstreamFailed, "the request may have run and may not be repeated")
+	case retry.NoBudget:
+		return d.refuse(a, result.Overloaded, "the budget of retries is spent")
+	case retry.Exhausted:
+		return d.refuse(a, result.UpstreamFailed, "the attempts are used up")
+	}
+	return nil
+}
+
+// verdict is how a sending ended, when that was not with an answer to pass on.
+type verdict struct {
+	kind   fleet.Kind
+	ran    bool // it may have run
+	again  bool // the same upstream may be tried again
+	reason string
+}
+
+// judge tells how a sending failed. An answer is nil if there was none.
+func (d *Dispatcher) judge(ans *exchange.Answer, err error) (verdict, bool) {
+	switch {
+	case exchange.NotSent.Has(err):
+		return verdict{kind: fleet.Dead, reason: err.Error()}, true
+	case err != nil:
+		return verdict{kind: fleet.Failed, ran: true, reason: err.Error()}, true
+	case d.ports.Replaced(ans.Status, ans.Header):
+		return verdict{kind: fleet.Replaced, reason: "another upstream has the address"}, true
+	case d.ports.NotRun(ans.Status, ans.Header):
+		return verdict{kind: fleet.Served, reason: "refused by the upstream with status " + http.StatusText(ans.Status)}, true
+	case !d.ports.Genuine(ans.Header) && ans.Status < http.StatusMultipleChoices:
+		return verdict{kind: fleet.Failed, ran: true, reason: "the answer bears no signature"}, true
+	}
+	return verdict{}, false
+}
+
+// note takes a failed sending into account and logs it.
+func (d *Dispatcher) note(a *attempts, u directory.Upstream, v verdict, began, now time.Time) {
+	d.fleet.Ended(u.ID, v.kind, 0, now)
+	a.exclude = append(a.exclude, u.ID)
+	a.last = v.reason
+	if v.kind != fleet.Dead {
+		a.arrived++
+	}
+	a.ran = a.ran || v.ran
+	d.log.Info().Str("Request", string(a.w.ID)).Str("Upstream", string(u.ID)).Int("Attempt", a.made).
+		Bool("MayHaveRun", v.ran).Str("Reason", v.reason).Dur("AfterMs", now.Sub(began)).Msg("attempt failed")
+}
+
+// until returns a context that ends with ctx or at a time by the timer.
+func (d *Dispatcher) until(ctx context.Context, t time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	sub := d.timer.After(t.Sub(d.timer.Now()), func(time.Time) { cancel(context.DeadlineExceeded) })
+	return ctx, func() {
+		sub.Stop()
+		cancel(context.Canceled)
+	}
+}
+
+// request returns what a leg sends.
+func (d *Dispatcher) request(w *work.Work, leg *work.Leg) *exchange.Request {
+	return &exchange.Request{
+		Method:  w.Method,
+		Target:  w.Target,
+		Host:    w.Host,
+		Header:  d.ports.Header(w, leg),
+		Body:    w.Body,
+		Fresh:   !w.Route.Repeatable(),
+		Belongs: func(h http.Header) bool { return d.ports.Belongs(w, h) },
+	}
+}
--- /dev/null
+++ b/dispatch/stream.go
@@ -0,0 +1,237 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"crocuslug/directory"
+	"crocuslug/exchange"
+	"crocuslug/fleet"
+	"crocuslug/ident"
+	"crocuslug/pieces"
+	"crocuslug/result"
+	"crocuslug/routing"
+	"crocuslug/silence"
+	"crocuslug/work"
+)
+
+// stream is one answer of numbered pieces on its way to a caller.
+type stream struct {
+	attempts
+	sink    Sink
+	begun   bool       // the caller has got the head
+	last    uint64     // number of the last piece delivered
+	resumes bool       // the next leg starts after last
+	copy    *work.Copy // the newest copy of the run, or nil
+	backup  directory.Upstream
+	gaps    *silence.Detector
+	whole   *Reply // an answer that is no stream, to be passed on whole
+}
+
+// errCaller marks a failure to write to the caller.
+var errCaller = errors.New("caller does not take the answer")
+
+// Stream sends a request whose answer is passed on piece by piece. An answer
+// that is no success is returned whole. Without reply and error the stream was
+// passed on to its end, or the caller has gone. After an error with begun the
+// caller has part of an answer, which must not look whole.
+func (d *Dispatcher) Stream(ctx context.Context, w *work.Work, sink Sink) (reply *Reply, begun bool, refusal *result.Error) {
+	d.budgetOf(w.Service.Name).Request()
+	s := &stream{attempts: attempts{w: w}, sink: sink, last: w.After, resumes: w.Resumes, gaps: d.detector(w)}
+	ctx, cancel := d.until(ctx, w.Deadline)
+	defer cancel()
+	for {
+		now := d.timer.Now()
+		if w.Deadline.Sub(now) < d.cfg.MinRemaining {
+			return nil, s.begun, d.refuse(&s.attempts, result.DeadlineInfeasible, "no time is left")
+		}
+		u, from, refusal := d.next(s, now)
+		if refusal != nil {
+			return nil, s.begun, refusal
+		}
+		s.made++
+		v, done := d.leg(ctx, s, u, from, now)
+		end := d.timer.Now()
+		d.releaseBackup(s, end)
+		switch {
+		case done:
+			d.fleet.Ended(u.ID, fleet.Served, 0, end)
+			d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Int("Attempt", s.made).
+				Uint64("LastPiece", s.last).Dur("TookMs", end.Sub(now)).Msg("stream ended")
+			return s.whole, s.begun, nil
+		case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+			d.fleet.Ended(u.ID, fleet.Abandoned, 0, end)
+			s.ran = true
+			return nil, s.begun, d.refuse(&s.attempts, result.DeadlineInfeasible, "no time is left")
+		case ctx.Err() != nil || v.reason == errCaller.Error():
+			d.fleet.Ended(u.ID, fleet.Abandoned, 0, end)
+			d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Uint64("LastPiece", s.last).Msg("caller left")
+			return nil, s.begun, nil
+		}
+		d.note(&s.attempts, u, v, now, end)
+		if !w.Route.Repeatable() && s.begun {
+			return nil, true, d.refuse(&s.attempts, result.UpstreamFailed, "the stream broke off and may not go on")
+		}
+		if refusal := d.mayRetry(&s.attempts, end, v.ran); refusal != nil {
+			return nil, s.begun, refusal
+		}
+	}
+}
+
+// detector returns the judge of silence for a request.
+func (d *Dispatcher) detector(w *work.Work) *silence.Detector {
+	gap := d.cfg.Gap
+	if w.Route.TargetGap > 0 {
+		gap = time.Duration(d.cfg.GapShare * float64(w.Route.TargetGap))
+	}
+	return silence.New(silence.Settings{FirstFloor: d.cfg.FirstPiece, GapFloor: gap, Ceiling: max(gap, d.cfg.FirstPiece)})
+}
+
+// next chooses where the stream starts or goes on: where a copy is, or anywhere.
+func (d *Dispatcher) next(s *stream, now time.Time) (directory.Upstream, *work.Copy, *result.Error) {
+	if c := s.copy; c != nil {
+		s.copy = nil
+		if u, ok := d.fleet.Claim(c.Holder, now); ok && u.Address == c.Address {
+			return u, c, nil
+		}
+	}
+	u, refusal := d.pick(&s.attempts, now)
+	return u, nil, refusal
+}
+
+// chooseBackup claims room for a copy of the run at u in another failure domain.
+func (d *Dispatcher) chooseBackup(s *stream, u directory.Upstream, now time.Time) *work.Copy {
+	w := s.w
+	if !w.Service.Backups || !w.Route.Repeatable() {
+		return nil
+	}
+	ask := fleet.Ask{Service: w.Service.Name, Apart: u.Domain, Exclude: append([]ident.Upstream{u.ID}, s.exclude...)}
+	b, kind := d.fleet.Pick(ask, now)
+	if kind != routing.Send {
+		return nil
+	}
+	s.backup = b
+	return &work.Copy{Holder: b.ID, Address: b.Address, Run: w.ID}
+}
+
+func (d *Dispatcher) releaseBackup(s *stream, now time.Time) {
+	if s.backup.ID != "" {
+		d.fleet.Release(s.backup.ID, now)
+		s.backup = directory.Upstream{}
+	}
+}
+
+// leg runs the stream at one upstream. It returns true if the stream, or the
+// whole answer that came in its place, is complete.
+func (d *Dispatcher) leg(ctx context.Context, s *stream, u directory.Upstream, from *work.Copy, now time.Time) (verdict, bool) {
+	w := s.w
+	leg := work.Leg{Upstream: u, Remaining: w.Deadline.Sub(now), After: s.last, Resumes: s.resumes, From: from}
+	kept := d.chooseBackup(s, u, now)
+	if kept != nil {
+		leg.CopyTo = kept.Address
+	}
+	d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Str("Domain", string(u.Domain)).Int("Attempt", s.made).
+		Uint64("After", s.last).Bool("FromCopy", from != nil).Str("CopyTo", leg.CopyTo).Msg("stream sent")
+	r := d.request(w, &leg)
+	r.AnswerBy = now.Add(s.gaps.FirstLimit())
+	ans, err := d.client.Do(ctx, u.Address, r)
+	if err == nil {
+		defer ans.Close()
+	}
+	if v, failed := d.judge(ans, err); failed {
+		if v.ran {
+			s.copy = kept
+		}
+		return v, false
+	}
+	if ans.Status != http.StatusOK {
+		return d.readWhole(s, ans)
+	}
+	s.copy = kept
+	return d.relay(s, ans, now)
+}
+
+// readWhole takes an answer that is no stream.
+func (d *Dispatcher) readWhole(s *stream, ans *exchange.Answer) (verdict, bool) {
+	body, err := ans.Whole()
+	if err != nil {
+		return verdict{kind: fleet.Failed, ran: true, reason: err.Error()}, false
+	}
+	if s.begun {
+		reason := "the continuation was answered with status " + http.StatusText(ans.Status)
+		return verdict{kind: fleet.Failed, ran: true, reason: reason}, false
+	}
+	s.whole = &Reply{Status: ans.Status, Header: ans.Header, Body: body}
+	return verdict{}, true
+}
+
+// relay passes pieces on as they come.
+func (d *Dispatcher) relay(s *stream, ans *exchange.Answer, began time.Time) (verdict, bool) {
+	r := pieces.New(ans)
+	limit := s.gaps.FirstLimit()
+	before := began
+	for first := true; ; first = false {
+		ans.ReadBy(before.Add(limit))
+		p, err := r.Next()
+		now := d.timer.Now()
+		if err == io.EOF {
+			return d.endOf(s)
+		}
+		if err != nil {
+			reason := err.Error()
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				reason = "silent for " + now.Sub(before).String()
+			}
+			return verdict{kind: fleet.Failed, ran: true, reason: reason}, false
+		}
+		if !first {
+			s.gaps.Gap(now.Sub(before))
+		}
+		before = now
+		limit = s.gaps.GapLimit()
+		if v, ok := d.deliver(s, ans, p); !ok {
+			return v, false
+		}
+	}
+}
+
+// deliver passes one piece on, unless the caller has it.
+func (d *Dispatcher) deliver(s *stream, ans *exchange.Answer, p pieces.Piece) (verdict, bool) {
+	if p.Has {
+		if p.Number <= s.last && s.resumes {
+			return verdict{}, true
+		}
+		if s.resumes && p.Number != s.last+1 {
+			return verdict{kind: fleet.Failed, ran: true, reason: "a piece is missing"}, false
+		}
+	}
+	if !s.begun {
+		s.begun = true
+		if err := s.sink.Begin(ans.Status, ans.Header); err != nil {
+			return verdict{reason: errCaller.Error()}, false
+		}
+	}
+	if err := s.sink.Piece(p.Raw); err != nil {
+		return verdict{reason: errCaller.Error()}, false
+	}
+	if p.Has {
+		s.last = p.Number
+		s.resumes = true
+	}
+	return verdict{}, true
+}
+
+// endOf ends a stream whose last piece has come.
+func (d *Dispatcher) endOf(s *stream) (verdict, bool) {
+	if !s.begun {
+		return verdict{kind: fleet.Failed, ran: true, reason: "the stream ended without a piece"}, false
+	}
+	if err := s.sink.End(); err != nil {
+		return verdict{reason: errCaller.Error()}, false
+	}
+	return verdict{}, true
+}
--- /dev/null
+++ b/dispatch/types.go
@@ -0,0 +1,59 @@
+package dispatch
+
+import (
+	"net/http"
+	"time"
+)
+
+// Reply is a whole answer of an upstream.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Sink takes a stream for the caller.
+type Sink struct {
+	Begin func(status int, h http.Header) error // before the first piece
+	Piece func(raw []byte) error
+	End   func() error // the stream is whole
+}
+
+// Settings of a Dispatcher. The zero value takes the defaults.
+type Settings struct {
+	Sends        int           // sendings of one request, those included that cannot have arrived; 0 means 8
+	FirstPiece   time.Duration // wait for the first piece after which an engine counts as lost; 0 means 3s
+	GapShare     float64       // part of the route's longest pause after which a silent engine counts as lost; 0 means 0.55
+	Gap          time.Duration // that wait if the route names no pause; 0 means 1s
+	SafeShare    float64       // part of the remaining time that one of several attempts may take; 0 means 0.5
+	MinRemaining time.Duration // least time with which a request is sent; 0 means 5ms
+	RetryAfter   time.Duration // mean time after which the refused may come back; 0 means 300ms
+}
+
+// Defaults of Settings.
+const (
+	defaultSends        = 8
+	defaultFirstPiece   = 3 * time.Second // two prompts of the mean size read at once, and an objective of 4.5 s still met
+	defaultGapShare     = 0.55            // the rest is for going on from a copy, which takes up to 300 ms on a busy engine
+	defaultGap          = time.Second
+	defaultSafeShare    = 0.5
+	defaultMinRemaining = 5 * time.Millisecond
+	defaultRetryAfter   = 300 * time.Millisecond
+)
+
+func (cfg Settings) withDefaults() Settings {
+	fallback(&cfg.Sends, defaultSends)
+	fallback(&cfg.FirstPiece, defaultFirstPiece)
+	fallback(&cfg.GapShare, defaultGapShare)
+	fallback(&cfg.Gap, defaultGap)
+	fallback(&cfg.SafeShare, defaultSafeShare)
+	fallback(&cfg.MinRemaining, defaultMinRemaining)
+	fallback(&cfg.RetryAfter, defaultRetryAfter)
+	return cfg
+}
+
+func fallback[T int | float64 | time.Duration](v *T, value T) {
+	if *v <= 0 {
+		*v = value
+	}
+}
--- /dev/null
+++ b/edge/peers.go
@@ -0,0 +1,208 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"crocuslug/directory"
+	"crocuslug/ident"
+	"crocuslug/peerlink"
+	"crocuslug/store"
+)
+
+// Methods of the link between instances.
+const (
+	digestMethod   = "Edge.Digest"
+	snapshotMethod = "Edge.Snapshot"
+)
+
+// Times of what instances tell each other.
+const (
+	peerExpiry = 3 * time.Second        // without a digest, a peer's requests in flight no longer count
+	peerForget = 30 * time.Second       // without a digest, a peer that the store does not list is forgotten
+	behindFor  = 400 * time.Millisecond // a watch that lags less is left to itself
+	callLimit  = time.Second
+)
+
+// peer is another instance.
+type peer struct {
+	heard    time.Time // last digest; zero if none
+	added    time.Time
+	inFlight map[ident.Upstream]int
+	seed     bool
+}
+
+// digest is what an instance tells the others again and again.
+type digest struct {
+	Seen          store.Version // of the store, up to which it knows all changes
+	Configuration uint64        // version in force; 0 if none
+	InFlight      map[ident.Upstream]int
+}
+
+// snapshot is all that an instance behind needs.
+type snapshot struct {
+	Seen          store.Version
+	Configuration json.RawMessage `json:",omitempty"`
+	Upstreams     []directory.Upstream
+	Peers         []ident.Instance
+}
+
+func (e *Edge) buildPeers(secret []byte) {
+	e.link = peerlink.New(peerlink.Settings{
+		Instance: e.self,
+		Domain:   e.cfg.Domain,
+		Listen:   e.cfg.PeerListen,
+		Secret:   secret,
+	}, e.timer, e.log)
+	e.link.Handle(digestMethod, func(_ context.Context, from ident.Instance, params json.RawMessage) (any, error) {
+		return nil, e.takeDigest(from, params)
+	})
+	e.link.Handle(snapshotMethod, func(context.Context, ident.Instance, json.RawMessage) (any, error) {
+		return e.snapshot(), nil
+	})
+	now := e.timer.Now()
+	for _, s := range e.cfg.Seeds {
+		e.addPeer(ident.Instance(s), now)
+	}
+	for _, p := range e.peers {
+		p.seed = true
+	}
+}
+
+// addPeer takes in another instance, which is named by the address of its link.
+func (e *Edge) addPeer(id ident.Instance, now time.Time) {
+	if id == e.self || id == "" {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, ok := e.peers[id]; ok {
+		return
+	}
+	e.peers[id] = &peer{added: now}
+	e.link.SetAddress(id, string(id))
+	e.log.Info().Str("Peer", string(id)).Msg("peer found")
+}
+
+// keepPeers forgets the peers that neither the store lists nor anybody hears.
+func (e *Edge) keepPeers(listed map[ident.Instance]bool) {
+	now := e.timer.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id, p := range e.peers {
+		if listed[id] || p.seed || now.Sub(p.heard) < peerForget || now.Sub(p.added) < peerForget {
+			continue
+		}
+		delete(e.peers, id)
+		e.link.Forget(id)
+		e.log.Info().Str("Peer", string(id)).Time("Heard", p.heard).Msg("peer forgotten")
+	}
+}
+
+// tellPeers sends a digest to all peers.
+func (e *Edge) tellPeers() {
+	d := digest{InFlight: e.fleet.InFlight()}
+	if cur := e.current.Load(); cur != nil {
+		d.Configuration = cur.Version
+	}
+	e.mu.Lock()
+	d.Seen = e.seen
+	ids := make([]ident.Instance, 0, len(e.peers))
+	for id := range e.peers {
+		ids = append(ids, id)
+	}
+	e.mu.Unlock()
+	for _, id := range ids {
+		e.goRun(func() {
+			ctx, cancel := context.WithTimeout(e.ctx, callLimit)
+			defer cancel()
+			if err := e.link.Notify(ctx, id, digestMethod, d); err != nil {
+				e.log.Debug().Str("Peer", string(id)).Err(err).Msg("digest not sent")
+			}
+		})
+	}
+}
+
+// takeDigest takes in what a peer tells.
+func (e *Edge) takeDigest(from ident.Instance, params json.RawMessage) error {
+	var d digest
+	if err := json.Unmarshal(params, &d); err != nil {
+		return err
+	}
+	now := e.timer.Now()
+	e.addPeer(from, now)
+	e.mu.Lock()
+	p := e.peers[from]
+	if p.heard.IsZero() || now.Sub(p.heard) > peerExpiry {
+		e.log.Info().Str("Peer", string(from)).Uint64("Seen", uint64(d.Seen)).Uint64("Configuration", d.Configuration).Msg("peer heard")
+	}
+	p.heard = now
+	p.inFlight = d.InFlight
+	counts := make(map[ident.Upstream]int)
+	for _, q := range e.peers {
+		if now.Sub(q.heard) <= peerExpiry {
+			for u, n := range q.inFlight {
+				counts[u] += n
+			}
+		}
+	}
+	behind := d.Seen > e.seen
+	e.mu.Unlock()
+	cur := e.current.Load()
+	behind = behind || d.Configuration > 0 && (cur == nil || cur.Version < d.Configuration)
+	e.fleet.ReportOthers(counts, now)
+	if behind {
+		e.timer.After(behindFor, func(time.Time) { e.goRun(func() { e.catchUp(from, d) }) })
+	}
+	return nil
+}
+
+// catchUp asks a peer for what it knows if this instance is still behind it.
+func (e *Edge) catchUp(from ident.Instance, d digest) {
+	e.mu.Lock()
+	behind := e.seen < d.Seen
+	e.mu.Unlock()
+	cur := e.current.Load()
+	if !behind && cur != nil && cur.Version >= d.Configuration {
+		return
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, callLimit)
+	defer cancel()
+	var s snapshot
+	if err := e.link.Call(ctx, from, snapshotMethod, struct{}{}, &s); err != nil {
+		e.log.Info().Str("Peer", string(from)).Err(err).Msg("cannot catch up from the peer")
+		return
+	}
+	now := e.timer.Now()
+	if len(s.Configuration) > 0 {
+		e.configure(s.Configuration, "peer "+string(from), now)
+	}
+	for _, id := range s.Peers {
+		e.addPeer(id, now)
+	}
+	e.mu.Lock()
+	newer := s.Seen > e.seen
+	e.mu.Unlock()
+	if !newer {
+		return
+	}
+	e.registry.Replace(s.Upstreams, s.Seen, now)
+	e.advance(s.Seen, false)
+	e.publish(now)
+	e.log.Info().Str("Peer", string(from)).Uint64("Revision", uint64(s.Seen)).Int("Upstreams", len(s.Upstreams)).Msg("caught up from a peer")
+}
+
+func (e *Edge) snapshot() snapshot {
+	s := snapshot{Upstreams: e.registry.All()}
+	if cur := e.current.Load(); cur != nil {
+		s.Configuration = cur.raw
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.Seen = e.seen
+	for id := range e.peers {
+		s.Peers = append(s.Peers, id)
+	}
+	return s
+}
--- /dev/null
+++ b/edge/ports.go
@@ -0,0 +1,27 @@
+package edge
+
+import (
+	"net/http"
+	"time"
+
+	"crocuslug/directory"
+	"crocuslug/keyvalue"
+	"crocuslug/store"
+	"crocuslug/work"
+)
+
+// Ports translate between the platform's forms and the types here.
+type Ports struct {
+	Store            keyvalue.Settings // of the client of the platform's store
+	ConfigurationKey string            // of the store
+	UpstreamsPrefix  string            // of the keys of upstreams in the store
+	ReadinessPath    string
+
+	Configuration func(value []byte) (directory.Document, error)
+	Upstream      work.Ports
+	Entry         func(e store.Entry) (directory.Upstream, error)
+	Describe      func(h http.Header) work.Description
+	Forwarded     func(h http.Header) http.Header // fields of a request that go on
+	Returned      func(h http.Header) http.Header // fields of an answer that go back
+	Refusal       func(retryAfter time.Duration) http.Header
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,331 @@
+// Package fleet chooses upstreams among those that are registered.
+//
+// It joins what three packages know: registry tells which upstreams exist and
+// which are leaving, health which of them fail, and routing how loaded they
+// are. A model engine's room is bound by its memory for tokens before its
+// slots, so the slots that routing counts with follow from the size that
+// requests of the service were seen to have. Copies of runs hold memory too
+// and are counted as requests at the engine that keeps them.
+package fleet
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"crocuslug/affinity"
+	"crocuslug/directory"
+	"crocuslug/health"
+	"crocuslug/ident"
+	"crocuslug/routing"
+)
+
+// Settings of a Fleet. The zero value takes the defaults.
+type Settings struct {
+	Domain  ident.Domain // the own failure domain
+	Routing routing.Settings
+	Health  health.Settings
+}
+
+// Choices of a Fleet's chooser. Counts of requests in flight are exact here and
+// fresh from the other instances, so more draws than two make no herds.
+const defaultChoices = 6
+
+// Kind tells how a request ended at an upstream.
+type Kind int
+
+// Kinds of ends.
+const (
+	Served    Kind = iota // answered, or ended for a reason that is not the upstream's
+	Failed                // broken off, silent or answered with what is no answer
+	Dead                  // no connection could be made
+	Replaced              // another upstream has its address
+	Abandoned             // the caller left; says nothing of the upstream
+)
+
+// Ask is what an upstream is chosen for.
+type Ask struct {
+	Service ident.Service
+	Tokens  int              // that the request will hold at a model engine; 0 if unknown
+	Exclude []ident.Upstream // not chosen
+	Apart   ident.Domain     // if set, none in this failure domain is chosen
+	Full    bool             // one that is full may be chosen
+}
+
+// Fleet is the choice of one instance. Its methods may be called from any
+// goroutine.
+type Fleet struct {
+	mu       sync.Mutex
+	cfg      Settings
+	log      zerolog.Logger
+	random   func() uint64
+	services map[ident.Service]*group
+	all      map[ident.Upstream]directory.Upstream
+}
+
+// group is the upstreams of one service.
+type group struct {
+	chooser *routing.Chooser
+	tracker *health.Tracker
+	memory  int     // tokens that one upstream holds; 0 means no bound
+	tokens  float64 // mean size of a request; 0 until one was seen
+	list    []directory.Upstream
+	trials  map[ident.Upstream]bool // whose next request is a trial
+}
+
+// New returns an empty fleet. The function random returns 64 random bits at
+// each call and is called with the fleet locked.
+func New(cfg Settings, random func() uint64, log zerolog.Logger) *Fleet {
+	if cfg.Routing.Choices <= 0 {
+		cfg.Routing.Choices = defaultChoices
+	}
+	return &Fleet{
+		cfg:      cfg,
+		log:      log,
+		random:   random,
+		services: make(map[ident.Service]*group),
+		all:      make(map[ident.Upstream]directory.Upstream),
+	}
+}
+
+// SetUpstreams replaces the list of upstreams. The function memory returns the
+// tokens that one upstream of a service holds, or 0.
+func (f *Fleet) SetUpstreams(list []directory.Upstream, memory func(ident.Service) int, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	byService := make(map[ident.Service][]directory.Upstream)
+	restarted := make(map[ident.Upstream]bool)
+	all := make(map[ident.Upstream]directory.Upstream, len(list))
+	for _, u := range list {
+		if old, ok := f.all[u.ID]; ok && (old.Born != u.Born || old.Address != u.Address) {
+			restarted[u.ID] = true
+		}
+		all[u.ID] = u
+		byService[u.Service] = append(byService[u.Service], u)
+	}
+	f.all = all
+	for name, g := range f.services {
+		if len(byService[name]) == 0 {
+			g.set(nil, f, restarted, now)
+		}
+	}
+	for name, us := range byService {
+		g := f.group(name)
+		g.memory = memory(name)
+		g.set(us, f, restarted, now)
+	}
+}
+
+// group returns the group of a service. The lock is held.
+func (f *Fleet) group(name ident.Service) *group {
+	g, ok := f.services[name]
+	if !ok {
+		g = &group{
+			chooser: routing.New(f.cfg.Routing, f.cfg.Domain, f.random, affinity.New(affinity.Settings{})),
+			tracker: health.New(f.cfg.Health),
+			trials:  make(map[ident.Upstream]bool),
+		}
+		f.services[name] = g
+	}
+	return g
+}
+
+// set replaces the upstreams of a group. One that has restarted begins anew.
+func (g *group) set(list []directory.Upstream, f *Fleet, restarted map[ident.Upstream]bool, now time.Time) {
+	g.list = list
+	var names, kept []ident.Upstream
+	for _, u := range list {
+		names = append(names, u.ID)
+		if !restarted[u.ID] {
+			kept = append(kept, u.ID)
+		}
+	}
+	if len(kept) < len(names) {
+		f.apply(g, g.tracker.SetUpstreams(kept, now), now)
+		g.offer(f.cfg.Domain, restarted)
+	}
+	g.offer(f.cfg.Domain, nil)
+	f.apply(g, g.tracker.SetUpstreams(names, now), now)
+}
+
+// offer tells the chooser which upstreams there are, but for those left out.
+func (g *group) offer(own ident.Domain, without map[ident.Upstream]bool) {
+	var list []routing.Candidate
+	for _, u := range g.list {
+		if without[u.ID] {
+			continue
+		}
+		list = append(list, routing.Candidate{
+			Upstream: u.ID,
+			Slots:    g.slots(u.Slots),
+			Domain:   u.Domain,
+			Leaving:  u.Draining,
+			Near:     g.memory > 0 || u.Domain == own,
+		})
+	}
+	g.chooser.SetCandidates(list)
+}
+
+// slots returns the requests that an upstream holds at once: its slots, or
+// fewer if they would not fit its memory.
+func (g *group) slots(told int) int {
+	if g.memory <= 0 || g.tokens <= 0 {
+		return told
+	}
+	fit := max(1, int(float64(g.memory)/g.tokens))
+	if told <= 0 {
+		return fit
+	}
+	return min(told, fit)
+}
+
+// apply carries out changes of health. The lock is held.
+func (f *Fleet) apply(g *group, changes []health.Change, now time.Time) {
+	for _, c := range changes {
+		delete(g.trials, c.Upstream)
+		switch c.State {
+		case health.In:
+			g.chooser.SetOut(c.Upstream, false)
+		case health.Out:
+			g.chooser.SetOut(c.Upstream, true)
+		case health.Trial:
+			g.trials[c.Upstream] = true
+			g.chooser.SetOut(c.Upstream, false)
+		}
+		u := f.all[c.Upstream]
+		f.log.Info().Str("Upstream", string(c.Upstream)).Str("Address", u.Address).Str("Domain", string(u.Domain)).
+			Stringer("State", c.State).Time("At", now).Msg("upstream health changed")
+	}
+}
+
+// meanWeight is the weight of one request in the running mean of sizes.
+const meanWeight = 0.02
+
+// Pick chooses the upstream of a request and counts it there until Ended or
+// Release. The kind is Send, Wait if all are full, or NoUpstream.
+func (f *Fleet) Pick(a Ask, now time.Time) (directory.Upstream, routing.Kind) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g, ok := f.services[a.Service]
+	if !ok {
+		return directory.Upstream{}, routing.NoUpstream
+	}
+	g.learn(a.Tokens, f.cfg.Domain)
+	d := g.chooser.Choose(routing.Request{Exclude: a.Exclude, Apart: a.Apart, PromptTokens: a.Tokens, Resumed: a.Full}, now)
+	if d.Kind != routing.Send {
+		return directory.Upstream{}, d.Kind
+	}
+	if g.trials[d.Upstream] {
+		g.chooser.SetOut(d.Upstream, true) // one request is the trial
+	}
+	return f.all[d.Upstream], routing.Send
+}
+
+// learn takes in the size of a request. The chooser's slots follow when they
+// change.
+func (g *group) learn(tokens int, own ident.Domain) {
+	if tokens <= 0 {
+		return
+	}
+	var before int
+	if len(g.list) > 0 {
+		before = g.slots(g.list[0].Slots)
+	}
+	if g.tokens == 0 {
+		g.tokens = float64(tokens)
+	}
+	g.tokens += meanWeight * (float64(tokens) - g.tokens)
+	if len(g.list) > 0 && g.slots(g.list[0].Slots) != before {
+		g.offer(own, nil)
+	}
+}
+
+// Claim counts a request at an upstream that was not picked here, such as the
+// holder of a copy. It returns false if the upstream is unknown or out.
+func (f *Fleet) Claim(id ident.Upstream, now time.Time) (directory.Upstream, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u, ok := f.all[id]
+	if !ok {
+		return directory.Upstream{}, false
+	}
+	d := f.services[u.Service].chooser.Choose(routing.Request{Only: id, Resumed: true}, now)
+	return u, d.Kind == routing.Send
+}
+
+// Release takes back what Pick or Claim counted, without a word on the health.
+func (f *Fleet) Release(id ident.Upstream, now time.Time) {
+	f.Ended(id, Abandoned, 0, now)
+}
+
+// Ended tells how a request ended at an upstream, with the time to its first
+// answer if it was served.
+func (f *Fleet) Ended(id ident.Upstream, k Kind, latency time.Duration, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u, ok := f.all[id]
+	if !ok {
+		return
+	}
+	g := f.services[u.Service]
+	o := health.Outcome{Upstream: id, Latency: latency, Trial: g.trials[id]}
+	switch k {
+	case Abandoned:
+		g.chooser.Done(id, now)
+		if g.trials[id] {
+			g.chooser.SetOut(id, false) // the trial is still to be made
+		}
+		return
+	case Served:
+		g.chooser.Done(id, now)
+	case Failed:
+		o.Kind = health.Failed
+		g.chooser.Failed(id, now)
+	case Dead, Replaced:
+		o.Kind = health.Refused
+		g.chooser.Failed(id, now)
+	}
+	f.apply(g, g.tracker.Observe(o, now), now)
+}
+
+// Tick lets health change with time. It is called several times a second.
+func (f *Fleet) Tick(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, g := range f.services {
+		f.apply(g, g.tracker.Tick(now), now)
+	}
+}
+
+// Upstream returns a registered upstream.
+func (f *Fleet) Upstream(id ident.Upstream) (directory.Upstream, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u, ok := f.all[id]
+	return u, ok
+}
+
+// ReportOthers takes the requests that other instances have at upstreams.
+func (f *Fleet) ReportOthers(counts map[ident.Upstream]int, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, g := range f.services {
+		for _, u := range g.list {
+			g.chooser.ReportOthers(u.ID, float64(counts[u.ID]), now)
+		}
+	}
+}
+
+// InFlight returns the own requests at each upstream that has any.
+func (f *Fleet) InFlight() map[ident.Upstream]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[ident.Upstream]int)
+	for _, g := range f.services {
+		for id, n := range g.chooser.InFlight() {
+			out[id] = n
+		}
+	}
+	return out
+}
--- a/health/tracker.go
+++ b/health/tracker.go
@@ -103,6 +103,17 @@
 	Trial              // takes none but one request, whose Outcome is a trial's
 )
 
+// String returns the state in lower case.
+func (s State) String() string {
+	switch s {
+	case Out:
+		return "out"
+	case Trial:
+		return "trial"
+	}
+	return "in"
+}
+
 // Change tells that an upstream has a new state.
 type Change struct {
 	Upstream ident.Upstream
--- a/keyvalue/call.go
+++ b/keyvalue/call.go
@@ -23,11 +23,9 @@
 
 // call is one request to the service.
 type call struct {
-	kind   kind
-	method string
-	uri    string // path and query, escaped
-	body   []byte
-	limit  time.Duration
+	Message
+	kind  kind
+	limit time.Duration
 }
 
 // reply is an answer of the service.
@@ -163,9 +161,12 @@
 	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(res)
-	req.Header.SetMethod(q.method)
-	req.SetRequestURI("http://" + c.cfg.Address + q.uri)
-	req.SetBody(q.body)
+	req.Header.SetMethod(q.Method)
+	req.SetRequestURI("http://" + c.cfg.Address + q.URI)
+	req.SetBody(q.Body)
+	if len(q.Body) > 0 && c.cfg.ContentType != "" {
+		req.Header.SetContentType(c.cfg.ContentType)
+	}
 	if err := c.http.DoTimeout(req, res, q.limit); err != nil {
 		if isTimeout(err) {
 			c.http.CloseIdleConnections()
--- a/keyvalue/client.go
+++ b/keyvalue/client.go
@@ -32,6 +32,8 @@
 	MaxBackOff      time.Duration // mean wait that repeated failures lead to; 0 means 8 s
 	MaxBytes        int           // limit of the size of an answer; 0 means 64 MiB
 	Seed            uint64        // of the jitter; daemons need different ones
+	ContentType     string        // of bodies; the HTTP library's default if empty
+	Dialect         Dialect       // Native if its fields are nil
 }
 
 // Defaults of Settings, and the failures in a row that stop calls.
@@ -82,13 +84,14 @@
 
 // Client calls the service. Its methods may be called from any goroutine.
 type Client struct {
-	cfg    Settings
-	timer  *timer.Service
-	http   *fasthttp.HostClient
-	conns  *connections
-	reads  *rate.Limiter
-	writes *rate.Limiter
-	joiner joiner
+	cfg     Settings
+	timer   *timer.Service
+	http    *fasthttp.HostClient
+	dialect Dialect
+	conns   *connections
+	reads   *rate.Limiter
+	writes  *rate.Limiter
+	joiner  joiner
 
 	mu      sync.Mutex
 	breaker *breaker
@@ -98,11 +101,16 @@
 // New returns a client that takes the time from t, which has to run.
 func New(cfg Settings, t *timer.Service) *Client {
 	cfg.setDefaults()
+	dialect := cfg.Dialect
+	if dialect.Get == nil {
+		dialect = Native()
+	}
 	conns := newConnections(cfg.Timeout / 2)
 	return &Client{
 		cfg:     cfg,
 		timer:   t,
 		conns:   conns,
+		dialect: dialect,
 		reads:   rate.NewLimiter(rate.Limit(cfg.ReadsPerSecond), cfg.Burst),
 		writes:  rate.NewLimiter(rate.Limit(cfg.WritesPerSecond), cfg.Burst),
 		joiner:  joiner{flights: make(map[string]*flight)},
@@ -122,6 +130,7 @@
 	return store.Store{
 		Get:    c.Get,
 		List:   c.List,
+		Scan:   c.Scan,
 		Put:    c.Put,
 		Delete: c.Delete,
 		Watch:  c.Watch,
--- a/keyvalue/operation.go
+++ b/keyvalue/operation.go
@@ -2,109 +2,122 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/http"
-	"net/url"
-	"strconv"
 	"time"
 
 	"crocuslug/store"
 )
 
-// Messages of the service.
-
-type entriesBody struct {
-	Entries []store.Entry
-	Version store.Version
-}
-
-type versionBody struct {
-	Version store.Version
-}
-
-type leaseBody struct {
-	Lease store.Lease
-}
-
 // Get returns the entry under key, or store.Absent.
 func (c *Client) Get(ctx context.Context, key string) (store.Entry, error) {
-	var e store.Entry
-	err := c.read(ctx, keyURI(key), &e)
-	return e, err
+	body, err := c.read(ctx, c.dialect.Get(key))
+	if err != nil {
+		return store.Entry{}, err
+	}
+	e, err := c.dialect.Entry(body)
+	if err != nil {
+		return store.Entry{}, store.Unavailable.Wrap(err)
+	}
+	return e, nil
 }
 
 // List returns the entries whose keys start with prefix, by key.
 func (c *Client) List(ctx context.Context, prefix string) ([]store.Entry, error) {
-	var b entriesBody
-	err := c.read(ctx, "/v1/keys?prefix="+url.QueryEscape(prefix), &b)
-	return b.Entries, err
+	entries, _, err := c.Scan(ctx, prefix)
+	return entries, err
 }
 
-// read makes a read that others may join, and decodes the reply into v.
-func (c *Client) read(ctx context.Context, uri string, v any) error {
-	r, joined, err := c.joiner.read(ctx, uri, func(sent func()) (reply, error) {
-		q := call{kind: read, method: http.MethodGet, uri: uri, limit: c.cfg.Timeout}
-		return c.do(context.Background(), q, sent)
+// maxPages bounds the pages of one Scan.
+const maxPages = 1000
+
+// Scan returns the entries whose keys start with prefix, by key, and a version
+// from which a watch misses no later write. Pages are read one after another
+// and are no snapshot, so the version is that of the first.
+func (c *Client) Scan(ctx context.Context, prefix string) ([]store.Entry, store.Version, error) {
+	var out []store.Entry
+	var from store.Version
+	after := ""
+	for n := range maxPages {
+		body, err := c.read(ctx, c.dialect.List(prefix, after))
+		if err != nil {
+			return nil, 0, err
+		}
+		page, err := c.dialect.Entries(body)
+		if err != nil {
+			return nil, 0, store.Unavailable.Wrap(err)
+		}
+		if n == 0 {
+			from = page.Version
+		}
+		out = append(out, page.Entries...)
+		if !page.More || len(page.Entries) == 0 {
+			return out, from, nil
+		}
+		after = page.Entries[len(page.Entries)-1].Key
+	}
+	return nil, 0, store.Unavailable.New("prefix %q has more than %d pages", prefix, maxPages)
+}
+
+// read makes a read that others may join and returns the body of the reply.
+func (c *Client) read(ctx context.Context, m Message) ([]byte, error) {
+	r, joined, err := c.joiner.read(ctx, m.URI, func(sent func()) (reply, error) {
+		return c.do(context.Background(), call{Message: m, kind: read, limit: c.cfg.Timeout}, sent)
 	})
 	if joined {
 		c.count(&c.calls.Joined)
 	}
-	if err != nil {
-		return err
-	}
-	if err := json.Unmarshal(r.body, v); err != nil {
-		return store.Unavailable.Wrap(err)
-	}
-	return nil
+	return r.body, err
 }
 
 // Put writes value if the version under key is expect.
 func (c *Client) Put(ctx context.Context, key string, value []byte, expect store.Version, l store.Lease) (store.Version, error) {
-	uri := keyURI(key) + "?expect=" + strconv.FormatUint(uint64(expect), 10)
-	if l != 0 {
-		uri += "&lease=" + strconv.FormatUint(uint64(l), 10)
+	body, err := c.write(ctx, c.dialect.Put(key, value, expect, l))
+	if err != nil {
+		return 0, err
 	}
-	var b versionBody
-	err := c.write(ctx, http.MethodPut, uri, value, &b)
-	return b.Version, err
+	v, err := c.dialect.Version(body)
+	if err != nil {
+		return 0, store.Unknown.Wrap(err)
+	}
+	return v, nil
 }
 
 // Delete removes key if its version is expect.
 func (c *Client) Delete(ctx context.Context, key string, expect store.Version) error {
-	uri := keyURI(key) + "?expect=" + strconv.FormatUint(uint64(expect), 10)
-	return c.write(ctx, http.MethodDelete, uri, nil, nil)
+	_, err := c.write(ctx, c.dialect.Delete(key, expect))
+	return err
 }
 
 // Grant makes a lease that lapses after ttl without renewal.
 func (c *Client) Grant(ctx context.Context, ttl time.Duration) (store.Lease, error) {
-	var b leaseBody
-	err := c.write(ctx, http.MethodPost, "/v1/leases?ttl="+ttl.String(), nil, &b)
-	return b.Lease, err
+	body, err := c.write(ctx, c.dialect.Grant(ttl))
+	if err != nil {
+		return 0, err
+	}
+	l, err := c.dialect.Lease(body)
+	if err != nil {
+		return 0, store.Unknown.Wrap(err)
+	}
+	return l, nil
 }
 
 // Renew starts the ttl of a lease anew, or returns store.Absent if it has
 // lapsed.
 func (c *Client) Renew(ctx context.Context, l store.Lease) error {
-	return c.write(ctx, http.MethodPost, leaseURI(l)+"/renew", nil, nil)
+	_, err := c.write(ctx, c.dialect.Renew(l))
+	return err
 }
 
 // Revoke ends a lease and removes the keys that are tied to it.
 func (c *Client) Revoke(ctx context.Context, l store.Lease) error {
-	return c.write(ctx, http.MethodDelete, leaseURI(l), nil, nil)
+	_, err := c.write(ctx, c.dialect.Revoke(l))
+	return err
 }
 
-// write makes a write once, and decodes the reply into v unless that is nil. A
-// reply that cannot be read tells that the write was taken but not how.
-func (c *Client) write(ctx context.Context, method, uri string, body []byte, v any) error {
-	q := call{kind: write, method: method, uri: uri, body: body, limit: c.cfg.Timeout}
-	r, err := c.do(ctx, q, nil)
-	if err != nil || v == nil {
-		return err
-	}
-	if err := json.Unmarshal(r.body, v); err != nil {
-		return store.Unknown.Wrap(err)
-	}
-	return nil
+// write makes a write once and returns the body of the reply. A reply that
+// cannot be read tells that the write was taken but not how.
+func (c *Client) write(ctx context.Context, m Message) ([]byte, error) {
+	r, err := c.do(ctx, call{Message: m, kind: write, limit: c.cfg.Timeout}, nil)
+	return r.body, err
 }
 
 // watchTries is the number of connections that a watch is tried on.
@@ -117,8 +130,7 @@
 	if err := c.awaitService(ctx); err != nil {
 		return nil, after, err
 	}
-	uri := "/v1/watch?prefix=" + url.QueryEscape(prefix) + "&after=" + strconv.FormatUint(uint64(after), 10)
-	q := call{kind: watch, method: http.MethodGet, uri: uri, limit: c.cfg.WatchTimeout}
+	q := call{Message: c.dialect.Watch(prefix, after), kind: watch, limit: c.cfg.WatchTimeout}
 	var r reply
 	var err error
 	for range watchTries {
@@ -131,11 +143,11 @@
 	if err != nil && !store.Trimmed.Has(err) {
 		return nil, after, err
 	}
-	var b entriesBody
-	if malformed := json.Unmarshal(r.body, &b); malformed != nil {
+	page, malformed := c.dialect.Entries(r.body)
+	if malformed != nil && err == nil {
 		return nil, after, store.Unavailable.Wrap(malformed)
 	}
-	return b.Entries, b.Version, err
+	return page.Entries, page.Version, err
 }
 
 // probeKey is read to find out whether the service is back. It need not exist.
@@ -161,9 +173,3 @@
 	}
 	return err
 }
-
-func keyURI(key string) string { return "/v1/keys/" + url.PathEscape(key) }
-
-func leaseURI(l store.Lease) string {
-	return "/v1/leases/" + strconv.FormatUint(uint64(l), 10)
-}
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -86,34 +86,32 @@
 		}
 	}
 	for _, e := range c.sample(g.near, r) {
-		if e != nil && e != best {
+		if e != best {
 			consider(e, 0)
 		}
 	}
 	return best, saved
 }
 
-// sample returns up to two different usable engines. It gives up after a few
-// tries, and the caller then looks at all.
-func (c *Chooser) sample(list []*engine, r *Request) [2]*engine {
-	const tries = 8
-	var found [2]*engine
+// sample returns up to Choices different usable engines. It gives up after a
+// few tries, and the caller then looks at all.
+func (c *Chooser) sample(list []*engine, r *Request) []*engine {
+	const triesEach = 4
+	c.drawn = c.drawn[:0]
 	if len(list) == 0 {
-		return found
+		return c.drawn
 	}
-	n := 0
-	for range tries {
+	for range triesEach * c.cfg.Choices {
 		e := list[c.random()%uint64(len(list))]
-		if !e.usable(r) || e == found[0] {
+		if !e.usable(r) || slices.Contains(c.drawn, e) {
 			continue
 		}
-		found[n] = e
-		n++
-		if n == len(found) {
+		c.drawn = append(c.drawn, e)
+		if len(c.drawn) == c.cfg.Choices {
 			break
 		}
 	}
-	return found
+	return c.drawn
 }
 
 // roomiest returns the usable engine with the most free slots, starting at a
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -34,8 +34,9 @@
 	order   []*engine
 	groups  map[Model]*group
 	rooms   map[ident.Domain]*Room
-	prior   float64 // mean load of an engine that other instances sent
-	gap     float64 // mean seconds between tokens of a stream
+	drawn   []*engine // by sample, reused
+	prior   float64   // mean load of an engine that other instances sent
+	gap     float64   // mean seconds between tokens of a stream
 }
 
 // group holds the engines that have one model at hand.
@@ -116,6 +117,33 @@
 	c.prior += weight * (e.take(r) - c.prior)
 }
 
+// ReportOthers takes the number of requests that the other instances have at u,
+// as they told each other.
+func (c *Chooser) ReportOthers(u ident.Upstream, n float64, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, ok := c.engines[u]
+	if !ok || e.reported && at.Before(e.report.At) {
+		return
+	}
+	e.report = Report{Upstream: u, At: at}
+	e.reported = true
+	e.others = n
+}
+
+// InFlight returns the own requests at each upstream that has any.
+func (c *Chooser) InFlight() map[ident.Upstream]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[ident.Upstream]int)
+	for _, e := range c.order {
+		if e.own > 0 {
+			out[e.Upstream] = e.own
+		}
+	}
+	return out
+}
+
 // ReportRoom takes the free capacity of another failure domain.
 func (c *Chooser) ReportRoom(r Room) {
 	c.mu.Lock()
--- a/routing/engine.go
+++ b/routing/engine.go
@@ -102,6 +102,9 @@
 	if e.out || e.Leaving || r.Only != "" && r.Only != e.Upstream {
 		return false
 	}
+	if r.Apart != "" && r.Apart == e.Domain {
+		return false
+	}
 	return !contains(r.Exclude, e.Upstream)
 }
 
--- a/routing/types.go
+++ b/routing/types.go
@@ -22,6 +22,7 @@
 	PenaltyHalfLife unit.Duration // time in which that cost halves; 0 means 2s
 	AnswerTokens    float64       // tokens of an answer of the mean length; 0 means 400
 	PaceHalfLife    unit.Duration // time in which an observed slowness halves; 0 means 10s
+	Choices         int           // upstreams drawn at random for a choice; 0 means 2
 }
 
 // Defaults of Settings.
@@ -38,6 +39,7 @@
 	defaultPenaltyHalfLife = 2 * time.Second
 	defaultAnswerTokens    = 400
 	defaultPaceHalfLife    = 10 * time.Second
+	defaultChoices         = 2
 )
 
 func (cfg Settings) withDefaults() Settings {
@@ -53,6 +55,9 @@
 	if cfg.AnswerTokens <= 0 {
 		cfg.AnswerTokens = defaultAnswerTokens
 	}
+	if cfg.Choices <= 0 {
+		cfg.Choices = defaultChoices
+	}
 	if cfg.MaxHops <= 0 {
 		cfg.MaxHops = defaultMaxHops
 	}
@@ -83,10 +88,11 @@
 // Candidate is an upstream of the own failure domain.
 type Candidate struct {
 	Upstream ident.Upstream
-	Slots    int     // generations that it decodes at once; 0 means the default
-	Models   []Model // models at hand
-	Leaving  bool    // takes no new work
-	Near     bool    // belongs to the instance's subset and is polled
+	Slots    int          // generations that it decodes at once; 0 means the default
+	Models   []Model      // models at hand
+	Leaving  bool         // takes no new work
+	Domain   ident.Domain // failure domain; needed only for Request.Apart
+	Near     bool         // belongs to the instance's subset and is polled
 }
 
 // Report is the load that an upstream reported.
@@ -113,6 +119,7 @@
 	PromptTokens int              // tokens to read, for a resume with those produced
 	Exclude      []ident.Upstream // never chosen, such as engines just lost
 	Only         ident.Upstream   // if set, no other is chosen
+	Apart        ident.Domain     // if set, none in this failure domain is chosen
 	Resumed      bool             // continues an answer that was lost
 	Visited      []ident.Domain   // failure domains that it was spilled from, in order
 }
--- a/standinkeyvalue/server.go
+++ b/standinkeyvalue/server.go
@@ -132,8 +132,8 @@
 }
 
 func (s *Server) list(life context.Context, ctx *fasthttp.RequestCtx) {
-	entries, err := s.store.List(life, string(ctx.QueryArgs().Peek("prefix")))
-	answer(ctx, entriesBody{Entries: entries}, err)
+	entries, v, err := s.store.Scan(life, string(ctx.QueryArgs().Peek("prefix")))
+	answer(ctx, entriesBody{entries, v}, err)
 }
 
 func (s *Server) watch(life context.Context, ctx *fasthttp.RequestCtx) {
--- a/standinkeyvalue/store.go
+++ b/standinkeyvalue/store.go
@@ -61,6 +61,7 @@
 	return store.Store{
 		Get:    s.Get,
 		List:   s.List,
+		Scan:   s.Scan,
 		Put:    s.Put,
 		Delete: s.Delete,
 		Watch:  s.Watch,
@@ -86,8 +87,14 @@
 
 // List returns the entries whose keys start with prefix, by key.
 func (s *Store) List(ctx context.Context, prefix string) ([]store.Entry, error) {
+	entries, _, err := s.Scan(ctx, prefix)
+	return entries, err
+}
+
+// Scan is List with the version at which the entries stood.
+func (s *Store) Scan(ctx context.Context, prefix string) ([]store.Entry, store.Version, error) {
 	if err := s.begin(ctx, false); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -98,7 +105,10 @@
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
-	return out, nil
+	if s.stale != nil {
+		return out, s.stale.version, nil
+	}
+	return out, s.version, nil
 }
 
 // read returns the entries that reads see.
--- a/store/store.go
+++ b/store/store.go
@@ -46,6 +46,8 @@
 	Get func(ctx context.Context, key string) (Entry, error)
 	// List returns the entries whose keys start with prefix, by key.
 	List func(ctx context.Context, prefix string) ([]Entry, error)
+	// Scan is List with a version from which Watch misses no later write.
+	Scan func(ctx context.Context, prefix string) ([]Entry, Version, error)
 	// Put writes value under key if the key's version is expect, and ties the
 	// key to lease unless that is 0. It returns Conflict if the version differs.
 	Put func(ctx context.Context, key string, value []byte, expect Version, lease Lease) (Version, error)
--- /dev/null
+++ b/work/work.go
@@ -0,0 +1,75 @@
+// Package work describes requests to be answered and the sendings that this takes.
+//
+// It holds values only. The adapter to a platform fills them in and writes them
+// out; package dispatch decides by them.
+package work
+
+import (
+	"net/http"
+	"time"
+
+	"crocuslug/directory"
+	"crocuslug/ident"
+)
+
+// Description is what a caller says of its request beside what the protocol has
+// a place for.
+type Description struct {
+	ID          ident.Request
+	Key         string        // of its workspace; "" if there is none
+	Patience    time.Duration // how long it waits; used if HasPatience
+	HasPatience bool
+	After       uint64 // number of the last piece that it holds; used if Resumes
+	Resumes     bool
+	Tokens      int // of prompt and answer together at most; 0 if it is for no model
+}
+
+// Work is one request to be answered.
+type Work struct {
+	ID          ident.Request
+	Route       *directory.Route
+	Service     *directory.Service
+	Workspace   ident.Workspace
+	Deadline    time.Time // when the caller or the route has no more time
+	Fingerprint uint64    // of caller, path and body; the same for the same content
+	Tokens      int       // of prompt and answer together; 0 if it is for no model
+	After       uint64    // number of the last piece that the caller holds
+	Resumes     bool      // After was given
+
+	Method string
+	Target string // path and query, verbatim
+	Host   string
+	Header http.Header // as the caller sent it, without what concerns its connection
+	Body   []byte
+}
+
+// Copy is the memory of a run that an engine other than the run's own keeps.
+type Copy struct {
+	Holder  ident.Upstream
+	Address string // of the holder
+	Run     ident.Request
+}
+
+// Leg is one sending of a request to one upstream.
+type Leg struct {
+	Upstream  directory.Upstream
+	Remaining time.Duration // time that the upstream may take
+	After     uint64        // number of the last piece delivered
+	Resumes   bool          // the answer is to start after that piece
+	From      *Copy         // to go on from, or nil
+	CopyTo    string        // address of the engine that is to keep a copy, or ""
+}
+
+// Ports are how upstreams are spoken to.
+type Ports struct {
+	// Header returns the header of a leg.
+	Header func(w *Work, leg *Leg) http.Header
+	// Belongs reports whether an answer is one to w.
+	Belongs func(w *Work, h http.Header) bool
+	// NotRun reports whether an answer says that the upstream did not run the request.
+	NotRun func(status int, h http.Header) bool
+	// Replaced reports whether an answer says that another upstream has the address.
+	Replaced func(status int, h http.Header) bool
+	// Genuine reports whether an answer bears the signature of an upstream.
+	Genuine func(h http.Header) bool
+}
