Avoid a failure domain that was hit, and probe engines that read a prompt

Cause: streams lost while the prompt was read went to other engines of the domain that had just gone dark, and copies were placed there. Ruled out: using the copy before the first piece (engines refuse with 503: there is none).

--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"strconv"
 	"time"
 
 	"crocuslug/directory"
@@ -16,18 +18,23 @@
 func (d *Dispatcher) Call(ctx context.Context, w *work.Work) (*Reply, *result.Error) {
 	d.budgetOf(w.Service.Name).Request()
 	a := &attempts{w: w}
+	var failure *Reply // of an upstream, passed on if no other does better
 	for {
 		now := d.timer.Now()
 		if w.Deadline.Sub(now) < d.cfg.MinRemaining {
-			return nil, d.refuse(a, result.DeadlineInfeasible, "no time is left")
+			return or(failure, d.refuse(a, result.DeadlineInfeasible, "no time is left"))
 		}
 		u, refusal := d.pick(a, now)
 		if refusal != nil {
-			return nil, refusal
+			return or(failure, refusal)
 		}
 		a.made++
 		reply, v, failed := d.send(ctx, a, u, now)
 		end := d.timer.Now()
+		if !failed && reply.Status >= http.StatusInternalServerError && w.Route.Repeatable() {
+			failure = reply
+			v, failed = verdict{kind: fleet.Served, ran: true, reason: "status " + strconv.Itoa(reply.Status)}, true
+		}
 		switch {
 		case !failed:
 			d.fleet.Ended(u.ID, fleet.Served, end.Sub(now), end)
@@ -41,11 +48,19 @@
 		}
 		d.note(a, u, v, now, end)
 		if refusal := d.mayRetry(a, end, false); refusal != nil {
-			return nil, refusal
+			return or(failure, refusal)
 		}
 	}
 }
 
+// or returns the failure that an upstream answered with, if there is one.
+func or(failure *Reply, refusal *result.Error) (*Reply, *result.Error) {
+	if failure != nil {
+		return failure, nil
+	}
+	return nil, refusal
+}
+
 // send makes one attempt and reads the whole answer.
 func (d *Dispatcher) send(ctx context.Context, a *attempts, u directory.Upstream, now time.Time) (*Reply, verdict, bool) {
 	w := a.w
@@ -60,7 +75,7 @@
 	if err == nil {
 		defer ans.Close()
 	}
-	if v, failed := d.judge(ans, err); failed {
+	if v, failed := d.judge(ctx, ans, err); failed {
 		return nil, v, true
 	}
 	body, err := ans.Whole()
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -67,8 +67,7 @@
 type attempts struct {
 	w       *work.Work
 	made    int              // sendings, those included that cannot have arrived
-	arrived int              // sendings that may have arrived
-	ran     bool             // one of them may have run
+	runs    int              // sendings that may have run
 	exclude []ident.Upstream // not tried again
 	last    string           // how the last one ended
 }
@@ -94,7 +93,7 @@
 		detail += "; before that: " + a.last
 	}
 	e := result.New(code, detail)
-	if a.ran {
+	if a.runs > 0 {
 		return e.Ran(result.RunUnknown)
 	}
 	spread := d.cfg.RetryAfter/2 + time.Duration(d.random()%uint64(d.cfg.RetryAfter))
@@ -110,11 +109,11 @@
 		return d.refuse(a, result.DeadlineInfeasible, "no time is left")
 	case a.made >= d.cfg.Sends:
 		return d.refuse(a, result.UpstreamFailed, "all sendings failed")
-	case w.Route.MaxAttempts > 0 && a.arrived >= w.Route.MaxAttempts:
+	case w.Route.MaxAttempts > 0 && a.runs >= w.Route.MaxAttempts:
 		return d.refuse(a, result.UpstreamFailed, "the route's attempts are used up")
 	}
 	run := result.RunNot
-	if a.ran {
+	if a.runs > 0 {
 		run = result.RunUnknown
 	}
 	verdict, _ := d.budgetOf(w.Service.Name).Decide(retry.Attempt{
@@ -144,8 +143,10 @@
 }
 
 // judge tells how a sending failed. An answer is nil if there was none.
-func (d *Dispatcher) judge(ans *exchange.Answer, err error) (verdict, bool) {
+func (d *Dispatcher) judge(ctx context.Context, ans *exchange.Answer, err error) (verdict, bool) {
 	switch {
+	case err != nil && context.Cause(ctx) == errNoProbe:
+		return verdict{kind: fleet.Dead, ran: true, reason: errNoProbe.Error()}, true
 	case exchange.NotSent.Has(err):
 		return verdict{kind: fleet.Dead, reason: err.Error()}, true
 	case err != nil:
@@ -165,10 +166,9 @@
 	d.fleet.Ended(u.ID, v.kind, 0, now)
 	a.exclude = append(a.exclude, u.ID)
 	a.last = v.reason
-	if v.kind != fleet.Dead {
-		a.arrived++
+	if v.ran {
+		a.runs++
 	}
-	a.ran = a.ran || v.ran
 	d.log.Info().Str("Request", string(a.w.ID)).Str("Upstream", string(u.ID)).Int("Attempt", a.made).
 		Bool("MayHaveRun", v.ran).Str("Reason", v.reason).Dur("AfterMs", now.Sub(began)).Msg("attempt failed")
 }
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -22,14 +22,16 @@
 // stream is one answer of numbered pieces on its way to a caller.
 type stream struct {
 	attempts
-	sink    Sink
-	begun   bool       // the caller has got the head
-	last    uint64     // number of the last piece delivered
-	resumes bool       // the next leg starts after last
-	copy    *work.Copy // the newest copy of the run, or nil
-	backup  directory.Upstream
-	gaps    *silence.Detector
-	whole   *Reply // an answer that is no stream, to be passed on whole
+	sink     Sink
+	begun    bool       // the caller has got the head
+	last     uint64     // number of the last piece delivered
+	resumes  bool       // the next leg starts after last
+	copy     *work.Copy // the newest copy of the run, or nil
+	backup   directory.Upstream
+	gaps     *silence.Detector
+	patience time.Duration // longest wait between pieces
+	lost     time.Time     // when the last leg was lost; zero if the stream is well
+	whole    *Reply        // an answer that is no stream, to be passed on whole
 }
 
 // errCaller marks a failure to write to the caller.
@@ -41,7 +43,8 @@
 // caller has part of an answer, which must not look whole.
 func (d *Dispatcher) Stream(ctx context.Context, w *work.Work, sink Sink) (reply *Reply, begun bool, refusal *result.Error) {
 	d.budgetOf(w.Service.Name).Request()
-	s := &stream{attempts: attempts{w: w}, sink: sink, last: w.After, resumes: w.Resumes, gaps: d.detector(w)}
+	s := &stream{attempts: attempts{w: w}, sink: sink, last: w.After, resumes: w.Resumes}
+	s.gaps, s.patience = d.detector(w)
 	ctx, cancel := d.until(ctx, w.Deadline)
 	defer cancel()
 	for {
@@ -65,14 +68,15 @@
 			return s.whole, s.begun, nil
 		case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 			d.fleet.Ended(u.ID, fleet.Abandoned, 0, end)
-			s.ran = true
+			s.runs++
 			return nil, s.begun, d.refuse(&s.attempts, result.DeadlineInfeasible, "no time is left")
-		case ctx.Err() != nil || v.reason == errCaller.Error():
+		case errors.Is(context.Cause(ctx), context.Canceled) || v.reason == errCaller.Error():
 			d.fleet.Ended(u.ID, fleet.Abandoned, 0, end)
 			d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Uint64("LastPiece", s.last).Msg("caller left")
 			return nil, s.begun, nil
 		}
 		d.note(&s.attempts, u, v, now, end)
+		s.lost = end
 		if !w.Route.Repeatable() && s.begun {
 			return nil, true, d.refuse(&s.attempts, result.UpstreamFailed, "the stream broke off and may not go on")
 		}
@@ -82,13 +86,14 @@
 	}
 }
 
-// detector returns the judge of silence for a request.
-func (d *Dispatcher) detector(w *work.Work) *silence.Detector {
-	gap := d.cfg.Gap
-	if w.Route.TargetGap > 0 {
-		gap = time.Duration(d.cfg.GapShare * float64(w.Route.TargetGap))
-	}
-	return silence.New(silence.Settings{FirstFloor: d.cfg.FirstPiece, GapFloor: gap, Ceiling: max(gap, d.cfg.FirstPiece)})
+// detector returns the judge of silence for a request, and the longest silence
+// between pieces whatever the judge says.
+func (d *Dispatcher) detector(w *work.Work) (*silence.Detector, time.Duration) {
+	least, most := d.cfg.Gap, 2*d.cfg.Gap
+	if target := float64(w.Route.TargetGap); target > 0 {
+		least, most = time.Duration(d.cfg.GapShare*target), time.Duration(d.cfg.MostGapShare*target)
+	}
+	return silence.New(silence.Settings{FirstFloor: d.cfg.FirstPiece, GapFloor: least, Ceiling: d.cfg.FirstPiece}), most
 }
 
 // next chooses where the stream starts or goes on: where a copy is, or anywhere.
@@ -138,15 +143,15 @@
 		Uint64("After", s.last).Bool("FromCopy", from != nil).Str("CopyTo", leg.CopyTo).Msg("stream sent")
 	r := d.request(w, &leg)
 	r.AnswerBy = now.Add(s.gaps.FirstLimit())
+	ctx, answered := d.probing(ctx, u)
+	defer answered()
 	ans, err := d.client.Do(ctx, u.Address, r)
+	answered()
 	if err == nil {
 		defer ans.Close()
 	}
-	if v, failed := d.judge(ans, err); failed {
-		if v.ran {
-			s.copy = kept
-		}
-		return v, false
+	if v, failed := d.judge(ctx, ans, err); failed {
+		return v, false // engines copy nothing before the first piece
 	}
 	if ans.Status != http.StatusOK {
 		return d.readWhole(s, ans)
@@ -192,7 +197,7 @@
 			s.gaps.Gap(now.Sub(before))
 		}
 		before = now
-		limit = s.gaps.GapLimit()
+		limit = min(s.gaps.GapLimit(), s.patience)
 		if v, ok := d.deliver(s, ans, p); !ok {
 			return v, false
 		}
@@ -218,6 +223,11 @@
 	if err := s.sink.Piece(p.Raw); err != nil {
 		return verdict{reason: errCaller.Error()}, false
 	}
+	if !s.lost.IsZero() {
+		d.log.Info().Str("Request", string(s.w.ID)).Int("Attempt", s.made).Uint64("Piece", p.Number).
+			Dur("PauseMs", d.timer.Now().Sub(s.lost)).Msg("stream goes on")
+		s.lost = time.Time{}
+	}
 	if p.Has {
 		s.last = p.Number
 		s.resumes = true
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -24,6 +24,7 @@
 	Sends        int           // sendings of one request, those included that cannot have arrived; 0 means 8
 	FirstPiece   time.Duration // wait for the first piece after which an engine counts as lost; 0 means 3s
 	GapShare     float64       // part of the route's longest pause after which a silent engine counts as lost; 0 means 0.55
+	MostGapShare float64       // the same for an engine that was slow before; 0 means 0.75
 	Gap          time.Duration // that wait if the route names no pause; 0 means 1s
 	SafeShare    float64       // part of the remaining time that one of several attempts may take; 0 means 0.5
 	MinRemaining time.Duration // least time with which a request is sent; 0 means 5ms
@@ -35,6 +36,7 @@
 	defaultSends        = 8
 	defaultFirstPiece   = 3 * time.Second // two prompts of the mean size read at once, and an objective of 4.5 s still met
 	defaultGapShare     = 0.55            // the rest is for going on from a copy, which takes up to 300 ms on a busy engine
+	defaultMostGapShare = 0.75            // going on from a copy mostly takes under 100 ms
 	defaultGap          = time.Second
 	defaultSafeShare    = 0.5
 	defaultMinRemaining = 5 * time.Millisecond
@@ -45,6 +47,7 @@
 	fallback(&cfg.Sends, defaultSends)
 	fallback(&cfg.FirstPiece, defaultFirstPiece)
 	fallback(&cfg.GapShare, defaultGapShare)
+	fallback(&cfg.MostGapShare, defaultMostGapShare)
 	fallback(&cfg.Gap, defaultGap)
 	fallback(&cfg.SafeShare, defaultSafeShare)
 	fallback(&cfg.MinRemaining, defaultMinRemaining)
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -38,6 +38,7 @@
 	Seen          store.Version // of the store, up to which it knows all changes
 	Configuration uint64        // version in force; 0 if none
 	InFlight      map[ident.Upstream]int
+	Lost          []ident.Upstream `json:",omitempty"` // found dead here within the last moments
 }
 
 // snapshot is all that an instance behind needs.
@@ -102,7 +103,7 @@
 
 // tellPeers sends a digest to all peers.
 func (e *Edge) tellPeers() {
-	d := digest{InFlight: e.fleet.InFlight()}
+	d := digest{InFlight: e.fleet.InFlight(), Lost: e.fleet.Own(e.timer.Now())}
 	if cur := e.current.Load(); cur != nil {
 		d.Configuration = cur.Version
 	}
@@ -152,6 +153,9 @@
 	cur := e.current.Load()
 	behind = behind || d.Configuration > 0 && (cur == nil || cur.Version < d.Configuration)
 	e.fleet.ReportOthers(counts, now)
+	for _, id := range d.Lost {
+		e.fleet.ReportLost(id, now)
+	}
 	if behind {
 		e.timer.After(behindFor, func(time.Time) { e.goRun(func() { e.catchUp(from, d) }) })
 	}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -37,10 +37,18 @@
 		}
 		if err != nil {
 			e.sleep(storeBackOff)
+		} else {
+			e.sleep(gatherFor)
 		}
 	}
 }
 
+// gatherFor is the pause between two watches. Changes come in bursts, and each
+// watch returns with the first of them, so without a pause a burst would cost a
+// call for each change. It is short against the time in which changes must have
+// effect, a second and more.
+const gatherFor = 250 * time.Millisecond
+
 // scan reads all that the store holds for this instance.
 func (e *Edge) scan() error {
 	entries, at, err := e.store.Scan(e.ctx, "")
--- a/exchange/types.go
+++ b/exchange/types.go
@@ -32,7 +32,7 @@
 
 // Settings of a Client. The zero value takes the defaults.
 type Settings struct {
-	DialTimeout time.Duration // bound on making a connection; 0 means 400ms
+	DialTimeout time.Duration // bound on making a connection; 0 means 250ms
 	Unanswered  time.Duration // time after which a peer that acknowledges no packet is given up; 0 means 600ms
 	KeepIdle    time.Duration // for which an idle connection is kept if the upstream names no time; 0 means 3s
 	FreshFor    time.Duration // idle time up to which a connection counts as just used; 0 means 500ms
@@ -43,7 +43,7 @@
 
 // Defaults of Settings.
 const (
-	defaultDialTimeout = 400 * time.Millisecond // ten times a handshake with a busy upstream in another failure domain
+	defaultDialTimeout = 250 * time.Millisecond // many times a handshake with a busy upstream in another failure domain
 	defaultUnanswered  = 600 * time.Millisecond // three retransmissions of TCP at its least time-out of 200 ms
 	defaultKeepIdle    = 3 * time.Second        // below the least idle time-out in common use, 5 s
 	defaultFreshFor    = 500 * time.Millisecond
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -62,8 +62,18 @@
 	random   func() uint64
 	services map[ident.Service]*group
 	all      map[ident.Upstream]directory.Upstream
+	losses   map[ident.Upstream]time.Time // upstreams found dead lately, here or elsewhere
+	own      map[ident.Upstream]time.Time // those found here
+	hit      map[ident.Domain]time.Time   // failure domains that lost several at once
 }
 
+// A failure domain is taken to be hit as a whole when several of its upstreams
+// are found dead at once. One may have crashed alone.
+const (
+	hitCount  = 2                       // upstreams
+	hitWindow = 1500 * time.Millisecond // within which they are found; also how long a hit holds
+)
+
 // group is the upstreams of one service.
 type group struct {
 	chooser *routing.Chooser
@@ -86,6 +96,9 @@
 		random:   random,
 		services: make(map[ident.Service]*group),
 		all:      make(map[ident.Upstream]directory.Upstream),
+		losses:   make(map[ident.Upstream]time.Time),
+		own:      make(map[ident.Upstream]time.Time),
+		hit:      make(map[ident.Domain]time.Time),
 	}
 }
 
@@ -287,6 +300,68 @@
 		g.chooser.Failed(id, now)
 	}
 	f.apply(g, g.tracker.Observe(o, now), now)
+	if k == Dead {
+		f.own[id] = now
+		f.lost(u, now)
+	}
+}
+
+// lost takes in that u is dead, and avoids the rest of its failure domain if it
+// is not the only one there. The lock is held.
+func (f *Fleet) lost(u directory.Upstream, now time.Time) {
+	f.losses[u.ID] = now
+	n := 0
+	for id, at := range f.losses {
+		switch {
+		case now.Sub(at) > hitWindow:
+			delete(f.losses, id)
+		case f.all[id].Domain == u.Domain && f.all[id].Service == u.Service:
+			n++
+		}
+	}
+	if n < hitCount || now.Sub(f.hit[u.Domain]) < hitWindow/2 {
+		return
+	}
+	f.hit[u.Domain] = now
+	f.log.Warn().Str("Hit", string(u.Domain)).Int("Dead", n).Msg("failure domain hit; its upstreams are avoided")
+	g := f.services[u.Service]
+	for _, v := range g.list {
+		if v.Domain == u.Domain {
+			g.chooser.Suspect(v.ID, now)
+		}
+	}
+}
+
+// Own returns the upstreams that were found dead here within the last moments.
+func (f *Fleet) Own(now time.Time) []ident.Upstream {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []ident.Upstream
+	for id, at := range f.own {
+		if now.Sub(at) > hitWindow {
+			delete(f.own, id)
+			continue
+		}
+		out = append(out, id)
+	}
+	return out
+}
+
+// ReportLost takes in an upstream that another instance has found dead. It is
+// avoided here, too, but stays in until it fails here: the cause may lie between
+// the other instance and the upstream.
+func (f *Fleet) ReportLost(id ident.Upstream, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u, ok := f.all[id]
+	if !ok {
+		return
+	}
+	if at, ok := f.losses[id]; ok && now.Sub(at) <= hitWindow {
+		return
+	}
+	f.services[u.Service].chooser.Suspect(id, now)
+	f.lost(u, now)
 }
 
 // Tick lets health change with time. It is called several times a second.
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -183,6 +183,19 @@
 	e.failed = now
 }
 
+// Suspect notes that u may have failed like others that share its fate. It is
+// avoided like one that has failed, for as long as others are to be had.
+func (c *Chooser) Suspect(u ident.Upstream, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, ok := c.engines[u]
+	if !ok {
+		return
+	}
+	e.penalty = max(c.penalty(e, now), c.cfg.FailurePenalty.Std().Seconds())
+	e.failed = now
+}
+
 // Tokens notes that a stream from u brought n tokens in the given time. An
 // engine that is slower than the mean is avoided until that is long ago.
 func (c *Chooser) Tokens(u ident.Upstream, n int, elapsed time.Duration, now time.Time) {
--- a/work/work.go
+++ b/work/work.go
@@ -70,6 +70,8 @@
 	NotRun func(status int, h http.Header) bool
 	// Replaced reports whether an answer says that another upstream has the address.
 	Replaced func(status int, h http.Header) bool
+	// ProbePath is where a model engine answers at once while it lives.
+	ProbePath string
 	// Genuine reports whether an answer bears the signature of an upstream.
 	Genuine func(h http.Header) bool
 }
