--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -22,7 +22,7 @@
 // Settings of a Dispatcher. The zero value takes the defaults.
 type Settings struct {
 	Sends        int           // sendings of one request, those included that cannot have arrived; 0 means 8
-	FirstPiece   time.Duration // wait for the first piece after which an engine counts as lost; 0 means 3s
+	FirstPiece   time.Duration // wait for the first piece after which an engine counts as lost; 0 means 6s
 	GapShare     float64       // part of the route's longest pause after which a silent engine counts as lost; 0 means 0.55
 	MostGapShare float64       // the same for an engine that was slow before; 0 means 0.75
 	Gap          time.Duration // that wait if the route names no pause; 0 means 1s
@@ -34,7 +34,7 @@
 // Defaults of Settings.
 const (
 	defaultSends        = 8
-	defaultFirstPiece   = 3 * time.Second // two prompts of the mean size read at once, and an objective of 4.5 s still met
+	defaultFirstPiece   = 6 * time.Second // three prompts of the largest size read at once; probes find a dead engine sooner
 	defaultGapShare     = 0.55            // the rest is for going on from a copy, which takes up to 300 ms on a busy engine
 	defaultMostGapShare = 0.75            // going on from a copy mostly takes under 100 ms
 	defaultGap          = time.Second
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -54,6 +54,7 @@
 	self    ident.Instance
 	current atomic.Pointer[inForce] // nil until the first configuration
 	leaving atomic.Bool
+	left    atomic.Int64 // when Leave began, in Unix nanoseconds of the timer
 
 	mu    sync.Mutex
 	seen  store.Version // of the store, up to which all changes are known here
@@ -192,10 +193,21 @@
 	killMargin = 400 * time.Millisecond  // left of the grace for the end itself
 )
 
+// lateShare is the part of the grace after which a leaving instance starts no
+// more streams. A stream takes most of the rest.
+const lateShare = 0.12
+
+// late reports whether a stream that begins now would be cut by the end of the
+// instance.
+func (e *Edge) late(now time.Time) bool {
+	return e.leaving.Load() && now.UnixNano()-e.left.Load() > int64(lateShare*float64(e.cfg.Grace))
+}
+
 // Leave stops in a planned way: no new connections come after a while, and
 // what is in progress is answered.
 func (e *Edge) Leave() {
 	began := e.timer.Now()
+	e.left.Store(began.UnixNano())
 	e.leaving.Store(true)
 	e.server.Leave()
 	e.log.Info().Int("Connections", e.server.Open()).Msg("leaving")
--- a/edge/requests.go
+++ b/edge/requests.go
@@ -22,6 +22,8 @@
 	// unconfigured is when a caller may come back to an instance that has no
 	// configuration yet.
 	unconfigured = 500 * time.Millisecond
+	// elsewhere is when a caller may come back, to another instance.
+	elsewhere = 20 * time.Millisecond
 )
 
 // limits returns the limits in force.
@@ -50,6 +52,10 @@
 		e.fail(c, &desc, d.Version, refusal)
 		return
 	}
+	if w.Route.Kind == directory.Streaming && e.late(c.Arrived) {
+		e.fail(c, &desc, d.Version, result.New(result.InstanceLeaving, "this instance ends before the stream would").After(elsewhere))
+		return
+	}
 	if w.Route.Kind == directory.Streaming {
 		e.stream(c, d, w, &desc)
 		return
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"crocuslug/health"
 	"crocuslug/ident"
 	"crocuslug/routing"
+	"crocuslug/unit"
 )
 
 // Settings of a Fleet. The zero value takes the defaults.
@@ -32,6 +33,11 @@
 // fresh from the other instances, so more draws than two make no herds.
 const defaultChoices = 6
 
+// defaultFarCost lets an upstream of the own failure domain have about two
+// requests more than one elsewhere. A run there outlives the loss of the way to
+// other domains, and its copy in another one the loss of the own.
+const defaultFarCost = 200 * time.Millisecond
+
 // Kind tells how a request ended at an upstream.
 type Kind int
 
@@ -90,6 +96,9 @@
 	if cfg.Routing.Choices <= 0 {
 		cfg.Routing.Choices = defaultChoices
 	}
+	if cfg.Routing.FarCost <= 0 {
+		cfg.Routing.FarCost = unit.Duration(defaultFarCost)
+	}
 	return &Fleet{
 		cfg:      cfg,
 		log:      log,
@@ -174,7 +183,7 @@
 			Slots:    g.slots(u.Slots),
 			Domain:   u.Domain,
 			Leaving:  u.Draining,
-			Near:     g.memory > 0 || u.Domain == own,
+			Near:     u.Domain == own,
 		})
 	}
 	g.chooser.SetCandidates(list)
--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -170,7 +170,7 @@
 		defer close(done)
 		c.server.ports.Handle(call)
 		c.busy.Store(false)
-		if !call.ended || c.closing {
+		if !call.ended || c.closing || c.server.closed.Load() {
 			_ = c.Conn.Close() // the peek below ends
 			return
 		}
@@ -181,7 +181,7 @@
 		cancel()
 	}
 	<-done
-	return err == nil && call.ended && !c.closing
+	return err == nil && call.ended && !c.closing && !c.server.closed.Load()
 }
 
 // reject answers a request that could not be read, and ends the connection.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -52,6 +52,7 @@
 
 	listener net.Listener
 	left     atomic.Bool
+	closed   atomic.Bool
 	running  sync.WaitGroup
 
 	mu   sync.Mutex
@@ -156,6 +157,7 @@
 // progress.
 func (s *Server) Close() {
 	s.left.Store(true)
+	s.closed.Store(true)
 	_ = s.listener.Close() // may have been closed
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -90,6 +90,12 @@
 			consider(e, 0)
 		}
 	}
+	if c.cfg.FarCost > 0 {
+		lowest -= c.cfg.FarCost.Std().Seconds()
+		for _, e := range c.sample(g.all, r) {
+			consider(e, 0)
+		}
+	}
 	return best, saved
 }
 
--- a/routing/types.go
+++ b/routing/types.go
@@ -22,6 +22,7 @@
 	PenaltyHalfLife unit.Duration // time in which that cost halves; 0 means 2s
 	AnswerTokens    float64       // tokens of an answer of the mean length; 0 means 400
 	PaceHalfLife    unit.Duration // time in which an observed slowness halves; 0 means 10s
+	FarCost         unit.Duration // expected delay by which an upstream that is not near must be better; 0 means that it is taken only when no near one has room
 	Choices         int           // upstreams drawn at random for a choice; 0 means 2
 }
 
