--- a/edge/announce.go
+++ b/edge/announce.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"encoding/json"
 	"time"
 
 	"crocuslug/store"
@@ -52,7 +53,11 @@
 	} else if !store.Absent.Has(err) {
 		return err
 	}
-	if _, err := e.store.Put(e.ctx, key, []byte(e.self), expect, l); err != nil {
+	value, err := json.Marshal(presence{e.self, e.cfg.Domain})
+	if err != nil {
+		return err
+	}
+	if _, err := e.store.Put(e.ctx, key, value, expect, l); err != nil {
 		return err
 	}
 	*lease = l
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -61,6 +61,7 @@
 	fresh bool          // the store itself told it last
 	bad   map[string]store.Version
 	peers map[ident.Instance]*peer
+	turn  int // of digests
 }
 
 // inForce is the configuration in force with the bytes that it was read from.
@@ -259,7 +260,7 @@
 	}
 	now := e.timer.Now()
 	for _, s := range cfg.Seeds {
-		e.addPeer(ident.Instance(s), now)
+		e.addPeer(presence{Instance: ident.Instance(s)}, now)
 	}
 	e.log.Info().Int("Seeds", len(cfg.Seeds)).Msg("settings reloaded")
 }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"crocuslug/directory"
@@ -25,9 +26,19 @@
 	callLimit  = time.Second
 )
 
+// Digests that an instance sends at each interval. What it has under way
+// matters most to instances that choose among the same upstreams, those of its
+// own failure domain; the others hear of versions and losses by the number of
+// instances that tell them. The cost does not grow with the fleet.
+const (
+	nearDigests = 4
+	farDigests  = 4
+)
+
 // peer is another instance.
 type peer struct {
-	heard    time.Time // last digest; zero if none
+	domain   ident.Domain // "" if not known yet
+	heard    time.Time    // last digest; zero if none
 	added    time.Time
 	inFlight map[ident.Upstream]int
 	seed     bool
@@ -35,6 +46,7 @@
 
 // digest is what an instance tells the others again and again.
 type digest struct {
+	Domain        ident.Domain
 	Seen          store.Version // of the store, up to which it knows all changes
 	Configuration uint64        // version in force; 0 if none
 	InFlight      map[ident.Upstream]int
@@ -46,7 +58,13 @@
 	Seen          store.Version
 	Configuration json.RawMessage `json:",omitempty"`
 	Upstreams     []directory.Upstream
-	Peers         []ident.Instance
+	Peers         []presence
+}
+
+// presence says where an instance is. It is what instances write in the store.
+type presence struct {
+	Instance ident.Instance // IP:port of its link
+	Domain   ident.Domain
 }
 
 func (e *Edge) buildPeers(secret []byte) {
@@ -64,7 +82,7 @@
 	})
 	now := e.timer.Now()
 	for _, s := range e.cfg.Seeds {
-		e.addPeer(ident.Instance(s), now)
+		e.addPeer(presence{Instance: ident.Instance(s)}, now)
 	}
 	for _, p := range e.peers {
 		p.seed = true
@@ -72,18 +90,23 @@
 }
 
 // addPeer takes in another instance, which is named by the address of its link.
-func (e *Edge) addPeer(id ident.Instance, now time.Time) {
+func (e *Edge) addPeer(who presence, now time.Time) {
+	id := who.Instance
 	if id == e.self || id == "" {
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if _, ok := e.peers[id]; ok {
-		return
+	p, ok := e.peers[id]
+	if !ok {
+		p = &peer{added: now}
+		e.peers[id] = p
+		e.link.SetAddress(id, string(id))
+		e.log.Info().Str("Peer", string(id)).Str("PeerDomain", string(who.Domain)).Msg("peer found")
+	}
+	if who.Domain != "" {
+		p.domain = who.Domain
 	}
-	e.peers[id] = &peer{added: now}
-	e.link.SetAddress(id, string(id))
-	e.log.Info().Str("Peer", string(id)).Msg("peer found")
 }
 
 // keepPeers forgets the peers that neither the store lists nor anybody hears.
@@ -101,20 +124,26 @@
 	}
 }
 
-// tellPeers sends a digest to all peers.
+// tellPeers sends a digest to the peers whose turn it is.
 func (e *Edge) tellPeers() {
-	d := digest{InFlight: e.fleet.InFlight(), Lost: e.fleet.Own(e.timer.Now())}
+	d := digest{Domain: e.cfg.Domain, InFlight: e.fleet.InFlight(), Lost: e.fleet.Own(e.timer.Now())}
 	if cur := e.current.Load(); cur != nil {
 		d.Configuration = cur.Version
 	}
 	e.mu.Lock()
 	d.Seen = e.seen
-	ids := make([]ident.Instance, 0, len(e.peers))
-	for id := range e.peers {
-		ids = append(ids, id)
+	var near, far []ident.Instance
+	for id, p := range e.peers {
+		if p.domain == e.cfg.Domain {
+			near = append(near, id)
+		} else {
+			far = append(far, id)
+		}
 	}
+	e.turn++
+	turn := e.turn
 	e.mu.Unlock()
-	for _, id := range ids {
+	for _, id := range append(inTurn(near, nearDigests, turn), inTurn(far, farDigests, turn)...) {
 		e.goRun(func() {
 			ctx, cancel := context.WithTimeout(e.ctx, callLimit)
 			defer cancel()
@@ -125,6 +154,19 @@
 	}
 }
 
+// inTurn returns n of ids, others at each turn.
+func inTurn(ids []ident.Instance, n, turn int) []ident.Instance {
+	if len(ids) <= n {
+		return ids
+	}
+	slices.Sort(ids)
+	out := make([]ident.Instance, 0, n)
+	for i := range n {
+		out = append(out, ids[(turn*n+i)%len(ids)])
+	}
+	return out
+}
+
 // takeDigest takes in what a peer tells.
 func (e *Edge) takeDigest(from ident.Instance, params json.RawMessage) error {
 	var d digest
@@ -132,7 +174,7 @@
 		return err
 	}
 	now := e.timer.Now()
-	e.addPeer(from, now)
+	e.addPeer(presence{from, d.Domain}, now)
 	e.mu.Lock()
 	p := e.peers[from]
 	if p.heard.IsZero() || now.Sub(p.heard) > peerExpiry {
@@ -182,8 +224,8 @@
 	if len(s.Configuration) > 0 {
 		e.configure(s.Configuration, "peer "+string(from), now)
 	}
-	for _, id := range s.Peers {
-		e.addPeer(id, now)
+	for _, who := range s.Peers {
+		e.addPeer(who, now)
 	}
 	e.mu.Lock()
 	newer := s.Seen > e.seen
@@ -205,8 +247,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s.Seen = e.seen
-	for id := range e.peers {
-		s.Peers = append(s.Peers, id)
+	for id, p := range e.peers {
+		s.Peers = append(s.Peers, presence{id, p.domain})
 	}
 	return s
 }
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"encoding/json"
 	"strings"
 	"time"
 
@@ -38,16 +39,29 @@
 		if err != nil {
 			e.sleep(storeBackOff)
 		} else {
-			e.sleep(gatherFor)
+			e.sleep(e.gather())
 		}
 	}
 }
 
-// gatherFor is the pause between two watches. Changes come in bursts, and each
-// watch returns with the first of them, so without a pause a burst would cost a
-// call for each change. It is short against the time in which changes must have
-// effect, a second and more.
-const gatherFor = 250 * time.Millisecond
+// Pauses between two watches. Changes come in bursts, and each watch returns
+// with the first of them, so without a pause a burst would cost a call for each
+// change at each instance. All instances pay from one budget of calls, so the
+// pause grows with their number, up to a share of the time in which a change
+// must have effect.
+const (
+	leastGather     = 250 * time.Millisecond
+	gatherEach      = 15 * time.Millisecond // for each instance
+	mostGatherShare = 0.4                   // of the time to react to leaving upstreams
+)
+
+func (e *Edge) gather() time.Duration {
+	e.mu.Lock()
+	n := len(e.peers) + 1
+	e.mu.Unlock()
+	most := max(leastGather, time.Duration(mostGatherShare*float64(e.cfg.Drain)))
+	return min(max(leastGather, time.Duration(n)*gatherEach), most)
+}
 
 // scan reads all that the store holds for this instance.
 func (e *Edge) scan() error {
@@ -67,9 +81,9 @@
 				list = append(list, u)
 			}
 		case strings.HasPrefix(entry.Key, instancesPrefix):
-			id := ident.Instance(entry.Value)
-			instances[id] = true
-			e.addPeer(id, now)
+			if id := e.found(entry, now); id != "" {
+				instances[id] = true
+			}
 		}
 	}
 	e.keepPeers(instances)
@@ -100,7 +114,7 @@
 			changed = true
 		case strings.HasPrefix(entry.Key, instancesPrefix):
 			if !entry.Deleted {
-				e.addPeer(ident.Instance(entry.Value), now)
+				e.found(entry, now)
 			}
 		}
 	}
@@ -111,6 +125,17 @@
 	return nil
 }
 
+// found takes in the entry of an instance and returns its id.
+func (e *Edge) found(entry store.Entry, now time.Time) ident.Instance {
+	var who presence
+	if err := json.Unmarshal(entry.Value, &who); err != nil {
+		e.log.Warn().Str("Key", entry.Key).Err(err).Msg("entry names no instance")
+		return ""
+	}
+	e.addPeer(who, now)
+	return who.Instance
+}
+
 // changed takes the change of one upstream's entry.
 func (e *Edge) changed(entry store.Entry, now time.Time) {
 	if entry.Deleted {
--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -10,7 +10,7 @@
 	"net/http"
 	"os"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"crocuslug/directory"
@@ -25,7 +25,9 @@
 	in      *io.LimitedReader // under br; bounds the head of a request
 	ctx     context.Context   // of the request in progress
 	closing bool              // the connection ends after the answer in progress
-	busy    atomic.Bool       // a request is in progress
+
+	mu   sync.Mutex
+	busy bool // a request is being read or answered
 }
 
 // Sizes of buffers in bytes.
@@ -56,8 +58,35 @@
 // awaitRequest waits for the first byte of a request.
 func (c *connection) awaitRequest() bool {
 	c.in.N = unlimited
-	_, err := c.br.Peek(1)
-	return err == nil
+	if _, err := c.br.Peek(1); err != nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = true
+	return true
+}
+
+// rest begins the wait for the next request, or ends the connection.
+func (c *connection) rest(idle time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = false
+	if c.closing || c.server.closed.Load() {
+		_ = c.Conn.Close() // the reader ends
+		return
+	}
+	c.readBy(c.server.timer.Now(), idle)
+}
+
+// dismiss ends the connection unless a request has begun. Its reader decides
+// which came first, so that no request is read and then dropped.
+func (c *connection) dismiss() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.busy {
+		_ = c.SetReadDeadline(c.server.timer.Now()) // fails only on a closed connection
+	}
 }
 
 // read reads one request whole. Without a request it returns the status of the
@@ -164,17 +193,12 @@
 	defer cancel()
 	c.ctx = ctx
 	c.closing = call.Request.Close
-	c.busy.Store(true)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		c.server.ports.Handle(call)
-		c.busy.Store(false)
-		if !call.ended || c.closing || c.server.closed.Load() {
-			_ = c.Conn.Close() // the peek below ends
-			return
-		}
-		c.readBy(c.server.timer.Now(), limits.IdleTimeout)
+		c.closing = c.closing || !call.ended
+		c.rest(limits.IdleTimeout)
 	}()
 	_, err := c.br.Peek(1)
 	if err != nil {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -162,9 +162,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.open {
-		if !c.busy.Load() {
-			_ = c.Conn.Close() // may have been closed
-		}
+		c.dismiss()
 	}
 }
 
