Keep a copy of a run when the engine that holds it is lost; count prompts to be read as load

Cause: a stream lives as long as the time between two losses of failure domains, so the holder of its copy had mostly crashed when the copy was needed. Ruled out: the copy's age (handle_s is 4 s, refused runs had none).

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -69,13 +69,18 @@
 	made    int              // sendings, those included that cannot have arrived
 	runs    int              // sendings that may have run
 	exclude []ident.Upstream // not tried again
+	apart   ident.Domain     // where the last upstream was lost; avoided if others are to be had
 	last    string           // how the last one ended
 }
 
 // pick chooses the upstream of the next sending.
 func (d *Dispatcher) pick(a *attempts, now time.Time) (directory.Upstream, *result.Error) {
-	ask := fleet.Ask{Service: a.w.Service.Name, Tokens: a.w.Tokens, Exclude: a.exclude}
+	ask := fleet.Ask{Service: a.w.Service.Name, Tokens: a.w.Tokens, Exclude: a.exclude, Apart: a.apart}
 	u, kind := d.fleet.Pick(ask, now)
+	if kind != routing.Send && a.apart != "" {
+		ask.Apart = ""
+		u, kind = d.fleet.Pick(ask, now)
+	}
 	if kind == routing.Wait {
 		ask.Full = true
 		u, kind = d.fleet.Pick(ask, now)
@@ -166,6 +171,9 @@
 	d.fleet.Ended(u.ID, v.kind, 0, now)
 	a.exclude = append(a.exclude, u.ID)
 	a.last = v.reason
+	if v.kind == fleet.Dead || v.kind == fleet.Failed {
+		a.apart = u.Domain
+	}
 	if v.ran {
 		a.runs++
 	}
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -43,20 +43,31 @@
 
 // probe reports whether u answers.
 func (d *Dispatcher) probe(ctx context.Context, u directory.Upstream, now time.Time) bool {
-	until := now.Add(probeLimit)
+	_, _, err := d.ask(ctx, u.Address, http.MethodGet, d.ports.ProbePath, nil, now.Add(probeLimit))
+	return err == nil
+}
+
+// ask makes a call of the system's own at an upstream and returns the status
+// and the body of the answer.
+func (d *Dispatcher) ask(ctx context.Context, address, method, target string, body []byte, until time.Time) (int, []byte, error) {
 	ctx, cancel := d.until(ctx, until)
 	defer cancel()
-	ans, err := d.client.Do(ctx, u.Address, &exchange.Request{
-		Method:   http.MethodGet,
-		Target:   d.ports.ProbePath,
-		Host:     u.Address,
-		Header:   http.Header{},
+	h := http.Header{}
+	if len(body) > 0 {
+		h.Set("Content-Type", "application/json")
+	}
+	ans, err := d.client.Do(ctx, address, &exchange.Request{
+		Method:   method,
+		Target:   target,
+		Host:     address,
+		Header:   h,
+		Body:     body,
 		AnswerBy: until,
 	})
 	if err != nil {
-		return false
+		return 0, nil, err
 	}
 	defer ans.Close()
-	_, err = ans.Whole()
-	return err == nil
+	answer, err := ans.Whole()
+	return ans.Status, answer, err
 }
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -11,10 +11,8 @@
 	"crocuslug/directory"
 	"crocuslug/exchange"
 	"crocuslug/fleet"
-	"crocuslug/ident"
 	"crocuslug/pieces"
 	"crocuslug/result"
-	"crocuslug/routing"
 	"crocuslug/silence"
 	"crocuslug/work"
 )
@@ -23,11 +21,10 @@
 type stream struct {
 	attempts
 	sink     Sink
-	begun    bool       // the caller has got the head
-	last     uint64     // number of the last piece delivered
-	resumes  bool       // the next leg starts after last
-	copy     *work.Copy // the newest copy of the run, or nil
-	backup   directory.Upstream
+	begun    bool   // the caller has got the head
+	last     uint64 // number of the last piece delivered
+	resumes  bool   // the next leg starts after last
+	keeper   *keeper
 	gaps     *silence.Detector
 	patience time.Duration // longest wait between pieces
 	lost     time.Time     // when the last leg was lost; zero if the stream is well
@@ -43,23 +40,24 @@
 // caller has part of an answer, which must not look whole.
 func (d *Dispatcher) Stream(ctx context.Context, w *work.Work, sink Sink) (reply *Reply, begun bool, refusal *result.Error) {
 	d.budgetOf(w.Service.Name).Request()
-	s := &stream{attempts: attempts{w: w}, sink: sink, last: w.After, resumes: w.Resumes}
+	s := &stream{attempts: attempts{w: w}, sink: sink, last: w.After, resumes: w.Resumes, keeper: newKeeper(d, w)}
 	s.gaps, s.patience = d.detector(w)
 	ctx, cancel := d.until(ctx, w.Deadline)
 	defer cancel()
+	var kept *work.Copy // of the run that was lost
 	for {
 		now := d.timer.Now()
 		if w.Deadline.Sub(now) < d.cfg.MinRemaining {
 			return nil, s.begun, d.refuse(&s.attempts, result.DeadlineInfeasible, "no time is left")
 		}
-		u, from, refusal := d.next(s, now)
+		u, from, refusal := d.next(s, kept, now)
 		if refusal != nil {
 			return nil, s.begun, refusal
 		}
 		s.made++
 		v, done := d.leg(ctx, s, u, from, now)
 		end := d.timer.Now()
-		d.releaseBackup(s, end)
+		kept = s.keeper.end(end, done)
 		switch {
 		case done:
 			d.fleet.Ended(u.ID, fleet.Served, 0, end)
@@ -97,67 +95,46 @@
 }
 
 // next chooses where the stream starts or goes on: where a copy is, or anywhere.
-func (d *Dispatcher) next(s *stream, now time.Time) (directory.Upstream, *work.Copy, *result.Error) {
-	if c := s.copy; c != nil {
-		s.copy = nil
-		if u, ok := d.fleet.Claim(c.Holder, now); ok && u.Address == c.Address {
-			return u, c, nil
+func (d *Dispatcher) next(s *stream, kept *work.Copy, now time.Time) (directory.Upstream, *work.Copy, *result.Error) {
+	if kept != nil && !d.fleet.Gone(kept.Holder, now) {
+		if u, ok := d.fleet.Claim(kept.Holder, now); ok && u.Address == kept.Address {
+			return u, kept, nil
 		}
 	}
 	u, refusal := d.pick(&s.attempts, now)
 	return u, nil, refusal
 }
 
-// chooseBackup claims room for a copy of the run at u in another failure domain.
-func (d *Dispatcher) chooseBackup(s *stream, u directory.Upstream, now time.Time) *work.Copy {
-	w := s.w
-	if !w.Service.Backups || !w.Route.Repeatable() {
-		return nil
-	}
-	ask := fleet.Ask{Service: w.Service.Name, Apart: u.Domain, Exclude: append([]ident.Upstream{u.ID}, s.exclude...)}
-	b, kind := d.fleet.Pick(ask, now)
-	if kind != routing.Send {
-		return nil
-	}
-	s.backup = b
-	return &work.Copy{Holder: b.ID, Address: b.Address, Run: w.ID}
-}
-
-func (d *Dispatcher) releaseBackup(s *stream, now time.Time) {
-	if s.backup.ID != "" {
-		d.fleet.Release(s.backup.ID, now)
-		s.backup = directory.Upstream{}
-	}
-}
-
 // leg runs the stream at one upstream. It returns true if the stream, or the
 // whole answer that came in its place, is complete.
 func (d *Dispatcher) leg(ctx context.Context, s *stream, u directory.Upstream, from *work.Copy, now time.Time) (verdict, bool) {
 	w := s.w
 	leg := work.Leg{Upstream: u, Remaining: w.Deadline.Sub(now), After: s.last, Resumes: s.resumes, From: from}
-	kept := d.chooseBackup(s, u, now)
-	if kept != nil {
-		leg.CopyTo = kept.Address
-	}
+	leg.CopyTo = s.keeper.begin(u, s.exclude, now)
 	d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Str("Domain", string(u.Domain)).Int("Attempt", s.made).
 		Uint64("After", s.last).Bool("FromCopy", from != nil).Str("CopyTo", leg.CopyTo).Msg("stream sent")
 	r := d.request(w, &leg)
 	r.AnswerBy = now.Add(s.gaps.FirstLimit())
 	ctx, answered := d.probing(ctx, u)
 	defer answered()
+	if from == nil {
+		d.fleet.Reading(u.ID, w.Prompt)
+	}
 	ans, err := d.client.Do(ctx, u.Address, r)
+	if from == nil {
+		d.fleet.Reading(u.ID, -w.Prompt)
+	}
 	answered()
 	if err == nil {
 		defer ans.Close()
 	}
 	if v, failed := d.judge(ctx, ans, err); failed {
-		return v, false // engines copy nothing before the first piece
+		return v, false
 	}
 	if ans.Status != http.StatusOK {
 		return d.readWhole(s, ans)
 	}
-	s.copy = kept
-	return d.relay(s, ans, now)
+	return d.relay(ctx, s, ans, now)
 }
 
 // readWhole takes an answer that is no stream.
@@ -175,7 +152,7 @@
 }
 
 // relay passes pieces on as they come.
-func (d *Dispatcher) relay(s *stream, ans *exchange.Answer, began time.Time) (verdict, bool) {
+func (d *Dispatcher) relay(ctx context.Context, s *stream, ans *exchange.Answer, began time.Time) (verdict, bool) {
 	r := pieces.New(ans)
 	limit := s.gaps.FirstLimit()
 	before := began
@@ -201,6 +178,7 @@
 		if v, ok := d.deliver(s, ans, p); !ok {
 			return v, false
 		}
+		s.keeper.keep(ctx, now)
 	}
 }
 
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -9,6 +9,7 @@
 	"crocuslug/directory"
 	"crocuslug/ident"
 	"crocuslug/peerlink"
+	"crocuslug/routing"
 	"crocuslug/store"
 )
 
@@ -40,7 +41,7 @@
 	domain   ident.Domain // "" if not known yet
 	heard    time.Time    // last digest; zero if none
 	added    time.Time
-	inFlight map[ident.Upstream]int
+	inFlight map[ident.Upstream]routing.Load
 	seed     bool
 }
 
@@ -49,7 +50,7 @@
 	Domain        ident.Domain
 	Seen          store.Version // of the store, up to which it knows all changes
 	Configuration uint64        // version in force; 0 if none
-	InFlight      map[ident.Upstream]int
+	InFlight      map[ident.Upstream]routing.Load
 	Lost          []ident.Upstream `json:",omitempty"` // found dead here within the last moments
 }
 
@@ -182,11 +183,12 @@
 	}
 	p.heard = now
 	p.inFlight = d.InFlight
-	counts := make(map[ident.Upstream]int)
+	counts := make(map[ident.Upstream]routing.Load)
 	for _, q := range e.peers {
 		if now.Sub(q.heard) <= peerExpiry {
 			for u, n := range q.inFlight {
-				counts[u] += n
+				sum := counts[u]
+				counts[u] = routing.Load{Requests: sum.Requests + n.Requests, Reading: sum.Reading + n.Reading}
 			}
 		}
 	}
--- a/edge/requests.go
+++ b/edge/requests.go
@@ -106,6 +106,7 @@
 		Workspace:   workspace,
 		Deadline:    c.Arrived.Add(patience),
 		Fingerprint: fingerprint(workspace, c),
+		Prompt:      desc.Prompt,
 		Tokens:      desc.Tokens,
 		After:       desc.After,
 		Resumes:     desc.Resumes,
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -30,8 +30,12 @@
 }
 
 // Choices of a Fleet's chooser. Counts of requests in flight are exact here and
-// fresh from the other instances, so more draws than two make no herds.
-const defaultChoices = 6
+// fresh from the other instances, so one draw more than two makes no herds.
+const defaultChoices = 3
+
+// defaultPrefillRate is the prompt tokens that an engine reads in a second, as
+// the platform's sheets state it.
+const defaultPrefillRate = 5000
 
 // defaultFarCost lets an upstream of the own failure domain have about two
 // requests more than one elsewhere. A run there outlives the loss of the way to
@@ -71,6 +75,8 @@
 	losses   map[ident.Upstream]time.Time // upstreams found dead lately, here or elsewhere
 	own      map[ident.Upstream]time.Time // those found here
 	hit      map[ident.Domain]time.Time   // failure domains that lost several at once
+
+	addresses map[string]ident.Upstream // the newest upstream at each address
 }
 
 // A failure domain is taken to be hit as a whole when several of its upstreams
@@ -96,6 +102,9 @@
 	if cfg.Routing.Choices <= 0 {
 		cfg.Routing.Choices = defaultChoices
 	}
+	if cfg.Routing.PrefillRate <= 0 {
+		cfg.Routing.PrefillRate = defaultPrefillRate
+	}
 	if cfg.Routing.FarCost <= 0 {
 		cfg.Routing.FarCost = unit.Duration(defaultFarCost)
 	}
@@ -119,14 +128,19 @@
 	byService := make(map[ident.Service][]directory.Upstream)
 	restarted := make(map[ident.Upstream]bool)
 	all := make(map[ident.Upstream]directory.Upstream, len(list))
+	addresses := make(map[string]ident.Upstream, len(list))
 	for _, u := range list {
 		if old, ok := f.all[u.ID]; ok && (old.Born != u.Born || old.Address != u.Address) {
 			restarted[u.ID] = true
 		}
 		all[u.ID] = u
+		if v, ok := all[addresses[u.Address]]; !ok || v.Revision < u.Revision {
+			addresses[u.Address] = u.ID
+		}
 		byService[u.Service] = append(byService[u.Service], u)
 	}
 	f.all = all
+	f.addresses = addresses
 	for name, g := range f.services {
 		if len(byService[name]) == 0 {
 			g.set(nil, f, restarted, now)
@@ -263,6 +277,31 @@
 	}
 }
 
+// Reading adds to the prompt tokens that an upstream has yet to read for own
+// requests; tokens is negative once they are read.
+func (f *Fleet) Reading(id ident.Upstream, tokens int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if u, ok := f.all[id]; ok {
+		f.services[u.Service].chooser.Reading(id, tokens)
+	}
+}
+
+// Gone reports whether an upstream is known to have lost its memory: it is not
+// registered any more, another has its address, or it was found dead.
+func (f *Fleet) Gone(id ident.Upstream, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u, ok := f.all[id]
+	if !ok {
+		return true
+	}
+	if at, ok := f.losses[id]; ok && now.Sub(at) <= hitWindow {
+		return true
+	}
+	return f.addresses[u.Address] != id
+}
+
 // Claim counts a request at an upstream that was not picked here, such as the
 // holder of a copy. It returns false if the upstream is unknown or out.
 func (f *Fleet) Claim(id ident.Upstream, now time.Time) (directory.Upstream, bool) {
@@ -391,21 +430,22 @@
 }
 
 // ReportOthers takes the requests that other instances have at upstreams.
-func (f *Fleet) ReportOthers(counts map[ident.Upstream]int, now time.Time) {
+func (f *Fleet) ReportOthers(counts map[ident.Upstream]routing.Load, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, g := range f.services {
 		for _, u := range g.list {
-			g.chooser.ReportOthers(u.ID, float64(counts[u.ID]), now)
+			n := counts[u.ID]
+			g.chooser.ReportOthers(u.ID, float64(n.Requests), float64(n.Reading), now)
 		}
 	}
 }
 
 // InFlight returns the own requests at each upstream that has any.
-func (f *Fleet) InFlight() map[ident.Upstream]int {
+func (f *Fleet) InFlight() map[ident.Upstream]routing.Load {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := make(map[ident.Upstream]int)
+	out := make(map[ident.Upstream]routing.Load)
 	for _, g := range f.services {
 		for id, n := range g.chooser.InFlight() {
 			out[id] = n
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -231,6 +231,7 @@
 		past = 0
 	}
 	seconds := load/slots*c.cfg.Congestion.Std().Seconds() + past
+	seconds += (float64(e.reading) + e.queued) / c.cfg.PrefillRate
 	if load >= slots {
 		seconds += (load - slots + 1) / slots * c.cfg.ServiceTime.Std().Seconds()
 	}
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -117,9 +117,19 @@
 	c.prior += weight * (e.take(r) - c.prior)
 }
 
-// ReportOthers takes the number of requests that the other instances have at u,
-// as they told each other.
-func (c *Chooser) ReportOthers(u ident.Upstream, n float64, at time.Time) {
+// Reading adds to the prompt tokens that u has yet to read for own requests;
+// tokens is negative once they are read.
+func (c *Chooser) Reading(u ident.Upstream, tokens int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if e, ok := c.engines[u]; ok {
+		e.reading = max(0, e.reading+tokens)
+	}
+}
+
+// ReportOthers takes the number of requests that the other instances have at u
+// and the prompt tokens to be read for them, as they told each other.
+func (c *Chooser) ReportOthers(u ident.Upstream, n, reading float64, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e, ok := c.engines[u]
@@ -129,16 +139,23 @@
 	e.report = Report{Upstream: u, At: at}
 	e.reported = true
 	e.others = n
+	e.queued = reading
+}
+
+// Load is the own requests at an upstream.
+type Load struct {
+	Requests int
+	Reading  int `json:",omitempty"` // prompt tokens to be read for them
 }
 
 // InFlight returns the own requests at each upstream that has any.
-func (c *Chooser) InFlight() map[ident.Upstream]int {
+func (c *Chooser) InFlight() map[ident.Upstream]Load {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := make(map[ident.Upstream]int)
+	out := make(map[ident.Upstream]Load)
 	for _, e := range c.order {
 		if e.own > 0 {
-			out[e.Upstream] = e.own
+			out[e.Upstream] = Load{e.own, e.reading}
 		}
 	}
 	return out
--- a/routing/engine.go
+++ b/routing/engine.go
@@ -20,6 +20,8 @@
 	report   Report
 	reported bool
 	others   float64 // reported load less the own requests at that time
+	reading  int     // prompt tokens that own requests have yet to be read for
+	queued   float64 // the same of other instances' requests, as they told at the time of the report
 	penalty  float64 // seconds at time failed
 	failed   time.Time
 	gap      float64 // seconds between tokens, as last observed
--- a/work/work.go
+++ b/work/work.go
@@ -21,7 +21,8 @@
 	HasPatience bool
 	After       uint64 // number of the last piece that it holds; used if Resumes
 	Resumes     bool
-	Tokens      int // of prompt and answer together at most; 0 if it is for no model
+	Prompt      int // tokens of the prompt; 0 if it is for no model
+	Tokens      int // of prompt and answer together at most
 }
 
 // Work is one request to be answered.
@@ -32,7 +33,8 @@
 	Workspace   ident.Workspace
 	Deadline    time.Time // when the caller or the route has no more time
 	Fingerprint uint64    // of caller, path and body; the same for the same content
-	Tokens      int       // of prompt and answer together; 0 if it is for no model
+	Prompt      int       // tokens of the prompt; 0 if it is for no model
+	Tokens      int       // of prompt and answer together at most
 	After       uint64    // number of the last piece that the caller holds
 	Resumes     bool      // After was given
 
@@ -47,7 +49,15 @@
 type Copy struct {
 	Holder  ident.Upstream
 	Address string // of the holder
-	Run     ident.Request
+	Owner   string // address under which the copy is known
+	Name    string // of the copy there
+}
+
+// Move asks the engine of a run to copy its memory to another engine, beside
+// which the run goes on.
+type Move struct {
+	Run ident.Request
+	To  string // address of the other engine
 }
 
 // Leg is one sending of a request to one upstream.
@@ -72,6 +82,12 @@
 	Replaced func(status int, h http.Header) bool
 	// ProbePath is where a model engine answers at once while it lives.
 	ProbePath string
+	// Move returns the target and the body of the call that makes a copy.
+	Move func(m Move) (target string, body []byte)
+	// Moved returns the name of the copy that such a call has made.
+	Moved func(status int, body []byte) (name string, ok bool)
+	// Drop returns the target of the call that frees a copy made by Move.
+	Drop func(name string) (target string)
 	// Genuine reports whether an answer bears the signature of an upstream.
 	Genuine func(h http.Header) bool
 }
