--- a/dispatch/keeper.go
+++ b/dispatch/keeper.go
@@ -51,7 +51,8 @@
 	return k.w.Service.Backups && k.w.Route.Repeatable()
 }
 
-// begin chooses the holder for a run at u and returns its address, or "".
+// begin chooses the holder for a run at u and returns its address, or "". There
+// is nothing to go on from until the run has made a piece.
 func (k *keeper) begin(u directory.Upstream, exclude []ident.Upstream, now time.Time) string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -62,15 +63,9 @@
 	if !k.wanted() || !k.choose(now) {
 		return ""
 	}
-	k.copy = k.byEngine()
 	return k.holder.Address
 }
 
-// byEngine returns the copy that the engine of the run keeps by itself.
-func (k *keeper) byEngine() *work.Copy {
-	return &work.Copy{Holder: k.holder.ID, Address: k.holder.Address, Owner: k.holder.Address, Name: string(k.w.ID)}
-}
-
 // choose claims room at a holder in another failure domain. The lock is held.
 func (k *keeper) choose(now time.Time) bool {
 	k.release(now)
@@ -115,7 +110,11 @@
 	}
 	k.next = now.Add(lookEvery)
 	if k.holder.ID != "" && !k.d.fleet.Gone(k.holder.ID, now) {
-		if !k.called || now.Before(k.fresh) {
+		if !k.called {
+			k.copy = &work.Copy{Holder: k.holder.ID, Address: k.holder.Address, Owner: k.holder.Address, Name: string(k.w.ID)}
+			return
+		}
+		if now.Before(k.fresh) {
 			return
 		}
 	} else if k.copy = nil; !k.choose(now) {
