--- a/edge/edge.go
+++ b/edge/edge.go
@@ -56,12 +56,14 @@
 	leaving atomic.Bool
 	left    atomic.Int64 // when Leave began, in Unix nanoseconds of the timer
 
-	mu    sync.Mutex
-	seen  store.Version // of the store, up to which all changes are known here
-	fresh bool          // the store itself told it last
-	bad   map[string]store.Version
-	peers map[ident.Instance]*peer
-	turn  int // of digests
+	mu          sync.Mutex
+	seen        store.Version // of the store, up to which all changes are known here
+	behind      store.Version // told by a peer when this instance fell behind
+	behindSince time.Time
+	asked       time.Time // last question to a peer
+	bad         map[string]store.Version
+	peers       map[ident.Instance]*peer
+	turn        int // of digests
 }
 
 // inForce is the configuration in force with the bytes that it was read from.
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -15,16 +15,17 @@
 
 // Methods of the link between instances.
 const (
-	digestMethod   = "Edge.Digest"
-	snapshotMethod = "Edge.Snapshot"
+	digestMethod  = "Edge.Digest"
+	changesMethod = "Edge.Changes"
 )
 
 // Times of what instances tell each other.
 const (
-	peerExpiry = 3 * time.Second        // without a digest, a peer's requests in flight no longer count
-	peerForget = 30 * time.Second       // without a digest, a peer that the store does not list is forgotten
-	behindFor  = 400 * time.Millisecond // a watch that lags less is left to itself
-	callLimit  = time.Second
+	peerExpiry   = 3 * time.Second        // without a digest, a peer's requests in flight no longer count
+	peerForget   = 30 * time.Second       // without a digest, a peer that the store does not list is forgotten
+	behindFor    = 500 * time.Millisecond // beyond the pause between watches; one that lags less is left to itself
+	catchUpEvery = 300 * time.Millisecond // between two questions
+	callLimit    = time.Second
 )
 
 // Digests that an instance sends at each interval. What it has under way
@@ -54,12 +55,19 @@
 	Lost          []ident.Upstream `json:",omitempty"` // found dead here within the last moments
 }
 
-// snapshot is all that an instance behind needs.
-type snapshot struct {
+// question asks a peer for what has changed since a version.
+type question struct {
 	Seen          store.Version
-	Configuration json.RawMessage `json:",omitempty"`
-	Upstreams     []directory.Upstream
-	Peers         []presence
+	Configuration uint64
+}
+
+// changes is what an instance that is behind needs.
+type changes struct {
+	Seen          store.Version
+	Configuration json.RawMessage      `json:",omitempty"` // if it is newer than the one asked about
+	Upstreams     []directory.Upstream // changed since
+	All           []ident.Upstream     // ids of all that are registered
+	Peers         []presence           `json:",omitempty"`
 }
 
 // presence says where an instance is. It is what instances write in the store.
@@ -78,8 +86,12 @@
 	e.link.Handle(digestMethod, func(_ context.Context, from ident.Instance, params json.RawMessage) (any, error) {
 		return nil, e.takeDigest(from, params)
 	})
-	e.link.Handle(snapshotMethod, func(context.Context, ident.Instance, json.RawMessage) (any, error) {
-		return e.snapshot(), nil
+	e.link.Handle(changesMethod, func(_ context.Context, _ ident.Instance, params json.RawMessage) (any, error) {
+		var q question
+		if err := json.Unmarshal(params, &q); err != nil {
+			return nil, err
+		}
+		return e.changesSince(q), nil
 	})
 	now := e.timer.Now()
 	for _, s := range e.cfg.Seeds {
@@ -192,65 +204,91 @@
 			}
 		}
 	}
-	behind := d.Seen > e.seen
+	late := e.lagging(d.Seen, now)
 	e.mu.Unlock()
 	cur := e.current.Load()
-	behind = behind || d.Configuration > 0 && (cur == nil || cur.Version < d.Configuration)
+	late = late || d.Configuration > 0 && cur == nil
 	e.fleet.ReportOthers(counts, now)
 	for _, id := range d.Lost {
 		e.fleet.ReportLost(id, now)
 	}
-	if behind {
-		e.timer.After(behindFor, func(time.Time) { e.goRun(func() { e.catchUp(from, d) }) })
+	if late {
+		e.goRun(func() { e.catchUp(from) })
 	}
 	return nil
 }
 
-// catchUp asks a peer for what it knows if this instance is still behind it.
-func (e *Edge) catchUp(from ident.Instance, d digest) {
-	e.mu.Lock()
-	behind := e.seen < d.Seen
-	e.mu.Unlock()
-	cur := e.current.Load()
-	if !behind && cur != nil && cur.Version >= d.Configuration {
-		return
+// lagging decides whether to ask a peer that has seen a version. As long as the
+// store can be read, its next watch brings the changes by itself. The lock is held.
+func (e *Edge) lagging(seen store.Version, now time.Time) bool {
+	if seen <= e.seen || now.Sub(e.asked) < catchUpEvery {
+		return false
+	}
+	if e.seen >= e.behind {
+		e.behind, e.behindSince = seen, now
 	}
+	if !e.registry.Away() && now.Sub(e.behindSince) < e.gatherFor(len(e.peers)+1)+behindFor {
+		return false
+	}
+	e.asked = now
+	return true
+}
+
+// catchUp asks a peer for what has changed.
+func (e *Edge) catchUp(from ident.Instance) {
 	ctx, cancel := context.WithTimeout(e.ctx, callLimit)
 	defer cancel()
-	var s snapshot
-	if err := e.link.Call(ctx, from, snapshotMethod, struct{}{}, &s); err != nil {
+	var q question
+	e.mu.Lock()
+	q.Seen = e.seen
+	e.mu.Unlock()
+	if cur := e.current.Load(); cur != nil {
+		q.Configuration = cur.Version
+	}
+	var c changes
+	if err := e.link.Call(ctx, from, changesMethod, q, &c); err != nil {
 		e.log.Info().Str("Peer", string(from)).Err(err).Msg("cannot catch up from the peer")
 		return
 	}
 	now := e.timer.Now()
-	if len(s.Configuration) > 0 {
-		e.configure(s.Configuration, "peer "+string(from), now)
+	if len(c.Configuration) > 0 {
+		e.configure(c.Configuration, "peer "+string(from), now)
 	}
-	for _, who := range s.Peers {
+	for _, who := range c.Peers {
 		e.addPeer(who, now)
 	}
 	e.mu.Lock()
-	newer := s.Seen > e.seen
+	newer := c.Seen > e.seen
 	e.mu.Unlock()
 	if !newer {
 		return
 	}
-	e.registry.Replace(s.Upstreams, s.Seen, now)
-	e.advance(s.Seen, false)
+	e.registry.Merge(c.Upstreams, c.All, c.Seen, now)
+	e.advance(c.Seen)
 	e.publish(now)
-	e.log.Info().Str("Peer", string(from)).Uint64("Revision", uint64(s.Seen)).Int("Upstreams", len(s.Upstreams)).Msg("caught up from a peer")
+	e.log.Info().Str("Peer", string(from)).Uint64("From", uint64(q.Seen)).Uint64("To", uint64(c.Seen)).
+		Int("Changed", len(c.Upstreams)).Msg("caught up from a peer")
 }
 
-func (e *Edge) snapshot() snapshot {
-	s := snapshot{Upstreams: e.registry.All()}
-	if cur := e.current.Load(); cur != nil {
-		s.Configuration = cur.raw
+// changesSince answers a peer that is behind.
+func (e *Edge) changesSince(q question) changes {
+	var c changes
+	for _, u := range e.registry.All() {
+		c.All = append(c.All, u.ID)
+		if u.Revision > q.Seen {
+			c.Upstreams = append(c.Upstreams, u)
+		}
+	}
+	if cur := e.current.Load(); cur != nil && cur.Version > q.Configuration {
+		c.Configuration = cur.raw
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	s.Seen = e.seen
-	for id, p := range e.peers {
-		s.Peers = append(s.Peers, presence{id, p.domain})
+	c.Seen = e.seen
+	if q.Seen == 0 {
+		for id, p := range e.peers {
+			c.Peers = append(c.Peers, presence{id, p.domain})
+		}
 	}
-	return s
+	return c
 }
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -57,8 +57,12 @@
 
 func (e *Edge) gather() time.Duration {
 	e.mu.Lock()
-	n := len(e.peers) + 1
-	e.mu.Unlock()
+	defer e.mu.Unlock()
+	return e.gatherFor(len(e.peers) + 1)
+}
+
+// gatherFor returns the pause in a fleet of n instances.
+func (e *Edge) gatherFor(n int) time.Duration {
 	most := max(leastGather, time.Duration(mostGatherShare*float64(e.cfg.Drain)))
 	return min(max(leastGather, time.Duration(n)*gatherEach), most)
 }
@@ -88,7 +92,7 @@
 	}
 	e.keepPeers(instances)
 	e.registry.Replace(list, at, now)
-	e.advance(at, true)
+	e.advance(at)
 	e.publish(now)
 	e.log.Info().Uint64("Revision", uint64(at)).Int("Upstreams", len(list)).Msg("store read")
 	return nil
@@ -118,7 +122,7 @@
 			}
 		}
 	}
-	e.advance(at, true)
+	e.advance(at)
 	if changed {
 		e.publish(now)
 	}
@@ -186,11 +190,10 @@
 }
 
 // advance notes that all changes up to a version are known.
-func (e *Edge) advance(at store.Version, fromStore bool) {
+func (e *Edge) advance(at store.Version) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.seen = max(e.seen, at)
-	e.fresh = fromStore
 }
 
 // publish tells the fleet which upstreams there are.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"crocuslug/health"
 	"crocuslug/ident"
 	"crocuslug/routing"
+	"crocuslug/store"
 	"crocuslug/unit"
 )
 
@@ -72,11 +73,10 @@
 	random   func() uint64
 	services map[ident.Service]*group
 	all      map[ident.Upstream]directory.Upstream
-	losses   map[ident.Upstream]time.Time // upstreams found dead lately, here or elsewhere
-	own      map[ident.Upstream]time.Time // those found here
-	hit      map[ident.Domain]time.Time   // failure domains that lost several at once
-
-	addresses map[string]ident.Upstream // the newest upstream at each address
+	losses   map[ident.Upstream]time.Time     // upstreams found dead lately, here or elsewhere
+	own      map[ident.Upstream]time.Time     // those found here
+	hit      map[ident.Domain]time.Time       // failure domains that lost several at once
+	replaced map[ident.Upstream]store.Version // whose address another has, by the revision of their entry
 }
 
 // A failure domain is taken to be hit as a whole when several of its upstreams
@@ -116,6 +116,7 @@
 		all:      make(map[ident.Upstream]directory.Upstream),
 		losses:   make(map[ident.Upstream]time.Time),
 		own:      make(map[ident.Upstream]time.Time),
+		replaced: make(map[ident.Upstream]store.Version),
 		hit:      make(map[ident.Domain]time.Time),
 	}
 }
@@ -128,19 +129,22 @@
 	byService := make(map[ident.Service][]directory.Upstream)
 	restarted := make(map[ident.Upstream]bool)
 	all := make(map[ident.Upstream]directory.Upstream, len(list))
-	addresses := make(map[string]ident.Upstream, len(list))
 	for _, u := range list {
 		if old, ok := f.all[u.ID]; ok && (old.Born != u.Born || old.Address != u.Address) {
 			restarted[u.ID] = true
 		}
 		all[u.ID] = u
-		if v, ok := all[addresses[u.Address]]; !ok || v.Revision < u.Revision {
-			addresses[u.Address] = u.ID
+		if f.replaced[u.ID] > 0 && f.replaced[u.ID] < u.Revision {
+			delete(f.replaced, u.ID)
 		}
 		byService[u.Service] = append(byService[u.Service], u)
 	}
 	f.all = all
-	f.addresses = addresses
+	for id := range f.replaced {
+		if _, ok := all[id]; !ok {
+			delete(f.replaced, id)
+		}
+	}
 	for name, g := range f.services {
 		if len(byService[name]) == 0 {
 			g.set(nil, f, restarted, now)
@@ -179,17 +183,20 @@
 	}
 	if len(kept) < len(names) {
 		f.apply(g, g.tracker.SetUpstreams(kept, now), now)
-		g.offer(f.cfg.Domain, restarted)
+		g.offerWithout(f, restarted)
 	}
-	g.offer(f.cfg.Domain, nil)
+	g.offer(f)
 	f.apply(g, g.tracker.SetUpstreams(names, now), now)
 }
 
-// offer tells the chooser which upstreams there are, but for those left out.
-func (g *group) offer(own ident.Domain, without map[ident.Upstream]bool) {
+// offer tells the chooser which upstreams there are.
+func (g *group) offer(f *Fleet) { g.offerWithout(f, nil) }
+
+// offerWithout tells it, but for those left out.
+func (g *group) offerWithout(f *Fleet, without map[ident.Upstream]bool) {
 	var list []routing.Candidate
 	for _, u := range g.list {
-		if without[u.ID] {
+		if _, replaced := f.replaced[u.ID]; replaced || without[u.ID] {
 			continue
 		}
 		list = append(list, routing.Candidate{
@@ -197,7 +204,7 @@
 			Slots:    g.slots(u.Slots),
 			Domain:   u.Domain,
 			Leaving:  u.Draining,
-			Near:     u.Domain == own,
+			Near:     u.Domain == f.cfg.Domain,
 		})
 	}
 	g.chooser.SetCandidates(list)
@@ -247,7 +254,7 @@
 	if !ok {
 		return directory.Upstream{}, routing.NoUpstream
 	}
-	g.learn(a.Tokens, f.cfg.Domain)
+	g.learn(a.Tokens, f)
 	d := g.chooser.Choose(routing.Request{Exclude: a.Exclude, Apart: a.Apart, PromptTokens: a.Tokens, Resumed: a.Full}, now)
 	if d.Kind != routing.Send {
 		return directory.Upstream{}, d.Kind
@@ -260,7 +267,7 @@
 
 // learn takes in the size of a request. The chooser's slots follow when they
 // change.
-func (g *group) learn(tokens int, own ident.Domain) {
+func (g *group) learn(tokens int, f *Fleet) {
 	if tokens <= 0 {
 		return
 	}
@@ -273,7 +280,7 @@
 	}
 	g.tokens += meanWeight * (float64(tokens) - g.tokens)
 	if len(g.list) > 0 && g.slots(g.list[0].Slots) != before {
-		g.offer(own, nil)
+		g.offer(f)
 	}
 }
 
@@ -299,7 +306,8 @@
 	if at, ok := f.losses[id]; ok && now.Sub(at) <= hitWindow {
 		return true
 	}
-	return f.addresses[u.Address] != id
+	_, ok = f.replaced[u.ID]
+	return ok
 }
 
 // Claim counts a request at an upstream that was not picked here, such as the
@@ -348,6 +356,11 @@
 		g.chooser.Failed(id, now)
 	}
 	f.apply(g, g.tracker.Observe(o, now), now)
+	if k == Replaced {
+		f.replaced[id] = u.Revision
+		f.own[id] = now
+		g.offer(f)
+	}
 	if k == Dead {
 		f.own[id] = now
 		f.lost(u, now)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -109,6 +109,26 @@
 		listed[u.ID] = true
 		r.set(u)
 	}
+	r.prune(listed, at, now)
+}
+
+// Merge takes what another instance knows at a revision: the entries that have
+// changed, and the ids of all that there are.
+func (r *Registry) Merge(changed []directory.Upstream, all []ident.Upstream, at store.Version, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	listed := make(map[ident.Upstream]bool, len(all))
+	for _, id := range all {
+		listed[id] = true
+	}
+	for _, u := range changed {
+		r.set(u)
+	}
+	r.prune(listed, at, now)
+}
+
+// prune removes what is not listed. The lock is held.
+func (r *Registry) prune(listed map[ident.Upstream]bool, at store.Version, now time.Time) {
 	for id := range r.all {
 		if !listed[id] {
 			r.remove(id, at, now)
@@ -116,6 +136,13 @@
 	}
 }
 
+// Away reports whether the store cannot be read.
+func (r *Registry) Away() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.away
+}
+
 // Expire drops the lapsed entries whose grace is over and returns their ids.
 func (r *Registry) Expire(now time.Time) []ident.Upstream {
 	r.mu.Lock()
@@ -138,13 +165,20 @@
 	return out
 }
 
-// All returns the upstreams, in no order.
+// All returns the upstreams, in no order. Of several at one address only the
+// one that registered last can be there.
 func (r *Registry) All() []directory.Upstream {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	newest := make(map[string]store.Version, len(r.all))
+	for _, u := range r.all {
+		newest[u.Address] = max(newest[u.Address], u.Revision)
+	}
 	out := make([]directory.Upstream, 0, len(r.all))
 	for _, u := range r.all {
-		out = append(out, u)
+		if u.Revision == newest[u.Address] {
+			out = append(out, u)
+		}
 	}
 	return out
 }
