--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -99,6 +99,10 @@
 	}
 	req, err := http.ReadRequest(c.br)
 	if err != nil {
+		// The parser takes a line that is not finished for a malformed one.
+		if limits.HeaderTimeout > 0 && c.server.timer.Now().Sub(now) >= limits.HeaderTimeout {
+			return nil, http.StatusRequestTimeout
+		}
 		return nil, c.headFailure(err)
 	}
 	if limits.HeaderBytes > 0 && headSize(req) > limits.HeaderBytes {
--- /dev/null
+++ b/registry/registry_test.go
@@ -0,0 +1,98 @@
+package registry
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"crocuslug/directory"
+	"crocuslug/ident"
+	"crocuslug/store"
+)
+
+// TestScripts plays testdata/*.txt. A line is one of
+//
+//	at MS                       sets the time
+//	away | back                 the store
+//	set ID ADDRESS REVISION [draining]
+//	remove ID REVISION
+//	replace REVISION [ID ...]   the store as a whole; entries keep their address
+//	merge REVISION [ID ...]     a peer's word on which there are
+//	expire
+//	want [ID ...]
+func TestScripts(t *testing.T) {
+	names, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(names) == 0 {
+		t.Fatalf("scripts: got %v, %v, want some", names, err)
+	}
+	for _, name := range names {
+		t.Run(strings.TrimSuffix(filepath.Base(name), ".txt"), func(t *testing.T) { play(t, name) })
+	}
+}
+
+func play(t *testing.T, name string) {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := New(Settings{})
+	start := time.Unix(1000, 0)
+	now := start
+	known := map[ident.Upstream]directory.Upstream{}
+	for n, line := range strings.Split(string(text), "\n") {
+		w := strings.Fields(line)
+		if len(w) == 0 || w[0] == "#" {
+			continue
+		}
+		switch w[0] {
+		case "at":
+			now = start.Add(time.Duration(number(t, w[1])) * time.Millisecond)
+		case "away", "back":
+			r.StoreAway(w[0] == "away", now)
+		case "set":
+			u := directory.Upstream{ID: ident.Upstream(w[1]), Address: w[2], Revision: store.Version(number(t, w[3])), Draining: len(w) > 4}
+			known[u.ID] = u
+			r.Set(u)
+		case "remove":
+			r.Remove(ident.Upstream(w[1]), store.Version(number(t, w[2])), now)
+		case "replace", "merge":
+			var list []directory.Upstream
+			var ids []ident.Upstream
+			for _, id := range w[2:] {
+				list = append(list, known[ident.Upstream(id)])
+				ids = append(ids, ident.Upstream(id))
+			}
+			if w[0] == "replace" {
+				r.Replace(list, store.Version(number(t, w[1])), now)
+			} else {
+				r.Merge(nil, ids, store.Version(number(t, w[1])), now)
+			}
+		case "expire":
+			r.Expire(now)
+		case "want":
+			var got []string
+			for _, u := range r.All() {
+				got = append(got, string(u.ID))
+			}
+			slices.Sort(got)
+			if !slices.Equal(got, w[1:]) {
+				t.Errorf("line %d: got %v, want %v", n+1, got, w[1:])
+			}
+		default:
+			t.Fatalf("line %d: unknown word %q", n+1, w[0])
+		}
+	}
+}
+
+func number(t *testing.T, s string) int {
+	t.Helper()
+	n, err := strconv.Atoi(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
