--- a/dispatch/keeper.go
+++ b/dispatch/keeper.go
@@ -105,7 +105,7 @@
 func (k *keeper) keep(ctx context.Context, now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if now.Before(k.next) || k.calling || !k.wanted() || k.d.ports.Move == nil {
+	if now.Before(k.next) || k.calling || !k.wanted() {
 		return
 	}
 	k.next = now.Add(lookEvery)
@@ -117,7 +117,7 @@
 		if now.Before(k.fresh) {
 			return
 		}
-	} else if k.copy = nil; !k.choose(now) {
+	} else if k.copy = nil; k.d.ports.Move == nil || !k.choose(now) {
 		k.next = now.Add(copyBackOff)
 		return
 	}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,176 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"crocuslug/directory"
+	"crocuslug/ident"
+	"crocuslug/routing"
+	"crocuslug/store"
+)
+
+// TestScripts plays testdata/*.txt before an instance in the domain "near". A
+// line is one of
+//
+//	at MS
+//	up ID DOMAIN REVISION [draining]     adds or changes an upstream
+//	down ID                              removes one
+//	ended ID served|failed|dead|replaced
+//	lost ID                              told by another instance
+//	tick
+//	never ID ... | always ID ...         what a hundred choices bring
+//	apart DOMAIN                         of the choices that follow; - for none
+//	gone ID yes|no
+//	none                                 no choice is possible
+func TestScripts(t *testing.T) {
+	names, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(names) == 0 {
+		t.Fatalf("scripts: got %v, %v, want some", names, err)
+	}
+	for _, name := range names {
+		t.Run(strings.TrimSuffix(filepath.Base(name), ".txt"), func(t *testing.T) { play(t, name) })
+	}
+}
+
+func play(t *testing.T, name string) {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := New(Settings{Domain: "near"}, rand.New(rand.NewPCG(1, 2)).Uint64, zerolog.Nop())
+	start := time.Unix(1000, 0)
+	now := start
+	all := map[ident.Upstream]directory.Upstream{}
+	var apart ident.Domain
+	publish := func() {
+		var list []directory.Upstream
+		for _, u := range all {
+			list = append(list, u)
+		}
+		slices.SortFunc(list, func(a, b directory.Upstream) int { return strings.Compare(string(a.ID), string(b.ID)) })
+		f.SetUpstreams(list, func(ident.Service) int { return 0 }, now)
+	}
+	kinds := map[string]Kind{"served": Served, "failed": Failed, "dead": Dead, "replaced": Replaced}
+	for n, line := range strings.Split(string(text), "\n") {
+		w := strings.Fields(line)
+		if len(w) == 0 || w[0] == "#" {
+			continue
+		}
+		var id ident.Upstream
+		if len(w) > 1 {
+			id = ident.Upstream(w[1])
+		}
+		switch w[0] {
+		case "at":
+			now = start.Add(time.Duration(number(t, w[1])) * time.Millisecond)
+		case "up":
+			all[id] = directory.Upstream{
+				ID: id, Service: "s", Address: w[1] + ":1", Domain: ident.Domain(w[2]), Slots: 64,
+				Revision: store.Version(number(t, w[3])), Draining: len(w) > 4,
+			}
+			publish()
+		case "down":
+			delete(all, id)
+			publish()
+		case "ended":
+			f.Ended(id, kinds[w[2]], time.Millisecond, now)
+		case "lost":
+			f.ReportLost(id, now)
+		case "tick":
+			f.Tick(now)
+		case "apart":
+			if apart = ident.Domain(w[1]); apart == "-" {
+				apart = ""
+			}
+		case "never", "always":
+			for u, k := range choices(f, apart, now) {
+				if slices.Contains(w[1:], u) == (w[0] == "never") {
+					t.Errorf("line %d: %s: got %s %d times", n+1, line, u, k)
+				}
+			}
+		case "gone":
+			if got := f.Gone(id, now); got != (w[2] == "yes") {
+				t.Errorf("line %d: %s: got %v", n+1, line, got)
+			}
+		case "none":
+			if got := choices(f, apart, now); len(got) > 0 {
+				t.Errorf("line %d: got %v, want no choice", n+1, got)
+			}
+		default:
+			t.Fatalf("line %d: unknown word %q", n+1, w[0])
+		}
+	}
+}
+
+// choices returns how often each upstream is chosen.
+func choices(f *Fleet, apart ident.Domain, now time.Time) map[string]int {
+	got := map[string]int{}
+	for range 100 {
+		u, kind := f.Pick(Ask{Service: "s", Apart: apart}, now)
+		if kind == routing.Send {
+			got[string(u.ID)]++
+			f.Release(u.ID, now)
+		}
+	}
+	return got
+}
+
+func number(t *testing.T, s string) int {
+	t.Helper()
+	n, err := strconv.Atoi(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// TestMemory holds that an engine is full when its memory is, long before its
+// slots are taken.
+func TestMemory(t *testing.T) {
+	f := New(Settings{Domain: "near"}, rand.Uint64, zerolog.Nop())
+	now := time.Unix(1000, 0)
+	f.SetUpstreams([]directory.Upstream{{ID: "a", Service: "s", Domain: "near", Slots: 64}}, func(ident.Service) int { return 55000 }, now)
+	got := 0
+	for range 64 {
+		if _, kind := f.Pick(Ask{Service: "s", Tokens: 5850}, now); kind == routing.Send {
+			got++
+		}
+	}
+	if want := 55000 / 5850; got != want {
+		t.Errorf("requests at once: got %d, want %d", got, want)
+	}
+	if _, kind := f.Pick(Ask{Service: "s", Tokens: 5850, Full: true}, now); kind != routing.Send {
+		t.Errorf("with Full: got %v, want Send", kind)
+	}
+}
+
+// TestReading holds that prompts that are being read count more than answers
+// that are being made.
+func TestReading(t *testing.T) {
+	f := New(Settings{Domain: "near"}, rand.New(rand.NewPCG(1, 2)).Uint64, zerolog.Nop())
+	now := time.Unix(1000, 0)
+	var list []directory.Upstream
+	for i := range 2 {
+		list = append(list, directory.Upstream{ID: ident.Upstream(fmt.Sprint(i)), Service: "s", Domain: "near", Slots: 64})
+	}
+	f.SetUpstreams(list, func(ident.Service) int { return 0 }, now)
+	f.Reading("0", 5000)
+	f.ReportOthers(map[ident.Upstream]routing.Load{"1": {Requests: 3}}, now)
+	if got := choices(f, "", now); got["0"] > 0 {
+		t.Errorf("got %v, want none at 0, which reads a prompt", got)
+	}
+	f.Reading("0", -5000)
+	if got := choices(f, "", now); got["1"] > 0 {
+		t.Errorf("got %v, want none at 1, which has more requests", got)
+	}
+}
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -85,38 +85,60 @@
 			consider(e, h.Blocks*c.cfg.BlockTokens)
 		}
 	}
-	for _, e := range c.sample(g.near, r) {
+	for _, e := range c.sample(g.near, r, now) {
 		if e != best {
 			consider(e, 0)
 		}
 	}
 	if c.cfg.FarCost > 0 {
 		lowest -= c.cfg.FarCost.Std().Seconds()
-		for _, e := range c.sample(g.all, r) {
+		for _, e := range c.sample(g.all, r, now) {
 			consider(e, 0)
 		}
 	}
 	return best, saved
 }
 
-// sample returns up to Choices different usable engines. It gives up after a
-// few tries, and the caller then looks at all.
-func (c *Chooser) sample(list []*engine, r *Request) []*engine {
+// recentPenalty is the part of the penalty of a failure above which it counts
+// as recent, which is for three half-lives.
+const recentPenalty = 0.125
+
+// sample returns up to Choices different usable engines that have not failed
+// lately. If there are none it returns any usable one, or none.
+func (c *Chooser) sample(list []*engine, r *Request, now time.Time) []*engine {
 	const triesEach = 4
 	c.drawn = c.drawn[:0]
 	if len(list) == 0 {
 		return c.drawn
 	}
+	recent := recentPenalty * c.cfg.FailurePenalty.Std().Seconds()
 	for range triesEach * c.cfg.Choices {
 		e := list[c.random()%uint64(len(list))]
-		if !e.usable(r) || slices.Contains(c.drawn, e) {
+		if !e.usable(r) || c.penalty(e, now) > recent || slices.Contains(c.drawn, e) {
 			continue
 		}
 		c.drawn = append(c.drawn, e)
 		if len(c.drawn) == c.cfg.Choices {
+			return c.drawn
+		}
+	}
+	if len(c.drawn) > 0 {
+		return c.drawn
+	}
+	var last *engine
+	start := int(c.random() % uint64(len(list)))
+	for i := range list {
+		e := list[(start+i)%len(list)]
+		if !e.usable(r) {
+			continue
+		}
+		if last = e; c.penalty(e, now) <= recent {
 			break
 		}
 	}
+	if last != nil {
+		c.drawn = append(c.drawn, last)
+	}
 	return c.drawn
 }
 
