Suspect and refuse contents that make engines fail on the platform's door too

The route's attempts were the only bound: one request could kill five engines, again at each machine. Now a run broken off outside a loss of its failure domain counts; three end the request, an engine that answers no probe afterwards is a death in the suspect ledger, and what is proven is refused everywhere by digests. Ruled out: counting every break (engines that spoil answers break them off and live).

--- a/dispatch/copy_test.go
+++ b/dispatch/copy_test.go
@@ -16,7 +16,6 @@
 	"crocuslug/exchange"
 	"crocuslug/fleet"
 	"crocuslug/ident"
-	"crocuslug/retry"
 	"crocuslug/timer"
 	"crocuslug/work"
 )
@@ -102,7 +101,7 @@
 	p.Drop = func(name string) string { return "/drop/" + name }
 	client := exchange.New(exchange.Settings{}, clock)
 	defer client.Close()
-	d := New(Settings{Gap: 5 * time.Second}, p, f, client, retry.Settings{Burst: 100, Attempts: 8}, clock, random, zerolog.New(log))
+	d := New(Settings{Gap: 5 * time.Second}, parts(p, f, client, clock, zerolog.New(log)))
 	got := &taken{}
 	_, _, refusal := d.Stream(ctx, &work.Work{
 		ID:       "r1",
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -15,6 +15,7 @@
 	"crocuslug/result"
 	"crocuslug/retry"
 	"crocuslug/routing"
+	"crocuslug/suspect"
 	"crocuslug/timer"
 	"crocuslug/work"
 )
@@ -29,25 +30,39 @@
 	timer  *timer.Service
 	random func() uint64
 	log    zerolog.Logger
+	// suspects knows the contents that make engines fail.
+	suspects *suspect.Ledger
 
 	mu      sync.Mutex
 	budget  retry.Settings
 	budgets map[ident.Service]*retry.Budget
 }
 
-// New returns a dispatcher. The budget bounds the retries at one service; the
-// function random returns 64 random bits and is called from any goroutine.
-func New(cfg Settings, ports work.Ports, f *fleet.Fleet, c *exchange.Client, budget retry.Settings, t *timer.Service, random func() uint64, log zerolog.Logger) *Dispatcher {
+// Parts are what a Dispatcher works with. All are required.
+type Parts struct {
+	Ports    work.Ports
+	Fleet    *fleet.Fleet
+	Client   *exchange.Client
+	Suspects *suspect.Ledger
+	Budget   retry.Settings // of the retries at one service
+	Timer    *timer.Service
+	Random   func() uint64 // 64 random bits at each call, from any goroutine
+	Log      zerolog.Logger
+}
+
+// New returns a dispatcher.
+func New(cfg Settings, p Parts) *Dispatcher {
 	return &Dispatcher{
-		cfg:     cfg.withDefaults(),
-		ports:   ports,
-		fleet:   f,
-		client:  c,
-		timer:   t,
-		random:  random,
-		log:     log,
-		budget:  budget,
-		budgets: make(map[ident.Service]*retry.Budget),
+		cfg:      cfg.withDefaults(),
+		ports:    p.Ports,
+		fleet:    p.Fleet,
+		client:   p.Client,
+		suspects: p.Suspects,
+		timer:    p.Timer,
+		random:   p.Random,
+		log:      p.Log,
+		budget:   p.Budget,
+		budgets:  make(map[ident.Service]*retry.Budget),
 	}
 }
 
@@ -68,6 +83,7 @@
 	w       *work.Work
 	made    int              // sendings, those included that cannot have arrived
 	runs    int              // sendings that may have run
+	crashes int              // runs that were broken off, but for those lost with a whole failure domain
 	exclude []ident.Upstream // not tried again
 	apart   ident.Domain     // where the last upstream was lost; avoided if others are to be had
 	last    string           // how the last one ended
@@ -75,10 +91,14 @@
 
 // pick chooses the upstream of the next sending.
 func (d *Dispatcher) pick(a *attempts, now time.Time) (directory.Upstream, *result.Error) {
-	ask := fleet.Ask{Service: a.w.Service.Name, Tokens: a.w.Tokens, Exclude: a.exclude, Apart: a.apart}
+	if refusal := d.screen(a, now); refusal != nil {
+		return directory.Upstream{}, refusal
+	}
+	avoid := d.suspects.Avoid(now, a.w.Fingerprint)
+	ask := fleet.Ask{Service: a.w.Service.Name, Tokens: a.w.Tokens, Exclude: append(avoid, a.exclude...), Apart: a.apart}
 	u, kind := d.fleet.Pick(ask, now)
-	if kind != routing.Send && a.apart != "" {
-		ask.Apart = ""
+	if kind != routing.Send && (a.apart != "" || len(avoid) > 0) {
+		ask.Apart, ask.Exclude = "", a.exclude
 		u, kind = d.fleet.Pick(ask, now)
 	}
 	if kind == routing.Wait {
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -20,6 +20,7 @@
 	"crocuslug/fleet"
 	"crocuslug/ident"
 	"crocuslug/retry"
+	"crocuslug/suspect"
 	"crocuslug/timer"
 	"crocuslug/work"
 )
@@ -234,6 +235,20 @@
 	}
 }
 
+// parts returns the parts of a dispatcher whose choices are not random.
+func parts(p work.Ports, f *fleet.Fleet, c *exchange.Client, clock *timer.Service, log zerolog.Logger) Parts {
+	return Parts{
+		Ports:    p,
+		Fleet:    f,
+		Client:   c,
+		Suspects: suspect.New(suspect.Settings{}),
+		Budget:   retry.Settings{Burst: 100, Attempts: 8},
+		Timer:    clock,
+		Random:   func() uint64 { return 0 },
+		Log:      log,
+	}
+}
+
 // run sends one request and returns what became of it.
 func (wd *world) run(t *testing.T) string {
 	clock := timer.New()
@@ -245,7 +260,7 @@
 	f.SetUpstreams(wd.list, func(ident.Service) int { return wd.service.Memory }, clock.Now())
 	client := exchange.New(exchange.Settings{}, clock)
 	defer client.Close()
-	d := New(Settings{Gap: 300 * time.Millisecond}, ports(), f, client, retry.Settings{Burst: 100, Attempts: 8}, clock, random, zerolog.Nop())
+	d := New(Settings{Gap: 300 * time.Millisecond}, parts(ports(), f, client, clock, zerolog.Nop()))
 	w := &work.Work{
 		ID:       "r1",
 		Route:    &wd.route,
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -55,12 +55,15 @@
 			return nil, s.begun, refusal
 		}
 		s.made++
+		d.suspects.Placed(now, u.ID, w.Fingerprint)
 		v, done := d.leg(ctx, s, u, from, now)
+		d.suspects.Left(u.ID, w.Fingerprint)
 		end := d.timer.Now()
 		kept = s.keeper.end(end, done)
 		switch {
 		case done:
 			d.fleet.Ended(u.ID, fleet.Served, 0, end)
+			d.suspects.Finished(w.Fingerprint)
 			d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Int("Attempt", s.made).
 				Uint64("LastPiece", s.last).Dur("TookMs", end.Sub(now)).Msg("stream ended")
 			return s.whole, s.begun, nil
@@ -75,6 +78,9 @@
 		}
 		d.note(&s.attempts, u, v, now, end)
 		s.lost = end
+		if v.ran {
+			d.crashed(&s.attempts, u, end)
+		}
 		if !w.Route.Repeatable() && s.begun {
 			return nil, true, d.refuse(&s.attempts, result.UpstreamFailed, "the stream broke off and may not go on")
 		}
@@ -96,6 +102,9 @@
 
 // next chooses where the stream starts or goes on: where a copy is, or anywhere.
 func (d *Dispatcher) next(s *stream, kept *work.Copy, now time.Time) (directory.Upstream, *work.Copy, *result.Error) {
+	if refusal := d.screen(&s.attempts, now); refusal != nil {
+		return directory.Upstream{}, nil, refusal
+	}
 	if kept != nil && !d.fleet.Gone(kept.Holder, now) {
 		if u, ok := d.fleet.Claim(kept.Holder, now); ok && u.Address == kept.Address {
 			return u, kept, nil
--- /dev/null
+++ b/dispatch/suspects.go
@@ -0,0 +1,58 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"crocuslug/directory"
+	"crocuslug/fleet"
+	"crocuslug/result"
+	"crocuslug/suspect"
+)
+
+// Bounds around contents that make engines fail.
+const (
+	mostCrashes  = 3                      // engines that one request may lose
+	autopsyAfter = 250 * time.Millisecond // by then a loss of a whole failure domain is known as one
+)
+
+// screen refuses a request whose content is proven to make engines fail, or that
+// has itself lost as many engines as one request may.
+func (d *Dispatcher) screen(a *attempts, now time.Time) *result.Error {
+	if t, until := d.suspects.Treat(now, a.w.Fingerprint); t == suspect.Refuse {
+		e := d.refuse(a, result.RequestCrashes, "engines fail with this content")
+		if a.runs == 0 {
+			e = e.After(until.Sub(now))
+		}
+		return e
+	}
+	if a.crashes >= mostCrashes {
+		return d.refuse(a, result.RequestCrashes, "the request has lost as many engines as it may")
+	}
+	return nil
+}
+
+// crashed takes in that a run was broken off, by which its engine may have
+// died. A death together with others of its failure domain says nothing of the
+// content, and an engine that answers has not died.
+func (d *Dispatcher) crashed(a *attempts, u directory.Upstream, now time.Time) {
+	if d.fleet.Hit(u.Domain, now) {
+		return
+	}
+	a.crashes++
+	fp := a.w.Fingerprint
+	d.timer.After(autopsyAfter, func(later time.Time) {
+		go func() {
+			if d.ports.ProbePath == "" || d.fleet.Hit(u.Domain, later) || d.probe(context.Background(), u, later) {
+				return
+			}
+			end := d.timer.Now()
+			d.fleet.Ended(u.ID, fleet.Dead, 0, end)
+			if d.fleet.Hit(u.Domain, end) {
+				return
+			}
+			d.suspects.Died(end, u.ID, fp)
+			d.log.Warn().Str("Request", string(a.w.ID)).Str("Upstream", string(u.ID)).Uint64("Content", fp).Msg("engine died alone while it ran the request")
+		}()
+	})
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -24,6 +24,7 @@
 	"crocuslug/retry"
 	"crocuslug/settings"
 	"crocuslug/store"
+	"crocuslug/suspect"
 	"crocuslug/timer"
 	"crocuslug/unit"
 )
@@ -45,6 +46,7 @@
 	registry   *registry.Registry
 	fleet      *fleet.Fleet
 	exchange   *exchange.Client
+	suspects   *suspect.Ledger
 	dispatcher *dispatch.Dispatcher
 	server     *ingress.Server
 	link       *peerlink.Link
@@ -63,7 +65,8 @@
 	asked       time.Time // last question to a peer
 	bad         map[string]store.Version
 	peers       map[ident.Instance]*peer
-	turn        int // of digests
+	turn        int                  // of digests
+	verdicts    map[uint64]time.Time // contents refused here, by the end of that
 }
 
 // inForce is the configuration in force with the bytes that it was read from.
@@ -85,6 +88,8 @@
 		log:      log.With().Str("Instance", cfg.Name).Str("Domain", string(cfg.Domain)).Logger(),
 		registry: registry.New(registry.Settings{}),
 		exchange: exchange.New(exchange.Settings{}, t),
+		suspects: suspect.New(suspect.Settings{}),
+		verdicts: make(map[uint64]time.Time),
 		meters:   newMeters(),
 		self:     ident.Instance(cfg.PeerListen),
 		bad:      make(map[string]store.Version),
@@ -99,7 +104,16 @@
 		Domain: cfg.Domain,
 		Health: health.Settings{BackOff: unit.Duration(trialAfter), MaxBackOff: unit.Duration(maxTrialAfter)},
 	}, rand.Uint64, e.log)
-	e.dispatcher = dispatch.New(dispatch.Settings{}, ports.Upstream, e.fleet, e.exchange, e.budget(), t, rand.Uint64, e.log)
+	e.dispatcher = dispatch.New(dispatch.Settings{}, dispatch.Parts{
+		Ports:    ports.Upstream,
+		Fleet:    e.fleet,
+		Client:   e.exchange,
+		Suspects: e.suspects,
+		Budget:   e.budget(),
+		Timer:    t,
+		Random:   rand.Uint64,
+		Log:      e.log,
+	})
 	e.server = ingress.New(ingress.Settings{Listen: cfg.Listen, Connections: e.connections()}, ingress.Ports{
 		Handle:   e.handle,
 		Limits:   e.limits,
@@ -188,6 +202,7 @@
 		e.publish(now)
 	}
 	e.fleet.Tick(now)
+	e.suspects.Expire(now)
 }
 
 // Times of a planned stop.
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -11,6 +11,8 @@
 	"crocuslug/peerlink"
 	"crocuslug/routing"
 	"crocuslug/store"
+	"crocuslug/suspect"
+	"crocuslug/unit"
 )
 
 // Methods of the link between instances.
@@ -52,7 +54,8 @@
 	Seen          store.Version // of the store, up to which it knows all changes
 	Configuration uint64        // version in force; 0 if none
 	InFlight      map[ident.Upstream]routing.Load
-	Lost          []ident.Upstream `json:",omitempty"` // found dead here within the last moments
+	Lost          []ident.Upstream         `json:",omitempty"` // found dead here within the last moments
+	Refused       map[uint64]unit.Duration `json:",omitempty"` // contents that make engines fail, by the time for which they are refused
 }
 
 // question asks a peer for what has changed since a version.
@@ -143,8 +146,11 @@
 	if cur := e.current.Load(); cur != nil {
 		d.Configuration = cur.Version
 	}
+	now := e.timer.Now()
+	proven := e.suspects.Proven()
 	e.mu.Lock()
 	d.Seen = e.seen
+	d.Refused = e.refused(proven, now)
 	var near, far []ident.Instance
 	for id, p := range e.peers {
 		if p.domain == e.cfg.Domain {
@@ -167,6 +173,28 @@
 	}
 }
 
+// refused adds verdicts to those in force and returns them as times from now, in
+// which they travel because clocks differ. The lock is held.
+func (e *Edge) refused(proven []suspect.Verdict, now time.Time) map[uint64]unit.Duration {
+	for _, v := range proven {
+		e.verdicts[v.Fingerprint] = v.Until
+		e.log.Warn().Uint64("Content", v.Fingerprint).Time("Until", v.Until).Msg("content refused: engines fail with it")
+	}
+	var out map[uint64]unit.Duration
+	for fp, until := range e.verdicts {
+		left := until.Sub(now)
+		if left <= 0 {
+			delete(e.verdicts, fp)
+			continue
+		}
+		if out == nil {
+			out = make(map[uint64]unit.Duration)
+		}
+		out[fp] = unit.Duration(left)
+	}
+	return out
+}
+
 // inTurn returns n of ids, others at each turn.
 func inTurn(ids []ident.Instance, n, turn int) []ident.Instance {
 	if len(ids) <= n {
@@ -212,6 +240,9 @@
 	for _, id := range d.Lost {
 		e.fleet.ReportLost(id, now)
 	}
+	for fp, left := range d.Refused {
+		e.suspects.Refuse(suspect.Verdict{Fingerprint: fp, Until: now.Add(left.Std())})
+	}
 	if late {
 		e.goRun(func() { e.catchUp(from) })
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -393,6 +393,14 @@
 	}
 }
 
+// Hit reports whether a failure domain has just lost several upstreams at once.
+func (f *Fleet) Hit(domain ident.Domain, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at, ok := f.hit[domain]
+	return ok && now.Sub(at) <= hitWindow
+}
+
 // Own returns the upstreams that were found dead here within the last moments.
 func (f *Fleet) Own(now time.Time) []ident.Upstream {
 	f.mu.Lock()
