--- a/cmd/crocuslug/main.go
+++ b/cmd/crocuslug/main.go
@@ -29,6 +29,7 @@
 	commands := []command{
 		serveCommand(app),
 		edgeCommand(app),
+		explainCommand(app),
 		checkCommand(app),
 		demoCommand(app),
 		versionCommand(app),
--- a/edge/requests.go
+++ b/edge/requests.go
@@ -52,6 +52,9 @@
 		e.fail(c, &desc, d.Version, refusal)
 		return
 	}
+	e.log.Info().Str("Request", string(w.ID)).Str("Route", w.Route.Name).Stringer("Kind", w.Route.Kind).Str("Service", string(w.Service.Name)).
+		Str("Workspace", string(w.Workspace)).Uint64("Configuration", d.Version).Dur("ConfigurationAgeMs", c.Arrived.Sub(d.since)).
+		Dur("LimitMs", w.Deadline.Sub(c.Arrived)).Uint64("Content", w.Fingerprint).Msg("request taken")
 	if w.Route.Kind == directory.Streaming && e.late(c.Arrived) {
 		e.fail(c, &desc, d.Version, result.New(result.InstanceLeaving, "this instance ends before the stream would").After(elsewhere))
 		return
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -105,5 +105,19 @@
 		// is not in Pascal case.
 		FormatErrFieldName: func(any) string { return "Error=" },
 	}
-	return zerolog.New(out).Level(l).With().Timestamp().Logger()
+	return zerolog.New(out).Level(l).Hook(stamp{clock: time.Now})
 }
+
+// stamp sets the time of each line. The library's own field has whole seconds,
+// too coarse to order what several instances say of one request.
+type stamp struct {
+	clock func() time.Time
+}
+
+// Run implements zerolog.Hook.
+func (s stamp) Run(e *zerolog.Event, _ zerolog.Level, _ string) {
+	e.Str(zerolog.TimestampFieldName, s.clock().UTC().Format(TimeFormat))
+}
+
+// TimeFormat is the form of the time of a log line.
+const TimeFormat = "2006-01-02T15:04:05.000000Z"
