--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -20,6 +20,7 @@
 	"crocuslug/measuregeneration"
 	"crocuslug/measureload"
 	"crocuslug/measureoperator"
+	"crocuslug/measureregistered"
 )
 
 // runLimit bounds one experiment.
@@ -33,6 +34,7 @@
 		measureoperator.Entries(),
 		measureaction.Entries(),
 		measurecontrol.Entries(),
+		measureregistered.Entries(),
 		measureaction.Entries(),
 	)
 }
--- /dev/null
+++ b/emulator/patterns_test.go
@@ -0,0 +1,93 @@
+package emulator
+
+import (
+	"testing"
+	"time"
+)
+
+// base is the deployment of the smaller site's sheet: its engines, prompts,
+// objectives and rate.
+var base = Shape{
+	Domains: 3, Engines: 8, Instances: 2,
+	Rate: 6.25, Prompt: 5200, Pieces: 130, Memory: 55000,
+	Length: 34 * time.Second, Objective: 4500 * time.Millisecond, Pause: 700 * time.Millisecond,
+}
+
+// again is the loss of one failure domain after another.
+func again(dark bool) []Loss {
+	var out []Loss
+	for i, at := range []float64{4.2, 11, 17, 24, 31} {
+		out = append(out, Loss{
+			At: time.Duration(at * float64(time.Second)), Domain: i % 3, For: 1200 * time.Millisecond, Dark: dark && i%2 == 1,
+		})
+	}
+	return out
+}
+
+const seeds = 3
+
+// play adds up the figures of a few seeds.
+func play(shape Shape, losses []Loss, rule Rule) Figures {
+	var sum Figures
+	for seed := range uint64(seeds) {
+		f := New(shape, losses, rule, seed+1).Run()
+		sum.Requests += f.Requests
+		sum.Late += f.Late
+		sum.Unended += f.Unended
+		sum.Read += f.Read
+		sum.Again += f.Again / seeds
+		sum.FirstP95 = max(sum.FirstP95, f.FirstP95)
+		sum.MostReads = max(sum.MostReads, f.MostReads)
+	}
+	return sum
+}
+
+// TestPatterns plays loads that overload or lose engines, each under its usual
+// name. Every answer must come to its end, few may be late, and the naive choice
+// must do worse, or the load would show nothing.
+func TestPatterns(t *testing.T) {
+	burst := base
+	burst.Burst = 10 * time.Second
+	larger := base // the larger site's sheet
+	larger.Domains, larger.Engines, larger.Rate = 4, 9, 9.36
+	tests := []struct {
+		pattern string
+		shape   Shape
+		losses  []Loss
+		naive   Rule
+		late    float64 // most, as a part of all requests: the sheet's objectives for nineteen in twenty
+	}{
+		{"correlated failure: a failure domain resets, again and again", base, again(false), Random, 0.05},
+		{"correlated failure: a failure domain goes dark, again and again", base, again(true), Random, 0.05},
+		{"thundering herd: resumed streams of a lost domain meet on one engine", larger, again(false), Least, 0.05},
+		{"stale reports: many instances read the same old load", base, nil, Least, 0.05},
+		{"burst: a tenth of all requests at once", burst, nil, Random, 0.05},
+	}
+	for _, tc := range tests {
+		t.Run(tc.pattern, func(t *testing.T) {
+			got, naive := play(tc.shape, tc.losses, Fleet), play(tc.shape, tc.losses, tc.naive)
+			t.Logf("own: %+v", got)
+			t.Logf("naive: %+v", naive)
+			if got.Unended > 0 {
+				t.Errorf("answers without an end: got %d, want 0", got.Unended)
+			}
+			if part := float64(got.Late) / float64(got.Requests); part > tc.late {
+				t.Errorf("late: got %.3f of %d, want at most %.3f", part, got.Requests, tc.late)
+			}
+			if got.Late >= naive.Late && naive.Late > 0 {
+				t.Errorf("late: got %d, want fewer than %d of the naive choice", got.Late, naive.Late)
+			}
+			if got.MostReads >= naive.MostReads {
+				t.Errorf("prompts read at one engine at once: got %d, want fewer than %d of the naive choice", got.MostReads, naive.MostReads)
+			}
+		})
+	}
+}
+
+// TestRepeatable holds that a seed gives the same figures each time.
+func TestRepeatable(t *testing.T) {
+	first := New(base, again(true), Fleet, 7).Run()
+	if got := New(base, again(true), Fleet, 7).Run(); got != first {
+		t.Errorf("got %+v, want %+v", got, first)
+	}
+}
--- /dev/null
+++ b/emulator/types.go
@@ -0,0 +1,47 @@
+package emulator
+
+import "time"
+
+// Rule is how instances choose engines.
+type Rule int
+
+// Rules.
+const (
+	Fleet  Rule = iota // the project's own choice, with copies of runs in other failure domains
+	Random             // any registered engine, without copies
+	Least              // the engine with the least load in the last report, without copies
+)
+
+// Shape is a deployment and its load.
+type Shape struct {
+	Domains   int
+	Engines   int           // in each failure domain
+	Instances int           // in each failure domain
+	Rate      float64       // requests a second, over all
+	Prompt    int           // tokens
+	Pieces    int           // events of an answer
+	Memory    int           // tokens that an engine holds
+	Length    time.Duration // in which requests come
+	Objective time.Duration // to the first event
+	Pause     time.Duration // longest one between events that is on time
+	Burst     time.Duration // at the start of which a tenth of all requests come at once; 0 means none
+}
+
+// Loss is the loss of the engines of a failure domain.
+type Loss struct {
+	At     time.Duration
+	Domain int
+	For    time.Duration
+	Dark   bool // connections fall silent and are not reset
+}
+
+// Figures are what callers got.
+type Figures struct {
+	Requests  int
+	Late      int // whose first event was late, or that had a long pause
+	Unended   int
+	Read      int     // tokens of prompts read
+	Again     float64 // part of them that was read before
+	FirstP95  time.Duration
+	MostReads int // prompts read at one engine at once, at the most
+}
