A fault soak of the real programs as separate processes

The project's own form of the edge's wire (nativewire), a stand-in for upstreams that register themselves, and a soak that pauses, kills and stops processes and disturbs connections by loopback proxies, with checks from what callers and upstreams see.

--- a/cmd/crocuslug/edge.go
+++ b/cmd/crocuslug/edge.go
@@ -10,7 +10,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"crocuslug/edge"
-	"crocuslug/keyvalue"
+	"crocuslug/nativewire"
 	"crocuslug/platform"
 	"crocuslug/result"
 	"crocuslug/settings"
@@ -22,14 +22,40 @@
 const peerSecretVariable = "CROCUSLUG_PEER_SECRET"
 
 func edgeCommand(app *kingpin.Application) command {
-	c := app.Command("edge", "Run one instance on the platform whose settings file "+platform.SettingsVariable+" names, until SIGTERM.")
+	c := app.Command("edge", "Run one instance before upstreams that register themselves, until SIGTERM; on the platform whose settings file "+
+		platform.SettingsVariable+" names, or before stand-ins with --settings.")
+	file := c.Flag("settings", "Settings file, JSON, of an instance before stand-ins.").Short('s').String()
 	level := c.Flag("log-level", "debug, info, warn or error.").Default("info").String()
 	check := c.Flag("check", "Check the settings and stop.").Bool()
-	return command{c, func() error { return runEdge(*level, *check) }}
+	return command{c, func() error { return runEdge(edgeSource{*file}, *level, *check) }}
 }
 
-func runEdge(level string, check bool) error {
-	cfg, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+// edgeSource says where the settings of an edge are. The file is of the
+// project's own form, and that of the platform is read if there is none.
+type edgeSource struct {
+	file string
+}
+
+func (s edgeSource) read() (settings.Edge, error) {
+	if s.file == "" {
+		return platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+	}
+	cfg, problems, err := settings.ReadEdge(s.file)
+	if err != nil {
+		return cfg, err
+	}
+	return cfg, joinProblems(s.file, problems)
+}
+
+func (s edgeSource) ports(cfg settings.Edge) edge.Ports {
+	if s.file == "" {
+		return platformPorts(cfg)
+	}
+	return nativewire.Ports(cfg.StoreAddress)
+}
+
+func runEdge(source edgeSource, level string, check bool) error {
+	cfg, err := source.read()
 	if err != nil {
 		return result.New(result.SettingsInvalid, err.Error())
 	}
@@ -52,14 +78,14 @@
 	defer stop()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	e := edge.New(cfg, edgePorts(cfg), []byte(secret), clock, log)
+	e := edge.New(cfg, source.ports(cfg), []byte(secret), clock, log)
 	if err := e.Start(); err != nil {
 		return err
 	}
 	for {
 		select {
 		case <-reload:
-			reloadEdge(e)
+			e.Reload(source.read())
 			continue
 		case <-term.Done():
 		}
@@ -69,16 +95,9 @@
 	}
 }
 
-// reloadEdge reads the settings again. Settings that cannot be read change
-// nothing.
-func reloadEdge(e *edge.Edge) {
-	cfg, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
-	e.Reload(cfg, err)
-}
-
-func edgePorts(cfg settings.Edge) edge.Ports {
+func platformPorts(cfg settings.Edge) edge.Ports {
 	return edge.Ports{
-		Store:            storeSettings(cfg),
+		Store:            platform.StoreSettings(cfg.StoreAddress),
 		ConfigurationKey: platform.ConfigurationKey,
 		UpstreamsPrefix:  platform.ServersPrefix,
 		ReadinessPath:    platform.ReadinessPath,
@@ -91,7 +110,3 @@
 		Refusal:          platform.Refusal,
 	}
 }
-
-func storeSettings(cfg settings.Edge) keyvalue.Settings {
-	return platform.StoreSettings(cfg.StoreAddress)
-}
--- a/cmd/crocuslug/serve.go
+++ b/cmd/crocuslug/serve.go
@@ -46,14 +46,22 @@
 	if err != nil {
 		return cfg, result.New(result.SettingsInvalid, err.Error())
 	}
+	if err := joinProblems(file, problems); err != nil {
+		return cfg, result.New(result.SettingsInvalid, err.Error())
+	}
+	return cfg, nil
+}
+
+// joinProblems makes one error of all problems in a settings file, or nil.
+func joinProblems(file string, problems []settings.Problem) error {
 	if len(problems) == 0 {
-		return cfg, nil
+		return nil
 	}
 	lines := make([]string, len(problems))
 	for i, p := range problems {
 		lines[i] = "  " + p.String()
 	}
-	return cfg, result.Newf(result.SettingsInvalid, "%s:\n%s", file, strings.Join(lines, "\n"))
+	return fmt.Errorf("%s:\n%s", file, strings.Join(lines, "\n"))
 }
 
 func serve(file string) error {
--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,118 @@
+// Command soak runs the programs as separate processes, injects faults from
+// outside them and checks the promises of the system.
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"crocuslug/soak"
+)
+
+func main() {
+	app := kingpin.New("soak", "Runs the real programs as separate processes under faults and checks what is promised.")
+	run := app.Command("run", "Play runs of rising seeds.")
+	seed := run.Flag("seed", "First seed.").Default("1").Uint64()
+	count := run.Flag("count", "Runs.").Default("1").Int()
+	length := run.Flag("for", "Time in which faults come.").Default("20s").Duration()
+	dir := run.Flag("dir", "Directory for logs; a new one if empty.").String()
+	noFault := run.Flag("no-fault", "Inject none; for comparison.").Bool()
+	replay := app.Command("replay", "Play the seeds that a file keeps, one a line: SEED LENGTH and the cause.")
+	file := replay.Arg("file", "The file.").Required().ExistingFile()
+	var plays []soak.Settings
+	var err error
+	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	case run.FullCommand():
+		for i := range *count {
+			plays = append(plays, soak.Settings{Seed: *seed + uint64(i), For: *length, NoFault: *noFault})
+		}
+	case replay.FullCommand():
+		plays, err = kept(*file)
+	}
+	if err == nil {
+		err = playAll(plays, *dir)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(1)
+	}
+}
+
+// kept reads the runs of a file.
+func kept(file string) ([]soak.Settings, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	var out []soak.Settings
+	for sc := bufio.NewScanner(f); sc.Scan(); {
+		w := strings.Fields(sc.Text())
+		if len(w) == 0 || w[0] == "#" {
+			continue
+		}
+		if len(w) < 2 {
+			return nil, fmt.Errorf("line %q: want SEED LENGTH CAUSE", sc.Text())
+		}
+		seed, err := strconv.ParseUint(w[0], 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("line %q: %w", sc.Text(), err)
+		}
+		length, err := time.ParseDuration(w[1])
+		if err != nil {
+			return nil, fmt.Errorf("line %q: %w", sc.Text(), err)
+		}
+		out = append(out, soak.Settings{Seed: seed, For: length})
+	}
+	return out, nil
+}
+
+func playAll(plays []soak.Settings, dir string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if dir == "" {
+		d, err := os.MkdirTemp("", "soak-")
+		if err != nil {
+			return err
+		}
+		dir = d
+	}
+	build := exec.CommandContext(ctx, "go", "build", "-o", dir+string(filepath.Separator), "./cmd/crocuslug", "./cmd/standin")
+	if out, err := build.CombinedOutput(); err != nil {
+		return fmt.Errorf("build: %w\n%s", err, out)
+	}
+	failed := 0
+	for _, p := range plays {
+		p.Bin, p.Dir = dir, filepath.Join(dir, fmt.Sprintf("seed-%d", p.Seed))
+		if err := os.MkdirAll(p.Dir, 0o750); err != nil {
+			return err
+		}
+		f, err := soak.Run(ctx, p)
+		if err != nil {
+			return fmt.Errorf("seed %d: %w", p.Seed, err)
+		}
+		if err := json.NewEncoder(os.Stdout).Encode(f); err != nil {
+			return err
+		}
+		if len(f.Violations) > 0 {
+			failed++
+			fmt.Fprintf(os.Stderr, "seed %d: %d violations; logs in %s\n", p.Seed, len(f.Violations), p.Dir)
+		}
+	}
+	if failed > 0 {
+		return fmt.Errorf("%d of %d runs have violations", failed, len(plays))
+	}
+	return nil
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -18,6 +18,7 @@
 	"crocuslug/standinengine"
 	"crocuslug/standininstances"
 	"crocuslug/standinkeyvalue"
+	"crocuslug/standinregistered"
 	"crocuslug/standinservice"
 	"crocuslug/timer"
 	"crocuslug/unit"
@@ -46,6 +47,7 @@
 	addService(app, commands)
 	addKeyValue(app, commands)
 	addInstances(app, commands)
+	addRegistered(app, commands)
 	run := commands[kingpin.MustParse(app.Parse(os.Args[1:]))]
 	if err := serve(run, *listen); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -163,3 +165,22 @@
 	}
 	return instancelist.Parse(body)
 }
+
+func addRegistered(app *kingpin.Application, commands map[string]command) {
+	cmd := app.Command("registered", "A model engine or plain service that registers itself in the key-value service.")
+	var cfg standinregistered.Settings
+	cmd.Flag("public", "Address to register; that of --listen if empty.").StringVar(&cfg.Public)
+	cmd.Flag("store", "Address of the key-value service.").Required().StringVar(&cfg.Store)
+	cmd.Flag("recorder", "Address of who is told of each run.").StringVar(&cfg.Recorder)
+	cmd.Flag("service", "Service that it serves.").Default("engine").StringVar((*string)(&cfg.Service))
+	cmd.Flag("domain", "Failure domain.").Default("a").StringVar((*string)(&cfg.Domain))
+	cmd.Flag("prefill", "Time before the first piece or the answer.").Default("100ms").DurationVar(&cfg.Prefill)
+	cmd.Flag("interval", "Time between pieces.").Default("20ms").DurationVar(&cfg.Interval)
+	cmd.Flag("pieces", "Pieces of an answer; 0 for a plain service.").Default("0").IntVar(&cfg.Pieces)
+	cmd.Flag("drain", "Time from leaving to the end.").Default("2s").DurationVar(&cfg.Drain)
+	commands[cmd.FullCommand()] = func(t *timer.Service, listen string) (server, error) {
+		cfg.Listen = listen
+		s := standinregistered.New(cfg, t)
+		return server{s.Start, s.Addr, s.Stop}, nil
+	}
+}
--- a/edge/announce.go
+++ b/edge/announce.go
@@ -41,7 +41,7 @@
 		}
 		*lease = 0 // it has lapsed, and the entry with it
 	}
-	l, err := e.store.Grant(e.ctx, max(leaseTime, e.cfg.MinLease))
+	l, err := e.store.Grant(e.ctx, max(leaseTime, e.cfg.MinLease.Std()))
 	if err != nil {
 		return err
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -76,11 +76,31 @@
 	since time.Time
 }
 
+// Defaults of the settings.
+const (
+	defaultDrain      = 2 * time.Second
+	defaultGrace      = 8 * time.Second
+	defaultRetryShare = 0.2
+)
+
+func withDefaults(cfg *settings.Edge) {
+	if cfg.Drain <= 0 {
+		cfg.Drain = unit.Duration(defaultDrain)
+	}
+	if cfg.Grace <= 0 {
+		cfg.Grace = unit.Duration(defaultGrace)
+	}
+	if cfg.RetryShare <= 0 {
+		cfg.RetryShare = defaultRetryShare
+	}
+}
+
 // randomSeed draws a seed for one random source.
 func randomSeed() uint64 { return rand.Uint64() }
 
 // New builds an instance that is not started.
 func New(cfg settings.Edge, ports Ports, secret []byte, t *timer.Service, log zerolog.Logger) *Edge {
+	withDefaults(&cfg)
 	e := &Edge{
 		cfg:      cfg,
 		ports:    ports,
@@ -229,11 +249,11 @@
 	e.leaving.Store(true)
 	e.server.Leave()
 	e.log.Info().Int("Connections", e.server.Open()).Msg("leaving")
-	e.sleep(min(closeAfter, e.cfg.Grace/2))
+	e.sleep(min(closeAfter, e.cfg.Grace.Std()/2))
 	e.server.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	e.timer.After(e.cfg.Grace-killMargin-e.timer.Now().Sub(began), func(time.Time) { cancel() })
+	e.timer.After(e.cfg.Grace.Std()-killMargin-e.timer.Now().Sub(began), func(time.Time) { cancel() })
 	if err := e.server.Wait(ctx); err != nil {
 		e.log.Warn().Int("Connections", e.server.Open()).Msg("cut off at the end of the grace")
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -130,23 +130,34 @@
 // Read reads the settings in file. Problems in its content are returned
 // together; the error is of reading the file.
 func Read(file string) (Settings, []Problem, error) {
+	return readFile(file, Settings.check)
+}
+
+// Parse reads settings and returns all problems in them, by path. Texts of
+// problems hold no values of secrets.
+func Parse(b []byte) (Settings, []Problem) {
+	return parse(b, Settings.check)
+}
+
+// readFile reads settings of any kind.
+func readFile[T any](file string, check func(T) []Problem) (T, []Problem, error) {
+	var cfg T
 	f, err := os.Open(file)
 	if err != nil {
-		return Settings{}, nil, err
+		return cfg, nil, err
 	}
 	defer f.Close()
 	b, err := io.ReadAll(io.LimitReader(f, maxFileBytes+1))
 	if err != nil {
-		return Settings{}, nil, err
+		return cfg, nil, err
 	}
-	cfg, problems := Parse(b)
+	cfg, problems := parse(b, check)
 	return cfg, problems, nil
 }
 
-// Parse reads settings and returns all problems in them, by path. Texts of
-// problems hold no values of secrets.
-func Parse(b []byte) (Settings, []Problem) {
-	var cfg Settings
+// parse reads settings of any kind and adds what check finds.
+func parse[T any](b []byte, check func(T) []Problem) (T, []Problem) {
+	var cfg T
 	if len(b) > maxFileBytes {
 		return cfg, []Problem{{"", fmt.Sprintf("want at most %d bytes", maxFileBytes)}}
 	}
@@ -156,7 +167,7 @@
 	}
 	var r reader
 	r.fill(reflect.ValueOf(&cfg).Elem(), raw, "")
-	for _, p := range cfg.check() {
+	for _, p := range check(cfg) {
 		if !r.faulty(p.Path) {
 			r.problems = append(r.problems, p)
 		}
