--- a/edge/peers.go
+++ b/edge/peers.go
@@ -9,10 +9,10 @@
 	"crocuslug/directory"
 	"crocuslug/ident"
 	"crocuslug/peerlink"
-	"crocuslug/routing"
 	"crocuslug/store"
 	"crocuslug/suspect"
 	"crocuslug/unit"
+	"crocuslug/work"
 )
 
 // Methods of the link between instances.
@@ -44,7 +44,7 @@
 	domain   ident.Domain // "" if not known yet
 	heard    time.Time    // last digest; zero if none
 	added    time.Time
-	inFlight map[ident.Upstream]routing.Load
+	inFlight map[ident.Upstream]work.Load
 	seed     bool
 }
 
@@ -53,7 +53,7 @@
 	Domain        ident.Domain
 	Seen          store.Version // of the store, up to which it knows all changes
 	Configuration uint64        // version in force; 0 if none
-	InFlight      map[ident.Upstream]routing.Load
+	InFlight      map[ident.Upstream]work.Load
 	Lost          []ident.Upstream         `json:",omitempty"` // found dead here within the last moments
 	Refused       map[uint64]unit.Duration `json:",omitempty"` // contents that make engines fail, by the time for which they are refused
 }
@@ -223,12 +223,12 @@
 	}
 	p.heard = now
 	p.inFlight = d.InFlight
-	counts := make(map[ident.Upstream]routing.Load)
+	counts := make(map[ident.Upstream]work.Load)
 	for _, q := range e.peers {
 		if now.Sub(q.heard) <= peerExpiry {
 			for u, n := range q.inFlight {
 				sum := counts[u]
-				counts[u] = routing.Load{Requests: sum.Requests + n.Requests, Reading: sum.Reading + n.Reading}
+				counts[u] = work.Load{Requests: sum.Requests + n.Requests, Reading: sum.Reading + n.Reading}
 			}
 		}
 	}
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -12,6 +12,7 @@
 	"crocuslug/ident"
 	"crocuslug/routing"
 	"crocuslug/store"
+	"crocuslug/work"
 )
 
 // Times around instances.
@@ -410,13 +411,13 @@
 	}
 	for _, in := range em.instances {
 		in.fleet.Tick(em.now)
-		sum := make(map[ident.Upstream]routing.Load)
+		sum := make(map[ident.Upstream]work.Load)
 		for _, other := range em.instances {
 			if other == in {
 				continue
 			}
 			for id, n := range other.fleet.InFlight() {
-				sum[id] = routing.Load{Requests: sum[id].Requests + n.Requests, Reading: sum[id].Reading + n.Reading}
+				sum[id] = work.Load{Requests: sum[id].Requests + n.Requests, Reading: sum[id].Reading + n.Reading}
 			}
 			for _, id := range other.fleet.Own(em.now) {
 				in.fleet.ReportLost(id, em.now)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -21,6 +21,7 @@
 	"crocuslug/routing"
 	"crocuslug/store"
 	"crocuslug/unit"
+	"crocuslug/work"
 )
 
 // Settings of a Fleet. The zero value takes the defaults.
@@ -451,7 +452,7 @@
 }
 
 // ReportOthers takes the requests that other instances have at upstreams.
-func (f *Fleet) ReportOthers(counts map[ident.Upstream]routing.Load, now time.Time) {
+func (f *Fleet) ReportOthers(counts map[ident.Upstream]work.Load, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, g := range f.services {
@@ -463,10 +464,10 @@
 }
 
 // InFlight returns the own requests at each upstream that has any.
-func (f *Fleet) InFlight() map[ident.Upstream]routing.Load {
+func (f *Fleet) InFlight() map[ident.Upstream]work.Load {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := make(map[ident.Upstream]routing.Load)
+	out := make(map[ident.Upstream]work.Load)
 	for _, g := range f.services {
 		for id, n := range g.chooser.InFlight() {
 			out[id] = n
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -17,6 +17,7 @@
 	"crocuslug/ident"
 	"crocuslug/routing"
 	"crocuslug/store"
+	"crocuslug/work"
 )
 
 // TestScripts plays testdata/*.txt before an instance in the domain "near". A
@@ -165,7 +166,7 @@
 	}
 	f.SetUpstreams(list, func(ident.Service) int { return 0 }, now)
 	f.Reading("0", 5000)
-	f.ReportOthers(map[ident.Upstream]routing.Load{"1": {Requests: 3}}, now)
+	f.ReportOthers(map[ident.Upstream]work.Load{"1": {Requests: 3}}, now)
 	if got := choices(f, "", now); got["0"] > 0 {
 		t.Errorf("got %v, want none at 0, which reads a prompt", got)
 	}
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -20,6 +20,7 @@
 
 	"crocuslug/affinity"
 	"crocuslug/ident"
+	"crocuslug/work"
 )
 
 // Chooser makes the choices of one instance. Its methods may be called from
@@ -142,20 +143,14 @@
 	e.queued = reading
 }
 
-// Load is the own requests at an upstream.
-type Load struct {
-	Requests int
-	Reading  int `json:",omitempty"` // prompt tokens to be read for them
-}
-
 // InFlight returns the own requests at each upstream that has any.
-func (c *Chooser) InFlight() map[ident.Upstream]Load {
+func (c *Chooser) InFlight() map[ident.Upstream]work.Load {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := make(map[ident.Upstream]Load)
+	out := make(map[ident.Upstream]work.Load)
 	for _, e := range c.order {
 		if e.own > 0 {
-			out[e.Upstream] = Load{e.own, e.reading}
+			out[e.Upstream] = work.Load{Requests: e.own, Reading: e.reading}
 		}
 	}
 	return out
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -33,7 +33,7 @@
 	for i := 0; !c.s.over(); i++ {
 		id := fmt.Sprintf("s%d-c%d-r%d", c.s.cfg.Seed, n, i)
 		if c.conn == nil && !c.connect() {
-			time.Sleep(slowBy)
+			c.s.clock.sleep(slowBy)
 			continue
 		}
 		switch c.random.IntN(4) {
@@ -44,7 +44,7 @@
 		default:
 			c.plain(id, "/unsafe/x")
 		}
-		time.Sleep(time.Duration(c.random.IntN(40)) * time.Millisecond)
+		c.s.clock.sleep(time.Duration(c.random.IntN(40)) * time.Millisecond)
 	}
 }
 
@@ -71,7 +71,7 @@
 
 // send writes a request and reads the head of its answer.
 func (c *caller) send(id, target, method string) (*http.Response, error) {
-	_ = c.conn.SetDeadline(time.Now().Add(patience))
+	_ = c.conn.SetDeadline(c.s.clock.Now().Add(patience))
 	text := method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\n" +
 		nativewire.Request + ": " + id + "\r\n" + nativewire.Key + ": " + apiKey + "\r\n" +
 		nativewire.Patience + ": 10s\r\n" + nativewire.Prompt + ": 100\r\n" + nativewire.Tokens + ": 200\r\n" +
@@ -130,7 +130,7 @@
 	r := pieces.New(res.Body)
 	n := 0
 	for {
-		_ = c.conn.SetDeadline(time.Now().Add(patience))
+		_ = c.conn.SetDeadline(c.s.clock.Now().Add(patience))
 		p, err := r.Next()
 		if err == io.EOF {
 			break
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -29,30 +29,25 @@
 }
 
 // restart sends a signal that ends a process and starts it again after a while.
-func restart(ctx context.Context, p *process, sig syscall.Signal, after time.Duration) {
+func (s *Soak) restart(ctx context.Context, p *process, sig syscall.Signal, after time.Duration) {
 	done := p.ended()
 	p.signal(sig)
-	limit := time.NewTimer(graceOfStop)
-	defer limit.Stop()
-	select {
-	case <-done:
-	case <-limit.C:
-		p.signal(syscall.SIGKILL)
-		<-done
-	}
-	pause(ctx, after)
+	limit := s.clock.After(graceOfStop, func(time.Time) { p.signal(syscall.SIGKILL) })
+	<-done
+	limit.Stop()
+	s.clock.pause(ctx, after)
 	_ = p.start() // a failure shows as an instance or upstream that stays away
 }
 
-func freeze(ctx context.Context, p *process, d time.Duration) {
+func (s *Soak) freeze(ctx context.Context, p *process, d time.Duration) {
 	p.signal(syscall.SIGSTOP)
-	pause(ctx, d)
+	s.clock.pause(ctx, d)
 	p.signal(syscall.SIGCONT)
 }
 
-func disturb(ctx context.Context, p *proxy, m mode, d time.Duration) {
+func (s *Soak) disturb(ctx context.Context, p *proxy, m mode, d time.Duration) {
 	p.set(m)
-	pause(ctx, d)
+	s.clock.pause(ctx, d)
 	p.set(pass)
 	if m == silent || m == oneWay {
 		p.reset() // what was lost leaves connections that are of no use
@@ -62,7 +57,7 @@
 // faults are all kinds.
 var faults = []fault{
 	{"upstream killed", false, func(ctx context.Context, s *Soak, r *rand.Rand) {
-		restart(ctx, s.anyUpstream(r).process, syscall.SIGKILL, between(r, 300*time.Millisecond, 2*time.Second))
+		s.restart(ctx, s.anyUpstream(r).process, syscall.SIGKILL, between(r, 300*time.Millisecond, 2*time.Second))
 	}},
 	{"upstreams of a domain killed", false, func(ctx context.Context, s *Soak, r *rand.Rand) {
 		d, after := r.IntN(domains), between(r, 500*time.Millisecond, 1500*time.Millisecond)
@@ -71,49 +66,49 @@
 			all.Add(1)
 			go func() {
 				defer all.Done()
-				restart(ctx, s.world.upstreams[d*(enginesEach+1)+n].process, syscall.SIGKILL, after)
+				s.restart(ctx, s.world.upstreams[d*(enginesEach+1)+n].process, syscall.SIGKILL, after)
 			}()
 		}
 		all.Wait()
 	}},
 	{"upstream frozen", false, func(ctx context.Context, s *Soak, r *rand.Rand) {
-		freeze(ctx, s.anyUpstream(r).process, between(r, 300*time.Millisecond, 2*time.Second))
+		s.freeze(ctx, s.anyUpstream(r).process, between(r, 300*time.Millisecond, 2*time.Second))
 	}},
 	{"upstream leaves", true, func(ctx context.Context, s *Soak, r *rand.Rand) {
-		restart(ctx, s.anyUpstream(r).process, syscall.SIGTERM, between(r, 100*time.Millisecond, time.Second))
+		s.restart(ctx, s.anyUpstream(r).process, syscall.SIGTERM, between(r, 100*time.Millisecond, time.Second))
 	}},
 	{"connections to an upstream reset", false, func(_ context.Context, s *Soak, r *rand.Rand) { s.anyUpstream(r).proxy.reset() }},
 	{"way to an upstream silent", false, func(ctx context.Context, s *Soak, r *rand.Rand) {
-		disturb(ctx, s.anyUpstream(r).proxy, silent, between(r, 500*time.Millisecond, 2*time.Second))
+		s.disturb(ctx, s.anyUpstream(r).proxy, silent, between(r, 500*time.Millisecond, 2*time.Second))
 	}},
 	{"way to an upstream cut outward", false, func(ctx context.Context, s *Soak, r *rand.Rand) {
-		disturb(ctx, s.anyUpstream(r).proxy, oneWay, between(r, 500*time.Millisecond, 2*time.Second))
+		s.disturb(ctx, s.anyUpstream(r).proxy, oneWay, between(r, 500*time.Millisecond, 2*time.Second))
 	}},
 	{"way to an upstream slow", false, func(ctx context.Context, s *Soak, r *rand.Rand) {
-		disturb(ctx, s.anyUpstream(r).proxy, slow, between(r, 500*time.Millisecond, 2*time.Second))
+		s.disturb(ctx, s.anyUpstream(r).proxy, slow, between(r, 500*time.Millisecond, 2*time.Second))
 	}},
 	{"instance killed", false, func(ctx context.Context, s *Soak, r *rand.Rand) {
-		restart(ctx, s.anyInstance(r).process, syscall.SIGKILL, between(r, 100*time.Millisecond, time.Second))
+		s.restart(ctx, s.anyInstance(r).process, syscall.SIGKILL, between(r, 100*time.Millisecond, time.Second))
 	}},
 	{"instance frozen", false, func(ctx context.Context, s *Soak, r *rand.Rand) {
-		freeze(ctx, s.anyInstance(r).process, between(r, 200*time.Millisecond, 1500*time.Millisecond))
+		s.freeze(ctx, s.anyInstance(r).process, between(r, 200*time.Millisecond, 1500*time.Millisecond))
 	}},
 	{"instance leaves", true, func(ctx context.Context, s *Soak, r *rand.Rand) {
-		restart(ctx, s.anyInstance(r).process, syscall.SIGTERM, between(r, 100*time.Millisecond, time.Second))
+		s.restart(ctx, s.anyInstance(r).process, syscall.SIGTERM, between(r, 100*time.Millisecond, time.Second))
 	}},
 	{"instance reads its settings again", true, func(_ context.Context, s *Soak, r *rand.Rand) { s.anyInstance(r).signal(syscall.SIGHUP) }},
 	{"store silent for an instance", false, func(ctx context.Context, s *Soak, r *rand.Rand) {
-		disturb(ctx, s.anyInstance(r).store, silent, between(r, time.Second, 4*time.Second))
+		s.disturb(ctx, s.anyInstance(r).store, silent, between(r, time.Second, 4*time.Second))
 	}},
 	{"store refuses an instance", false, func(ctx context.Context, s *Soak, r *rand.Rand) {
 		p := s.anyInstance(r).store
 		p.set(refusing)
 		p.reset()
-		pause(ctx, between(r, time.Second, 4*time.Second))
+		s.clock.pause(ctx, between(r, time.Second, 4*time.Second))
 		p.set(pass)
 	}},
 	{"store frozen", false, func(ctx context.Context, s *Soak, r *rand.Rand) {
-		freeze(ctx, s.world.storeProc, between(r, 500*time.Millisecond, 3*time.Second))
+		s.freeze(ctx, s.world.storeProc, between(r, 500*time.Millisecond, 3*time.Second))
 	}},
 }
 
@@ -121,20 +116,20 @@
 // alone, and waits for the last of them.
 func (s *Soak) inject(ctx context.Context) {
 	r := rand.New(rand.NewPCG(s.cfg.Seed, 0))
-	end := time.Now().Add(s.cfg.For)
+	end := s.clock.Now().Add(s.cfg.For)
 	var running sync.WaitGroup
-	for n := 0; time.Now().Before(end) && ctx.Err() == nil; n++ {
+	for n := 0; s.clock.Now().Before(end) && ctx.Err() == nil; n++ {
 		f := faults[r.IntN(len(faults))]
 		alone := f.planned && n%2 == 0
 		seed := r.Uint64()
 		wait := between(r, leastPause, faultSpacing)
 		if s.cfg.NoFault {
-			pause(ctx, wait)
+			s.clock.pause(ctx, wait)
 			continue
 		}
 		if alone {
 			running.Wait()
-			pause(ctx, calmAfter+time.Second)
+			s.clock.pause(ctx, calmAfter+time.Second)
 		}
 		s.begin(f)
 		running.Add(1)
@@ -147,9 +142,9 @@
 			running.Wait()
 		}
 		for s.activeFaults() >= mostFaults && ctx.Err() == nil {
-			pause(ctx, leastPause)
+			s.clock.pause(ctx, leastPause)
 		}
-		pause(ctx, wait)
+		s.clock.pause(ctx, wait)
 	}
 	running.Wait()
 }
@@ -161,7 +156,7 @@
 	if !f.planned {
 		s.active++
 		s.epoch++
-		s.lastFault = time.Now()
+		s.lastFault = s.clock.Now()
 	}
 }
 
@@ -171,7 +166,7 @@
 	if !f.planned {
 		s.active--
 		s.epoch++
-		s.lastFault = time.Now()
+		s.lastFault = s.clock.Now()
 	}
 }
 
--- a/soak/process.go
+++ b/soak/process.go
@@ -12,11 +12,12 @@
 
 // process is one program that is started again when it ends.
 type process struct {
-	name string
-	path string
-	args []string
-	env  []string
-	log  *os.File
+	clock clock
+	name  string
+	path  string
+	args  []string
+	env   []string
+	log   *os.File
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -26,12 +27,12 @@
 	done    chan struct{}
 }
 
-func newProcess(dir, name, path string, env []string, args ...string) (*process, error) {
+func newProcess(c clock, dir, name, path string, env []string, args ...string) (*process, error) {
 	f, err := os.Create(filepath.Join(dir, name+".log"))
 	if err != nil {
 		return nil, err
 	}
-	return &process{name: name, path: path, args: args, env: append(os.Environ(), env...), log: f}, nil
+	return &process{clock: c, name: name, path: path, args: args, env: append(os.Environ(), env...), log: f}, nil
 }
 
 // start starts the program.
@@ -46,7 +47,7 @@
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", p.name, err)
 	}
-	p.cmd, p.changed = cmd, time.Now()
+	p.cmd, p.changed = cmd, p.clock.Now()
 	p.starts++
 	done := make(chan struct{})
 	p.done = done
@@ -61,7 +62,7 @@
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.changed = time.Now()
+	p.changed = p.clock.Now()
 	if p.cmd != nil {
 		_ = p.cmd.Process.Signal(s) // it may have ended
 	}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -23,6 +23,7 @@
 
 // proxy forwards connections over loopback to an address.
 type proxy struct {
+	clock    clock
 	listener net.Listener
 	target   string
 
@@ -31,12 +32,12 @@
 	conns map[net.Conn]struct{}
 }
 
-func newProxy(target string) (*proxy, error) {
+func newProxy(c clock, target string) (*proxy, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, conns: make(map[net.Conn]struct{})}
+	p := &proxy{clock: c, listener: l, target: target, conns: make(map[net.Conn]struct{})}
 	go p.accept()
 	return p, nil
 }
@@ -110,10 +111,10 @@
 	for {
 		n, err := from.Read(buf)
 		for n > 0 && p.get() == silent {
-			time.Sleep(slowBy)
+			p.clock.sleep(slowBy)
 		}
 		if n > 0 && p.get() == slow {
-			time.Sleep(slowBy)
+			p.clock.sleep(slowBy)
 		}
 		if n > 0 && (p.get() != oneWay || !outward) {
 			if _, werr := to.Write(buf[:n]); werr != nil {
--- a/soak/routes.go
+++ b/soak/routes.go
@@ -16,7 +16,7 @@
 // changeConfiguration adds a route again and again.
 func (s *Soak) changeConfiguration(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, changeEvery)
+		s.clock.pause(ctx, changeEvery)
 		w := s.world
 		before := w.doc
 		prefix := fmt.Sprintf("/v%d/", w.doc.Version)
@@ -32,7 +32,7 @@
 			continue
 		}
 		s.mu.Lock()
-		s.routes = append(s.routes, &newRoute{prefix, time.Now(), map[*instance]int{}})
+		s.routes = append(s.routes, &newRoute{prefix, s.clock.Now(), map[*instance]int{}})
 		s.mu.Unlock()
 	}
 }
@@ -41,7 +41,7 @@
 // must know them after a while, and may not forget them.
 func (s *Soak) checkRoutes(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
-		pause(ctx, checkEvery)
+		s.clock.pause(ctx, checkEvery)
 		s.mu.Lock()
 		routes := append([]*newRoute{}, s.routes...)
 		s.mu.Unlock()
@@ -55,8 +55,8 @@
 
 func (s *Soak) checkRoute(in *instance, r *newRoute, n int) {
 	before, _ := in.incarnation()
-	asked := time.Now()
-	status, ok := askOnce(in.listen, fmt.Sprintf("s%d-p%d-%s%s", s.cfg.Seed, n, in.name, r.prefix[1:len(r.prefix)-1]), r.prefix+"x")
+	asked := s.clock.Now()
+	status, ok := s.askOnce(in.listen, fmt.Sprintf("s%d-p%d-%s%s", s.cfg.Seed, n, in.name, r.prefix[1:len(r.prefix)-1]), r.prefix+"x")
 	after, changed := in.incarnation()
 	if !ok || before != after || status == http.StatusServiceUnavailable {
 		return
@@ -73,20 +73,20 @@
 		r.seen[in] = after
 	case r.seen[in] == after:
 		s.violateLocked("%s: route %s was in force and is no longer", in.name, r.prefix)
-	case asked.Sub(r.at) > bound && asked.Sub(changed) > bound && time.Since(s.lastFault) > bound:
+	case asked.Sub(r.at) > bound && asked.Sub(changed) > bound && s.clock.since(s.lastFault) > bound:
 		s.violateLocked("%s: route %s is not in force after %v", in.name, r.prefix, asked.Sub(r.at))
 	}
 	s.checked("configuration in force, never back")
 }
 
 // askOnce sends one request on a new connection.
-func askOnce(address, id, target string) (status int, ok bool) {
+func (s *Soak) askOnce(address, id, target string) (status int, ok bool) {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return 0, false
 	}
 	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
+	_ = conn.SetDeadline(s.clock.Now().Add(2 * time.Second))
 	text := "GET " + target + " HTTP/1.1\r\nHost: " + host + "\r\nConnection: close\r\n" +
 		nativewire.Request + ": " + id + "\r\n" + nativewire.Key + ": " + apiKey + "\r\n" + nativewire.Patience + ": 1s\r\n\r\n"
 	if _, err := io.WriteString(conn, text); err != nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -8,6 +8,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"crocuslug/timer"
 )
 
 // Settings of a run.
@@ -36,6 +38,7 @@
 // Soak is one run.
 type Soak struct {
 	cfg   Settings
+	clock clock
 	world *world
 
 	mu        sync.Mutex
@@ -81,9 +84,13 @@
 	if cfg.Callers == 0 {
 		cfg.Callers = defaultCallers
 	}
-	s := &Soak{cfg: cfg, refused: make(map[string]time.Time)}
+	c := clock{timer.New()}
+	clockCtx, stopClock := context.WithCancel(context.Background())
+	defer stopClock()
+	go c.Run(clockCtx)
+	s := &Soak{cfg: cfg, clock: c, refused: make(map[string]time.Time)}
 	s.figures = Figures{Seed: cfg.Seed, Statuses: map[int]int{}, Faults: map[string]int{}, Checked: map[string]int{}}
-	w, err := newWorld(ctx, cfg.Bin, cfg.Dir)
+	w, err := newWorld(ctx, c, cfg.Bin, cfg.Dir)
 	if w != nil {
 		defer w.stop()
 	}
@@ -91,7 +98,7 @@
 		return s.figures, err
 	}
 	s.world = w
-	s.lastFault = time.Now()
+	s.lastFault = s.clock.Now()
 	var running sync.WaitGroup
 	background, stopBackground := context.WithCancel(ctx)
 	for _, f := range []func(context.Context){s.watchReady, s.changeConfiguration, s.checkRoutes} {
@@ -111,11 +118,11 @@
 		}()
 	}
 	s.inject(ctx)
-	pause(ctx, settleTime)
+	s.clock.pause(ctx, settleTime)
 	s.mu.Lock()
 	s.final = true
 	s.mu.Unlock()
-	pause(ctx, finalTime)
+	s.clock.pause(ctx, finalTime)
 	s.mu.Lock()
 	s.ended = true
 	s.mu.Unlock()
@@ -128,13 +135,6 @@
 	return s.figures, nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 func (s *Soak) over() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -149,7 +149,7 @@
 
 func (s *Soak) violateLocked(format string, args ...any) {
 	if len(s.figures.Violations) < maxViolations {
-		text := time.Now().UTC().Format("15:04:05.000") + " " + fmt.Sprintf(format, args...)
+		text := s.clock.Now().UTC().Format("15:04:05.000") + " " + fmt.Sprintf(format, args...)
 		s.figures.Violations = append(s.figures.Violations, text)
 		fmt.Fprintln(os.Stderr, "violation:", text)
 	}
@@ -177,7 +177,7 @@
 func (s *Soak) calmNow() moment {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return moment{s.epoch, s.active == 0 && time.Since(s.lastFault) > calmAfter, s.final}
+	return moment{s.epoch, s.active == 0 && s.clock.since(s.lastFault) > calmAfter, s.final}
 }
 
 // answered takes the status of a whole answer.
@@ -188,7 +188,7 @@
 	s.checked("own whole answer")
 	switch {
 	case status == http.StatusServiceUnavailable && unsafe:
-		s.refused[id] = time.Now()
+		s.refused[id] = s.clock.Now()
 	case status == http.StatusUnauthorized || status == http.StatusNotFound:
 		s.violateLocked("%s: got %d for a request that every configuration allows", id, status)
 	}
@@ -241,7 +241,7 @@
 		s.mu.Lock()
 		s.ready = ready
 		s.mu.Unlock()
-		pause(ctx, watchReady)
+		s.clock.pause(ctx, watchReady)
 	}
 }
 
--- a/soak/world.go
+++ b/soak/world.go
@@ -16,7 +16,6 @@
 	"crocuslug/nativewire"
 	"crocuslug/settings"
 	"crocuslug/store"
-	"crocuslug/timer"
 )
 
 // Shape of a world.
@@ -49,6 +48,7 @@
 
 // world is all processes of a run.
 type world struct {
+	clock     clock
 	dir       string
 	recorder  *recorder
 	storeProc *process
@@ -58,7 +58,6 @@
 	instances []*instance
 	doc       directory.Document
 	revision  store.Version
-	cancel    context.CancelFunc
 }
 
 // freePort returns an address that is free now. Programs need the same one at
@@ -73,8 +72,8 @@
 }
 
 // newWorld starts all programs, which are in bin, and waits until they serve.
-func newWorld(ctx context.Context, bin, dir string) (*world, error) {
-	w := &world{dir: dir}
+func newWorld(ctx context.Context, c clock, bin, dir string) (*world, error) {
+	w := &world{clock: c, dir: dir}
 	var err error
 	if w.recorder, err = newRecorder(); err != nil {
 		return nil, err
@@ -83,18 +82,14 @@
 	if err != nil {
 		return w, err
 	}
-	w.storeProc, err = newProcess(dir, "store", filepath.Join(bin, "standin"), nil, "--listen", storeAddr, "keyvalue")
+	w.storeProc, err = newProcess(c, dir, "store", filepath.Join(bin, "standin"), nil, "--listen", storeAddr, "keyvalue")
 	if err != nil {
 		return w, err
 	}
 	if err := w.storeProc.start(); err != nil {
 		return w, err
 	}
-	clock := timer.New()
-	clockCtx, cancel := context.WithCancel(ctx)
-	w.cancel = cancel
-	go clock.Run(clockCtx)
-	w.client = keyvalue.New(keyvalue.Settings{Address: storeAddr}, clock)
+	w.client = keyvalue.New(keyvalue.Settings{Address: storeAddr}, c.Service)
 	w.port = w.client.Port()
 	if err := w.firstConfiguration(ctx); err != nil {
 		return w, err
@@ -131,13 +126,13 @@
 		Limits:     directory.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 		Workspaces: []directory.Workspace{{Name: "w", Keys: []string{apiKey}}},
 	}
-	deadline := time.Now().Add(startLimit)
+	deadline := w.clock.Now().Add(startLimit)
 	for {
 		err := w.writeConfiguration(ctx)
-		if err == nil || time.Now().After(deadline) {
+		if err == nil || w.clock.Now().After(deadline) {
 			return err
 		}
-		time.Sleep(slowBy)
+		w.clock.sleep(slowBy)
 	}
 }
 
@@ -158,7 +153,7 @@
 	if err != nil {
 		return err
 	}
-	p, err := newProxy(addr)
+	p, err := newProxy(w.clock, addr)
 	if err != nil {
 		return err
 	}
@@ -173,7 +168,7 @@
 		name = fmt.Sprintf("plain-%d", domain)
 		args = append(args, "--service", string(plainService), "--prefill", "10ms")
 	}
-	proc, err := newProcess(w.dir, name, filepath.Join(bin, "standin"), nil, args...)
+	proc, err := newProcess(w.clock, w.dir, name, filepath.Join(bin, "standin"), nil, args...)
 	if err != nil {
 		return err
 	}
@@ -192,7 +187,7 @@
 			}
 			addrs[i] = a
 		}
-		p, err := newProxy(storeAddr)
+		p, err := newProxy(w.clock, storeAddr)
 		if err != nil {
 			return err
 		}
@@ -212,7 +207,7 @@
 		if err := os.WriteFile(file, b, 0o600); err != nil {
 			return err
 		}
-		proc, err := newProcess(w.dir, cfg.Name, filepath.Join(bin, "crocuslug"), []string{secretVariable + "=soak"}, "edge", "--settings", file)
+		proc, err := newProcess(w.clock, w.dir, cfg.Name, filepath.Join(bin, "crocuslug"), []string{secretVariable + "=soak"}, "edge", "--settings", file)
 		if err != nil {
 			return err
 		}
@@ -238,8 +233,8 @@
 
 // await waits until all instances are ready and upstreams have registered.
 func (w *world) await(ctx context.Context) error {
-	deadline := time.Now().Add(startLimit)
-	for time.Now().Before(deadline) {
+	deadline := w.clock.Now().Add(startLimit)
+	for w.clock.Now().Before(deadline) {
 		ready := 0
 		for _, in := range w.instances {
 			if in.isReady() {
@@ -248,10 +243,10 @@
 		}
 		entries, err := w.port.List(ctx, nativewire.UpstreamsPrefix)
 		if err == nil && ready == len(w.instances) && len(entries) == len(w.upstreams) {
-			time.Sleep(time.Second) // until the watches have brought the last ones
+			w.clock.sleep(time.Second) // until the watches have brought the last ones
 			return nil
 		}
-		time.Sleep(slowBy)
+		w.clock.sleep(slowBy)
 	}
 	return fmt.Errorf("the world is not ready after %v; logs in %s", startLimit, w.dir)
 }
@@ -272,7 +267,6 @@
 	}
 	if w.client != nil {
 		w.client.Close()
-		w.cancel()
 	}
 	w.recorder.close()
 }
--- a/work/work.go
+++ b/work/work.go
@@ -91,3 +91,9 @@
 	// Genuine reports whether an answer bears the signature of an upstream.
 	Genuine func(h http.Header) bool
 }
+
+// Load is what an instance has under way at an upstream.
+type Load struct {
+	Requests int
+	Reading  int `json:",omitempty"` // prompt tokens still to be read for them
+}
