Give the soak's programs ports that no connection can have

The port had been chosen free and was given to a connection before the program listened. Ruled out: an engine of an earlier run (another port).

--- a/soak/world.go
+++ b/soak/world.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -60,15 +61,25 @@
 	revision  store.Version
 }
 
-// freePort returns an address that is free now. Programs need the same one at
-// each start.
+// Ports that programs get, below those that the kernel gives to connections: a
+// program needs its port again at each start.
+const (
+	leastPort = 12000
+	mostPort  = 30000
+	portTries = 100
+)
+
+// freePort returns an address that is free now.
 func freePort() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range portTries {
+		addr := fmt.Sprintf("127.0.0.1:%d", leastPort+rand.IntN(mostPort-leastPort))
+		var l net.Listener
+		if l, err = net.Listen("tcp", addr); err == nil {
+			return addr, l.Close()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", err
 }
 
 // newWorld starts all programs, which are in bin, and waits until they serve.
