Find restarted engines without the store, by the time in which an address goes to no other service

An address goes to no other service for reuse_after_s after its engine's end, so whoever answers there sooner is the same service. Uptime counts suspension.

--- a/cmd/crocuslug/edge.go
+++ b/cmd/crocuslug/edge.go
@@ -104,6 +104,7 @@
 		Configuration:    platform.DecodeConfiguration,
 		Upstream:         platform.Ports(),
 		Entry:            platform.DecodeServer,
+		Identity:         platform.Identity,
 		Describe:         platform.Describe,
 		Forwarded:        platform.Forwarded,
 		Returned:         platform.Returned,
--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -38,6 +38,7 @@
 		switch {
 		case !failed:
 			d.fleet.Ended(u.ID, fleet.Served, end.Sub(now), end)
+			d.fleet.Heard(u.ID, d.timer.Uptime())
 			d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Int("Attempt", a.made).
 				Int("Status", reply.Status).Dur("TookMs", end.Sub(now)).Msg("answered")
 			return reply, nil
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -11,6 +11,7 @@
 	"crocuslug/directory"
 	"crocuslug/exchange"
 	"crocuslug/fleet"
+	"crocuslug/ident"
 	"crocuslug/pieces"
 	"crocuslug/result"
 	"crocuslug/silence"
@@ -143,7 +144,7 @@
 	if ans.Status != http.StatusOK {
 		return d.readWhole(s, ans)
 	}
-	return d.relay(ctx, s, ans, now)
+	return d.relay(ctx, s, u.ID, ans, now)
 }
 
 // readWhole takes an answer that is no stream.
@@ -161,10 +162,12 @@
 }
 
 // relay passes pieces on as they come.
-func (d *Dispatcher) relay(ctx context.Context, s *stream, ans *exchange.Answer, began time.Time) (verdict, bool) {
+func (d *Dispatcher) relay(ctx context.Context, s *stream, id ident.Upstream, ans *exchange.Answer, began time.Time) (verdict, bool) {
 	r := pieces.New(ans)
 	limit := s.gaps.FirstLimit()
 	before := began
+	heard := d.timer.Uptime()
+	defer func() { d.fleet.Heard(id, heard) }()
 	for first := true; ; first = false {
 		ans.ReadBy(before.Add(limit))
 		p, err := r.Next()
@@ -182,7 +185,7 @@
 		if !first {
 			s.gaps.Gap(now.Sub(before))
 		}
-		before = now
+		before, heard = now, d.timer.Uptime()
 		limit = min(s.gaps.GapLimit(), s.patience)
 		if v, ok := d.deliver(s, ans, p); !ok {
 			return v, false
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -67,6 +67,7 @@
 	peers       map[ident.Instance]*peer
 	turn        int                  // of digests
 	verdicts    map[uint64]time.Time // contents refused here, by the end of that
+	restarts    []restart            // found here lately
 }
 
 // inForce is the configuration in force with the bytes that it was read from.
@@ -124,6 +125,7 @@
 		Domain: cfg.Domain,
 		Health: health.Settings{BackOff: unit.Duration(trialAfter), MaxBackOff: unit.Duration(maxTrialAfter)},
 	}, rand.Uint64, e.log)
+	e.fleet.OnLost = e.lost
 	e.dispatcher = dispatch.New(dispatch.Settings{}, dispatch.Parts{
 		Ports:    ports.Upstream,
 		Fleet:    e.fleet,
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -56,6 +56,7 @@
 	InFlight      map[ident.Upstream]work.Load
 	Lost          []ident.Upstream         `json:",omitempty"` // found dead here within the last moments
 	Refused       map[uint64]unit.Duration `json:",omitempty"` // contents that make engines fail, by the time for which they are refused
+	Restarts      []restart                `json:",omitempty"` // of upstreams, found without the store
 }
 
 // question asks a peer for what has changed since a version.
@@ -151,6 +152,7 @@
 	e.mu.Lock()
 	d.Seen = e.seen
 	d.Refused = e.refused(proven, now)
+	d.Restarts = e.told(now)
 	var near, far []ident.Instance
 	for id, p := range e.peers {
 		if p.domain == e.cfg.Domain {
@@ -243,6 +245,7 @@
 	for fp, left := range d.Refused {
 		e.suspects.Refuse(suspect.Verdict{Fingerprint: fp, Until: now.Add(left.Std())})
 	}
+	e.takeRestarts(d.Restarts, from, now)
 	if late {
 		e.goRun(func() { e.catchUp(from) })
 	}
--- a/edge/ports.go
+++ b/edge/ports.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"crocuslug/directory"
+	"crocuslug/ident"
 	"crocuslug/keyvalue"
 	"crocuslug/store"
 	"crocuslug/work"
@@ -21,7 +22,8 @@
 	Upstream      work.Ports
 	Entry         func(e store.Entry) (directory.Upstream, error)
 	Describe      func(h http.Header) work.Description
-	Forwarded     func(h http.Header) http.Header // fields of a request that go on
-	Returned      func(h http.Header) http.Header // fields of an answer that go back
+	Forwarded     func(h http.Header) http.Header    // fields of a request that go on
+	Returned      func(h http.Header) http.Header    // fields of an answer that go back
+	Identity      func(h http.Header) ident.Upstream // of the upstream that gave an answer to a look at its health; "" if it does not say
 	Refusal       func(retryAfter time.Duration) http.Header
 }
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -34,6 +34,7 @@
 				e.log.Warn().Err(err).Msg("store lost")
 			} else {
 				e.log.Info().Msg("store regained")
+				e.timer.After(rescanAfter, func(time.Time) { e.goRun(e.rescan) })
 			}
 		}
 		if err != nil {
@@ -67,6 +68,16 @@
 	return min(max(leastGather, time.Duration(n)*gatherEach), most)
 }
 
+// rescanAfter is when all is read again after an outage: upstreams that live
+// have registered by then, and what was believed without the store is put right.
+const rescanAfter = 2300 * time.Millisecond
+
+func (e *Edge) rescan() {
+	if err := e.scan(); err != nil {
+		e.log.Info().Err(err).Msg("store not read again after its return; the watch goes on")
+	}
+}
+
 // scan reads all that the store holds for this instance.
 func (e *Edge) scan() error {
 	entries, at, err := e.store.Scan(e.ctx, "")
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -68,6 +68,10 @@
 // Fleet is the choice of one instance. Its methods may be called from any
 // goroutine.
 type Fleet struct {
+	// OnLost is called when an upstream has failed or died, with the uptime at
+	// which it was last heard. It must not call the fleet. It is set before use.
+	OnLost func(u directory.Upstream, heard time.Duration)
+
 	mu       sync.Mutex
 	cfg      Settings
 	log      zerolog.Logger
@@ -77,6 +81,7 @@
 	losses   map[ident.Upstream]time.Time     // upstreams found dead lately, here or elsewhere
 	own      map[ident.Upstream]time.Time     // those found here
 	hit      map[ident.Domain]time.Time       // failure domains that lost several at once
+	heard    map[ident.Upstream]time.Duration // uptime of the last word of each
 	replaced map[ident.Upstream]store.Version // whose address another has, by the revision of their entry
 }
 
@@ -119,6 +124,7 @@
 		own:      make(map[ident.Upstream]time.Time),
 		replaced: make(map[ident.Upstream]store.Version),
 		hit:      make(map[ident.Domain]time.Time),
+		heard:    make(map[ident.Upstream]time.Duration),
 	}
 }
 
@@ -146,6 +152,11 @@
 			delete(f.replaced, id)
 		}
 	}
+	for id := range f.heard {
+		if _, ok := all[id]; !ok {
+			delete(f.heard, id)
+		}
+	}
 	for name, g := range f.services {
 		if len(byService[name]) == 0 {
 			g.set(nil, f, restarted, now)
@@ -366,6 +377,18 @@
 		f.own[id] = now
 		f.lost(u, now)
 	}
+	if heard, ok := f.heard[id]; ok && f.OnLost != nil && (k == Dead || k == Failed) {
+		f.OnLost(u, heard)
+	}
+}
+
+// Heard notes that an upstream lived at an uptime of this machine.
+func (f *Fleet) Heard(id ident.Upstream, uptime time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, ok := f.all[id]; ok {
+		f.heard[id] = max(f.heard[id], uptime)
+	}
 }
 
 // lost takes in that u is dead, and avoids the rest of its failure domain if it
--- a/nativewire/nativewire.go
+++ b/nativewire/nativewire.go
@@ -75,6 +75,7 @@
 			u.Revision = e.Version
 			return u, nil
 		},
+		Identity:  func(h http.Header) ident.Upstream { return ident.Upstream(h.Get(Signature)) },
 		Describe:  describe,
 		Forwarded: forwarded,
 		Returned:  func(h http.Header) http.Header { return h.Clone() },
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -143,6 +143,45 @@
 	return r.away
 }
 
+// Adopt takes in that the upstream at an address has started again under a new
+// id, which the store does not tell yet. It returns false if the store has told
+// something newer of the address, or does not know the former id.
+func (r *Registry) Adopt(former, id ident.Upstream) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	u, ok := r.all[former]
+	if !ok || u.Draining || r.at(u.Address).ID != former {
+		return false
+	}
+	if _, known := r.all[id]; known {
+		return false
+	}
+	u.ID = id
+	u.Born = 0
+	delete(r.all, former)
+	delete(r.lapsed, former)
+	r.all[id] = u
+	return true
+}
+
+// At returns the upstream that registered last at an address; its id is empty if
+// there is none.
+func (r *Registry) At(address string) directory.Upstream {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.at(address)
+}
+
+func (r *Registry) at(address string) directory.Upstream {
+	var newest directory.Upstream
+	for _, u := range r.all {
+		if u.Address == address && (newest.ID == "" || u.Revision > newest.Revision) {
+			newest = u
+		}
+	}
+	return newest
+}
+
 // Expire drops the lapsed entries whose grace is over and returns their ids.
 func (r *Registry) Expire(now time.Time) []ident.Upstream {
 	r.mu.Lock()
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -22,6 +22,7 @@
 //	remove ID REVISION
 //	replace REVISION [ID ...]   the store as a whole; entries keep their address
 //	merge REVISION [ID ...]     a peer's word on which there are
+//	adopt FORMER ID yes|no      a restart found without the store
 //	expire
 //	want [ID ...]
 func TestScripts(t *testing.T) {
@@ -71,6 +72,10 @@
 			} else {
 				r.Merge(nil, ids, store.Version(number(t, w[1])), now)
 			}
+		case "adopt":
+			if got := r.Adopt(ident.Upstream(w[1]), ident.Upstream(w[2])); got != (w[3] == "yes") {
+				t.Errorf("line %d: adopted: got %v, want %s", n+1, got, w[3])
+			}
 		case "expire":
 			r.Expire(now)
 		case "want":
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -21,6 +21,7 @@
 	StoreReads   float64       `json:",omitempty"` // calls a second that all instances together may make; default if 0
 	StoreWrites  float64       `json:",omitempty"`
 	MinLease     unit.Duration `json:",omitempty"` // shortest lease that the service grants
+	ReuseAfter   unit.Duration `json:",omitempty"` // for which the address of an ended upstream goes to no other service; 0 means that it may at once
 	Drain        unit.Duration `json:",omitempty"` // within which a leaving upstream must get no more requests; 2s if 0
 	Grace        unit.Duration `json:",omitempty"` // from the request to stop until the process is killed; 8s if 0
 	RetryShare   float64       `json:",omitempty"` // repeats by requests that all instances together may send to a service; 0.2 if 0
--- a/standinregistered/server.go
+++ b/standinregistered/server.go
@@ -83,7 +83,9 @@
 	s.client = keyvalue.New(keyvalue.Settings{Address: cfg.Store}, t)
 	s.store = s.client.Port()
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+nativewire.StatePath, func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET "+nativewire.StatePath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(nativewire.Signature, string(s.id))
+	})
 	mux.HandleFunc("POST "+nativewire.CopiesPath, s.move)
 	mux.HandleFunc("PUT "+nativewire.CopiesPath, s.hold)
 	mux.HandleFunc("DELETE "+nativewire.CopiesPath+"/{name}", func(http.ResponseWriter, *http.Request) {})
