--- a/cmd/crocuslug/edge.go
+++ b/cmd/crocuslug/edge.go
@@ -79,6 +79,7 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	e := edge.New(cfg, source.ports(cfg), []byte(secret), clock, log)
+	e.Dropped = out.Dropped
 	if err := e.Start(); err != nil {
 		return err
 	}
--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -29,6 +29,7 @@
 			return or(failure, refusal)
 		}
 		a.made++
+		sent := d.timer.Uptime()
 		reply, v, failed := d.send(ctx, a, u, now)
 		end := d.timer.Now()
 		if !failed && reply.Status >= http.StatusInternalServerError && w.Route.Repeatable() {
@@ -38,7 +39,7 @@
 		switch {
 		case !failed:
 			d.fleet.Ended(u.ID, fleet.Served, end.Sub(now), end)
-			d.fleet.Heard(u.ID, d.timer.Uptime())
+			d.fleet.Heard(u.ID, sent) // it lived after that
 			d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Int("Attempt", a.made).
 				Int("Status", reply.Status).Dur("TookMs", end.Sub(now)).Msg("answered")
 			return reply, nil
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -172,6 +172,8 @@
 	switch {
 	case err != nil && context.Cause(ctx) == errNoProbe:
 		return verdict{kind: fleet.Dead, ran: true, reason: errNoProbe.Error()}, true
+	case err != nil && context.Cause(ctx) == context.DeadlineExceeded:
+		return verdict{kind: fleet.Failed, ran: !exchange.NotSent.Has(err), reason: "no answer within its time limit"}, true
 	case exchange.NotSent.Has(err):
 		return verdict{kind: fleet.Dead, reason: err.Error()}, true
 	case err != nil:
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -43,9 +43,10 @@
 
 // probe reports whether u answers.
 func (d *Dispatcher) probe(ctx context.Context, u directory.Upstream, now time.Time) bool {
+	sent := d.timer.Uptime()
 	_, _, err := d.ask(ctx, u.Address, http.MethodGet, d.ports.ProbePath, nil, now.Add(probeLimit))
 	if err == nil {
-		d.fleet.Heard(u.ID, d.timer.Uptime())
+		d.fleet.Heard(u.ID, sent)
 	}
 	return err == nil
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -31,6 +31,10 @@
 
 // Edge is one instance.
 type Edge struct {
+	// Dropped returns the log lines that were dropped; nil means that none are
+	// counted. It is set before Start.
+	Dropped func() uint64
+
 	cfg   settings.Edge
 	ports Ports
 	timer *timer.Service
@@ -39,6 +43,8 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
+	ending  sync.Mutex
+	over    bool
 	subs    []*timer.Subscription
 
 	client     *keyvalue.Client
@@ -205,7 +211,13 @@
 	digestInterval = 250 * time.Millisecond
 )
 
+// goRun runs f in the background unless the instance has ended. Stop waits for it.
 func (e *Edge) goRun(f func()) {
+	e.ending.Lock()
+	defer e.ending.Unlock()
+	if e.over {
+		return
+	}
 	e.running.Add(1)
 	go func() {
 		defer e.running.Done()
@@ -268,6 +280,9 @@
 		s.Stop()
 	}
 	e.cancel()
+	e.ending.Lock()
+	e.over = true
+	e.ending.Unlock()
 	e.server.Close()
 	if err := e.admin.Shutdown(); err != nil {
 		e.log.Warn().Err(err).Msg("readiness did not end")
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -76,6 +76,9 @@
 	line("Store.Watches", calls.Watches)
 	line("Store.Unavailable", calls.Unavailable)
 	line("Store.Unknown", calls.Unknown)
+	if e.Dropped != nil {
+		line("Log.Dropped", e.Dropped())
+	}
 	line("Upstream.Dials", e.exchange.Dials())
 	line("Connections.Open", e.server.Open())
 	line("Upstreams.Registered", len(e.registry.All()))
--- a/edge/restart.go
+++ b/edge/restart.go
@@ -7,6 +7,7 @@
 
 	"crocuslug/directory"
 	"crocuslug/exchange"
+	"crocuslug/fleet"
 	"crocuslug/ident"
 )
 
@@ -14,10 +15,10 @@
 // started again. For a while after its end its address goes to no other service,
 // so whoever answers there within that time is the same service again.
 const (
-	firstLook   = 0.65 // of that time, from the last word of the upstream
-	secondLook  = 0.88
+	firstLook   = 0.62 // of that time, from the last word of the upstream
+	secondLook  = 0.68
 	lookLimit   = 150 * time.Millisecond
-	reuseMargin = 50 * time.Millisecond // by which an answer must come before the end of that time
+	reuseMargin = 600 * time.Millisecond // longest way of a word whose stream was not given up as silent; an answer must come so much before the end of that time
 	toldFor     = 3 * time.Second       // for which digests tell of a restart
 )
 
@@ -28,11 +29,15 @@
 }
 
 // lost plans to look for an upstream that was lost, at the address where it was.
-func (e *Edge) lost(u directory.Upstream, heard time.Duration) {
+func (e *Edge) lost(u directory.Upstream, k fleet.Kind, heard time.Duration) {
 	if e.cfg.ReuseAfter <= 0 || heard == 0 {
 		return
 	}
 	up, reuse := e.timer.Uptime(), e.cfg.ReuseAfter.Std()
+	if k == fleet.Replaced {
+		e.goRun(func() { e.look(u, heard+reuse-reuseMargin) }) // whoever it is, it is there now
+		return
+	}
 	for _, share := range []float64{firstLook, secondLook} {
 		at := heard + time.Duration(share*float64(reuse))
 		if at <= up {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -68,9 +68,10 @@
 // Fleet is the choice of one instance. Its methods may be called from any
 // goroutine.
 type Fleet struct {
-	// OnLost is called when an upstream has failed or died, with the uptime at
-	// which it was last heard. It must not call the fleet. It is set before use.
-	OnLost func(u directory.Upstream, heard time.Duration)
+	// OnLost is called when an upstream has failed or died, or another has its
+	// address, with the uptime at which it was last heard. It must not call the
+	// fleet. It is set before use.
+	OnLost func(u directory.Upstream, k Kind, heard time.Duration)
 
 	mu       sync.Mutex
 	cfg      Settings
@@ -377,8 +378,8 @@
 		f.own[id] = now
 		f.lost(u, now)
 	}
-	if heard, ok := f.heard[id]; ok && f.OnLost != nil && (k == Dead || k == Failed) {
-		f.OnLost(u, heard)
+	if heard, ok := f.heard[id]; ok && f.OnLost != nil && k != Served {
+		f.OnLost(u, k, heard)
 	}
 }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -112,6 +112,10 @@
 	}},
 }
 
+// aloneEach is how often planned work comes with nothing else going on, so that
+// what it cuts shows.
+const aloneEach = 6
+
 // inject lets faults come until the time is over, each planned one at times
 // alone, and waits for the last of them.
 func (s *Soak) inject(ctx context.Context) {
@@ -120,7 +124,10 @@
 	var running sync.WaitGroup
 	for n := 0; s.clock.Now().Before(end) && ctx.Err() == nil; n++ {
 		f := faults[r.IntN(len(faults))]
-		alone := f.planned && n%2 == 0
+		alone := n%aloneEach == aloneEach-1
+		for alone && !f.planned {
+			f = faults[r.IntN(len(faults))]
+		}
 		seed := r.Uint64()
 		wait := between(r, leastPause, faultSpacing)
 		if s.cfg.NoFault {
--- a/standinregistered/server.go
+++ b/standinregistered/server.go
@@ -307,3 +307,10 @@
 		_, _ = fmt.Fprint(w, name)
 	}
 }
+
+// Kill ends it at once, as the death of the process would.
+func (s *Server) Kill() {
+	s.cancel()
+	_ = s.http.Close()
+	s.client.Close()
+}
