--- a/cmd/crocuslug/edge.go
+++ b/cmd/crocuslug/edge.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -21,6 +22,10 @@
 // peerSecretVariable is the environment variable with the secret that instances share.
 const peerSecretVariable = "CROCUSLUG_PEER_SECRET"
 
+// memoryShare is the part of the memory of a process at which the collector
+// works harder; the rest is for stacks and what the kernel holds.
+const memoryShare = 0.7
+
 func edgeCommand(app *kingpin.Application) command {
 	c := app.Command("edge", "Run one instance before upstreams that register themselves, until SIGTERM; on the platform whose settings file "+
 		platform.SettingsVariable+" names, or before stand-ins with --settings.")
@@ -67,6 +72,9 @@
 		fmt.Println("the settings are sound")
 		return nil
 	}
+	if cfg.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryBytes)))
+	}
 	out := telemetry.NewLines(os.Stdout)
 	defer out.Close()
 	log := telemetry.NewLog(out, level)
--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -49,7 +49,7 @@
 			return nil, nil
 		}
 		d.note(a, u, v, now, end)
-		if refusal := d.mayRetry(a, end, false); refusal != nil {
+		if refusal := d.mayRetry(a, end, v.unsent()); refusal != nil {
 			return or(failure, refusal)
 		}
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -125,8 +125,13 @@
 	return e.After(spread)
 }
 
+// unsent reports whether nothing of the sending can have reached an upstream.
+func (v verdict) unsent() bool { return v.kind == fleet.Dead && !v.ran }
+
 // mayRetry decides whether a request is sent again after a sending has failed.
-func (d *Dispatcher) mayRetry(a *attempts, now time.Time, resumed bool) *result.Error {
+// The budget of retries bounds what upstreams get beyond first requests, so what
+// did not reach one is free, and so is a stream that goes on after a loss.
+func (d *Dispatcher) mayRetry(a *attempts, now time.Time, free bool) *result.Error {
 	w := a.w
 	remaining := w.Deadline.Sub(now)
 	switch {
@@ -145,7 +150,7 @@
 		Number:     a.made,
 		Run:        run,
 		Repeatable: w.Route.Repeatable(),
-		Resumed:    resumed,
+		Resumed:    free,
 		Remaining:  remaining,
 	})
 	switch verdict {
@@ -163,7 +168,6 @@
 type verdict struct {
 	kind   fleet.Kind
 	ran    bool // it may have run
-	again  bool // the same upstream may be tried again
 	reason string
 }
 
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -85,7 +85,7 @@
 		if !w.Route.Repeatable() && s.begun {
 			return nil, true, d.refuse(&s.attempts, result.UpstreamFailed, "the stream broke off and may not go on")
 		}
-		if refusal := d.mayRetry(&s.attempts, end, v.ran); refusal != nil {
+		if refusal := d.mayRetry(&s.attempts, end, v.ran || v.unsent()); refusal != nil {
 			return nil, s.begun, refusal
 		}
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -125,6 +125,12 @@
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	kv := ports.Store
 	kv.BackOff, kv.MaxBackOff, kv.Seed = storeBackOff, storeMaxBackOff, randomSeed()
+	if cfg.StoreReads > 0 {
+		kv.ReadsPerSecond = max(leastStoreRate, cfg.StoreReads/storeShare)
+	}
+	if cfg.StoreWrites > 0 {
+		kv.WritesPerSecond = max(leastStoreRate, cfg.StoreWrites/storeShare)
+	}
 	e.client = keyvalue.New(kv, t)
 	e.store = e.client.Port()
 	e.fleet = fleet.New(fleet.Settings{
@@ -151,6 +157,12 @@
 	return e
 }
 
+// Part of the store's rates that one instance takes.
+const (
+	storeShare     = 100 // instances that share them
+	leastStoreRate = 4   // calls a second, enough to start with
+)
+
 // Waits around the store and upstreams that fail.
 const (
 	storeBackOff    = 100 * time.Millisecond // a configuration is to be in force within two seconds of its change
--- a/edge/restart.go
+++ b/edge/restart.go
@@ -19,7 +19,7 @@
 	secondLook  = 0.68
 	lookLimit   = 150 * time.Millisecond
 	reuseMargin = 600 * time.Millisecond // longest way of a word whose stream was not given up as silent; an answer must come so much before the end of that time
-	toldFor     = 3 * time.Second       // for which digests tell of a restart
+	toldFor     = 3 * time.Second        // for which digests tell of a restart
 )
 
 // restart is an upstream that was found under a new id.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -86,23 +86,6 @@
 	replaced map[ident.Upstream]store.Version // whose address another has, by the revision of their entry
 }
 
-// A failure domain is taken to be hit as a whole when several of its upstreams
-// are found dead at once. One may have crashed alone.
-const (
-	hitCount  = 2                       // upstreams
-	hitWindow = 1500 * time.Millisecond // within which they are found; also how long a hit holds
-)
-
-// group is the upstreams of one service.
-type group struct {
-	chooser *routing.Chooser
-	tracker *health.Tracker
-	memory  int     // tokens that one upstream holds; 0 means no bound
-	tokens  float64 // mean size of a request; 0 until one was seen
-	list    []directory.Upstream
-	trials  map[ident.Upstream]bool // whose next request is a trial
-}
-
 // New returns an empty fleet. The function random returns 64 random bits at
 // each call and is called with the fleet locked.
 func New(cfg Settings, random func() uint64, log zerolog.Logger) *Fleet {
@@ -184,58 +167,6 @@
 	return g
 }
 
-// set replaces the upstreams of a group. One that has restarted begins anew.
-func (g *group) set(list []directory.Upstream, f *Fleet, restarted map[ident.Upstream]bool, now time.Time) {
-	g.list = list
-	var names, kept []ident.Upstream
-	for _, u := range list {
-		names = append(names, u.ID)
-		if !restarted[u.ID] {
-			kept = append(kept, u.ID)
-		}
-	}
-	if len(kept) < len(names) {
-		f.apply(g, g.tracker.SetUpstreams(kept, now), now)
-		g.offerWithout(f, restarted)
-	}
-	g.offer(f)
-	f.apply(g, g.tracker.SetUpstreams(names, now), now)
-}
-
-// offer tells the chooser which upstreams there are.
-func (g *group) offer(f *Fleet) { g.offerWithout(f, nil) }
-
-// offerWithout tells it, but for those left out.
-func (g *group) offerWithout(f *Fleet, without map[ident.Upstream]bool) {
-	var list []routing.Candidate
-	for _, u := range g.list {
-		if _, replaced := f.replaced[u.ID]; replaced || without[u.ID] {
-			continue
-		}
-		list = append(list, routing.Candidate{
-			Upstream: u.ID,
-			Slots:    g.slots(u.Slots),
-			Domain:   u.Domain,
-			Leaving:  u.Draining,
-			Near:     u.Domain == f.cfg.Domain,
-		})
-	}
-	g.chooser.SetCandidates(list)
-}
-
-// slots returns the requests that an upstream holds at once: its slots, or
-// fewer if they would not fit its memory.
-func (g *group) slots(told int) int {
-	if g.memory <= 0 || g.tokens <= 0 {
-		return told
-	}
-	fit := max(1, int(float64(g.memory)/g.tokens))
-	if told <= 0 {
-		return fit
-	}
-	return min(told, fit)
-}
-
 // apply carries out changes of health. The lock is held.
 func (f *Fleet) apply(g *group, changes []health.Change, now time.Time) {
 	for _, c := range changes {
@@ -255,9 +186,6 @@
 	}
 }
 
-// meanWeight is the weight of one request in the running mean of sizes.
-const meanWeight = 0.02
-
 // Pick chooses the upstream of a request and counts it there until Ended or
 // Release. The kind is Send, Wait if all are full, or NoUpstream.
 func (f *Fleet) Pick(a Ask, now time.Time) (directory.Upstream, routing.Kind) {
@@ -278,25 +206,6 @@
 	return f.all[d.Upstream], routing.Send
 }
 
-// learn takes in the size of a request. The chooser's slots follow when they
-// change.
-func (g *group) learn(tokens int, f *Fleet) {
-	if tokens <= 0 {
-		return
-	}
-	var before int
-	if len(g.list) > 0 {
-		before = g.slots(g.list[0].Slots)
-	}
-	if g.tokens == 0 {
-		g.tokens = float64(tokens)
-	}
-	g.tokens += meanWeight * (float64(tokens) - g.tokens)
-	if len(g.list) > 0 && g.slots(g.list[0].Slots) != before {
-		g.offer(f)
-	}
-}
-
 // Reading adds to the prompt tokens that an upstream has yet to read for own
 // requests; tokens is negative once they are read.
 func (f *Fleet) Reading(id ident.Upstream, tokens int) {
@@ -392,72 +301,6 @@
 	}
 }
 
-// lost takes in that u is dead, and avoids the rest of its failure domain if it
-// is not the only one there. The lock is held.
-func (f *Fleet) lost(u directory.Upstream, now time.Time) {
-	f.losses[u.ID] = now
-	n := 0
-	for id, at := range f.losses {
-		switch {
-		case now.Sub(at) > hitWindow:
-			delete(f.losses, id)
-		case f.all[id].Domain == u.Domain && f.all[id].Service == u.Service:
-			n++
-		}
-	}
-	if n < hitCount || now.Sub(f.hit[u.Domain]) < hitWindow/2 {
-		return
-	}
-	f.hit[u.Domain] = now
-	f.log.Warn().Str("Hit", string(u.Domain)).Int("Dead", n).Msg("failure domain hit; its upstreams are avoided")
-	g := f.services[u.Service]
-	for _, v := range g.list {
-		if v.Domain == u.Domain {
-			g.chooser.Suspect(v.ID, now)
-		}
-	}
-}
-
-// Hit reports whether a failure domain has just lost several upstreams at once.
-func (f *Fleet) Hit(domain ident.Domain, now time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	at, ok := f.hit[domain]
-	return ok && now.Sub(at) <= hitWindow
-}
-
-// Own returns the upstreams that were found dead here within the last moments.
-func (f *Fleet) Own(now time.Time) []ident.Upstream {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out []ident.Upstream
-	for id, at := range f.own {
-		if now.Sub(at) > hitWindow {
-			delete(f.own, id)
-			continue
-		}
-		out = append(out, id)
-	}
-	return out
-}
-
-// ReportLost takes in an upstream that another instance has found dead. It is
-// avoided here, too, but stays in until it fails here: the cause may lie between
-// the other instance and the upstream.
-func (f *Fleet) ReportLost(id ident.Upstream, now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	u, ok := f.all[id]
-	if !ok {
-		return
-	}
-	if at, ok := f.losses[id]; ok && now.Sub(at) <= hitWindow {
-		return
-	}
-	f.services[u.Service].chooser.Suspect(id, now)
-	f.lost(u, now)
-}
-
 // Tick lets health change with time. It is called several times a second.
 func (f *Fleet) Tick(now time.Time) {
 	f.mu.Lock()
@@ -467,14 +310,6 @@
 	}
 }
 
-// Upstream returns a registered upstream.
-func (f *Fleet) Upstream(id ident.Upstream) (directory.Upstream, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	u, ok := f.all[id]
-	return u, ok
-}
-
 // ReportOthers takes the requests that other instances have at upstreams.
 func (f *Fleet) ReportOthers(counts map[ident.Upstream]work.Load, now time.Time) {
 	f.mu.Lock()
