--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -106,7 +107,10 @@
 		u, kind = d.fleet.Pick(ask, now)
 	}
 	if kind != routing.Send {
-		return directory.Upstream{}, d.refuse(a, result.NoUpstream, "no upstream of the service takes requests")
+		n := d.fleet.Count(a.w.Service.Name, now)
+		detail := fmt.Sprintf("no upstream of service %q takes the request: %d registered, %d leaving, %d out, %d replaced, %d tried",
+			a.w.Service.Name, n.Registered, n.Leaving, n.Out, n.Replaced, len(a.exclude))
+		return directory.Upstream{}, d.refuse(a, result.NoUpstream, detail)
 	}
 	return u, nil
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -310,6 +310,35 @@
 	}
 }
 
+// Counts are the upstreams of a service by what is believed of them.
+type Counts struct {
+	Registered, Leaving, Out, Replaced int
+}
+
+// Count returns the upstreams of a service by what is believed of them.
+func (f *Fleet) Count(service ident.Service, now time.Time) Counts {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var c Counts
+	g, ok := f.services[service]
+	if !ok {
+		return c
+	}
+	for _, u := range g.list {
+		c.Registered++
+		_, replaced := f.replaced[u.ID]
+		switch {
+		case u.Draining:
+			c.Leaving++
+		case replaced:
+			c.Replaced++
+		case g.chooser.IsOut(u.ID):
+			c.Out++
+		}
+	}
+	return c
+}
+
 // ReportOthers takes the requests that other instances have at upstreams.
 func (f *Fleet) ReportOthers(counts map[ident.Upstream]work.Load, now time.Time) {
 	f.mu.Lock()
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -106,6 +106,14 @@
 	}
 }
 
+// IsOut reports whether an upstream is ejected.
+func (c *Chooser) IsOut(u ident.Upstream) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, ok := c.engines[u]
+	return ok && e.out
+}
+
 // ReportLoad takes a load report. One that is older than the last is ignored.
 func (c *Chooser) ReportLoad(r Report) {
 	c.mu.Lock()
