--- a/cmd/crocuslug/edge.go
+++ b/cmd/crocuslug/edge.go
@@ -117,6 +117,5 @@
 		Describe:         platform.Describe,
 		Forwarded:        platform.Forwarded,
 		Returned:         platform.Returned,
-		Refusal:          platform.Refusal,
 	}
 }
--- a/daemon/actions.go
+++ b/daemon/actions.go
@@ -62,7 +62,7 @@
 		Local:     d.actions.ledger.Do,
 		Forward:   d.forwardClaim,
 		Preferred: d.claimWriter,
-		Spawn:     d.goRun,
+		Spawn:     d.tasks.Go,
 	}, d.opt.Timer, run)
 	d.link.Handle(methodClaim, d.handleClaim)
 	d.actions.proxy = serviceproxy.New(serviceproxy.Settings{MaxBody: d.cfg.Limits.BodyBytes}, serviceproxy.Seams{
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 
 	"crocuslug/access"
 	"crocuslug/admission"
+	"crocuslug/background"
 	"crocuslug/claimstore"
 	"crocuslug/configuration"
 	"crocuslug/control"
@@ -79,11 +80,9 @@
 	id  ident.Instance
 	log zerolog.Logger
 
-	ctx     context.Context
-	cancel  context.CancelFunc
-	running sync.WaitGroup
-	ending  sync.Mutex
-	over    bool
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  background.Group
 
 	loop        *control.Loop
 	link        *peerlink.Link
@@ -185,14 +184,14 @@
 		return errs.Wrap(err)
 	}
 	d.members.Start()
-	d.goRun(func() { d.loop.Run(d.ctx) })
-	d.goRun(func() { d.rollout.Run(d.ctx) })
+	d.tasks.Go(func() { d.loop.Run(d.ctx) })
+	d.tasks.Go(func() { d.rollout.Run(d.ctx) })
 	d.owner.Run()
 	d.every(expireInterval, d.expire)
 	d.every(suspectInterval, d.tellSuspects)
 	d.startLoad()
 	d.startOrders()
-	d.goRun(func() {
+	d.tasks.Go(func() {
 		if err := d.server.Serve(d.conns.wrap(d.listener)); err != nil {
 			d.log.Error().Err(err).Msg("serving ended")
 		}
@@ -215,21 +214,6 @@
 	d.throttle.Expire(now)
 }
 
-// goRun runs f on a goroutine that the end of the daemon waits for. After that
-// nothing is run any more.
-func (d *Daemon) goRun(f func()) {
-	d.ending.Lock()
-	defer d.ending.Unlock()
-	if d.over {
-		return
-	}
-	d.running.Add(1)
-	go func() {
-		defer d.running.Done()
-		f()
-	}()
-}
-
 func (d *Daemon) every(interval time.Duration, f func(now time.Time)) {
 	d.subs = append(d.subs, d.opt.Timer.Every(interval, f))
 }
@@ -327,7 +311,7 @@
 	d.halt()
 	d.members.Stop()
 	d.link.Stop()
-	d.running.Wait()
+	d.tasks.Wait()
 }
 
 // Kill ends the instance as a crash would: connections are reset and nobody is told.
@@ -336,13 +320,11 @@
 	d.link.Kill()
 	d.halt()
 	d.members.Stop()
-	d.running.Wait()
+	d.tasks.Wait()
 }
 
 func (d *Daemon) halt() {
-	d.ending.Lock()
-	d.over = true
-	d.ending.Unlock()
+	d.tasks.Close()
 	for _, s := range d.subs {
 		s.Stop()
 	}
--- a/daemon/health.go
+++ b/daemon/health.go
@@ -100,7 +100,7 @@
 func (d *Daemon) changed(cs []health.Change) {
 	for _, c := range cs {
 		if c.State == health.Trial {
-			d.goRun(func() { d.try(c.Upstream) })
+			d.tasks.Go(func() { d.try(c.Upstream) })
 			continue
 		}
 		out := c.State == health.Out
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -65,7 +65,7 @@
 		default:
 		}
 	})
-	d.goRun(func() {
+	d.tasks.Go(func() {
 		defer d.orders.control.Close()
 		for {
 			select {
--- a/daemon/poll.go
+++ b/daemon/poll.go
@@ -149,7 +149,7 @@
 // poll starts the polls that are due.
 func (d *Daemon) poll(now time.Time) {
 	for t := d.polls.due(now); t != nil; t = d.polls.due(now) {
-		d.goRun(func() { d.pollOne(t) })
+		d.tasks.Go(func() { d.pollOne(t) })
 	}
 }
 
--- a/daemon/quota.go
+++ b/daemon/quota.go
@@ -71,7 +71,7 @@
 }
 
 func (d *Daemon) tellShares(m quota.Message) {
-	d.goRun(func() {
+	d.tasks.Go(func() {
 		// A message that is lost does no harm: its totals come again.
 		_ = d.link.Notify(d.ctx, m.To, methodShares, m)
 	})
--- a/daemon/spill.go
+++ b/daemon/spill.go
@@ -183,7 +183,7 @@
 	ids := domains[names[d.roomTurn%len(names)]]
 	to := rendezvous.Order(string(d.id), ids)[0]
 	r := room{d.cfg.Domain, d.spare(now)}
-	d.goRun(func() {
+	d.tasks.Go(func() {
 		// A report that is lost is followed by the next one.
 		_ = d.link.Notify(d.ctx, to, methodRoom, r)
 	})
@@ -264,12 +264,12 @@
 		PromptTokens: promptTokens(q.Spec) + q.Held,
 		Resumed:      true,
 	}
-	d.goRun(func() { d.reserveAt(d.ctx, domain, r) })
+	d.tasks.Go(func() { d.reserveAt(d.ctx, domain, r) })
 }
 
 // releaseAway gives an engine of another failure domain back. It does not block.
 func (d *Daemon) releaseAway(id ident.Generation, r reservation) {
-	d.goRun(func() {
+	d.tasks.Go(func() {
 		// If it does not arrive, the time limit there ends the reservation.
 		_ = d.link.Notify(d.ctx, r.instance, methodRelease, release{id})
 	})
--- a/daemon/suspects.go
+++ b/daemon/suspects.go
@@ -60,7 +60,7 @@
 		if id == d.id {
 			continue
 		}
-		d.goRun(func() {
+		d.tasks.Go(func() {
 			// A peer that is out of reach hears of later deaths; its own count.
 			_ = d.link.Notify(d.ctx, id, methodSuspects, r)
 		})
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -107,7 +107,7 @@
 		u, kind = d.fleet.Pick(ask, now)
 	}
 	if kind != routing.Send {
-		n := d.fleet.Count(a.w.Service.Name, now)
+		n := d.fleet.Count(a.w.Service.Name)
 		detail := fmt.Sprintf("no upstream of service %q takes the request: %d registered, %d leaving, %d out, %d replaced, %d tried",
 			a.w.Service.Name, n.Registered, n.Leaving, n.Out, n.Replaced, len(a.exclude))
 		return directory.Upstream{}, d.refuse(a, result.NoUpstream, detail)
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"crocuslug/unit"
 )
 
 // Reply is a whole answer of an upstream.
@@ -44,19 +46,13 @@
 )
 
 func (cfg Settings) withDefaults() Settings {
-	fallback(&cfg.Sends, defaultSends)
-	fallback(&cfg.FirstPiece, defaultFirstPiece)
-	fallback(&cfg.GapShare, defaultGapShare)
-	fallback(&cfg.MostGapShare, defaultMostGapShare)
-	fallback(&cfg.Gap, defaultGap)
-	fallback(&cfg.SafeShare, defaultSafeShare)
-	fallback(&cfg.MinRemaining, defaultMinRemaining)
-	fallback(&cfg.RetryAfter, defaultRetryAfter)
+	unit.Fallback(&cfg.Sends, defaultSends)
+	unit.Fallback(&cfg.FirstPiece, defaultFirstPiece)
+	unit.Fallback(&cfg.GapShare, defaultGapShare)
+	unit.Fallback(&cfg.MostGapShare, defaultMostGapShare)
+	unit.Fallback(&cfg.Gap, defaultGap)
+	unit.Fallback(&cfg.SafeShare, defaultSafeShare)
+	unit.Fallback(&cfg.MinRemaining, defaultMinRemaining)
+	unit.Fallback(&cfg.RetryAfter, defaultRetryAfter)
 	return cfg
 }
-
-func fallback[T int | float64 | time.Duration](v *T, value T) {
-	if *v <= 0 {
-		*v = value
-	}
-}
--- a/edge/admin.go
+++ b/edge/admin.go
@@ -31,7 +31,7 @@
 			ctx.SetStatusCode(http.StatusNotFound)
 		}
 	}}
-	e.goRun(func() {
+	e.tasks.Go(func() {
 		if err := e.admin.Serve(l); err != nil {
 			e.log.Error().Err(err).Msg("readiness is no longer served")
 		}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
 
+	"crocuslug/background"
 	"crocuslug/directory"
 	"crocuslug/dispatch"
 	"crocuslug/exchange"
@@ -40,12 +41,10 @@
 	timer *timer.Service
 	log   zerolog.Logger
 
-	ctx     context.Context
-	cancel  context.CancelFunc
-	running sync.WaitGroup
-	ending  sync.Mutex
-	over    bool
-	subs    []*timer.Subscription
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  background.Group
+	subs   []*timer.Subscription
 
 	client     *keyvalue.Client
 	store      store.Store
@@ -207,8 +206,8 @@
 	if err := e.server.Start(); err != nil {
 		return errs.Wrap(err)
 	}
-	e.goRun(e.watch)
-	e.goRun(e.announce)
+	e.tasks.Go(e.watch)
+	e.tasks.Go(e.announce)
 	e.every(tickInterval, e.tick)
 	e.every(expireInterval, func(time.Time) { e.exchange.Expire() })
 	e.every(digestInterval, func(time.Time) { e.tellPeers() })
@@ -223,20 +222,6 @@
 	digestInterval = 250 * time.Millisecond
 )
 
-// goRun runs f in the background unless the instance has ended. Stop waits for it.
-func (e *Edge) goRun(f func()) {
-	e.ending.Lock()
-	defer e.ending.Unlock()
-	if e.over {
-		return
-	}
-	e.running.Add(1)
-	go func() {
-		defer e.running.Done()
-		f()
-	}()
-}
-
 func (e *Edge) every(d time.Duration, f func(now time.Time)) {
 	e.subs = append(e.subs, e.timer.Every(d, f))
 }
@@ -292,9 +277,7 @@
 		s.Stop()
 	}
 	e.cancel()
-	e.ending.Lock()
-	e.over = true
-	e.ending.Unlock()
+	e.tasks.Close()
 	e.server.Close()
 	if err := e.admin.Shutdown(); err != nil {
 		e.log.Warn().Err(err).Msg("readiness did not end")
@@ -302,7 +285,7 @@
 	e.client.Close()
 	e.link.Stop()
 	e.exchange.Close()
-	e.running.Wait()
+	e.tasks.Wait()
 	e.log.Info().Msg("stopped")
 }
 
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -165,7 +165,7 @@
 	turn := e.turn
 	e.mu.Unlock()
 	for _, id := range append(inTurn(near, nearDigests, turn), inTurn(far, farDigests, turn)...) {
-		e.goRun(func() {
+		e.tasks.Go(func() {
 			ctx, cancel := context.WithTimeout(e.ctx, callLimit)
 			defer cancel()
 			if err := e.link.Notify(ctx, id, digestMethod, d); err != nil {
@@ -247,7 +247,7 @@
 	}
 	e.takeRestarts(d.Restarts, from, now)
 	if late {
-		e.goRun(func() { e.catchUp(from) })
+		e.tasks.Go(func() { e.catchUp(from) })
 	}
 	return nil
 }
--- a/edge/ports.go
+++ b/edge/ports.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"crocuslug/directory"
 	"crocuslug/ident"
@@ -25,5 +24,4 @@
 	Forwarded     func(h http.Header) http.Header    // fields of a request that go on
 	Returned      func(h http.Header) http.Header    // fields of an answer that go back
 	Identity      func(h http.Header) ident.Upstream // of the upstream that gave an answer to a look at its health; "" if it does not say
-	Refusal       func(retryAfter time.Duration) http.Header
 }
--- a/edge/requests.go
+++ b/edge/requests.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -182,11 +183,20 @@
 	e.log.Info().Str("Request", string(desc.ID)).Int("Status", status).Str("Code", refusal.Code.String()).Str("Run", string(refusal.Run)).
 		Str("Reason", refusal.Detail).Uint64("Configuration", version).Dur("RetryAfterMs", refusal.RetryAfter).
 		Dur("TookMs", e.timer.Now().Sub(c.Arrived)).Msg("refused")
-	if err := c.Answer(status, e.ports.Refusal(refusal.RetryAfter), nil); err != nil {
+	if err := c.Answer(status, refusalHeader(refusal.RetryAfter), nil); err != nil {
 		e.log.Info().Str("Request", string(desc.ID)).Err(err).Msg("the caller did not take the answer")
 	}
 }
 
+// refusalHeader says when to come back, if that makes sense.
+func refusalHeader(after time.Duration) http.Header {
+	h := http.Header{}
+	if after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+	return h
+}
+
 // statusOf returns the status of a failure. Only a request that has not run and
 // never will is answered with one that says so.
 func statusOf(r *result.Error) int {
--- a/edge/restart.go
+++ b/edge/restart.go
@@ -35,7 +35,7 @@
 	}
 	up, reuse := e.timer.Uptime(), e.cfg.ReuseAfter.Std()
 	if k == fleet.Replaced {
-		e.goRun(func() { e.look(u, heard+reuse-reuseMargin) }) // whoever it is, it is there now
+		e.tasks.Go(func() { e.look(u, heard+reuse-reuseMargin) }) // whoever it is, it is there now
 		return
 	}
 	for _, share := range []float64{firstLook, secondLook} {
@@ -44,7 +44,7 @@
 			continue
 		}
 		e.timer.After(at-up, func(time.Time) {
-			e.goRun(func() { e.look(u, heard+reuse-reuseMargin) })
+			e.tasks.Go(func() { e.look(u, heard+reuse-reuseMargin) })
 		})
 	}
 }
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -34,7 +34,7 @@
 				e.log.Warn().Err(err).Msg("store lost")
 			} else {
 				e.log.Info().Msg("store regained")
-				e.timer.After(rescanAfter, func(time.Time) { e.goRun(e.rescan) })
+				e.timer.After(rescanAfter, func(time.Time) { e.tasks.Go(e.rescan) })
 			}
 		}
 		if err != nil {
--- a/exchange/types.go
+++ b/exchange/types.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"crocuslug/unit"
 )
 
 // Request is what an upstream is sent.
@@ -53,18 +55,12 @@
 )
 
 func (cfg Settings) withDefaults() Settings {
-	fallback(&cfg.DialTimeout, defaultDialTimeout)
-	fallback(&cfg.Unanswered, defaultUnanswered)
-	fallback(&cfg.KeepIdle, defaultKeepIdle)
-	fallback(&cfg.FreshFor, defaultFreshFor)
-	fallback(&cfg.MaxIdle, defaultMaxIdle)
-	fallback(&cfg.MaxHeader, defaultMaxHeader)
-	fallback(&cfg.MaxBody, defaultMaxBody)
+	unit.Fallback(&cfg.DialTimeout, defaultDialTimeout)
+	unit.Fallback(&cfg.Unanswered, defaultUnanswered)
+	unit.Fallback(&cfg.KeepIdle, defaultKeepIdle)
+	unit.Fallback(&cfg.FreshFor, defaultFreshFor)
+	unit.Fallback(&cfg.MaxIdle, defaultMaxIdle)
+	unit.Fallback(&cfg.MaxHeader, defaultMaxHeader)
+	unit.Fallback(&cfg.MaxBody, defaultMaxBody)
 	return cfg
 }
-
-func fallback[T int | int64 | time.Duration](v *T, value T) {
-	if *v <= 0 {
-		*v = value
-	}
-}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -316,7 +316,7 @@
 }
 
 // Count returns the upstreams of a service by what is believed of them.
-func (f *Fleet) Count(service ident.Service, now time.Time) Counts {
+func (f *Fleet) Count(service ident.Service) Counts {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var c Counts
--- a/keyvalue/client.go
+++ b/keyvalue/client.go
@@ -17,6 +17,7 @@
 
 	"crocuslug/store"
 	"crocuslug/timer"
+	"crocuslug/unit"
 )
 
 // Settings describe a client. The zero value of each but Address works.
@@ -51,22 +52,15 @@
 )
 
 func (cfg *Settings) setDefaults() {
-	fallback(&cfg.Timeout, defaultTimeout)
-	fallback(&cfg.WatchTimeout, defaultWatchTimeout)
-	fallback(&cfg.ReadsPerSecond, defaultReadsPerSecond)
-	fallback(&cfg.WritesPerSecond, defaultWritesPerSecond)
-	fallback(&cfg.Burst, defaultBurst)
-	fallback(&cfg.BudgetWait, defaultBudgetWait)
-	fallback(&cfg.BackOff, defaultBackOff)
-	fallback(&cfg.MaxBackOff, defaultMaxBackOff)
-	fallback(&cfg.MaxBytes, defaultMaxBytes)
-}
-
-func fallback[T comparable](v *T, def T) {
-	var zero T
-	if *v == zero {
-		*v = def
-	}
+	unit.Fallback(&cfg.Timeout, defaultTimeout)
+	unit.Fallback(&cfg.WatchTimeout, defaultWatchTimeout)
+	unit.Fallback(&cfg.ReadsPerSecond, defaultReadsPerSecond)
+	unit.Fallback(&cfg.WritesPerSecond, defaultWritesPerSecond)
+	unit.Fallback(&cfg.Burst, defaultBurst)
+	unit.Fallback(&cfg.BudgetWait, defaultBudgetWait)
+	unit.Fallback(&cfg.BackOff, defaultBackOff)
+	unit.Fallback(&cfg.MaxBackOff, defaultMaxBackOff)
+	unit.Fallback(&cfg.MaxBytes, defaultMaxBytes)
 }
 
 // Calls counts what a client has done.
--- a/nativewire/nativewire.go
+++ b/nativewire/nativewire.go
@@ -79,7 +79,6 @@
 		Describe:  describe,
 		Forwarded: forwarded,
 		Returned:  func(h http.Header) http.Header { return h.Clone() },
-		Refusal:   refusal,
 		Upstream: work.Ports{
 			Header:    legHeader,
 			Belongs:   func(w *work.Work, h http.Header) bool { return h.Get(Request) == string(w.ID) },
@@ -138,14 +137,6 @@
 	return h
 }
 
-func refusal(after time.Duration) http.Header {
-	h := http.Header{}
-	if after > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
-	}
-	return h
-}
-
 func encodeMove(m work.Move) (target string, body []byte) {
 	body, err := json.Marshal(m)
 	if err != nil {
--- a/standinengine/engine.go
+++ b/standinengine/engine.go
@@ -16,6 +16,7 @@
 
 	"crocuslug/standinnetwork"
 	"crocuslug/timer"
+	"crocuslug/unit"
 )
 
 // Model is a version of a model that an engine has loaded.
@@ -45,27 +46,20 @@
 }
 
 func (cfg *Settings) setDefaults() {
-	fallback(&cfg.Listen, "127.0.0.1:0")
-	fallback(&cfg.Slots, 16)
-	fallback(&cfg.QueueLimit, 64)
-	fallback(&cfg.TokenInterval, 25*time.Millisecond)
-	fallback(&cfg.CacheBlocks, 4096)
-	fallback(&cfg.LoadLag, 500*time.Millisecond)
-	fallback(&cfg.EventLag, 500*time.Millisecond)
-	fallback(&cfg.EventGap, 20)
-	fallback(&cfg.StreamGrace, 10*time.Second)
+	unit.Fallback(&cfg.Listen, "127.0.0.1:0")
+	unit.Fallback(&cfg.Slots, 16)
+	unit.Fallback(&cfg.QueueLimit, 64)
+	unit.Fallback(&cfg.TokenInterval, 25*time.Millisecond)
+	unit.Fallback(&cfg.CacheBlocks, 4096)
+	unit.Fallback(&cfg.LoadLag, 500*time.Millisecond)
+	unit.Fallback(&cfg.EventLag, 500*time.Millisecond)
+	unit.Fallback(&cfg.EventGap, 20)
+	unit.Fallback(&cfg.StreamGrace, 10*time.Second)
 	if len(cfg.Models) == 0 {
 		cfg.Models = []Model{{Model: "m", Version: "1"}}
 	}
 }
 
-func fallback[T comparable](v *T, def T) {
-	var zero T
-	if *v == zero {
-		*v = def
-	}
-}
-
 // Counters count what an engine has done since New, across restarts.
 type Counters struct {
 	Decoded       uint64 // tokens
