Suspect no content when the instance itself is cut off; name the upstream's failure domain apart in logs

Ruled out: engines that died (they were served by others). A break now counts only if the run had begun, and not while several failure domains seem lost at once.

--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -53,7 +53,8 @@
 //	seen ENGINE WORD ...   the requests that came, in order
 //
 // The words of an engine are ok:BODY, status:N, refuse, replaced, drop,
-// unsigned, and stream:N-M:END with the end whole, drop or hang.
+// unsigned, and stream:N-M:END with the end whole, drop, late (dropped
+// after a while) or hang.
 func TestScripts(t *testing.T) {
 	names, err := filepath.Glob("testdata/*.txt")
 	if err != nil || len(names) == 0 {
@@ -197,6 +198,9 @@
 		_ = http.NewResponseController(w).Flush()
 	}
 	switch end {
+	case "late":
+		<-time.After(leastRun)
+		panic(http.ErrAbortHandler)
 	case "drop":
 		_, _ = fmt.Fprint(w, "id: 99\nda")
 		_ = http.NewResponseController(w).Flush()
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -80,7 +80,7 @@
 		d.note(&s.attempts, u, v, now, end)
 		s.lost = end
 		if v.ran {
-			d.crashed(&s.attempts, u, end)
+			d.crashed(&s.attempts, u, now, end)
 		}
 		if !w.Route.Repeatable() && s.begun {
 			return nil, true, d.refuse(&s.attempts, result.UpstreamFailed, "the stream broke off and may not go on")
@@ -121,7 +121,7 @@
 	w := s.w
 	leg := work.Leg{Upstream: u, Remaining: w.Deadline.Sub(now), After: s.last, Resumes: s.resumes, From: from}
 	leg.CopyTo = s.keeper.begin(u, s.exclude, now)
-	d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Str("Domain", string(u.Domain)).Int("Attempt", s.made).
+	d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Str("UpstreamDomain", string(u.Domain)).Int("Attempt", s.made).
 		Uint64("After", s.last).Bool("FromCopy", from != nil).Str("CopyTo", leg.CopyTo).Msg("stream sent")
 	r := d.request(w, &leg)
 	r.AnswerBy = now.Add(s.gaps.FirstLimit())
--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -14,6 +14,7 @@
 const (
 	mostCrashes  = 3                      // engines that one request may lose
 	autopsyAfter = 250 * time.Millisecond // by then a loss of a whole failure domain is known as one
+	leastRun     = 100 * time.Millisecond // an engine that dies of a request has read some of its prompt
 )
 
 // screen refuses a request whose content is proven to make engines fail, or that
@@ -34,21 +35,23 @@
 
 // crashed takes in that a run was broken off, by which its engine may have
 // died. A death together with others of its failure domain says nothing of the
-// content, and an engine that answers has not died.
-func (d *Dispatcher) crashed(a *attempts, u directory.Upstream, now time.Time) {
-	if d.fleet.Hit(u.Domain, now) {
+// content, nor do breaks in several failure domains at once, which an instance
+// finds that is cut off itself, nor one before the run had begun. An engine that
+// answers has not died.
+func (d *Dispatcher) crashed(a *attempts, u directory.Upstream, began, now time.Time) {
+	if now.Sub(began) < leastRun || d.fleet.Hit(u.Domain, now) || d.fleet.Hits(now) > 1 {
 		return
 	}
 	a.crashes++
 	fp := a.w.Fingerprint
 	d.timer.After(autopsyAfter, func(later time.Time) {
 		go func() {
-			if d.ports.ProbePath == "" || d.fleet.Hit(u.Domain, later) || d.probe(context.Background(), u, later) {
+			if d.ports.ProbePath == "" || d.fleet.Hit(u.Domain, later) || d.fleet.Hits(later) > 1 || d.probe(context.Background(), u, later) {
 				return
 			}
 			end := d.timer.Now()
 			d.fleet.Ended(u.ID, fleet.Dead, 0, end)
-			if d.fleet.Hit(u.Domain, end) {
+			if d.fleet.Hit(u.Domain, end) || d.fleet.Hits(end) > 1 {
 				return
 			}
 			d.suspects.Died(end, u.ID, fp)
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -160,7 +160,7 @@
 		return
 	}
 	if u, ok := e.entry(entry); ok {
-		e.log.Info().Str("Upstream", string(u.ID)).Str("Address", u.Address).Bool("Draining", u.Draining).
+		e.log.Info().Str("Upstream", string(u.ID)).Str("Address", u.Address).Str("UpstreamDomain", string(u.Domain)).Str("Service", string(u.Service)).Bool("Draining", u.Draining).
 			Uint64("Revision", uint64(u.Revision)).Msg("upstream registered")
 		e.registry.Set(u)
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -181,7 +181,7 @@
 			g.chooser.SetOut(c.Upstream, false)
 		}
 		u := f.all[c.Upstream]
-		f.log.Info().Str("Upstream", string(c.Upstream)).Str("Address", u.Address).Str("Domain", string(u.Domain)).
+		f.log.Info().Str("Upstream", string(c.Upstream)).Str("Address", u.Address).Str("UpstreamDomain", string(u.Domain)).
 			Stringer("State", c.State).Time("At", now).Msg("upstream health changed")
 	}
 }
--- a/fleet/losses.go
+++ b/fleet/losses.go
@@ -48,6 +48,20 @@
 	return ok && now.Sub(at) <= hitWindow
 }
 
+// Hits returns the number of failure domains that have just lost several
+// upstreams at once, as seen from here.
+func (f *Fleet) Hits(now time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, at := range f.hit {
+		if now.Sub(at) <= hitWindow {
+			n++
+		}
+	}
+	return n
+}
+
 // Own returns the upstreams that were found dead here within the last moments.
 func (f *Fleet) Own(now time.Time) []ident.Upstream {
 	f.mu.Lock()
