--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -82,8 +82,8 @@
 		if v.ran {
 			d.crashed(&s.attempts, u, now, end)
 		}
-		if !w.Route.Repeatable() && s.begun {
-			return nil, true, d.refuse(&s.attempts, result.UpstreamFailed, "the stream broke off and may not go on")
+		if !w.Route.Repeatable() && s.runs > 0 {
+			return nil, s.begun, d.refuse(&s.attempts, result.UpstreamFailed, "the stream broke off and may not go on")
 		}
 		if refusal := d.mayRetry(&s.attempts, end, v.ran || v.unsent()); refusal != nil {
 			return nil, s.begun, refusal
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -108,12 +108,17 @@
 
 // addPeer takes in another instance, which is named by the address of its link.
 func (e *Edge) addPeer(who presence, now time.Time) {
-	id := who.Instance
-	if id == e.self || id == "" {
+	if who.Instance == e.self || who.Instance == "" {
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.peer(who, now)
+}
+
+// peer returns what is known of another instance, which may be new. The lock is held.
+func (e *Edge) peer(who presence, now time.Time) *peer {
+	id := who.Instance
 	p, ok := e.peers[id]
 	if !ok {
 		p = &peer{added: now}
@@ -124,6 +129,7 @@
 	if who.Domain != "" {
 		p.domain = who.Domain
 	}
+	return p
 }
 
 // keepPeers forgets the peers that neither the store lists nor anybody hears.
@@ -217,9 +223,8 @@
 		return err
 	}
 	now := e.timer.Now()
-	e.addPeer(presence{from, d.Domain}, now)
 	e.mu.Lock()
-	p := e.peers[from]
+	p := e.peer(presence{from, d.Domain}, now)
 	if p.heard.IsZero() || now.Sub(p.heard) > peerExpiry {
 		e.log.Info().Str("Peer", string(from)).Uint64("Seen", uint64(d.Seen)).Uint64("Configuration", d.Configuration).Msg("peer heard")
 	}
