Hold the settings of an edge against a page of their own; give each of the soak's programs a port of its own

TestPage failed on the new rows in the page of the other settings; it now holds each page against its type.

--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -77,21 +77,37 @@
 		case reflect.Struct:
 			paths(f.Type, path+".", out)
 		case reflect.Slice:
+			if f.Type.Elem().Kind() == reflect.String {
+				out[path] = "texts"
+				continue
+			}
 			paths(f.Type.Elem(), path+"[].", out)
 		default:
 			out[path] = pageTypes[f.Type.Kind()]
+			if f.Type == reflect.TypeOf(int64(0)) {
+				out[path] = pageTypes[reflect.Int] // a duration is a type of its own
+			}
 		}
 	}
 }
 
-// TestPage holds docs/operators/settings.md against Settings, both ways.
+// TestPage holds the pages on settings against the types, both ways.
 func TestPage(t *testing.T) {
-	b, err := os.ReadFile("../docs/operators/settings.md")
+	for page, typ := range map[string]reflect.Type{
+		"settings.md":      reflect.TypeOf(Settings{}),
+		"edge-settings.md": reflect.TypeOf(Edge{}),
+	} {
+		t.Run(page, func(t *testing.T) { checkPage(t, page, typ) })
+	}
+}
+
+func checkPage(t *testing.T, page string, typ reflect.Type) {
+	b, err := os.ReadFile("../docs/operators/" + page)
 	if err != nil {
 		t.Fatal(err)
 	}
 	want := make(map[string]string)
-	paths(reflect.TypeOf(Settings{}), "", want)
+	paths(typ, "", want)
 	for line := range strings.Lines(string(b)) {
 		cells := strings.Split(strings.Trim(strings.TrimSpace(line), "|"), "|")
 		if len(cells) != 4 || !strings.Contains(cells[0], "`") {
--- a/soak/world.go
+++ b/soak/world.go
@@ -49,6 +49,7 @@
 
 // world is all processes of a run.
 type world struct {
+	given     map[string]bool // addresses, to programs that may not listen yet
 	clock     clock
 	dir       string
 	recorder  *recorder
@@ -69,13 +70,17 @@
 	portTries = 100
 )
 
-// freePort returns an address that is free now.
-func freePort() (string, error) {
+// freePort returns an address that is free now and was not given before.
+func (w *world) freePort() (string, error) {
 	var err error
 	for range portTries {
 		addr := fmt.Sprintf("127.0.0.1:%d", leastPort+rand.IntN(mostPort-leastPort))
+		if w.given[addr] {
+			continue
+		}
 		var l net.Listener
 		if l, err = net.Listen("tcp", addr); err == nil {
+			w.given[addr] = true
 			return addr, l.Close()
 		}
 	}
@@ -84,12 +89,12 @@
 
 // newWorld starts all programs, which are in bin, and waits until they serve.
 func newWorld(ctx context.Context, c clock, bin, dir string) (*world, error) {
-	w := &world{clock: c, dir: dir}
+	w := &world{given: make(map[string]bool), clock: c, dir: dir}
 	var err error
 	if w.recorder, err = newRecorder(); err != nil {
 		return nil, err
 	}
-	storeAddr, err := freePort()
+	storeAddr, err := w.freePort()
 	if err != nil {
 		return w, err
 	}
@@ -160,7 +165,7 @@
 }
 
 func (w *world) addUpstream(bin, storeAddr string, domain, n int) error {
-	addr, err := freePort()
+	addr, err := w.freePort()
 	if err != nil {
 		return err
 	}
@@ -192,7 +197,7 @@
 	for d := range domains {
 		var addrs [3]string
 		for i := range addrs {
-			a, err := freePort()
+			a, err := w.freePort()
 			if err != nil {
 				return err
 			}
