--- a/soak/world.go
+++ b/soak/world.go
@@ -23,7 +23,7 @@
 const (
 	domains          = 3
 	enginesEach      = 2
-	pieceCount       = 60
+	pieceCount       = 120
 	engineService    = ident.Service("engine")
 	plainService     = ident.Service("plain")
 	host             = "soak.example"
@@ -179,7 +179,7 @@
 	}
 	name := fmt.Sprintf("engine-%d-%d", domain, n)
 	if n < enginesEach {
-		args = append(args, "--service", string(engineService), "--pieces", fmt.Sprint(pieceCount), "--interval", "25ms")
+		args = append(args, "--service", string(engineService), "--pieces", fmt.Sprint(pieceCount), "--interval", "30ms")
 	} else {
 		name = fmt.Sprintf("plain-%d", domain)
 		args = append(args, "--service", string(plainService), "--prefill", "40ms")
