Start none of the soak's processes twice

Five stand-ins outlived their runs: two faults at once killed the same upstream and each started it again; the soak knew only of the second, which found its port taken and ended. Ruled out: the interruption of runs (two of the five were of runs that ended by themselves).

--- a/soak/process.go
+++ b/soak/process.go
@@ -39,7 +39,7 @@
 func (p *process) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.over {
+	if p.over || p.running() {
 		return nil
 	}
 	cmd := exec.Command(p.path, p.args...)
@@ -58,6 +58,20 @@
 	return nil
 }
 
+// running reports whether the program runs. Two faults may start one process
+// again; the second finds it running. The lock is held.
+func (p *process) running() bool {
+	if p.done == nil {
+		return false
+	}
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
 // signal sends a signal to the program, which this soak has started.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
