Keep upstreams in after a failed trial while all are dead

The tracker tells that all are in when all are dead; the fleet takes an upstream out while its trial runs and left it so when the trial failed, since the tracker had nothing new to tell.

Ruled out: the zone cut itself (its end is at 39.0, refusals went on to 40.4); upstreams that left (0 leaving, 0 replaced in the lines).

Change: the end of a trial sets the upstream as the tracker last told. The check 'always' of the fleet's scripts now also wants a choice; the new script failed with it before the change.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -170,11 +170,11 @@
 // apply carries out changes of health. The lock is held.
 func (f *Fleet) apply(g *group, changes []health.Change, now time.Time) {
 	for _, c := range changes {
-		delete(g.trials, c.Upstream)
 		switch c.State {
 		case health.In:
 			g.chooser.SetOut(c.Upstream, false)
 		case health.Out:
+			delete(g.trials, c.Upstream)
 			g.chooser.SetOut(c.Upstream, true)
 		case health.Trial:
 			g.trials[c.Upstream] = true
@@ -278,6 +278,10 @@
 		g.chooser.Failed(id, now)
 	}
 	f.apply(g, g.tracker.Observe(o, now), now)
+	if o.Trial {
+		delete(g.trials, id)
+		g.chooser.SetOut(id, g.tracker.Out(id))
+	}
 	if k == Replaced {
 		f.replaced[id] = u.Revision
 		f.own[id] = now
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -26,6 +26,7 @@
 //	at MS
 //	up ID DOMAIN REVISION [draining]     adds or changes an upstream
 //	down ID                              removes one
+//	pick ID                              sends a request there
 //	ended ID served|failed|dead|replaced
 //	lost ID                              told by another instance
 //	tick
@@ -83,6 +84,16 @@
 		case "down":
 			delete(all, id)
 			publish()
+		case "pick":
+			var others []ident.Upstream
+			for other := range all {
+				if other != id {
+					others = append(others, other)
+				}
+			}
+			if u, kind := f.Pick(Ask{Service: "s", Exclude: others}, now); kind != routing.Send {
+				t.Errorf("line %d: %s: got %q, %v", n+1, line, u.ID, kind)
+			}
 		case "ended":
 			f.Ended(id, kinds[w[2]], time.Millisecond, now)
 		case "lost":
@@ -94,7 +105,11 @@
 				apart = ""
 			}
 		case "never", "always":
-			for u, k := range choices(f, apart, now) {
+			got := choices(f, apart, now)
+			if len(got) == 0 && w[0] == "always" {
+				t.Errorf("line %d: %s: got no choice", n+1, line)
+			}
+			for u, k := range got {
 				if slices.Contains(w[1:], u) == (w[0] == "never") {
 					t.Errorf("line %d: %s: got %s %d times", n+1, line, u, k)
 				}
--- a/health/tracker.go
+++ b/health/tracker.go
@@ -172,6 +172,12 @@
 	return t.settle(nil)
 }
 
+// Out reports whether an upstream is out, as the last change told.
+func (t *Tracker) Out(u ident.Upstream) bool {
+	p, ok := t.peers[u]
+	return ok && p.out
+}
+
 // Tick compares latencies, starts the trials that are due and returns all
 // changes. It is called about once a second.
 func (t *Tracker) Tick(now time.Time) []Change {
