End a trial with the first piece of a stream; try each dead upstream with one request

A stream lasts for about seven seconds on the sites, and a trial that takes over five seconds counts as failed. So an upstream that was back after a cut stayed out, for longer after each trial that in truth went well, and took one stream at a time. And while all upstreams of a service are dead, each request tried them all, which took 500 ms where connections time out, instead of being refused at once.

Ruled out: crashed engines, which come back under new ids and begin anew.

Change: the first piece ends a trial; while all are dead each takes one request at a time, whose outcome counts as that of a trial, and when one answers the others are tried at once. Two scripts of the fleet failed before the change.

--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -182,7 +182,9 @@
 			}
 			return verdict{kind: fleet.Failed, ran: true, reason: reason}, false
 		}
-		if !first {
+		if first {
+			d.fleet.Answered(id, now)
+		} else {
 			s.gaps.Gap(now.Sub(before))
 		}
 		before, heard = now, d.timer.Uptime()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -200,7 +200,8 @@
 	if d.Kind != routing.Send {
 		return directory.Upstream{}, d.Kind
 	}
-	if g.trials[d.Upstream] {
+	if g.trials[d.Upstream] || g.tracker.Dead(d.Upstream) {
+		g.trials[d.Upstream] = true
 		g.chooser.SetOut(d.Upstream, true) // one request is the trial
 	}
 	return f.all[d.Upstream], routing.Send
@@ -277,11 +278,7 @@
 		o.Kind = health.Refused
 		g.chooser.Failed(id, now)
 	}
-	f.apply(g, g.tracker.Observe(o, now), now)
-	if o.Trial {
-		delete(g.trials, id)
-		g.chooser.SetOut(id, g.tracker.Out(id))
-	}
+	f.observe(g, o, now)
 	if k == Replaced {
 		f.replaced[id] = u.Revision
 		f.own[id] = now
@@ -296,6 +293,30 @@
 	}
 }
 
+// Answered tells that an upstream has begun to answer a stream, which may go on
+// for longer than a trial may take.
+func (f *Fleet) Answered(id ident.Upstream, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u, ok := f.all[id]
+	if !ok {
+		return
+	}
+	if g := f.services[u.Service]; g.trials[id] {
+		f.observe(g, health.Outcome{Upstream: id, Trial: true}, now)
+	}
+}
+
+// observe takes in how a request ended, which may have been a trial. The lock
+// is held.
+func (f *Fleet) observe(g *group, o health.Outcome, now time.Time) {
+	f.apply(g, g.tracker.Observe(o, now), now)
+	if o.Trial {
+		delete(g.trials, o.Upstream)
+		g.chooser.SetOut(o.Upstream, g.tracker.Out(o.Upstream))
+	}
+}
+
 // Heard notes that an upstream lived at an uptime of this machine.
 func (f *Fleet) Heard(id ident.Upstream, uptime time.Duration) {
 	f.mu.Lock()
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -28,9 +28,11 @@
 //	down ID                              removes one
 //	pick ID                              sends a request there
 //	ended ID served|failed|dead|replaced
+//	answered ID                          the first piece of a stream came
 //	lost ID                              told by another instance
 //	tick
 //	never ID ... | always ID ...         what a hundred choices bring
+//	some ID ...                          each of these is among them
 //	apart DOMAIN                         of the choices that follow; - for none
 //	gone ID yes|no
 //	none                                 no choice is possible
@@ -96,6 +98,8 @@
 			}
 		case "ended":
 			f.Ended(id, kinds[w[2]], time.Millisecond, now)
+		case "answered":
+			f.Answered(id, now)
 		case "lost":
 			f.ReportLost(id, now)
 		case "tick":
@@ -114,6 +118,13 @@
 					t.Errorf("line %d: %s: got %s %d times", n+1, line, u, k)
 				}
 			}
+		case "some":
+			got := choices(f, apart, now)
+			for _, id := range w[1:] {
+				if got[id] == 0 {
+					t.Errorf("line %d: %s: got %v", n+1, line, got)
+				}
+			}
 		case "gone":
 			if got := f.Gone(id, now); got != (w[2] == "yes") {
 				t.Errorf("line %d: %s: got %v", n+1, line, got)
--- a/health/tracker.go
+++ b/health/tracker.go
@@ -156,7 +156,7 @@
 	if !ok {
 		return nil
 	}
-	if o.Trial && p.trial {
+	if o.Trial && (p.trial || p.state == dead) {
 		t.endTrial(p, o.Kind, now)
 		return t.settle(nil)
 	}
@@ -178,6 +178,13 @@
 	return ok && p.out
 }
 
+// Dead reports whether an upstream is taken to be dead, which is in only while
+// all are dead. A request to it may be told as a trial.
+func (t *Tracker) Dead(u ident.Upstream) bool {
+	p, ok := t.peers[u]
+	return ok && p.state == dead
+}
+
 // Tick compares latencies, starts the trials that are due and returns all
 // changes. It is called about once a second.
 func (t *Tracker) Tick(now time.Time) []Change {
@@ -197,8 +204,16 @@
 	return t.settle(cs)
 }
 
+// endTrial takes in the end of a trial. If all upstreams were dead, one that
+// answers is a sign that what struck them all is over, so the others are tried
+// soon.
 func (t *Tracker) endTrial(p *peer, k Kind, now time.Time) {
 	p.trial = false
+	if deads, _ := t.outs(); k == OK && deads == len(t.peers) {
+		for _, other := range t.peers {
+			other.until, other.backOff = now, 0
+		}
+	}
 	switch {
 	case k == Refused:
 		t.exclude(p, dead, now)
