Send callers that come back to the engine that has read their prompt

The list of a prompt's parts that callers send was not used, so prompts that share long first parts were scattered as well.

Ruled out: going on from the copy of the broken run; a caller that comes back sends another request, and one may not go on from the memory of another.

Change: the parts of a prompt are decoded in platform, their names chained in prefix, and the chooser's index of prefixes, which the product's own door has used so far, weighs the time saved against load, for parts of unequal size. A far engine that holds a prompt pays the same as any far one, and savings under 100 ms do not count. Digests within the failure domain tell the prompts of the streams that run.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -33,6 +33,7 @@
 	log    zerolog.Logger
 	// suspects knows the contents that make engines fail.
 	suspects *suspect.Ledger
+	prompts  *prompts
 
 	mu      sync.Mutex
 	budget  retry.Settings
@@ -59,6 +60,7 @@
 		fleet:    p.Fleet,
 		client:   p.Client,
 		suspects: p.Suspects,
+		prompts:  newPrompts(),
 		timer:    p.Timer,
 		random:   p.Random,
 		log:      p.Log,
@@ -96,7 +98,10 @@
 		return directory.Upstream{}, refusal
 	}
 	avoid := d.suspects.Avoid(now, a.w.Fingerprint)
-	ask := fleet.Ask{Service: a.w.Service.Name, Tokens: a.w.Tokens, Exclude: append(avoid, a.exclude...), Apart: a.apart}
+	ask := fleet.Ask{
+		Service: a.w.Service.Name, Tokens: a.w.Tokens, Blocks: a.w.Blocks, Sizes: a.w.Sizes,
+		Exclude: append(avoid, a.exclude...), Apart: a.apart,
+	}
 	u, kind := d.fleet.Pick(ask, now)
 	if kind != routing.Send && (a.apart != "" || len(avoid) > 0) {
 		ask.Apart, ask.Exclude = "", a.exclude
--- /dev/null
+++ b/dispatch/prompts.go
@@ -0,0 +1,49 @@
+package dispatch
+
+import (
+	"sync"
+
+	"crocuslug/ident"
+	"crocuslug/prefix"
+	"crocuslug/work"
+)
+
+// prompts are those of the streams that run now. If this instance is lost, its
+// callers come back at others, which should go on where the prompt was read.
+type prompts struct {
+	mu   sync.Mutex
+	next uint64
+	sent map[uint64]work.Prompt
+}
+
+func newPrompts() *prompts {
+	return &prompts{sent: make(map[uint64]work.Prompt)}
+}
+
+// add notes a prompt until the function that it returns is called.
+func (p *prompts) add(u ident.Upstream, blocks []prefix.Block) (remove func()) {
+	if len(blocks) == 0 {
+		return func() {}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.next++
+	n := p.next
+	p.sent[n] = work.Prompt{Upstream: u, Blocks: blocks}
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.sent, n)
+	}
+}
+
+// Prompts returns the prompts of the streams that run now, and where.
+func (d *Dispatcher) Prompts() []work.Prompt {
+	d.prompts.mu.Lock()
+	defer d.prompts.mu.Unlock()
+	out := make([]work.Prompt, 0, len(d.prompts.sent))
+	for _, p := range d.prompts.sent {
+		out = append(out, p)
+	}
+	return out
+}
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -57,7 +57,9 @@
 		}
 		s.made++
 		d.suspects.Placed(now, u.ID, w.Fingerprint)
+		left := d.prompts.add(u.ID, w.Blocks)
 		v, done := d.leg(ctx, s, u, from, now)
+		left()
 		d.suspects.Left(u.ID, w.Fingerprint)
 		end := d.timer.Now()
 		kept = s.keeper.end(end, done)
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -54,6 +54,7 @@
 	Seen          store.Version // of the store, up to which it knows all changes
 	Configuration uint64        // version in force; 0 if none
 	InFlight      map[ident.Upstream]work.Load
+	Prompts       []work.Prompt            `json:",omitempty"` // of its streams; told within the failure domain, where its callers would come back
 	Lost          []ident.Upstream         `json:",omitempty"` // found dead here within the last moments
 	Refused       map[uint64]unit.Duration `json:",omitempty"` // contents that make engines fail, by the time for which they are refused
 	Restarts      []restart                `json:",omitempty"` // of upstreams, found without the store
@@ -170,7 +171,13 @@
 	e.turn++
 	turn := e.turn
 	e.mu.Unlock()
-	for _, id := range append(inTurn(near, nearDigests, turn), inTurn(far, farDigests, turn)...) {
+	e.sendDigest(inTurn(far, farDigests, turn), d)
+	d.Prompts = e.dispatcher.Prompts()
+	e.sendDigest(inTurn(near, nearDigests, turn), d)
+}
+
+func (e *Edge) sendDigest(to []ident.Instance, d digest) {
+	for _, id := range to {
 		e.tasks.Go(func() {
 			ctx, cancel := context.WithTimeout(e.ctx, callLimit)
 			defer cancel()
@@ -247,6 +254,9 @@
 	for _, id := range d.Lost {
 		e.fleet.ReportLost(id, now)
 	}
+	for _, p := range d.Prompts {
+		e.fleet.Holds(p.Upstream, p.Blocks, now)
+	}
 	for fp, left := range d.Refused {
 		e.suspects.Refuse(suspect.Verdict{Fingerprint: fp, Until: now.Add(left.Std())})
 	}
--- a/edge/requests.go
+++ b/edge/requests.go
@@ -13,6 +13,7 @@
 	"crocuslug/dispatch"
 	"crocuslug/ident"
 	"crocuslug/ingress"
+	"crocuslug/prefix"
 	"crocuslug/result"
 	"crocuslug/work"
 )
@@ -112,6 +113,8 @@
 		Fingerprint: fingerprint(workspace, c),
 		Prompt:      desc.Prompt,
 		Tokens:      desc.Tokens,
+		Blocks:      prefix.Chain(desc.Model, desc.Parts),
+		Sizes:       sizes(desc.Parts),
 		After:       desc.After,
 		Resumes:     desc.Resumes,
 		Method:      c.Request.Method,
@@ -122,6 +125,15 @@
 	}, nil
 }
 
+// sizes returns the tokens of each part of a prompt.
+func sizes(parts []prefix.Part) []int {
+	out := make([]int, 0, len(parts))
+	for _, p := range parts {
+		out = append(out, p.Tokens)
+	}
+	return out
+}
+
 // hostOf returns a host without its port.
 func hostOf(host string) string {
 	if h, _, err := net.SplitHostPort(host); err == nil {
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -10,6 +10,7 @@
 	"crocuslug/directory"
 	"crocuslug/fleet"
 	"crocuslug/ident"
+	"crocuslug/prefix"
 	"crocuslug/routing"
 	"crocuslug/store"
 	"crocuslug/work"
@@ -17,6 +18,7 @@
 
 // Times around instances.
 const (
+	returnAfter   = 10 * time.Millisecond // of a caller whose instance was killed
 	digestEvery   = 250 * time.Millisecond
 	registryLag   = 300 * time.Millisecond
 	reportLag     = time.Second            // age of the load that Least knows
@@ -58,6 +60,7 @@
 
 // request is one caller's.
 type request struct {
+	number int
 	in     *instance
 	began  time.Time
 	made   int // events
@@ -92,14 +95,18 @@
 			em.byID[e.id()] = e
 		}
 		for range shape.Instances {
-			cfg := fleet.Settings{Domain: domainName(d)}
-			em.instances = append(em.instances, &instance{d, fleet.New(cfg, em.random.Uint64, zerolog.Nop())})
+			em.instances = append(em.instances, &instance{domain: d, fleet: em.blank(d)})
 		}
 	}
 	em.register()
 	return em
 }
 
+// blank returns the belief of an instance that has just started.
+func (em *Emulator) blank(domain int) *fleet.Fleet {
+	return fleet.New(fleet.Settings{Domain: domainName(domain)}, em.random.Uint64, zerolog.Nop())
+}
+
 func domainName(d int) ident.Domain {
 	return ident.Domain(rune('a' + d))
 }
@@ -111,10 +118,11 @@
 	end := em.start.Add(em.shape.Length + drainTime)
 	for em.now = em.start; em.now.Before(end); em.now = em.now.Add(tick) {
 		em.lose()
+		em.kill()
 		for len(arrivals) > 0 && !arrivals[0].After(em.now) {
 			arrivals = arrivals[1:]
 			in := em.instances[em.random.IntN(len(em.instances))]
-			r := &request{in: in, began: em.now, last: em.now, next: em.now, shape: &em.shape}
+			r := &request{number: len(em.requests), in: in, began: em.now, last: em.now, next: em.now, shape: &em.shape}
 			em.requests = append(em.requests, r)
 		}
 		em.act()
@@ -175,7 +183,7 @@
 			for _, u := range e.runs {
 				u.r.lostAt(em.now, e, u)
 			}
-			e.runs = nil
+			e.runs, e.read = nil, nil
 		}
 	}
 	for _, e := range em.engines {
@@ -191,6 +199,30 @@
 	}
 }
 
+// kill takes down the first instance of each failure domain when it is time. It
+// starts again with no belief, and its callers go on at the next one.
+func (em *Emulator) kill() {
+	if len(em.shape.Kills) == 0 || em.now.Sub(em.start) < em.shape.Kills[0] {
+		return
+	}
+	em.shape.Kills = em.shape.Kills[1:]
+	for i := 0; i < len(em.instances); i += em.shape.Instances {
+		in, next := em.instances[i], em.instances[i+em.shape.Instances-1]
+		for _, r := range em.requests {
+			if r.in != in || r.ended {
+				continue
+			}
+			if r.run != nil {
+				r.at.remove(r.run)
+			}
+			r.at, r.run, r.copyAt = nil, nil, nil
+			r.in, r.next = next, em.now.Add(returnAfter)
+		}
+		in.fleet = em.blank(in.domain)
+		em.tellUpstreams(in)
+	}
+}
+
 // lostAt notes when the instance of a request finds out that its run is lost.
 func (r *request) lostAt(now time.Time, e *engine, u *run) {
 	switch {
@@ -214,10 +246,14 @@
 		})
 	}
 	for _, in := range em.instances {
-		in.fleet.SetUpstreams(em.known, func(ident.Service) int { return em.shape.Memory }, em.now)
+		em.tellUpstreams(in)
 	}
 }
 
+func (em *Emulator) tellUpstreams(in *instance) {
+	in.fleet.SetUpstreams(em.known, func(ident.Service) int { return em.shape.Memory }, em.now)
+}
+
 // act lets instances send what is to be sent.
 func (em *Emulator) act() {
 	for _, r := range em.requests {
@@ -267,20 +303,34 @@
 		return
 	}
 	left := em.shape.Prompt + r.made*pieceTokens
-	if fromCopy {
+	switch {
+	case fromCopy:
 		left = pieceTokens
+	case slices.Contains(e.read, r):
+		left = max(pieceTokens, r.made*pieceTokens)
 	}
 	em.figures.Read += left
 	r.run = &run{r: r, left: left}
 	e.runs = append(e.runs, r.run)
 	r.next = time.Time{}
 	em.figures.MostReads = max(em.figures.MostReads, e.reading())
-	if em.rule == Fleet {
+	if em.own() {
 		r.in.fleet.Reading(e.id(), left)
 		em.backUp(r)
 	}
 }
 
+// own reports whether instances choose by the project's own rule.
+func (em *Emulator) own() bool { return em.rule == Fleet || em.rule == Unaware }
+
+// prompt returns the name of a request's prompt.
+func (em *Emulator) prompt(r *request) []prefix.Block {
+	if em.rule == Unaware {
+		return nil
+	}
+	return []prefix.Block{prefix.Block(r.number)}
+}
+
 // backUp chooses where the copy of a run is kept.
 func (em *Emulator) backUp(r *request) {
 	ask := fleet.Ask{Service: service, Apart: domainName(r.at.domain)}
@@ -320,7 +370,10 @@
 			return c, true
 		}
 	}
-	ask := fleet.Ask{Service: service, Tokens: em.shape.Prompt + em.shape.Pieces*pieceTokens}
+	ask := fleet.Ask{
+		Service: service, Tokens: em.shape.Prompt + em.shape.Pieces*pieceTokens,
+		Blocks: em.prompt(r), Sizes: []int{em.shape.Prompt},
+	}
 	u, kind := r.in.fleet.Pick(ask, em.now)
 	if kind != routing.Send {
 		ask.Full = true
@@ -369,7 +422,7 @@
 		for _, u := range e.step(em.now) {
 			em.leave(u.r, fleet.Served)
 		}
-		if em.rule == Fleet && e.reading() != before {
+		if em.own() && e.reading() != before {
 			for _, u := range e.runs {
 				if u.left == 0 && u.r.made <= 1 {
 					u.r.in.fleet.Reading(e.id(), -em.shape.Prompt)
@@ -406,11 +459,16 @@
 	if len(em.reports) > int(reportLag/digestEvery) {
 		em.reports = em.reports[1:]
 	}
-	if em.rule != Fleet {
+	if !em.own() {
 		return
 	}
 	for _, in := range em.instances {
 		in.fleet.Tick(em.now)
+		for _, r := range em.requests {
+			if r.run != nil && r.in != in && r.in.domain == in.domain {
+				in.fleet.Holds(lifeID(r.at, r.life), em.prompt(r), em.now)
+			}
+		}
 		sum := make(map[ident.Upstream]work.Load)
 		for _, other := range em.instances {
 			if other == in {
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -25,6 +25,7 @@
 	dark   bool      // without a sign
 	back   time.Time // when it starts again
 	runs   []*run
+	read   []*request // whose prompts are cached, the latest last
 }
 
 func (e *engine) id() ident.Upstream {
@@ -55,6 +56,7 @@
 			budget -= n
 			if u.left == 0 {
 				u.since = every // the first event follows at once
+				e.cache(u.r)
 			}
 		default:
 			u.since += tick
@@ -69,6 +71,14 @@
 	return ended
 }
 
+// cache keeps the prompt of a request as long as there is memory.
+func (e *engine) cache(r *request) {
+	e.read = append(e.read, r)
+	if most := r.shape.Memory / r.shape.Prompt; len(e.read) > most {
+		e.read = e.read[len(e.read)-most:]
+	}
+}
+
 // reading returns the prompts that are being read.
 func (e *engine) reading() int {
 	n := 0
--- a/emulator/patterns_test.go
+++ b/emulator/patterns_test.go
@@ -84,6 +84,28 @@
 	}
 }
 
+// TestInstancesRestarted plays the pattern of instances that are restarted
+// together: one of each failure domain is killed, and its callers go on at
+// another one there, which must know where their prompts were read. Nineteen in
+// twenty must still be on time, and the tokens that are read again be at most
+// half of what they are if nobody knows.
+func TestInstancesRestarted(t *testing.T) {
+	shape := base
+	shape.Kills = []time.Duration{14 * time.Second}
+	got, naive := play(shape, nil, Fleet), play(shape, nil, Unaware)
+	t.Logf("own: %+v", got)
+	t.Logf("naive: %+v", naive)
+	if got.Unended > 0 {
+		t.Errorf("answers without an end: got %d, want 0", got.Unended)
+	}
+	if part := float64(got.Late) / float64(got.Requests); part > 0.05 || got.Late >= naive.Late {
+		t.Errorf("late: got %d of %d, want at most 0.05 and fewer than %d", got.Late, got.Requests, naive.Late)
+	}
+	if got.Again > naive.Again/2 {
+		t.Errorf("read again: got %.3f, want at most half of %.3f", got.Again, naive.Again)
+	}
+}
+
 // TestRepeatable holds that a seed gives the same figures each time.
 func TestRepeatable(t *testing.T) {
 	first := New(base, again(true), Fleet, 7).Run()
--- a/emulator/types.go
+++ b/emulator/types.go
@@ -7,24 +7,26 @@
 
 // Rules.
 const (
-	Fleet  Rule = iota // the project's own choice, with copies of runs in other failure domains
-	Random             // any registered engine, without copies
-	Least              // the engine with the least load in the last report, without copies
+	Fleet   Rule = iota // the project's own choice, with copies of runs in other failure domains
+	Unaware             // the same, but nobody knows which engine has read which prompt
+	Random              // any registered engine, without copies
+	Least               // the engine with the least load in the last report, without copies
 )
 
 // Shape is a deployment and its load.
 type Shape struct {
 	Domains   int
-	Engines   int           // in each failure domain
-	Instances int           // in each failure domain
-	Rate      float64       // requests a second, over all
-	Prompt    int           // tokens
-	Pieces    int           // events of an answer
-	Memory    int           // tokens that an engine holds
-	Length    time.Duration // in which requests come
-	Objective time.Duration // to the first event
-	Pause     time.Duration // longest one between events that is on time
-	Burst     time.Duration // at the start of which a tenth of all requests come at once; 0 means none
+	Engines   int             // in each failure domain
+	Instances int             // in each failure domain
+	Rate      float64         // requests a second, over all
+	Prompt    int             // tokens
+	Pieces    int             // events of an answer
+	Memory    int             // tokens that an engine holds
+	Length    time.Duration   // in which requests come
+	Objective time.Duration   // to the first event
+	Pause     time.Duration   // longest one between events that is on time
+	Kills     []time.Duration // when one instance of each failure domain is killed; its callers go on at another one there
+	Burst     time.Duration   // at the start of which a tenth of all requests come at once; 0 means none
 }
 
 // Loss is the loss of the engines of a failure domain.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"crocuslug/directory"
 	"crocuslug/health"
 	"crocuslug/ident"
+	"crocuslug/prefix"
 	"crocuslug/routing"
 	"crocuslug/store"
 	"crocuslug/unit"
@@ -44,6 +45,11 @@
 // other domains, and its copy in another one the loss of the own.
 const defaultFarCost = 200 * time.Millisecond
 
+// defaultLeastSaving is the time that a prompt read before must save to bear on
+// the choice. Parts that all prompts share are soon read everywhere, and would
+// send many to the few upstreams that had them first.
+const defaultLeastSaving = 100 * time.Millisecond
+
 // Kind tells how a request ended at an upstream.
 type Kind int
 
@@ -60,6 +66,8 @@
 type Ask struct {
 	Service ident.Service
 	Tokens  int              // that the request will hold at a model engine; 0 if unknown
+	Blocks  []prefix.Block   // of its prompt
+	Sizes   []int            // tokens of each of Blocks
 	Exclude []ident.Upstream // not chosen
 	Apart   ident.Domain     // if set, none in this failure domain is chosen
 	Full    bool             // one that is full may be chosen
@@ -98,6 +106,9 @@
 	if cfg.Routing.FarCost <= 0 {
 		cfg.Routing.FarCost = unit.Duration(defaultFarCost)
 	}
+	if cfg.Routing.LeastSaving <= 0 {
+		cfg.Routing.LeastSaving = unit.Duration(defaultLeastSaving)
+	}
 	return &Fleet{
 		cfg:      cfg,
 		log:      log,
@@ -196,7 +207,9 @@
 		return directory.Upstream{}, routing.NoUpstream
 	}
 	g.learn(a.Tokens, f)
-	d := g.chooser.Choose(routing.Request{Exclude: a.Exclude, Apart: a.Apart, PromptTokens: a.Tokens, Resumed: a.Full}, now)
+	d := g.chooser.Choose(routing.Request{
+		Blocks: a.Blocks, Sizes: a.Sizes, PromptTokens: a.Tokens, Exclude: a.Exclude, Apart: a.Apart, Resumed: a.Full,
+	}, now)
 	if d.Kind != routing.Send {
 		return directory.Upstream{}, d.Kind
 	}
@@ -217,6 +230,15 @@
 	}
 }
 
+// Holds notes that another instance has sent an upstream a prompt.
+func (f *Fleet) Holds(id ident.Upstream, blocks []prefix.Block, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if u, ok := f.all[id]; ok {
+		f.services[u.Service].chooser.Holds(id, blocks, now)
+	}
+}
+
 // Gone reports whether an upstream is known to have lost its memory: it is not
 // registered any more, another has its address, or it was found dead.
 func (f *Fleet) Gone(id ident.Upstream, now time.Time) bool {
--- a/prefix/prefix.go
+++ b/prefix/prefix.go
@@ -1,8 +1,8 @@
 // Package prefix names the blocks of a prompt that engines cache.
 //
-// A prompt is cut into blocks of a fixed size. The name of a block depends on
-// all of the prompt up to its end, so two prompts share a block only if they
-// agree up to there.
+// A prompt is cut into blocks of a fixed size, or at the parts that its caller
+// tells. The name of a block depends on all of the prompt up to its end, so two
+// prompts share a block only if they agree up to there.
 package prefix
 
 import (
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -75,15 +75,20 @@
 	consider := func(e *engine, tokens float64) {
 		tokens = math.Min(tokens, float64(r.PromptTokens))
 		cost := c.delay(e, now) - tokens/c.cfg.PrefillRate
+		if !e.Near {
+			cost += c.cfg.FarCost.Std().Seconds()
+		}
 		if cost < lowest {
 			best, saved, lowest = e, tokens, cost
 		}
 	}
 	for _, h := range c.index.Holders(r.Blocks, now) {
 		e, ok := c.engines[h.Upstream]
-		if ok && e.usable(r) && e.holds(r.Model) {
-			consider(e, h.Blocks*c.cfg.BlockTokens)
+		tokens := r.tokens(h.Blocks, c.cfg.BlockTokens)
+		if !ok || !e.usable(r) || !e.holds(r.Model) || tokens/c.cfg.PrefillRate < c.cfg.LeastSaving.Std().Seconds() {
+			continue
 		}
+		consider(e, tokens)
 	}
 	for _, e := range c.sample(g.near, r, now) {
 		if e != best {
@@ -91,7 +96,6 @@
 		}
 	}
 	if c.cfg.FarCost > 0 {
-		lowest -= c.cfg.FarCost.Std().Seconds()
 		for _, e := range c.sample(g.all, r, now) {
 			consider(e, 0)
 		}
@@ -99,6 +103,24 @@
 	return best, saved
 }
 
+// tokens returns the size of a number of leading blocks, the last of which may
+// be held only in part.
+func (r *Request) tokens(blocks, byDefault float64) float64 {
+	if r.Sizes == nil {
+		return blocks * byDefault
+	}
+	sum := 0.0
+	for _, size := range r.Sizes {
+		part := min(blocks, 1)
+		if part <= 0 {
+			break
+		}
+		sum += part * float64(size)
+		blocks -= part
+	}
+	return sum
+}
+
 // recentPenalty is the part of the penalty of a failure above which it counts
 // as recent, which is for three half-lives.
 const recentPenalty = 0.125
--- a/routing/choose_test.go
+++ b/routing/choose_test.go
@@ -12,6 +12,7 @@
 	"crocuslug/affinity"
 	"crocuslug/ident"
 	"crocuslug/prefix"
+	"crocuslug/unit"
 
 	"pgregory.net/rapid"
 )
@@ -228,3 +229,45 @@
 		t.Errorf("sent: got %v, want more to a than to the slower b", sent)
 	}
 }
+
+// TestPartsOfPrompts holds that a prompt of unequal parts goes to the upstream
+// that has read the most tokens of it, unless they save too little.
+func TestPartsOfPrompts(t *testing.T) {
+	parts := []prefix.Part{{Name: "system", Tokens: 200}, {Name: "subject", Tokens: 5000}}
+	blocks := prefix.Chain("m", parts)
+	other := prefix.Chain("m", []prefix.Part{parts[0], {Name: "another", Tokens: 5000}})
+	tests := []struct {
+		name   string
+		blocks []prefix.Block
+		least  time.Duration
+		want   bool // all go to the upstream that has read blocks
+	}{
+		{"all parts", blocks, 100 * time.Millisecond, true},
+		{"the first part", other, 0, true},
+		{"the first part saves too little", other, 100 * time.Millisecond, false},
+		{"no part", nil, 0, false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			var list []Candidate
+			for i := range 8 {
+				list = append(list, Candidate{Upstream: name(i), Near: true})
+			}
+			c := newChooser(3, list)
+			c.cfg.LeastSaving = unit.Duration(tc.least)
+			c.Holds(name(5), blocks, start)
+			got := 0
+			const choices = 50
+			for range choices {
+				d := c.Choose(Request{Blocks: tc.blocks, Sizes: []int{200, 5000}, PromptTokens: 5200}, start)
+				if d.Upstream == name(5) {
+					got++
+				}
+				c.Done(d.Upstream, start)
+			}
+			if (got == choices) != tc.want {
+				t.Errorf("got %d of %d there, want all: %v", got, choices, tc.want)
+			}
+		})
+	}
+}
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -20,6 +20,7 @@
 
 	"crocuslug/affinity"
 	"crocuslug/ident"
+	"crocuslug/prefix"
 	"crocuslug/work"
 )
 
@@ -174,6 +175,15 @@
 	c.rooms[r.Domain] = &r
 }
 
+// Holds notes that another instance has sent u a prompt of these blocks.
+func (c *Chooser) Holds(u ident.Upstream, blocks []prefix.Block, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.engines[u]; ok {
+		c.index.Note(u, blocks, now)
+	}
+}
+
 // CacheEvents takes the cache events of an upstream in rising order.
 func (c *Chooser) CacheEvents(u ident.Upstream, events []affinity.Event, now time.Time) {
 	c.mu.Lock()
--- a/routing/types.go
+++ b/routing/types.go
@@ -23,6 +23,7 @@
 	AnswerTokens    float64       // tokens of an answer of the mean length; 0 means 400
 	PaceHalfLife    unit.Duration // time in which an observed slowness halves; 0 means 10s
 	FarCost         unit.Duration // expected delay by which an upstream that is not near must be better; 0 means that it is taken only when no near one has room
+	LeastSaving     unit.Duration // time saved by a cached prefix below which it does not count; 0 means that any does
 	Choices         int           // upstreams drawn at random for a choice; 0 means 2
 }
 
@@ -117,6 +118,7 @@
 	ID           ident.Request
 	Model        Model
 	Blocks       []prefix.Block   // blocks of the prompt
+	Sizes        []int            // tokens of each of Blocks; nil means Settings.BlockTokens each
 	PromptTokens int              // tokens to read, for a resume with those produced
 	Exclude      []ident.Upstream // never chosen, such as engines just lost
 	Only         ident.Upstream   // if set, no other is chosen
--- a/work/work.go
+++ b/work/work.go
@@ -10,6 +10,7 @@
 
 	"crocuslug/directory"
 	"crocuslug/ident"
+	"crocuslug/prefix"
 )
 
 // Description is what a caller says of its request beside what the protocol has
@@ -23,6 +24,8 @@
 	Resumes     bool
 	Prompt      int // tokens of the prompt; 0 if it is for no model
 	Tokens      int // of prompt and answer together at most
+	Model       string
+	Parts       []prefix.Part // of the prompt, in order; nil if the caller does not tell them
 }
 
 // Work is one request to be answered.
@@ -31,12 +34,14 @@
 	Route       *directory.Route
 	Service     *directory.Service
 	Workspace   ident.Workspace
-	Deadline    time.Time // when the caller or the route has no more time
-	Fingerprint uint64    // of caller, path and body; the same for the same content
-	Prompt      int       // tokens of the prompt; 0 if it is for no model
-	Tokens      int       // of prompt and answer together at most
-	After       uint64    // number of the last piece that the caller holds
-	Resumes     bool      // After was given
+	Deadline    time.Time      // when the caller or the route has no more time
+	Fingerprint uint64         // of caller, path and body; the same for the same content
+	Prompt      int            // tokens of the prompt; 0 if it is for no model
+	Tokens      int            // of prompt and answer together at most
+	Blocks      []prefix.Block // names of the parts of the prompt
+	Sizes       []int          // tokens of each of Blocks
+	After       uint64         // number of the last piece that the caller holds
+	Resumes     bool           // After was given
 
 	Method string
 	Target string // path and query, verbatim
@@ -92,6 +97,12 @@
 	Genuine func(h http.Header) bool
 }
 
+// Prompt is a prompt that was sent to an upstream.
+type Prompt struct {
+	Upstream ident.Upstream
+	Blocks   []prefix.Block
+}
+
 // Load is what an instance has under way at an upstream.
 type Load struct {
 	Requests int
