Let lost streams wait while all engines are away; refuse with a later return

Ruled out: registration (engines were back in the store within 300 ms of their start); the budget of retries (not spent).

Change: a stream whose run was lost, which can no longer be refused as not run, waits up to five seconds for an upstream; one that has not run is refused as before, but told to come back after 0.08 of the time that it has left, 100 ms to 2 s. Upstreams that only did not take a request are tried again after a wait. While all are dead each is tried once a tick.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -87,24 +88,38 @@
 	made    int              // sendings, those included that cannot have arrived
 	runs    int              // sendings that may have run
 	crashes int              // runs that were broken off, but for those lost with a whole failure domain
+	counted int              // of made, that no longer count towards Settings.Sends
 	exclude []ident.Upstream // not tried again
+	passed  []ident.Upstream // that did not take it; tried again after a wait
 	apart   ident.Domain     // where the last upstream was lost; avoided if others are to be had
 	last    string           // how the last one ended
 }
 
+// tried returns the upstreams that are not tried now.
+func (a *attempts) tried() []ident.Upstream {
+	return slices.Concat(a.exclude, a.passed)
+}
+
+// again lets the upstreams be tried anew that did not take the request.
+func (a *attempts) again() {
+	a.passed = nil
+	a.counted = a.made
+}
+
 // pick chooses the upstream of the next sending.
 func (d *Dispatcher) pick(a *attempts, now time.Time) (directory.Upstream, *result.Error) {
 	if refusal := d.screen(a, now); refusal != nil {
 		return directory.Upstream{}, refusal
 	}
 	avoid := d.suspects.Avoid(now, a.w.Fingerprint)
+	tried := a.tried()
 	ask := fleet.Ask{
 		Service: a.w.Service.Name, Tokens: a.w.Tokens, Blocks: a.w.Blocks, Sizes: a.w.Sizes,
-		Exclude: append(avoid, a.exclude...), Apart: a.apart,
+		Exclude: append(avoid, tried...), Apart: a.apart,
 	}
 	u, kind := d.fleet.Pick(ask, now)
 	if kind != routing.Send && (a.apart != "" || len(avoid) > 0) {
-		ask.Apart, ask.Exclude = "", a.exclude
+		ask.Apart, ask.Exclude = "", tried
 		u, kind = d.fleet.Pick(ask, now)
 	}
 	if kind == routing.Wait {
@@ -114,7 +129,7 @@
 	if kind != routing.Send {
 		n := d.fleet.Count(a.w.Service.Name)
 		detail := fmt.Sprintf("no upstream of service %q takes the request: %d registered, %d leaving, %d out, %d replaced, %d tried",
-			a.w.Service.Name, n.Registered, n.Leaving, n.Out, n.Replaced, len(a.exclude))
+			a.w.Service.Name, n.Registered, n.Leaving, n.Out, n.Replaced, len(tried))
 		return directory.Upstream{}, d.refuse(a, result.NoUpstream, detail)
 	}
 	return u, nil
@@ -130,8 +145,16 @@
 	if a.runs > 0 {
 		return e.Ran(result.RunUnknown)
 	}
-	spread := d.cfg.RetryAfter/2 + time.Duration(d.random()%uint64(d.cfg.RetryAfter))
-	return e.After(spread)
+	return e.After(d.comeBack(a.w.Deadline.Sub(d.timer.Now())))
+}
+
+// comeBack returns when a caller may come back that has some time left. Most
+// come back once only, so one that has much time had better let upstreams that
+// crashed start again. The times are spread, or all would come at once.
+func (d *Dispatcher) comeBack(remaining time.Duration) time.Duration {
+	mean := time.Duration(d.cfg.RetryShare * float64(remaining))
+	mean = min(max(mean, d.cfg.LeastRetry), d.cfg.MostRetry)
+	return mean*3/4 + time.Duration(d.random()%uint64(mean/2))
 }
 
 // unsent reports whether nothing of the sending can have reached an upstream.
@@ -146,8 +169,8 @@
 	switch {
 	case remaining < d.cfg.MinRemaining:
 		return d.refuse(a, result.DeadlineInfeasible, "no time is left")
-	case a.made >= d.cfg.Sends:
-		return d.refuse(a, result.UpstreamFailed, "all sendings failed")
+	case a.made-a.counted >= d.cfg.Sends:
+		return d.refuse(a, result.NoUpstream, "all sendings failed")
 	case w.Route.MaxAttempts > 0 && a.runs >= w.Route.MaxAttempts:
 		return d.refuse(a, result.UpstreamFailed, "the route's attempts are used up")
 	}
@@ -204,13 +227,15 @@
 // note takes a failed sending into account and logs it.
 func (d *Dispatcher) note(a *attempts, u directory.Upstream, v verdict, began, now time.Time) {
 	d.fleet.Ended(u.ID, v.kind, 0, now)
-	a.exclude = append(a.exclude, u.ID)
 	a.last = v.reason
 	if v.kind == fleet.Dead || v.kind == fleet.Failed {
 		a.apart = u.Domain
 	}
 	if v.ran {
 		a.runs++
+		a.exclude = append(a.exclude, u.ID)
+	} else {
+		a.passed = append(a.passed, u.ID)
 	}
 	d.log.Info().Str("Request", string(a.w.ID)).Str("Upstream", string(u.ID)).Int("Attempt", a.made).
 		Bool("MayHaveRun", v.ran).Str("Reason", v.reason).Dur("AfterMs", now.Sub(began)).Msg("attempt failed")
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -264,7 +264,7 @@
 	f.SetUpstreams(wd.list, func(ident.Service) int { return wd.service.Memory }, clock.Now())
 	client := exchange.New(exchange.Settings{}, clock)
 	defer client.Close()
-	d := New(Settings{Gap: 300 * time.Millisecond}, parts(ports(), f, client, clock, zerolog.Nop()))
+	d := New(Settings{Gap: 300 * time.Millisecond, ResumeWait: time.Second}, parts(ports(), f, client, clock, zerolog.Nop()))
 	w := &work.Work{
 		ID:       "r1",
 		Route:    &wd.route,
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -27,9 +27,11 @@
 	resumes  bool   // the next leg starts after last
 	keeper   *keeper
 	gaps     *silence.Detector
-	patience time.Duration // longest wait between pieces
-	lost     time.Time     // when the last leg was lost; zero if the stream is well
-	whole    *Reply        // an answer that is no stream, to be passed on whole
+	patience time.Duration  // longest wait between pieces
+	at       ident.Upstream // of the last leg
+	lost     time.Time      // when the leg was lost that the last piece came from; zero if the stream is well
+	held     bool           // it has waited for an upstream
+	whole    *Reply         // an answer that is no stream, to be passed on whole
 }
 
 // errCaller marks a failure to write to the caller.
@@ -52,10 +54,18 @@
 			return nil, s.begun, d.refuse(&s.attempts, result.DeadlineInfeasible, "no time is left")
 		}
 		u, from, refusal := d.next(s, kept, now)
+		if d.holds(s, refusal, now) {
+			if !d.pause(ctx, resumePoll) {
+				return nil, s.begun, d.left(ctx, s)
+			}
+			kept = nil
+			continue
+		}
 		if refusal != nil {
 			return nil, s.begun, refusal
 		}
 		s.made++
+		s.at = u.ID
 		d.suspects.Placed(now, u.ID, w.Fingerprint)
 		left := d.prompts.add(u.ID, w.Blocks)
 		v, done := d.leg(ctx, s, u, from, now)
@@ -70,29 +80,75 @@
 			d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Int("Attempt", s.made).
 				Uint64("LastPiece", s.last).Dur("TookMs", end.Sub(now)).Msg("stream ended")
 			return s.whole, s.begun, nil
-		case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		case ctx.Err() != nil || v.reason == errCaller.Error():
 			d.fleet.Ended(u.ID, fleet.Abandoned, 0, end)
 			s.runs++
-			return nil, s.begun, d.refuse(&s.attempts, result.DeadlineInfeasible, "no time is left")
-		case errors.Is(context.Cause(ctx), context.Canceled) || v.reason == errCaller.Error():
-			d.fleet.Ended(u.ID, fleet.Abandoned, 0, end)
-			d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Uint64("LastPiece", s.last).Msg("caller left")
-			return nil, s.begun, nil
+			return nil, s.begun, d.left(ctx, s)
 		}
 		d.note(&s.attempts, u, v, now, end)
-		s.lost = end
+		if s.lost.IsZero() {
+			s.lost = end
+		}
 		if v.ran {
 			d.crashed(&s.attempts, u, now, end)
 		}
 		if !w.Route.Repeatable() && s.runs > 0 {
 			return nil, s.begun, d.refuse(&s.attempts, result.UpstreamFailed, "the stream broke off and may not go on")
 		}
-		if refusal := d.mayRetry(&s.attempts, end, v.ran || v.unsent()); refusal != nil {
+		refusal = d.mayRetry(&s.attempts, end, v.ran || v.unsent())
+		switch {
+		case d.holds(s, refusal, end):
+			if !d.pause(ctx, resumePoll) {
+				return nil, s.begun, d.left(ctx, s)
+			}
+		case refusal != nil:
 			return nil, s.begun, refusal
 		}
 	}
 }
 
+// resumePoll is the time between two looks for an upstream of a lost stream.
+const resumePoll = 100 * time.Millisecond
+
+// holds reports whether a stream waits for an upstream although there is none
+// now. Its run was lost with its engine, so the caller cannot be told that
+// nothing has run, and has no second place to go on at: all of the service's
+// upstreams are away, and those that crashed are back in moments.
+func (d *Dispatcher) holds(s *stream, refusal *result.Error, now time.Time) bool {
+	if refusal == nil || refusal.Code != result.NoUpstream || s.runs == 0 || s.runs >= d.cfg.Sends || now.Sub(s.lost) >= d.cfg.ResumeWait {
+		return false
+	}
+	if !s.held {
+		d.log.Info().Str("Request", string(s.w.ID)).Uint64("LastPiece", s.last).Str("Reason", refusal.Detail).Msg("stream waits for an upstream")
+	}
+	s.held = true
+	s.again()
+	return true
+}
+
+// pause waits and reports whether ctx goes on.
+func (d *Dispatcher) pause(ctx context.Context, wait time.Duration) bool {
+	over := make(chan struct{})
+	sub := d.timer.After(wait, func(time.Time) { close(over) })
+	defer sub.Stop()
+	select {
+	case <-over:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// left ends a stream whose time is over, which is a failure, or whose caller
+// has gone.
+func (d *Dispatcher) left(ctx context.Context, s *stream) *result.Error {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return d.refuse(&s.attempts, result.DeadlineInfeasible, "no time is left")
+	}
+	d.log.Info().Str("Request", string(s.w.ID)).Str("Upstream", string(s.at)).Uint64("LastPiece", s.last).Msg("caller left")
+	return nil
+}
+
 // detector returns the judge of silence for a request, and the longest silence
 // between pieces whatever the judge says.
 func (d *Dispatcher) detector(w *work.Work) (*silence.Detector, time.Duration) {
@@ -122,7 +178,7 @@
 func (d *Dispatcher) leg(ctx context.Context, s *stream, u directory.Upstream, from *work.Copy, now time.Time) (verdict, bool) {
 	w := s.w
 	leg := work.Leg{Upstream: u, Remaining: w.Deadline.Sub(now), After: s.last, Resumes: s.resumes, From: from}
-	leg.CopyTo = s.keeper.begin(u, s.exclude, now)
+	leg.CopyTo = s.keeper.begin(u, s.tried(), now)
 	d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Str("UpstreamDomain", string(u.Domain)).Int("Attempt", s.made).
 		Uint64("After", s.last).Bool("FromCopy", from != nil).Str("CopyTo", leg.CopyTo).Msg("stream sent")
 	r := d.request(w, &leg)
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -30,7 +30,10 @@
 	Gap          time.Duration // that wait if the route names no pause; 0 means 1s
 	SafeShare    float64       // part of the remaining time that one of several attempts may take; 0 means 0.5
 	MinRemaining time.Duration // least time with which a request is sent; 0 means 5ms
-	RetryAfter   time.Duration // mean time after which the refused may come back; 0 means 300ms
+	ResumeWait   time.Duration // longest wait of a stream that was lost until an upstream takes it; 0 means 5s
+	RetryShare   float64       // part of its remaining time after which a refused caller may come back; 0 means 0.08
+	LeastRetry   time.Duration // least such time; 0 means 100ms
+	MostRetry    time.Duration // greatest such time; 0 means 2s
 }
 
 // Defaults of Settings.
@@ -42,7 +45,10 @@
 	defaultGap          = time.Second
 	defaultSafeShare    = 0.5
 	defaultMinRemaining = 5 * time.Millisecond
-	defaultRetryAfter   = 300 * time.Millisecond
+	defaultResumeWait   = 5 * time.Second // upstreams that crash are back after one to three
+	defaultRetryShare   = 0.08            // a third of the remaining time is the most that callers wait
+	defaultLeastRetry   = 100 * time.Millisecond
+	defaultMostRetry    = 2 * time.Second // then a prompt of the usual size is still begun in time
 )
 
 func (cfg Settings) withDefaults() Settings {
@@ -53,6 +59,9 @@
 	unit.Fallback(&cfg.Gap, defaultGap)
 	unit.Fallback(&cfg.SafeShare, defaultSafeShare)
 	unit.Fallback(&cfg.MinRemaining, defaultMinRemaining)
-	unit.Fallback(&cfg.RetryAfter, defaultRetryAfter)
+	unit.Fallback(&cfg.ResumeWait, defaultResumeWait)
+	unit.Fallback(&cfg.RetryShare, defaultRetryShare)
+	unit.Fallback(&cfg.LeastRetry, defaultLeastRetry)
+	unit.Fallback(&cfg.MostRetry, defaultMostRetry)
 	return cfg
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -333,9 +333,14 @@
 // is held.
 func (f *Fleet) observe(g *group, o health.Outcome, now time.Time) {
 	f.apply(g, g.tracker.Observe(o, now), now)
-	if o.Trial {
-		delete(g.trials, o.Upstream)
-		g.chooser.SetOut(o.Upstream, g.tracker.Out(o.Upstream))
+	if !o.Trial {
+		return
+	}
+	delete(g.trials, o.Upstream)
+	rests := g.tracker.Dead(o.Upstream)
+	g.chooser.SetOut(o.Upstream, rests || g.tracker.Out(o.Upstream))
+	if rests {
+		g.resting = append(g.resting, o.Upstream)
 	}
 }
 
@@ -353,6 +358,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, g := range f.services {
+		for _, id := range g.resting {
+			g.chooser.SetOut(id, g.tracker.Out(id))
+		}
+		g.resting = g.resting[:0]
 		f.apply(g, g.tracker.Tick(now), now)
 	}
 }
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -17,6 +17,7 @@
 	tokens  float64 // mean size of a request; 0 until one was seen
 	list    []directory.Upstream
 	trials  map[ident.Upstream]bool // whose next request is a trial
+	resting []ident.Upstream        // that failed one, until the next tick
 }
 
 // set replaces the upstreams of a group. One that has restarted begins anew.
