Pace the streams that wait until engines are back

On engines-gone with waiting streams, those of all instances went to the first engines that registered, which read up to ten prompts at once, longer than the six seconds in which an engine must begin, so prompts were read in vain and the streams went on to the next engine together.

Ruled out: stale figures of unread prompts (listed for the own share at each refused choice: all were of prompts that engines read at that time). What is left is the time that engines need: 120 prompts of a second each on 34 engines, beside nine new ones a second.

Change: a stream that waits takes only an engine of its instance's share, and only while no prompt is read there, for ten of the twelve seconds that it waits. Prompt tokens to be read count from the choice on and no longer from the sending, between which other choices were made. The emulator now takes unread prompts back exactly; before, what it left made engines look busy.

The price of prompts that are read again stays; without the wait their callers were refused.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -90,6 +90,7 @@
 	crashes int              // runs that were broken off, but for those lost with a whole failure domain
 	counted int              // of made, that no longer count towards Settings.Sends
 	exclude []ident.Upstream // not tried again
+	paced   bool             // it waits with others for the first upstreams that are back
 	passed  []ident.Upstream // that did not take it; tried again after a wait
 	apart   ident.Domain     // where the last upstream was lost; avoided if others are to be had
 	last    string           // how the last one ended
@@ -115,7 +116,7 @@
 	tried := a.tried()
 	ask := fleet.Ask{
 		Service: a.w.Service.Name, Tokens: a.w.Tokens, Blocks: a.w.Blocks, Sizes: a.w.Sizes,
-		Exclude: append(avoid, tried...), Apart: a.apart,
+		Exclude: append(avoid, tried...), Apart: a.apart, Paced: a.paced, Reading: a.w.Prompt,
 	}
 	u, kind := d.fleet.Pick(ask, now)
 	if kind != routing.Send && (a.apart != "" || len(avoid) > 0) {
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -122,6 +122,7 @@
 		d.log.Info().Str("Request", string(s.w.ID)).Uint64("LastPiece", s.last).Str("Reason", refusal.Detail).Msg("stream waits for an upstream")
 	}
 	s.held = true
+	s.paced = now.Sub(s.lost) < d.cfg.PacedFor
 	s.again()
 	return true
 }
@@ -185,12 +186,9 @@
 	r.AnswerBy = now.Add(s.gaps.FirstLimit())
 	ctx, answered := d.probing(ctx, u)
 	defer answered()
-	if from == nil {
-		d.fleet.Reading(u.ID, w.Prompt)
-	}
 	ans, err := d.client.Do(ctx, u.Address, r)
 	if from == nil {
-		d.fleet.Reading(u.ID, -w.Prompt)
+		d.fleet.Reading(u.ID, -w.Prompt) // added by the choice
 	}
 	answered()
 	if err == nil {
@@ -276,7 +274,7 @@
 	if !s.lost.IsZero() {
 		d.log.Info().Str("Request", string(s.w.ID)).Int("Attempt", s.made).Uint64("Piece", p.Number).
 			Dur("PauseMs", d.timer.Now().Sub(s.lost)).Msg("stream goes on")
-		s.lost = time.Time{}
+		s.lost, s.held, s.paced = time.Time{}, false, false
 	}
 	if p.Has {
 		s.last = p.Number
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -30,7 +30,8 @@
 	Gap          time.Duration // that wait if the route names no pause; 0 means 1s
 	SafeShare    float64       // part of the remaining time that one of several attempts may take; 0 means 0.5
 	MinRemaining time.Duration // least time with which a request is sent; 0 means 5ms
-	ResumeWait   time.Duration // longest wait of a stream that was lost until an upstream takes it; 0 means 5s
+	ResumeWait   time.Duration // longest wait of a stream that was lost until an upstream takes it; 0 means 12s
+	PacedFor     time.Duration // part of that wait in which it goes only where no prompt is read; 0 means 10s
 	RetryShare   float64       // part of its remaining time after which a refused caller may come back; 0 means 0.08
 	LeastRetry   time.Duration // least such time; 0 means 100ms
 	MostRetry    time.Duration // greatest such time; 0 means 2s
@@ -45,8 +46,9 @@
 	defaultGap          = time.Second
 	defaultSafeShare    = 0.5
 	defaultMinRemaining = 5 * time.Millisecond
-	defaultResumeWait   = 5 * time.Second // upstreams that crash are back after one to three
-	defaultRetryShare   = 0.08            // a third of the remaining time is the most that callers wait
+	defaultResumeWait   = 12 * time.Second // callers leave after a silence of 18 s on the sheets
+	defaultPacedFor     = 10 * time.Second // two until crashed upstreams are back, and eight prompts each that are read in one
+	defaultRetryShare   = 0.08             // a third of the remaining time is the most that callers wait
 	defaultLeastRetry   = 100 * time.Millisecond
 	defaultMostRetry    = 2 * time.Second // then a prompt of the usual size is still begun in time
 )
@@ -60,6 +62,7 @@
 	unit.Fallback(&cfg.SafeShare, defaultSafeShare)
 	unit.Fallback(&cfg.MinRemaining, defaultMinRemaining)
 	unit.Fallback(&cfg.ResumeWait, defaultResumeWait)
+	unit.Fallback(&cfg.PacedFor, defaultPacedFor)
 	unit.Fallback(&cfg.RetryShare, defaultRetryShare)
 	unit.Fallback(&cfg.LeastRetry, defaultLeastRetry)
 	unit.Fallback(&cfg.MostRetry, defaultMostRetry)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -133,6 +133,7 @@
 	e.client = keyvalue.New(kv, t)
 	e.store = e.client.Port()
 	e.fleet = fleet.New(fleet.Settings{
+		Self:   e.self,
 		Domain: cfg.Domain,
 		Health: health.Settings{BackOff: unit.Duration(trialAfter), MaxBackOff: unit.Duration(maxTrialAfter)},
 	}, rand.Uint64, e.log)
@@ -209,7 +210,10 @@
 	e.tasks.Go(e.watch)
 	e.tasks.Go(e.announce)
 	e.every(tickInterval, e.tick)
-	e.every(expireInterval, func(time.Time) { e.exchange.Expire() })
+	e.every(expireInterval, func(now time.Time) {
+		e.exchange.Expire()
+		e.tellFleet(now)
+	})
 	e.every(digestInterval, func(time.Time) { e.tellPeers() })
 	e.log.Info().Str("Listen", e.cfg.Listen).Str("Peers", e.cfg.PeerListen).Str("Store", e.cfg.StoreAddress).Msg("started")
 	return nil
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -188,6 +188,19 @@
 	}
 }
 
+// tellFleet tells the fleet which instances are up.
+func (e *Edge) tellFleet(now time.Time) {
+	e.mu.Lock()
+	all := []ident.Instance{e.self}
+	for id, p := range e.peers {
+		if now.Sub(p.heard) <= peerExpiry {
+			all = append(all, id)
+		}
+	}
+	e.mu.Unlock()
+	e.fleet.SetInstances(all)
+}
+
 // refused adds verdicts to those in force and returns them as times from now, in
 // which they travel because clocks differ. The lock is held.
 func (e *Edge) refused(proven []suspect.Verdict, now time.Time) map[uint64]unit.Duration {
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -19,6 +20,7 @@
 // Times around instances.
 const (
 	returnAfter   = 10 * time.Millisecond // of a caller whose instance was killed
+	waitPoll      = 100 * time.Millisecond
 	digestEvery   = 250 * time.Millisecond
 	registryLag   = 300 * time.Millisecond
 	reportLag     = time.Second            // age of the load that Least knows
@@ -44,6 +46,7 @@
 	engines    []*engine
 	byID       map[ident.Upstream]*engine
 	instances  []*instance
+	names      []ident.Instance
 	requests   []*request
 	reports    []map[ident.Upstream]int // loads, the oldest first
 	known      []directory.Upstream     // as the registry tells
@@ -54,6 +57,7 @@
 
 // instance is one instance with its own belief.
 type instance struct {
+	name   ident.Instance
 	domain int
 	fleet  *fleet.Fleet
 }
@@ -61,6 +65,7 @@
 // request is one caller's.
 type request struct {
 	number int
+	waits  bool // for an engine
 	in     *instance
 	began  time.Time
 	made   int // events
@@ -68,9 +73,11 @@
 	late   bool
 	ended  bool
 	first  time.Duration
-	at     *engine // nil while it is nowhere
-	life   int     // incarnation of at that it runs on
+	pause  time.Duration // the longest one
+	at     *engine       // nil while it is nowhere
+	life   int           // incarnation of at that it runs on
 	run    *run
+	unread int // prompt tokens that count as unread at at
 	copyAt *engine
 	copyOf int       // incarnation of copyAt that holds the copy
 	next   time.Time // when its instance acts again; zero if nothing is to be done
@@ -94,17 +101,23 @@
 			em.engines = append(em.engines, e)
 			em.byID[e.id()] = e
 		}
-		for range shape.Instances {
-			em.instances = append(em.instances, &instance{domain: d, fleet: em.blank(d)})
+		for n := range shape.Instances {
+			name := ident.Instance(fmt.Sprintf("d%d-i%d", d, n))
+			em.instances = append(em.instances, &instance{name: name, domain: d})
+			em.names = append(em.names, name)
 		}
 	}
+	for _, in := range em.instances {
+		em.restart(in)
+	}
 	em.register()
 	return em
 }
 
-// blank returns the belief of an instance that has just started.
-func (em *Emulator) blank(domain int) *fleet.Fleet {
-	return fleet.New(fleet.Settings{Domain: domainName(domain)}, em.random.Uint64, zerolog.Nop())
+// restart lets an instance begin without belief.
+func (em *Emulator) restart(in *instance) {
+	in.fleet = fleet.New(fleet.Settings{Self: in.name, Domain: domainName(in.domain)}, em.random.Uint64, zerolog.Nop())
+	in.fleet.SetInstances(em.names)
 }
 
 func domainName(d int) ident.Domain {
@@ -114,7 +127,7 @@
 // Run plays the load and returns what callers got.
 func (em *Emulator) Run() Figures {
 	arrivals := em.arrivals()
-	var firsts []time.Duration
+	var firsts, pauses []time.Duration
 	end := em.start.Add(em.shape.Length + drainTime)
 	for em.now = em.start; em.now.Before(end); em.now = em.now.Add(tick) {
 		em.lose()
@@ -138,12 +151,13 @@
 			em.figures.Late++
 		}
 		if r.made > 0 {
-			firsts = append(firsts, r.first)
+			firsts, pauses = append(firsts, r.first), append(pauses, r.pause)
 		}
 	}
 	slices.Sort(firsts)
+	slices.Sort(pauses)
 	if n := len(firsts); n > 0 {
-		em.figures.FirstP95 = firsts[n*95/100]
+		em.figures.FirstP95, em.figures.PauseP95 = firsts[n*95/100], pauses[n*95/100]
 	}
 	once := float64(em.figures.Requests * em.shape.Prompt)
 	em.figures.Again = max(0, float64(em.figures.Read)-once) / once
@@ -176,10 +190,13 @@
 		l := em.losses[0]
 		em.losses = em.losses[1:]
 		for _, e := range em.engines {
-			if e.domain != l.Domain {
+			if !l.All && e.domain != l.Domain {
 				continue
 			}
 			e.down, e.dark, e.back = true, l.Dark, em.now.Add(l.For)
+			if l.Spread > 0 {
+				e.back = e.back.Add(time.Duration(em.random.Int64N(int64(l.Spread))))
+			}
 			for _, u := range e.runs {
 				u.r.lostAt(em.now, e, u)
 			}
@@ -215,10 +232,10 @@
 			if r.run != nil {
 				r.at.remove(r.run)
 			}
-			r.at, r.run, r.copyAt = nil, nil, nil
+			r.at, r.run, r.copyAt, r.unread = nil, nil, nil, 0
 			r.in, r.next = next, em.now.Add(returnAfter)
 		}
-		in.fleet = em.blank(in.domain)
+		em.restart(in)
 		em.tellUpstreams(in)
 	}
 }
@@ -270,6 +287,7 @@
 // leave takes a request off its engine.
 func (em *Emulator) leave(r *request, k fleet.Kind) {
 	id := lifeID(r.at, r.life)
+	r.begun()
 	r.in.fleet.Ended(id, k, 0, em.now)
 	if r.run != nil {
 		r.at.remove(r.run)
@@ -290,9 +308,11 @@
 func (em *Emulator) send(r *request) {
 	e, fromCopy := em.choose(r)
 	if e == nil {
-		r.next = em.now.Add(digestEvery)
+		r.waits = true
+		r.next = em.now.Add(waitPoll)
 		return
 	}
+	r.waits = false
 	r.at, r.life = e, e.life
 	r.copyAt = nil
 	if e.down {
@@ -315,13 +335,14 @@
 	r.next = time.Time{}
 	em.figures.MostReads = max(em.figures.MostReads, e.reading())
 	if em.own() {
+		r.unread = left
 		r.in.fleet.Reading(e.id(), left)
 		em.backUp(r)
 	}
 }
 
 // own reports whether instances choose by the project's own rule.
-func (em *Emulator) own() bool { return em.rule == Fleet || em.rule == Unaware }
+func (em *Emulator) own() bool { return em.rule <= Rushing }
 
 // prompt returns the name of a request's prompt.
 func (em *Emulator) prompt(r *request) []prefix.Block {
@@ -372,7 +393,7 @@
 	}
 	ask := fleet.Ask{
 		Service: service, Tokens: em.shape.Prompt + em.shape.Pieces*pieceTokens,
-		Blocks: em.prompt(r), Sizes: []int{em.shape.Prompt},
+		Blocks: em.prompt(r), Sizes: []int{em.shape.Prompt}, Paced: r.waits && em.rule != Rushing,
 	}
 	u, kind := r.in.fleet.Pick(ask, em.now)
 	if kind != routing.Send {
@@ -422,16 +443,23 @@
 		for _, u := range e.step(em.now) {
 			em.leave(u.r, fleet.Served)
 		}
-		if em.own() && e.reading() != before {
-			for _, u := range e.runs {
-				if u.left == 0 && u.r.made <= 1 {
-					u.r.in.fleet.Reading(e.id(), -em.shape.Prompt)
-				}
+		if e.reading() == before {
+			continue
+		}
+		for _, u := range e.runs {
+			if u.left == 0 {
+				u.r.begun()
 			}
 		}
 	}
 }
 
+// begun notes that the prompt of a request is read, or given up.
+func (r *request) begun() {
+	r.in.fleet.Reading(lifeID(r.at, r.life), -r.unread)
+	r.unread = 0
+}
+
 // event takes one event to the caller and reports whether it was the last.
 func (r *request) event(now time.Time) bool {
 	limit := r.shape.Pause
@@ -439,6 +467,7 @@
 		limit = r.shape.Objective
 		r.first = now.Sub(r.began)
 	}
+	r.pause = max(r.pause, now.Sub(r.last))
 	r.late = r.late || now.Sub(r.last) > limit
 	r.last = now
 	r.made++
--- a/emulator/types.go
+++ b/emulator/types.go
@@ -9,6 +9,7 @@
 const (
 	Fleet   Rule = iota // the project's own choice, with copies of runs in other failure domains
 	Unaware             // the same, but nobody knows which engine has read which prompt
+	Rushing             // the same, but what waits for engines goes to the first that are back
 	Random              // any registered engine, without copies
 	Least               // the engine with the least load in the last report, without copies
 )
@@ -33,8 +34,10 @@
 type Loss struct {
 	At     time.Duration
 	Domain int
+	All    bool // of all failure domains
 	For    time.Duration
-	Dark   bool // connections fall silent and are not reset
+	Spread time.Duration // over which they come back after that
+	Dark   bool          // connections fall silent and are not reset
 }
 
 // Figures are what callers got.
@@ -45,5 +48,6 @@
 	Read      int     // tokens of prompts read
 	Again     float64 // part of them that was read before
 	FirstP95  time.Duration
-	MostReads int // prompts read at one engine at once, at the most
+	PauseP95  time.Duration // of the longest pause that each caller sees, the wait for the first event included
+	MostReads int           // prompts read at one engine at once, at the most
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -9,6 +9,7 @@
 package fleet
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -27,7 +28,8 @@
 
 // Settings of a Fleet. The zero value takes the defaults.
 type Settings struct {
-	Domain  ident.Domain // the own failure domain
+	Self    ident.Instance // the own instance; needed only for SetInstances
+	Domain  ident.Domain   // the own failure domain
 	Routing routing.Settings
 	Health  health.Settings
 }
@@ -71,6 +73,8 @@
 	Exclude []ident.Upstream // not chosen
 	Apart   ident.Domain     // if set, none in this failure domain is chosen
 	Full    bool             // one that is full may be chosen
+	Paced   bool             // one of many that wait: only an upstream of the own share is chosen, and only while no prompt is read there
+	Reading int              // prompt tokens that count as unread at the upstream until Reading takes them back
 }
 
 // Fleet is the choice of one instance. Its methods may be called from any
@@ -83,6 +87,7 @@
 
 	mu       sync.Mutex
 	cfg      Settings
+	sharers  []ident.Instance // that divide the upstreams among themselves, sorted
 	log      zerolog.Logger
 	random   func() uint64
 	services map[ident.Service]*group
@@ -164,6 +169,24 @@
 	}
 }
 
+// SetInstances tells which instances there are, with this one. Each has a share
+// of the upstreams, to which it sends what has waited until they were back. All
+// see the first upstreams at the same time and each other's choices only later,
+// so without shares they would meet there.
+func (f *Fleet) SetInstances(all []ident.Instance) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	all = slices.Clone(all)
+	slices.Sort(all)
+	if slices.Equal(all, f.sharers) {
+		return
+	}
+	f.sharers = all
+	for _, g := range f.services {
+		g.offer(f)
+	}
+}
+
 // group returns the group of a service. The lock is held.
 func (f *Fleet) group(name ident.Service) *group {
 	g, ok := f.services[name]
@@ -172,6 +195,7 @@
 			chooser: routing.New(f.cfg.Routing, f.cfg.Domain, f.random, affinity.New(affinity.Settings{})),
 			tracker: health.New(f.cfg.Health),
 			trials:  make(map[ident.Upstream]bool),
+			resting: make(map[ident.Upstream]time.Time),
 		}
 		f.services[name] = g
 	}
@@ -208,7 +232,7 @@
 	}
 	g.learn(a.Tokens, f)
 	d := g.chooser.Choose(routing.Request{
-		Blocks: a.Blocks, Sizes: a.Sizes, PromptTokens: a.Tokens, Exclude: a.Exclude, Apart: a.Apart, Resumed: a.Full,
+		Blocks: a.Blocks, Sizes: a.Sizes, PromptTokens: a.Tokens, Exclude: a.Exclude, Apart: a.Apart, Resumed: a.Full, Paced: a.Paced,
 	}, now)
 	if d.Kind != routing.Send {
 		return directory.Upstream{}, d.Kind
@@ -217,6 +241,7 @@
 		g.trials[d.Upstream] = true
 		g.chooser.SetOut(d.Upstream, true) // one request is the trial
 	}
+	g.chooser.Reading(d.Upstream, a.Reading)
 	return f.all[d.Upstream], routing.Send
 }
 
@@ -340,7 +365,7 @@
 	rests := g.tracker.Dead(o.Upstream)
 	g.chooser.SetOut(o.Upstream, rests || g.tracker.Out(o.Upstream))
 	if rests {
-		g.resting = append(g.resting, o.Upstream)
+		g.resting[o.Upstream] = now
 	}
 }
 
@@ -358,10 +383,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, g := range f.services {
-		for _, id := range g.resting {
-			g.chooser.SetOut(id, g.tracker.Out(id))
-		}
-		g.resting = g.resting[:0]
+		g.wake(now)
 		f.apply(g, g.tracker.Tick(now), now)
 	}
 }
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -16,8 +16,8 @@
 	memory  int     // tokens that one upstream holds; 0 means no bound
 	tokens  float64 // mean size of a request; 0 until one was seen
 	list    []directory.Upstream
-	trials  map[ident.Upstream]bool // whose next request is a trial
-	resting []ident.Upstream        // that failed one, until the next tick
+	trials  map[ident.Upstream]bool      // whose next request is a trial
+	resting map[ident.Upstream]time.Time // dead ones that failed one, and when; others are tried meanwhile
 }
 
 // set replaces the upstreams of a group. One that has restarted begins anew.
@@ -44,6 +44,7 @@
 // offerWithout tells it, but for those left out.
 func (g *group) offerWithout(f *Fleet, without map[ident.Upstream]bool) {
 	var list []routing.Candidate
+	own := g.share(f)
 	for _, u := range g.list {
 		if _, replaced := f.replaced[u.ID]; replaced || without[u.ID] {
 			continue
@@ -54,11 +55,40 @@
 			Domain:   u.Domain,
 			Leaving:  u.Draining,
 			Near:     u.Domain == f.cfg.Domain,
+			Own:      own[u.ID],
 		})
 	}
 	g.chooser.SetCandidates(list)
 }
 
+// restFor is the time between two requests to an upstream while all are dead.
+const restFor = 250 * time.Millisecond
+
+// wake lets dead upstreams be tried that have rested.
+func (g *group) wake(now time.Time) {
+	for id, at := range g.resting {
+		if now.Sub(at) >= restFor {
+			delete(g.resting, id)
+			g.chooser.SetOut(id, g.tracker.Out(id))
+		}
+	}
+}
+
+// share returns the upstreams that are this instance's share: all if it knows
+// of no other instance.
+func (g *group) share(f *Fleet) map[ident.Upstream]bool {
+	names := make([]ident.Upstream, 0, len(g.list))
+	for _, u := range g.list {
+		names = append(names, u.ID)
+	}
+	n := max(1, len(f.sharers))
+	own := make(map[ident.Upstream]bool)
+	for _, id := range routing.Subset(f.sharers, f.cfg.Self, names, (len(names)+n-1)/n) {
+		own[id] = true
+	}
+	return own
+}
+
 // slots returns the requests that an upstream holds at once: its slots, or
 // fewer if they would not fit its memory.
 func (g *group) slots(told int) int {
--- a/routing/engine.go
+++ b/routing/engine.go
@@ -107,6 +107,9 @@
 	if r.Apart != "" && r.Apart == e.Domain {
 		return false
 	}
+	if r.Paced && (!e.Own || float64(e.reading)+e.queued > 0) {
+		return false
+	}
 	return !contains(r.Exclude, e.Upstream)
 }
 
--- a/routing/types.go
+++ b/routing/types.go
@@ -95,6 +95,7 @@
 	Leaving  bool         // takes no new work
 	Domain   ident.Domain // failure domain; needed only for Request.Apart
 	Near     bool         // belongs to the instance's subset and is polled
+	Own      bool         // belongs to the instance's share; needed only for Request.Paced
 }
 
 // Report is the load that an upstream reported.
@@ -124,6 +125,7 @@
 	Only         ident.Upstream   // if set, no other is chosen
 	Apart        ident.Domain     // if set, none in this failure domain is chosen
 	Resumed      bool             // continues an answer that was lost
+	Paced        bool             // one of many that wait: only an upstream of the own share is chosen, and only while no prompt is read there
 	Visited      []ident.Domain   // failure domains that it was spilled from, in order
 }
 
