Let the time of a stand-in go on during its planned stop

Registered stand-ins did not end on SIGTERM. Cause: their timer ended with the signal, so the wait before the end never passed, with and without a store; the soak's planned stops of upstreams ended by its kill.

Change: the timer ends after the stop.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -60,7 +60,9 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	t := timer.New()
-	go t.Run(ctx)
+	running, end := context.WithCancel(context.Background())
+	defer end()
+	go t.Run(running) // a planned stop takes its time by it
 	s, err := run(t, listen)
 	if err != nil {
 		return err
