Tell engines the priority of a request

Priorities of routes and workspaces were read and not used: engines with a queue or without memory treated all alike. Each sending now carries the priority of the workspace, or else of the route, as its rank.

--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -72,7 +72,7 @@
 	}
 	ctx, cancel := d.until(ctx, limit)
 	defer cancel()
-	leg := work.Leg{Upstream: u, Remaining: w.Deadline.Sub(now)}
+	leg := work.Leg{Upstream: u, Remaining: w.Deadline.Sub(now), Rank: rank(w)}
 	ans, err := d.client.Do(ctx, u.Address, d.request(w, &leg))
 	if err == nil {
 		defer ans.Close()
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -116,6 +116,14 @@
 	last    string           // how the last one ended
 }
 
+// lowestRank is the last rank of work.Leg.
+const lowestRank = 9
+
+// rank returns the rank of a request in an upstream's queue. What was lost has
+// the same as what is new: engines take the memory of a run that goes on for one
+// of a higher rank, which then has to be read again.
+func rank(w *work.Work) int { return min(max(0, w.Priority), lowestRank) }
+
 // tried returns the upstreams that are not tried now.
 func (a *attempts) tried() []ident.Upstream {
 	return slices.Concat(a.exclude, a.passed)
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"crocuslug/work"
 )
 
 // TestComeBack holds when the refused are told to come back: within the third of
@@ -33,3 +35,11 @@
 		}
 	}
 }
+
+func TestRank(t *testing.T) {
+	for priority, want := range map[int]int{0: 0, 1: 1, 9: 9, 100: 9, -1: 0} {
+		if got := rank(&work.Work{Priority: priority}); got != want {
+			t.Errorf("priority %d: got %d, want %d", priority, got, want)
+		}
+	}
+}
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -202,7 +202,7 @@
 // whole answer that came in its place, is complete.
 func (d *Dispatcher) leg(ctx context.Context, s *stream, u directory.Upstream, from *work.Copy, now time.Time) (verdict, bool) {
 	w := s.w
-	leg := work.Leg{Upstream: u, Remaining: w.Deadline.Sub(now), After: s.last, Resumes: s.resumes, From: from}
+	leg := work.Leg{Upstream: u, Remaining: w.Deadline.Sub(now), After: s.last, Resumes: s.resumes, From: from, Rank: rank(w)}
 	leg.CopyTo = s.keeper.begin(u, s.tried(), now)
 	d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Str("UpstreamDomain", string(u.Domain)).Int("Attempt", s.made).
 		Uint64("After", s.last).Bool("FromCopy", from != nil).Str("CopyTo", leg.CopyTo).Msg("stream sent")
--- a/edge/requests.go
+++ b/edge/requests.go
@@ -86,12 +86,16 @@
 		return nil, result.Newf(result.NotFound, "no route of host %q matches path %q", c.Request.Host, path)
 	}
 	var workspace ident.Workspace
+	priority := route.Priority
 	if !route.Public && len(d.Workspaces) > 0 {
 		holder := d.Workspace(desc.Key)
 		if holder == nil {
 			return nil, result.Newf(result.Unauthorized, "the key is held by no workspace of configuration %d", d.Version)
 		}
 		workspace = holder.Name
+		if holder.HasPriority {
+			priority = holder.Priority
+		}
 	}
 	name := route.Choose(randomSeed())
 	service := d.Service(name)
@@ -118,6 +122,7 @@
 		Sizes:       sizes(desc.Parts),
 		After:       desc.After,
 		Resumes:     desc.Resumes,
+		Priority:    priority,
 		Method:      c.Request.Method,
 		Target:      c.Request.RequestURI,
 		Host:        c.Request.Host,
--- a/work/work.go
+++ b/work/work.go
@@ -42,6 +42,7 @@
 	Sizes       []int          // tokens of each of Blocks
 	After       uint64         // number of the last piece that the caller holds
 	Resumes     bool           // After was given
+	Priority    int            // 0 is the most urgent
 
 	Method string
 	Target string // path and query, verbatim
@@ -72,6 +73,7 @@
 	After     uint64        // number of the last piece delivered
 	Resumes   bool          // the answer is to start after that piece
 	From      *Copy         // to go on from, or nil
+	Rank      int           // in the upstream's queue, 0 to 9; 0 goes first
 	CopyTo    string        // address of the engine that is to keep a copy, or ""
 }
 
