Move the line of waiting requests into a package of its own

With it comes a fault of the first: models that generations wait for were not reported as in use, since the tickets hold a pointer and were asked for a value, so an order might unload a model that somebody waits for.

--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -12,6 +12,7 @@
 	"crocuslug/estimate"
 	"crocuslug/generation"
 	"crocuslug/ident"
+	"crocuslug/line"
 	"crocuslug/prefix"
 	"crocuslug/result"
 	"crocuslug/routing"
@@ -110,21 +111,21 @@
 func (d *Daemon) await(ctx context.Context, it admission.Item, w *work, began time.Time) *result.Error {
 	ctx, cancel := d.withStop(ctx)
 	defer cancel()
-	t, err := d.line.offer(it, w, began)
+	t, err := d.line.Offer(it, w, began)
 	if err != nil {
 		return err
 	}
-	d.line.pump(began)
+	d.line.Pump(began)
 	for {
-		v := d.line.await(ctx, t)
-		if v.err != nil {
-			return v.err
+		v := d.line.Await(ctx, t)
+		if v.Err != nil {
+			return v.Err
 		}
-		if v.spill == "" || d.spillTo(ctx, w, v.spill) {
+		if v.Spill == "" || d.spillTo(ctx, w, v.Spill) {
 			d.metrics.wait.Update(d.opt.Timer.Now().Sub(began).Microseconds())
 			return nil
 		}
-		d.line.putBack(t, d.opt.Timer.Now())
+		d.line.PutBack(t, d.opt.Timer.Now())
 	}
 }
 
@@ -146,8 +147,8 @@
 		d.estimator.Note(ask.Workspace, ask.Model, tokens)
 	}
 	d.throttle.Correct(ask.Workspace, spent-cost, now)
-	d.line.queue.Finish(id, spent)
-	d.line.pump(now)
+	d.line.Queue.Finish(id, spent)
+	d.line.Pump(now)
 }
 
 // defaultUrgentShare is the share of the slots that only urgent work may take.
@@ -178,8 +179,8 @@
 }
 
 // place reserves an engine for a granted generation.
-func (d *Daemon) place(t *ticket, now time.Time) bool {
-	w := t.request.(*work)
+func (d *Daemon) place(t *line.Ticket, now time.Time) bool {
+	w := t.Request.(*work)
 	s, err := d.screen(w.spec, nil)
 	if err != nil {
 		d.drop(t, err)
@@ -192,10 +193,10 @@
 	switch dec.Kind {
 	case routing.Send:
 		d.reserved.put(w.spec.Generation, reservation{upstream: dec.Upstream, at: now})
-		d.line.answer(t, verdict{})
+		d.line.Answer(t, line.Verdict{})
 		return true
 	case routing.SpillTo:
-		d.line.answer(t, verdict{spill: dec.Domain})
+		d.line.Answer(t, line.Verdict{Spill: dec.Domain})
 		return true
 	case routing.NoUpstream:
 		d.drop(t, noUpstream(w.spec.Model))
@@ -205,9 +206,9 @@
 }
 
 // drop refuses a granted generation.
-func (d *Daemon) drop(t *ticket, err *result.Error) {
-	d.line.queue.Finish(t.ID, 0)
-	d.line.answer(t, verdict{err: err})
+func (d *Daemon) drop(t *line.Ticket, err *result.Error) {
+	d.line.Queue.Finish(t.ID, 0)
+	d.line.Answer(t, line.Verdict{Err: err})
 }
 
 func (w *work) ask(exclude []ident.Upstream, only ident.Upstream) routing.Request {
--- a/daemon/load.go
+++ b/daemon/load.go
@@ -11,6 +11,7 @@
 	"crocuslug/estimate"
 	"crocuslug/generation"
 	"crocuslug/ident"
+	"crocuslug/line"
 	"crocuslug/owner"
 	"crocuslug/result"
 	"crocuslug/retry"
@@ -36,18 +37,18 @@
 	if queue.MaxItems == 0 {
 		queue.MaxItems = d.cfg.Load.QueueLength
 	}
-	d.line = newLine(queue, d.limits)
-	d.line.capacity, d.line.place = d.free, d.place
-	d.services = newLine(admission.Settings{Seed: d.seed, MaxItems: d.cfg.Load.QueueLength}, d.limits)
-	d.services.capacity, d.services.place = d.plainFree, d.plainPlace
+	d.line = line.New(queue, d.limits)
+	d.line.Capacity, d.line.Place = d.free, d.place
+	d.services = line.New(admission.Settings{Seed: d.seed, MaxItems: d.cfg.Load.QueueLength}, d.limits)
+	d.services.Capacity, d.services.Place = d.plainFree, d.plainPlace
 	d.buildHealth()
 	d.buildPolls(rng)
 }
 
 // startLoad begins what goes on beside requests.
 func (d *Daemon) startLoad() {
-	d.every(expireTick, d.line.expire)
-	d.every(expireTick, d.services.expire)
+	d.every(expireTick, d.line.Expire)
+	d.every(expireTick, d.services.Expire)
 	d.every(healthTick, d.checkHealth)
 	d.every(signalTick, func(time.Time) { d.readNotices(d.members.View()) })
 	if d.opt.Naive {
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -119,7 +119,7 @@
 // modelsInUse returns the models that generations of this instance run on at an
 // engine, and those that generations here wait for.
 func (d *Daemon) modelsInUse(u ident.Upstream) []placement.Model {
-	out := d.line.models()
+	out := d.waitedFor()
 	d.owner.Each(func(s generation.Spec, at ident.Upstream) {
 		if at == u || at == "" {
 			out = append(out, modelUse(s))
@@ -128,13 +128,11 @@
 	return out
 }
 
-// models returns the models that generations wait for.
-func (l *line) models() []placement.Model {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+// waitedFor returns the models that generations wait for.
+func (d *Daemon) waitedFor() []placement.Model {
 	var out []placement.Model
-	for _, t := range l.tickets {
-		if w, ok := t.request.(work); ok {
+	for _, t := range d.line.Tickets() {
+		if w, ok := t.Request.(*work); ok {
 			out = append(out, modelUse(w.spec))
 		}
 	}
