Let new streams wait in a line while engines have enough to read

Ruled out: processor time of instances (0.02 of a core); the budget of retries.

Failure domains divide the engines evenly, and their instances each domain's part. Copies are kept only where a third of the room is free.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -14,6 +14,7 @@
 	"crocuslug/exchange"
 	"crocuslug/fleet"
 	"crocuslug/ident"
+	"crocuslug/line"
 	"crocuslug/meter"
 	"crocuslug/result"
 	"crocuslug/retry"
@@ -42,6 +43,7 @@
 	budget  retry.Settings
 	budgets map[ident.Service]*retry.Budget
 	waiting map[ident.Service]int // streams that wait for an upstream
+	lines   map[ident.Service]*line.Line
 }
 
 // Parts are what a Dispatcher works with. All are required.
@@ -73,6 +75,7 @@
 		budget:   p.Budget,
 		budgets:  make(map[ident.Service]*retry.Budget),
 		waiting:  make(map[ident.Service]int),
+		lines:    make(map[ident.Service]*line.Line),
 	}
 }
 
@@ -95,11 +98,13 @@
 	d.waiting[s] += n
 }
 
-// Waiting returns the streams that wait for an upstream of a service.
+// Waiting returns the streams that wait for an upstream of a service: lost ones
+// while there is none, and new ones while all have enough to read.
 func (d *Dispatcher) Waiting(s ident.Service) int {
+	queued, _ := d.lineOf(s).Queue.Len()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.waiting[s]
+	return d.waiting[s] + queued
 }
 
 // attempts is what was tried for one request.
@@ -135,22 +140,37 @@
 	a.counted = a.made
 }
 
+// wish returns what is asked of the fleet for the next sending.
+func (d *Dispatcher) wish(a *attempts, now time.Time) fleet.Ask {
+	return fleet.Ask{
+		Service: a.w.Service.Name, Tokens: a.w.Tokens, Blocks: a.w.Blocks, Sizes: a.w.Sizes,
+		Exclude: append(d.suspects.Avoid(now, a.w.Fingerprint), a.tried()...), Apart: a.apart, Paced: a.paced, Reading: a.w.Prompt,
+	}
+}
+
 // pick chooses the upstream of the next sending.
 func (d *Dispatcher) pick(a *attempts, now time.Time) (directory.Upstream, *result.Error) {
+	u, refusal, _ := d.choose(a, 0, now)
+	return u, refusal
+}
+
+// choose chooses the upstream of the next sending. If a backlog is given, it
+// reports busy when all upstreams have more to read than that or are full;
+// otherwise one of those is taken.
+func (d *Dispatcher) choose(a *attempts, backlog time.Duration, now time.Time) (u directory.Upstream, refusal *result.Error, busy bool) {
 	if refusal := d.screen(a, now); refusal != nil {
-		return directory.Upstream{}, refusal
-	}
-	avoid := d.suspects.Avoid(now, a.w.Fingerprint)
-	tried := a.tried()
-	ask := fleet.Ask{
-		Service: a.w.Service.Name, Tokens: a.w.Tokens, Blocks: a.w.Blocks, Sizes: a.w.Sizes,
-		Exclude: append(avoid, tried...), Apart: a.apart, Paced: a.paced, Reading: a.w.Prompt,
+		return directory.Upstream{}, refusal, false
 	}
+	ask := d.wish(a, now)
+	ask.Backlog = backlog
 	u, kind := d.fleet.Pick(ask, now)
-	if kind != routing.Send && (a.apart != "" || len(avoid) > 0) {
-		ask.Apart, ask.Exclude = "", tried
+	if kind != routing.Send && (a.apart != "" || len(ask.Exclude) > 0) {
+		ask.Apart, ask.Exclude = "", a.tried()
 		u, kind = d.fleet.Pick(ask, now)
 	}
+	if kind == routing.Wait && backlog > 0 {
+		return directory.Upstream{}, nil, true
+	}
 	if kind == routing.Wait {
 		ask.Full = true
 		u, kind = d.fleet.Pick(ask, now)
@@ -158,10 +178,10 @@
 	if kind != routing.Send {
 		n := d.fleet.Count(a.w.Service.Name)
 		detail := fmt.Sprintf("no upstream of service %q takes the request: %d registered, %d leaving, %d out, %d replaced, %d tried",
-			a.w.Service.Name, n.Registered, n.Leaving, n.Out, n.Replaced, len(tried))
-		return directory.Upstream{}, d.refuse(a, result.NoUpstream, detail)
+			a.w.Service.Name, n.Registered, n.Leaving, n.Out, n.Replaced, len(a.tried()))
+		return directory.Upstream{}, d.refuse(a, result.NoUpstream, detail), false
 	}
-	return u, nil
+	return u, nil, false
 }
 
 // refuse returns the final failure of a request. It says that the request was
--- a/dispatch/keeper.go
+++ b/dispatch/keeper.go
@@ -14,11 +14,12 @@
 	"crocuslug/work"
 )
 
-// Times of copies that are made by a call.
+// Times of copies that are made by a call, and the room that they need.
 const (
 	lookEvery   = 100 * time.Millisecond  // between two looks at the holder of a copy
 	copyAgain   = 1500 * time.Millisecond // such a copy is brought up to date; engines keep it for some seconds
 	copyLimit   = time.Second             // of one call
+	copySpare   = 0.35                    // of a holder's room that must be free, or copies would leave none for runs when it is needed
 	copyBackOff = 500 * time.Millisecond  // after a call that failed
 )
 
@@ -69,7 +70,9 @@
 // choose claims room at a holder in another failure domain. The lock is held.
 func (k *keeper) choose(now time.Time) bool {
 	k.release(now)
-	ask := fleet.Ask{Service: k.w.Service.Name, Apart: k.run.Domain, Exclude: append([]ident.Upstream{k.run.ID}, k.exclude...)}
+	ask := fleet.Ask{
+		Service: k.w.Service.Name, Apart: k.run.Domain, Exclude: append([]ident.Upstream{k.run.ID}, k.exclude...), Spare: copySpare,
+	}
 	u, kind := k.d.fleet.Pick(ask, now)
 	if kind != routing.Send {
 		return false
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -54,7 +54,7 @@
 		if w.Deadline.Sub(now) < d.cfg.MinRemaining {
 			return nil, s.begun, d.refuse(&s.attempts, result.DeadlineInfeasible, "no time is left")
 		}
-		u, from, refusal := d.next(s, kept, now)
+		u, from, refusal := d.next(ctx, s, kept, now)
 		if d.holds(s, refusal, now) {
 			if !d.pause(ctx, resumePoll) {
 				return nil, s.begun, d.left(ctx, s)
@@ -62,9 +62,10 @@
 			kept = nil
 			continue
 		}
-		if refusal != nil {
+		if refusal != nil || ctx.Err() != nil {
 			return nil, s.begun, refusal
 		}
+		now = d.timer.Now() // the turn may have come late
 		s.made++
 		s.at = u.ID
 		d.sent(s, from)
@@ -173,7 +174,7 @@
 }
 
 // next chooses where the stream starts or goes on: where a copy is, or anywhere.
-func (d *Dispatcher) next(s *stream, kept *work.Copy, now time.Time) (directory.Upstream, *work.Copy, *result.Error) {
+func (d *Dispatcher) next(ctx context.Context, s *stream, kept *work.Copy, now time.Time) (directory.Upstream, *work.Copy, *result.Error) {
 	if refusal := d.screen(&s.attempts, now); refusal != nil {
 		return directory.Upstream{}, nil, refusal
 	}
@@ -182,6 +183,10 @@
 			return u, kept, nil
 		}
 	}
+	if s.runs == 0 {
+		u, refusal := d.admit(ctx, s, now)
+		return u, nil, refusal
+	}
 	u, refusal := d.pick(&s.attempts, now)
 	return u, nil, refusal
 }
@@ -212,7 +217,9 @@
 	defer answered()
 	ans, err := d.client.Do(ctx, u.Address, r)
 	if from == nil {
-		d.fleet.Reading(u.ID, -w.Prompt) // added by the choice
+		read := d.timer.Now()
+		d.fleet.Reading(u.ID, -w.Prompt, read) // added by the choice
+		d.lineOf(w.Service.Name).Pump(read)
 	}
 	answered()
 	if err == nil {
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -30,6 +30,9 @@
 	Gap          time.Duration // that wait if the route names no pause; 0 means 1s
 	SafeShare    float64       // part of the remaining time that one of several attempts may take; 0 means 0.5
 	MinRemaining time.Duration // least time with which a request is sent; 0 means 5ms
+	MostBacklog  time.Duration // of prompts to be read at an upstream, up to which a new stream is sent there without waiting; 0 means 1.5s
+	WaitShare    float64       // part of its route's objective that a new stream may wait for its turn; 0 means 0.65
+	MostWaiting  int           // new streams that wait for a service; 0 means 128
 	ResumeWait   time.Duration // longest wait of a stream that was lost until an upstream takes it; 0 means 12s
 	PacedFor     time.Duration // part of that wait in which it goes only where no prompt is read; 0 means 10s
 	RetryShare   float64       // part of its remaining time after which a refused caller may come back; 0 means 0.08
@@ -46,6 +49,9 @@
 	defaultGap          = time.Second
 	defaultSafeShare    = 0.5
 	defaultMinRemaining = 5 * time.Millisecond
+	defaultMostBacklog  = 1500 * time.Millisecond // a prompt of the usual size after that is begun within three, before the usual objective
+	defaultWaitShare    = 0.4                     // the rest is for the answer
+	defaultMostWaiting  = 128
 	defaultResumeWait   = 12 * time.Second // callers leave after a silence of 18 s on the sheets
 	defaultPacedFor     = 10 * time.Second // two until crashed upstreams are back, and eight prompts each that are read in one
 	defaultRetryShare   = 0.08             // a third of the remaining time is the most that callers wait
@@ -61,6 +67,9 @@
 	unit.Fallback(&cfg.Gap, defaultGap)
 	unit.Fallback(&cfg.SafeShare, defaultSafeShare)
 	unit.Fallback(&cfg.MinRemaining, defaultMinRemaining)
+	unit.Fallback(&cfg.MostBacklog, defaultMostBacklog)
+	unit.Fallback(&cfg.WaitShare, defaultWaitShare)
+	unit.Fallback(&cfg.MostWaiting, defaultMostWaiting)
 	unit.Fallback(&cfg.ResumeWait, defaultResumeWait)
 	unit.Fallback(&cfg.PacedFor, defaultPacedFor)
 	unit.Fallback(&cfg.RetryShare, defaultRetryShare)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -240,6 +240,7 @@
 		e.publish(now)
 	}
 	e.fleet.Tick(now)
+	e.dispatcher.Tick(now)
 	e.suspects.Expire(now)
 }
 
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -210,15 +210,21 @@
 
 // tellFleet tells the fleet which instances are up.
 func (e *Edge) tellFleet(now time.Time) {
+	near := []ident.Instance{e.self}
+	domains := []ident.Domain{e.cfg.Domain}
 	e.mu.Lock()
-	all := []ident.Instance{e.self}
 	for id, p := range e.peers {
-		if now.Sub(p.heard) <= peerExpiry {
-			all = append(all, id)
+		if now.Sub(p.heard) > peerExpiry {
+			continue
+		}
+		if p.domain == e.cfg.Domain {
+			near = append(near, id)
+		} else if !slices.Contains(domains, p.domain) {
+			domains = append(domains, p.domain)
 		}
 	}
 	e.mu.Unlock()
-	e.fleet.SetInstances(all)
+	e.fleet.SetInstances(domains, near)
 }
 
 // refused adds verdicts to those in force and returns them as times from now, in
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -46,7 +46,6 @@
 	engines    []*engine
 	byID       map[ident.Upstream]*engine
 	instances  []*instance
-	names      []ident.Instance
 	requests   []*request
 	reports    []map[ident.Upstream]int // loads, the oldest first
 	known      []directory.Upstream     // as the registry tells
@@ -104,7 +103,6 @@
 		for n := range shape.Instances {
 			name := ident.Instance(fmt.Sprintf("d%d-i%d", d, n))
 			em.instances = append(em.instances, &instance{name: name, domain: d})
-			em.names = append(em.names, name)
 		}
 	}
 	for _, in := range em.instances {
@@ -117,7 +115,17 @@
 // restart lets an instance begin without belief.
 func (em *Emulator) restart(in *instance) {
 	in.fleet = fleet.New(fleet.Settings{Self: in.name, Domain: domainName(in.domain)}, em.random.Uint64, zerolog.Nop())
-	in.fleet.SetInstances(em.names)
+	var domains []ident.Domain
+	var near []ident.Instance
+	for d := range em.shape.Domains {
+		domains = append(domains, domainName(d))
+	}
+	for _, other := range em.instances {
+		if other.domain == in.domain {
+			near = append(near, other.name)
+		}
+	}
+	in.fleet.SetInstances(domains, near)
 }
 
 func domainName(d int) ident.Domain {
@@ -287,7 +295,7 @@
 // leave takes a request off its engine.
 func (em *Emulator) leave(r *request, k fleet.Kind) {
 	id := lifeID(r.at, r.life)
-	r.begun()
+	em.begun(r)
 	r.in.fleet.Ended(id, k, 0, em.now)
 	if r.run != nil {
 		r.at.remove(r.run)
@@ -336,7 +344,7 @@
 	em.figures.MostReads = max(em.figures.MostReads, e.reading())
 	if em.own() {
 		r.unread = left
-		r.in.fleet.Reading(e.id(), left)
+		r.in.fleet.Reading(e.id(), left, em.now)
 		em.backUp(r)
 	}
 }
@@ -448,15 +456,15 @@
 		}
 		for _, u := range e.runs {
 			if u.left == 0 {
-				u.r.begun()
+				em.begun(u.r)
 			}
 		}
 	}
 }
 
 // begun notes that the prompt of a request is read, or given up.
-func (r *request) begun() {
-	r.in.fleet.Reading(lifeID(r.at, r.life), -r.unread)
+func (em *Emulator) begun(r *request) {
+	r.in.fleet.Reading(lifeID(r.at, r.life), -r.unread, em.now)
 	r.unread = 0
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -74,7 +74,9 @@
 	Exclude []ident.Upstream // not chosen
 	Apart   ident.Domain     // if set, none in this failure domain is chosen
 	Full    bool             // one that is full may be chosen
-	Paced   bool             // one of many that wait: only an upstream of the own share is chosen, and only while no prompt is read there
+	Paced   bool             // one of many that wait: only an upstream is chosen where no prompt is read, of the own share or idle for a while
+	Spare   float64          // part of an upstream's room that must be free
+	Backlog time.Duration    // if set, none of the own share is chosen that takes longer to read the prompts that it has, and no other that has any
 	Reading int              // prompt tokens that count as unread at the upstream until Reading takes them back
 }
 
@@ -88,7 +90,8 @@
 
 	mu       sync.Mutex
 	cfg      Settings
-	sharers  []ident.Instance // that divide the upstreams among themselves, sorted
+	domains  []ident.Domain   // that divide the upstreams among themselves, sorted
+	sharers  []ident.Instance // that divide the own domain's share, sorted
 	log      zerolog.Logger
 	random   func() uint64
 	services map[ident.Service]*group
@@ -170,19 +173,21 @@
 	}
 }
 
-// SetInstances tells which instances there are, with this one. Each has a share
-// of the upstreams, to which it sends what has waited until they were back. All
-// see the first upstreams at the same time and each other's choices only later,
-// so without shares they would meet there.
-func (f *Fleet) SetInstances(all []ident.Instance) {
+// SetInstances tells which failure domains have instances, and which instances
+// the own one has. Each has a share of the upstreams, to which it sends what has
+// waited: all see the same upstreams free at the same time and each other's
+// choices only later, so without shares they would meet there.
+func (f *Fleet) SetInstances(domains []ident.Domain, near []ident.Instance) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	all = slices.Clone(all)
-	slices.Sort(all)
-	if slices.Equal(all, f.sharers) {
+	domains, near = slices.Clone(domains), slices.Clone(near)
+	slices.Sort(domains)
+	slices.Sort(near)
+	if slices.Equal(domains, f.domains) && slices.Equal(near, f.sharers) {
 		return
 	}
-	f.sharers = all
+	f.domains, f.sharers = domains, near
+	f.log.Info().Int("Domains", len(domains)).Int("Near", len(near)).Msg("shares of upstreams changed")
 	for _, g := range f.services {
 		g.offer(f)
 	}
@@ -233,7 +238,8 @@
 	}
 	g.learn(a.Tokens, f)
 	d := g.chooser.Choose(routing.Request{
-		Blocks: a.Blocks, Sizes: a.Sizes, PromptTokens: a.Tokens, Exclude: a.Exclude, Apart: a.Apart, Resumed: a.Full, Paced: a.Paced,
+		Blocks: a.Blocks, Sizes: a.Sizes, PromptTokens: a.Tokens, Exclude: a.Exclude, Apart: a.Apart, Resumed: a.Full,
+		Paced: a.Paced, Spare: a.Spare, MostBacklog: a.Backlog,
 	}, now)
 	if d.Kind != routing.Send {
 		return directory.Upstream{}, d.Kind
@@ -242,17 +248,26 @@
 		g.trials[d.Upstream] = true
 		g.chooser.SetOut(d.Upstream, true) // one request is the trial
 	}
-	g.chooser.Reading(d.Upstream, a.Reading)
+	g.chooser.Reading(d.Upstream, a.Reading, now)
 	return f.all[d.Upstream], routing.Send
 }
 
+// Ready reports whether a request that waits for a service would find an
+// upstream.
+func (f *Fleet) Ready(service ident.Service, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g, ok := f.services[service]
+	return ok && g.chooser.Ready(now)
+}
+
 // Reading adds to the prompt tokens that an upstream has yet to read for own
 // requests; tokens is negative once they are read.
-func (f *Fleet) Reading(id ident.Upstream, tokens int) {
+func (f *Fleet) Reading(id ident.Upstream, tokens int, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if u, ok := f.all[id]; ok {
-		f.services[u.Service].chooser.Reading(id, tokens)
+		f.services[u.Service].chooser.Reading(id, tokens, now)
 	}
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -191,12 +191,12 @@
 		list = append(list, directory.Upstream{ID: ident.Upstream(fmt.Sprint(i)), Service: "s", Domain: "near", Slots: 64})
 	}
 	f.SetUpstreams(list, func(ident.Service) int { return 0 }, now)
-	f.Reading("0", 5000)
+	f.Reading("0", 5000, now)
 	f.ReportOthers(map[ident.Upstream]work.Load{"1": {Requests: 3}}, now)
 	if got := choices(f, "", now); got["0"] > 0 {
 		t.Errorf("got %v, want none at 0, which reads a prompt", got)
 	}
-	f.Reading("0", -5000)
+	f.Reading("0", -5000, now)
 	if got := choices(f, "", now); got["1"] > 0 {
 		t.Errorf("got %v, want none at 1, which has more requests", got)
 	}
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -74,21 +74,28 @@
 	}
 }
 
-// share returns the upstreams that are this instance's share: all if it knows
-// of no other instance.
+// share returns the upstreams that are this instance's share. Each failure domain
+// has an equal one, since each has its callers, and its instances divide that.
 func (g *group) share(f *Fleet) map[ident.Upstream]bool {
 	names := make([]ident.Upstream, 0, len(g.list))
 	for _, u := range g.list {
 		names = append(names, u.ID)
 	}
-	n := max(1, len(f.sharers))
-	own := make(map[ident.Upstream]bool)
-	for _, id := range routing.Subset(f.sharers, f.cfg.Self, names, (len(names)+n-1)/n) {
+	names = routing.Subset(f.domains, f.cfg.Domain, names, part(len(names), len(f.domains)))
+	names = routing.Subset(f.sharers, f.cfg.Self, names, part(len(names), len(f.sharers)))
+	own := make(map[ident.Upstream]bool, len(names))
+	for _, id := range names {
 		own[id] = true
 	}
 	return own
 }
 
+// part returns the n-th part of a whole, rounded up.
+func part(whole, n int) int {
+	n = max(1, n)
+	return (whole + n - 1) / n
+}
+
 // slots returns the requests that an upstream holds at once: its slots, or
 // fewer if they would not fit its memory.
 func (g *group) slots(told int) int {
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -32,12 +32,25 @@
 	if d, ok := c.spill(&r, now); ok {
 		return Decision{Kind: SpillTo, Domain: d}
 	}
-	if e == nil {
+	if e == nil && !c.any(g.all, &r) {
 		return Decision{Kind: NoUpstream}
 	}
 	return Decision{Kind: Wait}
 }
 
+// any reports whether one of list serves r, however busy it is.
+func (c *Chooser) any(list []*engine, r *Request) bool {
+	return slices.ContainsFunc(list, func(e *engine) bool { return e.usable(r) })
+}
+
+// takes reports whether e may be chosen for r now.
+func (c *Chooser) takes(e *engine, r *Request, now time.Time) bool {
+	if !e.usable(r) || e.busy(r, c.cfg.PrefillRate, now) {
+		return false
+	}
+	return r.Spare <= 0 || c.free(e, now) >= r.Spare*e.slots(c.cfg.Slots)
+}
+
 func (c *Chooser) send(e *engine, r *Request, saved float64, now time.Time) Decision {
 	e.count(1, now)
 	c.index.Note(e.Upstream, r.Blocks, now)
@@ -85,7 +98,7 @@
 	for _, h := range c.index.Holders(r.Blocks, now) {
 		e, ok := c.engines[h.Upstream]
 		tokens := r.tokens(h.Blocks, c.cfg.BlockTokens)
-		if !ok || !e.usable(r) || !e.holds(r.Model) || tokens/c.cfg.PrefillRate < c.cfg.LeastSaving.Std().Seconds() {
+		if !ok || !c.takes(e, r, now) || !e.holds(r.Model) || tokens/c.cfg.PrefillRate < c.cfg.LeastSaving.Std().Seconds() {
 			continue
 		}
 		consider(e, tokens)
@@ -136,7 +149,7 @@
 	recent := recentPenalty * c.cfg.FailurePenalty.Std().Seconds()
 	for range triesEach * c.cfg.Choices {
 		e := list[c.random()%uint64(len(list))]
-		if !e.usable(r) || c.penalty(e, now) > recent || slices.Contains(c.drawn, e) {
+		if !c.takes(e, r, now) || c.penalty(e, now) > recent || slices.Contains(c.drawn, e) {
 			continue
 		}
 		c.drawn = append(c.drawn, e)
@@ -151,7 +164,7 @@
 	start := int(c.random() % uint64(len(list)))
 	for i := range list {
 		e := list[(start+i)%len(list)]
-		if !e.usable(r) {
+		if !c.takes(e, r, now) {
 			continue
 		}
 		if last = e; c.penalty(e, now) <= recent {
@@ -175,7 +188,7 @@
 	start := int(c.random() % uint64(len(list)))
 	for i := range list {
 		e := list[(start+i)%len(list)]
-		if !e.usable(r) {
+		if !c.takes(e, r, now) {
 			continue
 		}
 		if free := c.free(e, now); free > most {
@@ -205,7 +218,7 @@
 func (c *Chooser) proportional(list []*engine, r *Request, now time.Time) *engine {
 	total := 0.0
 	for _, e := range list {
-		if e.usable(r) {
+		if c.takes(e, r, now) {
 			total += max(0, c.free(e, now))
 		}
 	}
@@ -217,7 +230,7 @@
 	var last *engine
 	for _, e := range list {
 		free := c.free(e, now)
-		if !e.usable(r) || free <= 0 {
+		if !c.takes(e, r, now) || free <= 0 {
 			continue
 		}
 		last = e
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -129,14 +129,30 @@
 
 // Reading adds to the prompt tokens that u has yet to read for own requests;
 // tokens is negative once they are read.
-func (c *Chooser) Reading(u ident.Upstream, tokens int) {
+func (c *Chooser) Reading(u ident.Upstream, tokens int, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if e, ok := c.engines[u]; ok {
+		if e.reading > 0 {
+			e.read = now
+		}
 		e.reading = max(0, e.reading+tokens)
 	}
 }
 
+// Ready reports whether a request that waits would find an upstream.
+func (c *Chooser) Ready(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := &Request{Paced: true}
+	for _, e := range c.order {
+		if e.usable(r) && !e.busy(r, c.cfg.PrefillRate, now) && c.free(e, now) >= 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // ReportOthers takes what the other instances have at each upstream, as they
 // told each other: requests, and prompt tokens to be read for them. An upstream
 // that is not named has none.
@@ -152,6 +168,9 @@
 		e.reported = true
 		e.others = float64(n.Requests)
 		e.queued = float64(n.Reading)
+		if n.Reading > 0 {
+			e.read = at
+		}
 	}
 }
 
--- a/routing/engine.go
+++ b/routing/engine.go
@@ -19,10 +19,11 @@
 	at       int // next place in history
 	report   Report
 	reported bool
-	others   float64 // reported load less the own requests at that time
-	reading  int     // prompt tokens that own requests have yet to be read for
-	queued   float64 // the same of other instances' requests, as they told at the time of the report
-	penalty  float64 // seconds at time failed
+	others   float64   // reported load less the own requests at that time
+	reading  int       // prompt tokens that own requests have yet to be read for
+	read     time.Time // when there were prompts to be read, at the latest
+	queued   float64   // the same of other instances' requests, as they told at the time of the report
+	penalty  float64   // seconds at time failed
 	failed   time.Time
 	gap      float64 // seconds between tokens, as last observed
 	paced    time.Time
@@ -107,12 +108,24 @@
 	if r.Apart != "" && r.Apart == e.Domain {
 		return false
 	}
-	if r.Paced && (!e.Own || float64(e.reading)+e.queued > 0) {
-		return false
-	}
 	return !contains(r.Exclude, e.Upstream)
 }
 
+// idleFor is the time without a prompt after which an upstream is taken to be
+// idle: by then the instances that may have sent one have told. One that never had
+// any has just come, and others may see that as well.
+const idleFor = 500 * time.Millisecond
+
+// busy reports whether e has too many prompts to read for r.
+func (e *engine) busy(r *Request, rate float64, now time.Time) bool {
+	unread := float64(e.reading) + e.queued
+	if r.MostBacklog > 0 && unread > 0 && (!e.Own || unread > rate*r.MostBacklog.Seconds()) {
+		return true
+	}
+	idle := !e.read.IsZero() && now.Sub(e.read) >= idleFor
+	return r.Paced && (unread > 0 || !e.Own && !idle)
+}
+
 func contains(us []ident.Upstream, u ident.Upstream) bool {
 	for _, v := range us {
 		if v == u {
--- a/routing/subset.go
+++ b/routing/subset.go
@@ -10,18 +10,18 @@
 	"github.com/zeebo/xxh3"
 )
 
-// Subset returns size of the upstreams for the instance me. The upstreams stand
-// on a ring in the order of a hash of their names, and the instance of rank r in
-// the sorted list takes the places from r*size on. So the instances together
-// cover each upstream equally often, to within one. An instance that is not in
-// the list takes the place after the last. It returns all if size is not less
-// than their number.
-func Subset(instances []ident.Instance, me ident.Instance, upstreams []ident.Upstream, size int) []ident.Upstream {
+// Subset returns size of the upstreams for me, one of those that share them, such
+// as instances. The upstreams stand on a ring in the order of a hash of their
+// names, and the sharer of rank r in the sorted list takes the places from r*size
+// on. So the sharers together cover each upstream equally often, to within one. A
+// sharer that is not in the list takes the place after the last. It returns all
+// if size is not less than their number.
+func Subset[T ~string](sharers []T, me T, upstreams []ident.Upstream, size int) []ident.Upstream {
 	ring := newRing(upstreams)
 	size = min(size, len(ring))
 	rank := 0
-	listed := slices.Contains(instances, me)
-	for _, in := range instances {
+	listed := slices.Contains(sharers, me)
+	for _, in := range sharers {
 		if in < me || !listed {
 			rank++
 		}
--- a/routing/types.go
+++ b/routing/types.go
@@ -125,7 +125,9 @@
 	Only         ident.Upstream   // if set, no other is chosen
 	Apart        ident.Domain     // if set, none in this failure domain is chosen
 	Resumed      bool             // continues an answer that was lost
-	Paced        bool             // one of many that wait: only an upstream of the own share is chosen, and only while no prompt is read there
+	Paced        bool             // one of many that wait: only an upstream is chosen where no prompt is read, of the own share or idle for a while
+	Spare        float64          // part of an upstream's slots that must be free
+	MostBacklog  time.Duration    // if set, none of the own share is chosen that takes longer to read the prompts that it has, and no other that has any
 	Visited      []ident.Domain   // failure domains that it was spilled from, in order
 }
 
@@ -136,7 +138,7 @@
 const (
 	NoUpstream Kind = iota // nothing in reach serves the request
 	Send                   // send it to Upstream; it counts as in flight until Done or Failed
-	Wait                   // all that serve it are full; keep it queued
+	Wait                   // all that serve it are full or too busy; keep it queued
 	SpillTo                // pass it to Domain, with the own domain added to Visited
 )
 
