--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -21,6 +21,9 @@
 // copySpare is the part of an engine's room that must be free for a copy.
 const copySpare = 0.35
 
+// hotPrompt is the one that many requests have.
+const hotPrompt = 0
+
 // Times around instances.
 const (
 	returnAfter   = 10 * time.Millisecond // of a caller whose instance was killed
@@ -69,7 +72,8 @@
 
 // request is one caller's.
 type request struct {
-	number int
+	id     int
+	prompt int          // requests with the same one share what engines have cached
 	waits  bool         // for an engine
 	ticket *line.Ticket // in the line of its instance
 	place  *engine      // that its turn brought
@@ -155,7 +159,14 @@
 		for len(arrivals) > 0 && !arrivals[0].After(em.now) {
 			arrivals = arrivals[1:]
 			in := em.instances[em.random.IntN(len(em.instances))]
-			r := &request{number: len(em.requests), in: in, began: em.now, last: em.now, next: em.now, shape: &em.shape}
+			if em.shape.Shifted > 0 && em.random.Float64() < em.shape.Shifted {
+				in = em.instances[em.random.IntN(em.shape.Instances)]
+			}
+			number := len(em.requests) + 1
+			if em.shape.Hot > 0 && em.random.Float64() < em.shape.Hot {
+				number = hotPrompt
+			}
+			r := &request{id: len(em.requests), prompt: number, in: in, began: em.now, last: em.now, next: em.now, shape: &em.shape}
 			em.requests = append(em.requests, r)
 		}
 		em.act()
@@ -361,7 +372,7 @@
 	switch {
 	case fromCopy:
 		left = pieceTokens
-	case slices.Contains(e.read, r):
+	case slices.Contains(e.read, r.prompt):
 		left = max(pieceTokens, r.made*pieceTokens)
 	}
 	em.figures.Read += left
@@ -386,7 +397,7 @@
 	if em.rule == Unaware {
 		return nil
 	}
-	return []prefix.Block{prefix.Block(r.number)}
+	return []prefix.Block{prefix.Block(r.prompt)}
 }
 
 // backUp chooses where the copy of a run is kept.
@@ -426,6 +437,10 @@
 		return em.byKnown(em.known[em.random.IntN(len(em.known))].ID), false
 	case Least:
 		return em.least(), false
+	case Bound:
+		return em.byKnown(em.known[r.prompt%len(em.known)].ID), false
+	case Home:
+		return em.byKnown(em.home(r.in.domain)), false
 	}
 	if c := r.copyAt; c != nil && r.made > 0 && !c.down && c.life == r.copyOf {
 		if _, ok := r.in.fleet.Claim(c.id(), em.now); ok {
@@ -483,6 +498,20 @@
 	return em.byKnown(best)
 }
 
+// home returns any registered engine of a failure domain, or of all if it has none.
+func (em *Emulator) home(domain int) ident.Upstream {
+	var near []ident.Upstream
+	for _, u := range em.known {
+		if u.Domain == domainName(domain) {
+			near = append(near, u.ID)
+		}
+	}
+	if len(near) == 0 {
+		return em.known[em.random.IntN(len(em.known))].ID
+	}
+	return near[em.random.IntN(len(near))]
+}
+
 // step lets all engines go on.
 func (em *Emulator) step() {
 	for _, e := range em.engines {
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -25,7 +25,7 @@
 	dark   bool      // without a sign
 	back   time.Time // when it starts again
 	runs   []*run
-	read   []*request // whose prompts are cached, the latest last
+	read   []int // prompts that are cached, the latest last
 }
 
 func (e *engine) id() ident.Upstream {
@@ -73,7 +73,7 @@
 
 // cache keeps the prompt of a request as long as there is memory.
 func (e *engine) cache(r *request) {
-	e.read = append(e.read, r)
+	e.read = append(e.read, r.prompt)
 	if most := r.shape.Memory / r.shape.Prompt; len(e.read) > most {
 		e.read = e.read[len(e.read)-most:]
 	}
--- a/emulator/patterns_test.go
+++ b/emulator/patterns_test.go
@@ -57,6 +57,10 @@
 func TestPatterns(t *testing.T) {
 	burst := base
 	burst.Burst = 10 * time.Second
+	hot := base
+	hot.Hot = 0.5
+	shifted := base
+	shifted.Shifted = 0.9
 	tests := []struct {
 		pattern string
 		shape   Shape
@@ -68,6 +72,8 @@
 		{"correlated failure: a failure domain goes dark, again and again", base, again(true), Random, 0.05},
 		{"thundering herd: resumed streams of a lost domain meet on one engine", larger, again(false), Least, 0.05},
 		{"stale reports: many instances read the same old load", base, nil, Least, 0.05},
+		{"hot key: half of the requests have one prompt", hot, nil, Bound, 0.05},
+		{"shifted zone: nine in ten callers of other domains come to one", shifted, nil, Home, 0.05},
 		{"burst: a tenth of all requests at once", burst, nil, Random, 0.05},
 	}
 	for _, tc := range tests {
--- a/emulator/turns.go
+++ b/emulator/turns.go
@@ -56,7 +56,7 @@
 		}
 	}
 	t, refusal := r.in.line.Offer(admission.Item{
-		ID: ident.Generation(lifeID(&engine{number: r.number}, r.back)), Priority: admission.Normal, Cost: float64(em.shape.Prompt),
+		ID: ident.Generation(lifeID(&engine{number: r.id}, r.back)), Priority: admission.Normal, Cost: float64(em.shape.Prompt),
 		Deadline: em.now.Add(time.Duration(waitShare * float64(em.shape.Objective))),
 	}, r, em.now)
 	if refusal != nil {
--- a/emulator/types.go
+++ b/emulator/types.go
@@ -13,6 +13,8 @@
 	Crowding             // the same, but new requests are sent at once, however much engines have to read
 	Random               // any registered engine, without copies
 	Least                // the engine with the least load in the last report, without copies
+	Bound                // one engine for all requests of the same prompt
+	Home                 // any registered engine of the own failure domain, without copies
 )
 
 // Shape is a deployment and its load.
@@ -26,6 +28,8 @@
 	Memory    int             // tokens that an engine holds
 	Length    time.Duration   // in which requests come
 	Surge     Surge           // more requests for a while
+	Hot       float64         // part of the requests that have one and the same prompt
+	Shifted   float64         // part of the callers of other failure domains that come to the first one
 	Leaves    time.Duration   // silence after which a caller leaves; 0 means never
 	Objective time.Duration   // to the first event
 	Pause     time.Duration   // longest one between events that is on time
