Hear of peers of a large fleet as seldom as they tell

With 64 instances in other failure domains each hears another every 16 s, so the three seconds after which a peer counts as lost made 3,510 of 14,600 lines of 25 s say that a peer was heard, and changed the shares of engines 203 times (30 instances logged). A peer elsewhere now counts as heard for 30 s where there are so many, and a failure domain keeps its share.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -73,6 +73,7 @@
 	bad         map[string]store.Version
 	peers       map[ident.Instance]*peer
 	turn        int                  // of digests
+	far         int                  // peers in other failure domains
 	verdicts    map[uint64]time.Time // contents refused here, by the end of that
 	restarts    []restart            // found here lately
 }
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -51,7 +51,7 @@
 	defer e.mu.Unlock()
 	heard := 0
 	for _, p := range e.peers {
-		if now.Sub(p.heard) <= peerExpiry {
+		if e.hears(p, now) {
 			heard++
 		}
 	}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -185,6 +185,7 @@
 			far = append(far, id)
 		}
 	}
+	e.far = len(far)
 	e.turn++
 	turn := e.turn
 	e.mu.Unlock()
@@ -208,18 +209,18 @@
 	}
 }
 
-// tellFleet tells the fleet which instances are up.
+// tellFleet tells the fleet which failure domains have instances and which ones
+// the own domain has. A domain keeps its share while it is not heard: what nobody
+// uses of it is seen to be idle.
 func (e *Edge) tellFleet(now time.Time) {
 	near := []ident.Instance{e.self}
 	domains := []ident.Domain{e.cfg.Domain}
 	e.mu.Lock()
 	for id, p := range e.peers {
-		if now.Sub(p.heard) > peerExpiry {
-			continue
-		}
-		if p.domain == e.cfg.Domain {
+		switch {
+		case p.domain == e.cfg.Domain && e.hears(p, now):
 			near = append(near, id)
-		} else if !slices.Contains(domains, p.domain) {
+		case p.domain != "" && !slices.Contains(domains, p.domain):
 			domains = append(domains, p.domain)
 		}
 	}
@@ -227,6 +228,16 @@
 	e.fleet.SetInstances(domains, near)
 }
 
+// hears reports whether a peer was heard as lately as one that lives is. The lock
+// is held.
+func (e *Edge) hears(p *peer, now time.Time) bool {
+	limit := peerExpiry
+	if p.domain != e.cfg.Domain && e.far > mostFarHeard {
+		limit = peerForget
+	}
+	return !p.heard.IsZero() && now.Sub(p.heard) <= limit
+}
+
 // refused adds verdicts to those in force and returns them as times from now, in
 // which they travel because clocks differ. The lock is held.
 func (e *Edge) refused(proven []suspect.Verdict, now time.Time) map[uint64]unit.Duration {
@@ -276,7 +287,7 @@
 	now := e.timer.Now()
 	e.mu.Lock()
 	p := e.peer(presence{from, d.Domain}, now)
-	if p.heard.IsZero() || now.Sub(p.heard) > peerExpiry {
+	if !e.hears(p, now) {
 		e.log.Info().Str("Peer", string(from)).Uint64("Seen", uint64(d.Seen)).Uint64("Configuration", d.Configuration).Msg("peer heard")
 	}
 	p.heard = now
