Give each wait for a turn a name of its own

The line knows those that wait by name, and got the caller's id, so a second stream under an id that waits already was refused as a conflict. Callers choose their ids. The test of turns, now under one id, failed before.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -38,6 +39,7 @@
 	suspects *suspect.Ledger
 	prompts  *prompts
 	meters   *meter.Meters
+	turns    atomic.Uint64 // that were waited for
 
 	mu      sync.Mutex
 	budget  retry.Settings
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"crocuslug/admission"
@@ -102,7 +103,7 @@
 	p := &place{ask: d.wish(&s.attempts, now)}
 	p.ask.Paced = true
 	t, refusal := l.Offer(admission.Item{
-		ID:        ident.Generation(w.ID),
+		ID:        d.turn(w.ID),
 		Workspace: w.Workspace,
 		Priority:  priorityOf(w.Priority),
 		Cost:      float64(max(1, w.Tokens)),
@@ -132,6 +133,12 @@
 	return p.u, nil
 }
 
+// turn returns a name for one wait. Callers choose the ids of their requests and
+// may leave them out or use one twice.
+func (d *Dispatcher) turn(id ident.Request) ident.Generation {
+	return ident.Generation(fmt.Sprintf("%s-%d", id, d.turns.Add(1)))
+}
+
 // patience returns how long a new stream may wait for its turn. One that would be
 // late at the end is better told to come back, so that the turns go to those that
 // can still be on time.
--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -70,15 +70,16 @@
 	return refusal
 }
 
-// TestTurns sends streams to an engine that reads a prompt. They come to it one
-// after another, and one whose caller leaves while it waits does not come.
+// TestTurns sends streams, under one id, to an engine that reads a prompt. They
+// come to it one after another, and one whose caller leaves while it waits does
+// not come.
 func TestTurns(t *testing.T) {
 	tt := newTurns(t)
 	ctx, leave := context.WithCancel(context.Background())
 	var all sync.WaitGroup
 	for n := range 4 {
 		all.Go(func() {
-			if refusal := tt.send(context.Background(), fmt.Sprintf("r%d", n), time.Minute); refusal != nil {
+			if refusal := tt.send(context.Background(), "same", time.Minute); refusal != nil {
 				t.Errorf("stream %d: got %v, want an answer", n, refusal)
 			}
 		})
