Refuse a second request under a name that waits without losing the first

Offering a name twice replaced the ticket of the first and then forgot it, so the first was never answered and its grant ended the process (nil ticket). The queue itself refused the second rightly, hence its own tests did not show it. Found when the test of turns ran under one id. Change: the line keeps the first ticket and refuses the second. The new test ended its process before.

--- a/line/line.go
+++ b/line/line.go
@@ -71,9 +71,9 @@
 // Offer puts a request into the queue, or returns the final refusal.
 func (l *Line) Offer(it admission.Item, request any, now time.Time) (*Ticket, *result.Error) {
 	t := &Ticket{Item: it, Request: request, verdict: make(chan Verdict, 1)}
-	l.mu.Lock()
-	l.tickets[it.ID] = t
-	l.mu.Unlock()
+	if !l.keep(t) {
+		return nil, result.New(result.RequestConflict, "a request of this name waits already")
+	}
 	err, displaced := l.Queue.Offer(it, now)
 	l.refuse(displaced)
 	if err != nil {
@@ -83,6 +83,17 @@
 	return t, nil
 }
 
+// keep notes a ticket, unless there is one of its name.
+func (l *Line) keep(t *Ticket) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.tickets[t.ID]; ok {
+		return false
+	}
+	l.tickets[t.ID] = t
+	return true
+}
+
 // Await waits for the verdict on t. If ctx ends before, t is given up and
 // nothing is held for it any more, unless it was granted already.
 func (l *Line) Await(ctx context.Context, t *Ticket) Verdict {
--- a/line/line_test.go
+++ b/line/line_test.go
@@ -93,3 +93,19 @@
 		t.Errorf("got %v placed and %d tickets, want none", r.placed, len(r.Tickets()))
 	}
 }
+
+// TestConflict holds that a second request under a name that waits is refused,
+// and the first keeps its turn.
+func TestConflict(t *testing.T) {
+	r := newRoom()
+	first := r.offer(t, "a", nil)
+	_, err := r.Offer(admission.Item{ID: "a", Priority: admission.Normal, Cost: 1}, nil, start)
+	if err == nil || err.Code != result.RequestConflict {
+		t.Errorf("second: got %v, want RequestConflict", err)
+	}
+	r.free = 1
+	r.Pump(start)
+	if v, ok := first.Verdict(); !ok || v.Err != nil {
+		t.Errorf("first: got verdict %v, %v, want a place", v, ok)
+	}
+}
