--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -70,9 +70,9 @@
 		s.at = u.ID
 		d.sent(s, from)
 		d.suspects.Placed(now, u.ID, w.Fingerprint)
-		left := d.prompts.add(u.ID, w.Blocks)
+		forget := d.prompts.add(u.ID, w.Blocks)
 		v, done := d.leg(ctx, s, u, from, now)
-		left()
+		forget()
 		d.suspects.Left(u.ID, w.Fingerprint)
 		end := d.timer.Now()
 		kept = s.keeper.end(end, done)
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -50,7 +50,7 @@
 	defaultSafeShare    = 0.5
 	defaultMinRemaining = 5 * time.Millisecond
 	defaultMostBacklog  = 1500 * time.Millisecond // a prompt of the usual size after that is begun within three, before the usual objective
-	defaultWaitShare    = 0.4                     // the rest is for the answer
+	defaultWaitShare    = 0.65                    // the rest is for reading the prompt
 	defaultMostWaiting  = 128
 	defaultResumeWait   = 12 * time.Second // callers leave after a silence of 18 s on the sheets
 	defaultPacedFor     = 10 * time.Second // two until crashed upstreams are back, and eight prompts each that are read in one
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -73,7 +73,7 @@
 	}
 }
 
-// priorities are those of lines by the priority of a request.
+// priorityOf returns the priority in a line for that of a request.
 func priorityOf(p int) admission.Priority {
 	switch {
 	case p <= 0:
