Leave other instances' shares alone only where they are heard often

Cause, in part: a new stream was kept from every engine of another share that had a prompt to read, as told by digests that are up to 1.3 s old among 21 instances of a domain, and 16 s in other domains.

Change: that rule holds up to 12 instances a domain; the bound of 1.5 s stays for all.

--- a/edge/peers.go
+++ b/edge/peers.go
@@ -39,10 +39,12 @@
 const (
 	nearDigests = 4
 	farDigests  = 4
-	keptRounds  = int(linkUnused / digestInterval)
-	turnsInRow  = 4 // a second, so that what is told goes on to others soon
+	// mostInTurn is the number of peers beyond which each has several turns in a
+	// row. Below, new connections cost less than figures that are not known.
+	mostInTurn = 96
+	turnsInRow = 4 // a second, so that what is told goes on to others soon
 	// mostFarHeard is the number of instances elsewhere beyond which each hears
-	// of another more seldom than its figures hold, so none are sent.
+	// of another more seldom than its figures hold.
 	mostFarHeard = farDigests * int(peerExpiry/digestInterval)
 )
 
@@ -189,8 +191,8 @@
 	e.turn++
 	turn := e.turn
 	e.mu.Unlock()
-	if len(far) > mostFarHeard {
-		d.InFlight = nil
+	if len(far) > mostInTurn {
+		d.InFlight = nil // too few of them would be known at a time
 	}
 	e.sendDigest(inTurn(far, farDigests, turn), d)
 	d.InFlight, d.Prompts = inFlight, e.dispatcher.Prompts()
@@ -260,14 +262,13 @@
 	return out
 }
 
-// inTurn returns n of ids, others at each turn. If a round would take longer than
-// a link keeps an unused connection, each has several turns in a row, or most
-// digests would cost a new connection.
+// inTurn returns n of ids, others at each turn. Of very many each has several
+// turns in a row, or most digests would cost a new connection.
 func inTurn(ids []ident.Instance, n, turn int) []ident.Instance {
 	if len(ids) <= n {
 		return ids
 	}
-	if len(ids) > n*keptRounds {
+	if len(ids) > mostInTurn {
 		turn /= turnsInRow
 	}
 	slices.Sort(ids)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -53,6 +53,12 @@
 // send many to the few upstreams that had them first.
 const defaultLeastSaving = 100 * time.Millisecond
 
+// mostShared is the number of instances of a failure domain up to which each
+// hears of the others' requests several times a second. Then it leaves their
+// shares alone but for idle upstreams; with more, what it knows of them is too old
+// to tell.
+const mostShared = 12
+
 // Kind tells how a request ended at an upstream.
 type Kind int
 
@@ -76,7 +82,7 @@
 	Full    bool             // one that is full may be chosen
 	Paced   bool             // one of many that wait: only an upstream is chosen where no prompt is read, of the own share or idle for a while
 	Spare   float64          // part of an upstream's room that must be free
-	Backlog time.Duration    // if set, none of the own share is chosen that takes longer to read the prompts that it has, and no other that has any
+	Backlog time.Duration    // if set, none is chosen that takes longer to read the prompts that it has
 	Reading int              // prompt tokens that count as unread at the upstream until Reading takes them back
 }
 
@@ -239,7 +245,7 @@
 	g.learn(a.Tokens, f)
 	d := g.chooser.Choose(routing.Request{
 		Blocks: a.Blocks, Sizes: a.Sizes, PromptTokens: a.Tokens, Exclude: a.Exclude, Apart: a.Apart, Resumed: a.Full,
-		Paced: a.Paced, Spare: a.Spare, MostBacklog: a.Backlog,
+		Paced: a.Paced, Spare: a.Spare, MostBacklog: a.Backlog, Shared: len(f.sharers) <= mostShared,
 	}, now)
 	if d.Kind != routing.Send {
 		return directory.Upstream{}, d.Kind
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -88,7 +88,7 @@
 	consider := func(e *engine, tokens float64) {
 		tokens = math.Min(tokens, float64(r.PromptTokens))
 		cost := c.delay(e, now) - tokens/c.cfg.PrefillRate
-		if !e.Near {
+		if tokens > 0 && !e.Near {
 			cost += c.cfg.FarCost.Std().Seconds()
 		}
 		if cost < lowest {
@@ -109,6 +109,7 @@
 		}
 	}
 	if c.cfg.FarCost > 0 {
+		lowest -= c.cfg.FarCost.Std().Seconds()
 		for _, e := range c.sample(g.all, r, now) {
 			consider(e, 0)
 		}
--- a/routing/engine.go
+++ b/routing/engine.go
@@ -119,7 +119,7 @@
 // busy reports whether e has too many prompts to read for r.
 func (e *engine) busy(r *Request, rate float64, now time.Time) bool {
 	unread := float64(e.reading) + e.queued
-	if r.MostBacklog > 0 && unread > 0 && (!e.Own || unread > rate*r.MostBacklog.Seconds()) {
+	if r.MostBacklog > 0 && unread > 0 && (r.Shared && !e.Own || unread > rate*r.MostBacklog.Seconds()) {
 		return true
 	}
 	idle := !e.read.IsZero() && now.Sub(e.read) >= idleFor
--- a/routing/types.go
+++ b/routing/types.go
@@ -127,7 +127,8 @@
 	Resumed      bool             // continues an answer that was lost
 	Paced        bool             // one of many that wait: only an upstream is chosen where no prompt is read, of the own share or idle for a while
 	Spare        float64          // part of an upstream's slots that must be free
-	MostBacklog  time.Duration    // if set, none of the own share is chosen that takes longer to read the prompts that it has, and no other that has any
+	MostBacklog  time.Duration    // if set, none is chosen that takes longer to read the prompts that it has
+	Shared       bool             // with MostBacklog, none outside of the own share that has any
 	Visited      []ident.Domain   // failure domains that it was spilled from, in order
 }
 
