--- a/emulator/progress.go
+++ b/emulator/progress.go
@@ -5,7 +5,6 @@
 
 	"crocuslug/fleet"
 	"crocuslug/ident"
-	"crocuslug/line"
 	"crocuslug/work"
 )
 
