--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -9,6 +9,10 @@
 // again. Without a copy it goes on from its prompt. The caller sees one answer
 // without a gap, under the head of its first engine.
 //
+// New streams wait in a line while engines have enough prompts to read, and are
+// refused at once if their turn would come too late. A stream that was lost waits
+// while no upstream is left, since it cannot be refused as not run any more.
+//
 // The package decides and carries out; which wire format upstreams speak is
 // behind Ports.
 package dispatch
