registry: older knowledge does not undo a removal; a peer's removal counts

What callers would see: a request sent to an upstream that has left, at a single instance, until all entries are read again.

Cause: the absence of an entry has no revision. A list read as of an older revision than a removal that was applied meanwhile (a scan beside the watch, or a peer's changes) set the entry again. While this instance could not read the store, a peer's word that an entry was removed counted as a lapse, and stayed so until the own outage ended and longer with each single failed watch. changesSince took the entries before the version, so a peer could record a version without its last changes.

Change: the registry remembers removals with their revisions for a minute. Changes of a peer also say which entries it keeps for their grace period; what it does not list is removed, except within the grace period after an own outage. The grace period of a lapsed entry starts anew only when an outage ends that made the knowledge stale. The version of the changes is read before the entries. The former id of a restarted upstream counts as removed.

Proof: scripts older-list and peer-removal.

--- a/edge/catchup.go
+++ b/edge/catchup.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"time"
 
-	"crocuslug/directory"
 	"crocuslug/ident"
+	"crocuslug/registry"
 	"crocuslug/store"
 )
 
@@ -27,9 +27,8 @@
 // changes holds what an instance that is behind lacks.
 type changes struct {
 	Seen          store.Version
-	Configuration json.RawMessage      `json:",omitempty"` // set if it is newer than the version in the request
-	Upstreams     []directory.Upstream // changed since the version in the request
-	All           []ident.Upstream     // ids of all registered upstreams
+	Configuration json.RawMessage `json:",omitempty"` // set if it is newer than the version in the request
+	registry.Changes
 	// Peers are known instances, sent to a peer that has not read the store yet.
 	Peers []presence `json:",omitempty"`
 }
@@ -80,7 +79,7 @@
 	if !newer {
 		return
 	}
-	e.registry.Merge(c.Upstreams, c.All, c.Seen, now)
+	e.registry.Merge(c.Changes, c.Seen, now)
 	e.advanceSeen(c.Seen)
 	e.publish(now)
 	e.log.Info().Str("Peer", string(from)).Uint64("From", uint64(q.Seen)).Uint64("To", uint64(c.Seen)).
@@ -90,18 +89,15 @@
 // changesSince returns the changes for a peer that is behind.
 func (e *Edge) changesSince(q changesRequest) changes {
 	var c changes
-	for _, u := range e.registry.All() {
-		c.All = append(c.All, u.ID)
-		if u.Revision > q.Seen {
-			c.Upstreams = append(c.Upstreams, u)
-		}
-	}
+	e.mu.Lock()
+	c.Seen = e.seenVersion // read before the entries, which must not be older
+	e.mu.Unlock()
+	c.Changes = e.registry.Since(q.Seen)
 	if cur := e.current.Load(); cur != nil && cur.Version > q.Configuration {
 		c.Configuration = cur.raw
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	c.Seen = e.seenVersion
 	if q.Seen == 0 {
 		for id, p := range e.peers {
 			c.Peers = append(c.Peers, presence{id, p.domain})
--- a/edge/restart.go
+++ b/edge/restart.go
@@ -79,10 +79,10 @@
 	if _, err := ans.ReadBody(); err != nil || id == "" || id == u.ID || ans.Status != http.StatusOK {
 		return
 	}
-	if e.timer.Uptime() >= limit || !e.registry.RecordRestart(u.ID, id) {
+	now := e.timer.Now()
+	if e.timer.Uptime() >= limit || !e.registry.RecordRestart(u.ID, id, now) {
 		return
 	}
-	now := e.timer.Now()
 	e.mu.Lock()
 	e.restarts = append(e.restarts, restart{u.ID, id, now.Add(restartReportTime)})
 	e.mu.Unlock()
@@ -108,7 +108,7 @@
 func (e *Edge) applyRestarts(list []restart, from ident.Instance, now time.Time) {
 	changed := false
 	for _, r := range list {
-		if e.registry.RecordRestart(r.Former, r.New) {
+		if e.registry.RecordRestart(r.Former, r.New, now) {
 			changed = true
 			e.log.Info().Str("Upstream", string(r.New)).Str("Former", string(r.Former)).Str("Peer", string(from)).Msg("peer reported a restarted upstream")
 		}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -6,6 +6,10 @@
 // which the leases of live upstreams may have expired. Entries that disappear during an
 // outage or shortly after it are therefore kept for a grace period, in which live upstreams
 // register again.
+//
+// Knowledge arrives out of order: a list may be older than a removal that was applied while the
+// list was read. The removals are therefore remembered with their revisions, so that older
+// knowledge does not undo them.
 package registry
 
 import (
@@ -26,15 +30,32 @@
 // as specified by the platform.
 const defaultGracePeriod = 2 * time.Second
 
+// removalMemory is the time for which the revision of a removal is remembered. It exceeds the time
+// that reading all entries takes.
+const removalMemory = time.Minute
+
 // Registry is the list of registered upstreams as last read. Its methods are safe for
 // concurrent use.
 type Registry struct {
 	mu          sync.Mutex
 	cfg         Settings
 	upstreams   map[ident.Upstream]directory.Upstream
-	lapsed      map[ident.Upstream]time.Time // entries removed during an outage, with the end of their grace period
-	unavailable bool                         // the store cannot be read
-	outageEnd   time.Time                    // end of the last outage
+	lapsed      map[ident.Upstream]lapse   // entries removed during an outage
+	removed     map[ident.Upstream]removal // entries removed within removalMemory
+	unavailable bool                       // the store cannot be read
+	outageEnd   time.Time                  // end of the last outage
+}
+
+// lapse is the removal of an entry that may have expired because of an outage.
+type lapse struct {
+	at    store.Version // revision of the removal
+	until time.Time     // end of the grace period
+}
+
+// removal is the removal of an entry.
+type removal struct {
+	at   store.Version // revision of the removal, or of the last entry if that is not known
+	when time.Time
 }
 
 // New returns an empty Registry.
@@ -45,7 +66,8 @@
 	return &Registry{
 		cfg:       cfg,
 		upstreams: make(map[ident.Upstream]directory.Upstream),
-		lapsed:    make(map[ident.Upstream]time.Time),
+		lapsed:    make(map[ident.Upstream]lapse),
+		removed:   make(map[ident.Upstream]removal),
 	}
 }
 
@@ -60,11 +82,23 @@
 	r.unavailable = unavailable
 	if !unavailable {
 		r.outageEnd = now
+		for id, l := range r.lapsed {
+			l.until = now.Add(r.cfg.GracePeriod)
+			r.lapsed[id] = l
+		}
 	}
 	return true
 }
 
-// Set records a written entry. An entry older than the known one is ignored.
+// RecordOutage records that an outage has just ended that may have been too short for
+// SetStoreUnavailable.
+func (r *Registry) RecordOutage(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outageEnd = now
+}
+
+// Set records a written entry. An entry older than the known one, or than its removal, is ignored.
 func (r *Registry) Set(u directory.Upstream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -76,8 +110,15 @@
 	if old, ok := r.upstreams[u.ID]; ok && old.Revision > u.Revision {
 		return
 	}
+	if old, ok := r.removed[u.ID]; ok && old.at >= u.Revision {
+		return
+	}
+	if l, ok := r.lapsed[u.ID]; ok && l.at >= u.Revision {
+		return
+	}
 	r.upstreams[u.ID] = u
 	delete(r.lapsed, u.ID)
+	delete(r.removed, u.ID)
 }
 
 // Remove records the removal of an entry at a revision of the store.
@@ -91,19 +132,25 @@
 // grace period instead. r.mu must be held.
 func (r *Registry) remove(id ident.Upstream, at store.Version, now time.Time) {
 	old, ok := r.upstreams[id]
-	if !ok || old.Revision > at {
+	if ok && old.Revision > at {
 		return
 	}
-	if old.Draining || !r.unavailable && now.Sub(r.outageEnd) > r.cfg.GracePeriod {
-		delete(r.upstreams, id)
-		delete(r.lapsed, id)
+	if !ok || old.Draining || !r.unavailable && now.Sub(r.outageEnd) > r.cfg.GracePeriod {
+		r.drop(id, at, now)
 		return
 	}
 	if _, ok := r.lapsed[id]; !ok {
-		r.lapsed[id] = r.outageEnd.Add(r.cfg.GracePeriod)
+		r.lapsed[id] = lapse{at, r.outageEnd.Add(r.cfg.GracePeriod)}
 	}
 }
 
+// drop deletes an entry that was removed at a revision. r.mu must be held.
+func (r *Registry) drop(id ident.Upstream, at store.Version, now time.Time) {
+	delete(r.upstreams, id)
+	delete(r.lapsed, id)
+	r.removed[id] = removal{max(at, r.removed[id].at), now}
+}
+
 // ReplaceAll sets all entries to the contents of the store at a revision.
 func (r *Registry) ReplaceAll(list []directory.Upstream, at store.Version, now time.Time) {
 	r.mu.Lock()
@@ -113,31 +160,64 @@
 		listed[u.ID] = true
 		r.set(u)
 	}
-	r.removeUnlisted(listed, at, now)
+	for id := range r.upstreams {
+		if !listed[id] {
+			r.remove(id, at, now)
+		}
+	}
+}
+
+// Changes is what has changed since a revision, as one instance tells another.
+type Changes struct {
+	Upstreams []directory.Upstream // changed since the revision
+	All       []ident.Upstream     // ids of all entries
+	Lapsed    []ident.Upstream     `json:",omitempty"` // ids of those that are kept for their grace period
 }
 
-// Merge applies the state of another instance at a revision: the changed entries and the ids
-// of all entries.
-func (r *Registry) Merge(changed []directory.Upstream, all []ident.Upstream, at store.Version, now time.Time) {
+// Since returns the changes since a revision.
+func (r *Registry) Since(revision store.Version) Changes {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	listed := make(map[ident.Upstream]bool, len(all))
-	for _, id := range all {
+	var c Changes
+	for _, u := range r.newest() {
+		c.All = append(c.All, u.ID)
+		if u.Revision > revision {
+			c.Upstreams = append(c.Upstreams, u)
+		}
+		if _, ok := r.lapsed[u.ID]; ok {
+			c.Lapsed = append(c.Lapsed, u.ID)
+		}
+	}
+	return c
+}
+
+// Merge applies the changes that another instance knew at a revision. That instance could read the
+// store, so what it does not list was removed, unless this instance has just had an outage itself.
+func (r *Registry) Merge(c Changes, at store.Version, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	listed := make(map[ident.Upstream]bool, len(c.All))
+	for _, id := range c.All {
 		listed[id] = true
 	}
-	for _, u := range changed {
+	for _, u := range c.Upstreams {
 		r.set(u)
 	}
-	r.removeUnlisted(listed, at, now)
-}
-
-// removeUnlisted removes the entries that are not listed. r.mu must be held.
-func (r *Registry) removeUnlisted(listed map[ident.Upstream]bool, at store.Version, now time.Time) {
-	for id := range r.upstreams {
-		if !listed[id] {
+	for id, old := range r.upstreams {
+		switch {
+		case listed[id] || old.Revision > at:
+		case r.unavailable:
+			r.drop(id, at, now)
+		default:
 			r.remove(id, at, now)
 		}
 	}
+	for _, id := range c.Lapsed {
+		u, known := r.upstreams[id]
+		if _, lapsed := r.lapsed[id]; known && !lapsed && u.Revision <= at {
+			r.lapsed[id] = lapse{at, now.Add(r.cfg.GracePeriod)}
+		}
+	}
 }
 
 // StoreUnavailable reports whether the store is unavailable.
@@ -150,7 +230,7 @@
 // RecordRestart records that the upstream with the former id has restarted under a new id at
 // the same address, before the store shows it. It returns false if the store has a newer
 // entry for the address, or if the former id is unknown or leaving.
-func (r *Registry) RecordRestart(former, id ident.Upstream) bool {
+func (r *Registry) RecordRestart(former, id ident.Upstream, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	u, ok := r.upstreams[former]
@@ -162,8 +242,7 @@
 	}
 	u.ID = id
 	u.Born = 0
-	delete(r.upstreams, former)
-	delete(r.lapsed, former)
+	r.drop(former, u.Revision, now)
 	r.upstreams[id] = u
 	return true
 }
@@ -195,17 +274,18 @@
 		return nil
 	}
 	var out []ident.Upstream
-	for id, until := range r.lapsed {
-		if until.Before(r.outageEnd) {
-			until = r.outageEnd.Add(r.cfg.GracePeriod) // a later outage began before the grace period ended
-		}
-		if now.Before(until) {
+	for id, l := range r.lapsed {
+		if now.Before(l.until) {
 			continue
 		}
-		delete(r.lapsed, id)
-		delete(r.upstreams, id)
+		r.drop(id, l.at, now)
 		out = append(out, id)
 	}
+	for id, old := range r.removed {
+		if now.Sub(old.when) > removalMemory {
+			delete(r.removed, id)
+		}
+	}
 	return out
 }
 
@@ -215,6 +295,11 @@
 func (r *Registry) All() []directory.Upstream {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.newest()
+}
+
+// newest implements All. r.mu must be held.
+func (r *Registry) newest() []directory.Upstream {
 	newest := make(map[string]store.Version, len(r.upstreams))
 	for _, u := range r.upstreams {
 		newest[u.Address] = max(newest[u.Address], u.Revision)
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -21,7 +21,9 @@
 //	set ID ADDRESS REVISION [draining]
 //	remove ID REVISION
 //	replace REVISION [ID ...]   the contents of the store; entries keep their address
-//	merge REVISION [ID ...]     the ids known to another instance
+//	merge REVISION [ID ...]     the ids known to another instance; lapsed ones follow a "/"
+//	update ID REVISION         changes what replace and merge give for an entry, here not known yet
+//	outage                     the end of a short outage
 //	restart FORMER ID yes|no    a restart that the store does not show yet
 //	expire
 //	want [ID ...]               checks the list of upstreams
@@ -61,19 +63,32 @@
 		case "remove":
 			r.Remove(ident.Upstream(w[1]), store.Version(number(t, w[2])), now)
 		case "replace", "merge":
-			var list []directory.Upstream
-			var ids []ident.Upstream
-			for _, id := range w[2:] {
-				list = append(list, known[ident.Upstream(id)])
-				ids = append(ids, ident.Upstream(id))
+			var c Changes
+			ids, lapsed := w[2:], []string(nil)
+			if i := slices.Index(ids, "/"); i >= 0 {
+				ids, lapsed = ids[:i], ids[i+1:]
+			}
+			for _, id := range ids {
+				c.Upstreams = append(c.Upstreams, known[ident.Upstream(id)])
+				c.All = append(c.All, ident.Upstream(id))
+			}
+			for _, id := range lapsed {
+				c.All = append(c.All, ident.Upstream(id))
+				c.Lapsed = append(c.Lapsed, ident.Upstream(id))
 			}
 			if w[0] == "replace" {
-				r.ReplaceAll(list, store.Version(number(t, w[1])), now)
+				r.ReplaceAll(c.Upstreams, store.Version(number(t, w[1])), now)
 			} else {
-				r.Merge(nil, ids, store.Version(number(t, w[1])), now)
+				r.Merge(c, store.Version(number(t, w[1])), now)
 			}
+		case "update":
+			u := known[ident.Upstream(w[1])]
+			u.Revision = store.Version(number(t, w[2]))
+			known[u.ID] = u
+		case "outage":
+			r.RecordOutage(now)
 		case "restart":
-			if got := r.RecordRestart(ident.Upstream(w[1]), ident.Upstream(w[2])); got != (w[3] == "yes") {
+			if got := r.RecordRestart(ident.Upstream(w[1]), ident.Upstream(w[2]), now); got != (w[3] == "yes") {
 				t.Errorf("line %d: RecordRestart: got %v, want %s", n+1, got, w[3])
 			}
 		case "expire":
