An instance knows the age of its knowledge of the store, and acts on it

Requests reached upstreams that had said they were leaving, and new routes and keys were refused, for up to 28 s at all instances.

Cause: a watch that is sent, or answered, while the store is silent never returns, and nothing told the instance. A watch was taken to be alive because it had not failed. All instances sent their next watch at the same moment, after the same change, so that no peer knew better.

Change: package storeview keeps until when knowledge is confirmed, by the store or by a peer that knows it. Two instances of each failure domain watch, for one second at a time; the others follow digests, which carry the age, and ask for changes at once. An instance whose knowledge is older than 2 s watches itself. A watch without an answer fails after its wait and half the time limit of a call (all of it after such a failure), so 2 s and not 28 s, and counts as an outage.

Why it works: the age of the knowledge bounds the time for which any instance can be deaf, whichever call was lost and however many instances are.

--- a/edge/catchup.go
+++ b/edge/catchup.go
@@ -3,19 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
 	"crocuslug/ident"
 	"crocuslug/registry"
 	"crocuslug/store"
-)
-
-// Times of catching up from a peer.
-const (
-	// catchUpDelay is the lag, beyond the pause between watches, after which an instance asks a
-	// peer for changes. With a smaller lag it waits for its watch.
-	catchUpDelay    = 500 * time.Millisecond
-	catchUpInterval = 300 * time.Millisecond // between two requests for changes
+	"crocuslug/unit"
 )
 
 // changesRequest asks a peer for what has changed since the versions that the sender has.
@@ -27,37 +19,19 @@
 // changes holds what an instance that is behind lacks.
 type changes struct {
 	Seen          store.Version
+	StoreAge      unit.Duration   `json:",omitempty"` // as in digest
 	Configuration json.RawMessage `json:",omitempty"` // set if it is newer than the version in the request
 	registry.Changes
 	// Peers are known instances, sent to a peer that has not read the store yet.
 	Peers []presence `json:",omitempty"`
 }
 
-// needsCatchUp reports whether to ask a peer that has seen the given store version for changes,
-// and if so records the time of the request. While the store can be read, the next watch normally
-// brings the changes. The caller holds e.mu.
-func (e *Edge) needsCatchUp(seen store.Version, now time.Time) bool {
-	if seen <= e.seenVersion || now.Sub(e.lastCatchUp) < catchUpInterval {
-		return false
-	}
-	if e.seenVersion >= e.peerVersion {
-		e.peerVersion, e.behindSince = seen, now
-	}
-	if !e.registry.StoreUnavailable() && now.Sub(e.behindSince) < e.watchPauseFor(len(e.peers)+1)+catchUpDelay {
-		return false
-	}
-	e.lastCatchUp = now
-	return true
-}
-
 // catchUp asks a peer for the changes that this instance lacks and applies them.
 func (e *Edge) catchUp(from ident.Instance) {
 	ctx, cancel := context.WithTimeout(e.ctx, callTimeout)
 	defer cancel()
-	var q changesRequest
-	e.mu.Lock()
-	q.Seen = e.seenVersion
-	e.mu.Unlock()
+	began := e.timer.Uptime()
+	q := changesRequest{Seen: e.view.Seen()}
 	if cur := e.current.Load(); cur != nil {
 		q.Configuration = cur.Version
 	}
@@ -73,25 +47,25 @@
 	for _, who := range c.Peers {
 		e.addPeer(who, now)
 	}
-	e.mu.Lock()
-	newer := c.Seen > e.seenVersion
-	e.mu.Unlock()
-	if !newer {
+	if c.Seen <= e.view.Seen() {
 		return
 	}
 	e.registry.Merge(c.Changes, c.Seen, now)
-	e.advanceSeen(c.Seen)
+	if c.StoreAge > 0 {
+		e.view.Confirm(c.Seen, began-c.StoreAge.Std())
+	} else {
+		e.view.Advance(c.Seen)
+	}
 	e.publish(now)
-	e.log.Info().Str("Peer", string(from)).Uint64("From", uint64(q.Seen)).Uint64("To", uint64(c.Seen)).
-		Int("Changed", len(c.Upstreams)).Msg("caught up from a peer")
+	e.meters.Count("Store.CaughtUp", 1)
+	e.log.Info().Str("Peer", string(from)).Uint64("From", uint64(q.Seen)).Uint64("To", uint64(c.Seen)).Dur("StoreAgeMs", c.StoreAge.Std()).
+		Int("Changed", len(c.Upstreams)).Int("Lapsed", len(c.Lapsed)).Msg("caught up from a peer")
 }
 
 // changesSince returns the changes for a peer that is behind.
 func (e *Edge) changesSince(q changesRequest) changes {
-	var c changes
-	e.mu.Lock()
-	c.Seen = e.seenVersion // read before the entries, which must not be older
-	e.mu.Unlock()
+	// The version is read before the entries, which must not be older.
+	c := changes{Seen: e.view.Seen(), StoreAge: unit.Duration(e.view.Age(e.timer.Uptime()))}
 	c.Changes = e.registry.Since(q.Seen)
 	if cur := e.current.Load(); cur != nil && cur.Version > q.Configuration {
 		c.Configuration = cur.raw
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -26,6 +26,7 @@
 	"crocuslug/retry"
 	"crocuslug/settings"
 	"crocuslug/store"
+	"crocuslug/storeview"
 	"crocuslug/suspect"
 	"crocuslug/timer"
 	"crocuslug/unit"
@@ -49,6 +50,7 @@
 
 	client     *keyvalue.Client
 	store      store.Store
+	view       *storeview.View
 	registry   *registry.Registry
 	fleet      *fleet.Fleet
 	exchange   *exchange.Client
@@ -65,10 +67,6 @@
 	leaveBegan atomic.Int64 // when Leave was called, in Unix nanoseconds of the timer
 
 	mu           sync.Mutex
-	seenVersion  store.Version            // store version up to which all changes are known here
-	peerVersion  store.Version            // newer store version that a peer reported when this instance fell behind
-	behindSince  time.Time                // when peerVersion was reported
-	lastCatchUp  time.Time                // when a peer was last asked for changes
 	lastLoadSum  time.Time                // when the loads that peers report were last added up
 	unreadable   map[string]store.Version // versions of upstream entries that could not be decoded, by store key
 	peers        map[ident.Instance]*peer
@@ -115,6 +113,7 @@
 		ports:        ports,
 		timer:        t,
 		log:          log.With().Str("Instance", cfg.Name).Str("Domain", string(cfg.Domain)).Logger(),
+		view:         storeview.New(storeview.Settings{}),
 		registry:     registry.New(registry.Settings{}),
 		exchange:     exchange.New(exchange.Settings{}, t),
 		suspects:     suspect.New(suspect.Settings{}),
@@ -127,6 +126,7 @@
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	kv := ports.Store
 	kv.BackOff, kv.MaxBackOff, kv.Seed = storeBackOff, storeMaxBackOff, randomSeed()
+	kv.WatchWait, kv.WatchAttempts = watchWait, 1
 	if cfg.StoreReads > 0 {
 		kv.ReadsPerSecond = max(minStoreRate, cfg.StoreReads/storeInstances)
 	}
@@ -239,6 +239,7 @@
 
 // tick updates the state of upstreams, waiting requests and suspects that changes with time.
 func (e *Edge) tick(now time.Time) {
+	e.updateStoreAvailability(now)
 	for _, id := range e.registry.Expire(now) {
 		e.log.Info().Str("Upstream", string(id)).Msg("upstream did not register again after the outage")
 		e.publish(now)
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -30,6 +30,10 @@
 	line("Store.Watches", calls.Watches)
 	line("Store.Unavailable", calls.Unavailable)
 	line("Store.Unknown", calls.Unknown)
+	line("Store.SilentWatches", calls.SilentWatches)
+	line("Store.Seen", e.view.Seen())
+	line("Store.AgeMs", e.view.Age(e.timer.Uptime()).Milliseconds())
+	line("Store.Watcher", e.view.Watcher())
 	if e.DroppedLogLines != nil {
 		line("Log.Dropped", e.DroppedLogLines())
 	}
@@ -56,5 +60,4 @@
 		}
 	}
 	line("Peers.Heard", alive)
-	line("Store.Seen", e.seenVersion)
 }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -65,6 +65,7 @@
 type digest struct {
 	Domain        ident.Domain
 	Seen          store.Version                // store version up to which the sender knows all changes
+	StoreAge      unit.Duration                `json:",omitempty"` // age of that knowledge; see storeview.View.Age
 	Configuration uint64                       // version in force; 0 if none
 	InFlight      map[ident.Upstream]work.Load // the load of the sender on each upstream
 	// Prompts are those of its streams. They are sent only within the failure domain, because its
@@ -165,7 +166,7 @@
 	proven := e.suspects.TakeNewBans()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	d.Seen = e.seenVersion
+	d.Seen, d.StoreAge = e.view.Seen(), unit.Duration(e.view.Age(e.timer.Uptime()))
 	d.Refused = e.addVerdicts(proven, now)
 	d.Restarts = e.recentRestarts(now)
 	return d
@@ -225,6 +226,7 @@
 	}
 	e.mu.Unlock()
 	e.fleet.SetInstances(domains, near)
+	e.view.SetPeers(e.cfg.Domain, e.self, near)
 }
 
 // peerAlive reports whether the last digest of a peer is as recent as expected from a live peer.
@@ -293,8 +295,8 @@
 	p.lastDigest = now
 	p.inFlight = d.InFlight
 	loads := e.sumPeerLoads(now)
-	behind := e.needsCatchUp(d.Seen, now)
 	e.mu.Unlock()
+	behind := e.view.Report(d.Seen, d.StoreAge.Std(), e.timer.Uptime())
 	cur := e.current.Load()
 	behind = behind || d.Configuration > 0 && cur == nil
 	if loads != nil {
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -10,10 +10,22 @@
 	"crocuslug/store"
 )
 
-// watch follows the changes in the store until the instance ends.
+// watch follows the changes in the store until the instance ends. While peers keep the instance
+// current, it only waits.
 func (e *Edge) watch() {
-	scanned := false
+	scanned, following := false, false
 	for e.ctx.Err() == nil {
+		now := e.timer.Uptime()
+		if follow := scanned && !e.view.ShouldWatch(now); follow != following {
+			following = follow
+			e.log.Info().Bool("Following", following).Bool("Watcher", e.view.Watcher()).Uint64("Seen", uint64(e.view.Seen())).
+				Dur("StoreAgeMs", e.view.Age(now)).Msg("source of changes in the store chosen")
+		}
+		if following {
+			e.view.SetFailing(false)
+			e.sleep(followInterval)
+			continue
+		}
 		var err error
 		if !scanned {
 			err = e.scan()
@@ -28,16 +40,8 @@
 		if e.ctx.Err() != nil {
 			return
 		}
-		now := e.timer.Now()
-		if e.registry.SetStoreUnavailable(err != nil, now) {
-			if err != nil {
-				e.log.Warn().Err(err).Msg("store lost")
-			} else {
-				e.log.Info().Msg("store regained")
-				e.timer.After(rescanDelay, func(time.Time) { e.tasks.Go(e.rescan) })
-			}
-		}
 		if err != nil {
+			e.recordStoreLost(err)
 			e.sleep(storeBackOff)
 		} else {
 			e.sleep(e.watchPause())
@@ -45,24 +49,62 @@
 	}
 }
 
+// followInterval is the time between two checks whether an instance that relies on its peers has to
+// watch the store itself.
+const followInterval = 100 * time.Millisecond
+
+// recordStoreLost records that a call to the store failed.
+func (e *Edge) recordStoreLost(err error) {
+	if e.view.SetFailing(true) {
+		e.log.Warn().Err(err).Uint64("Seen", uint64(e.view.Seen())).Dur("StoreAgeMs", e.view.Age(e.timer.Uptime())).Msg("store lost")
+	}
+}
+
+// recordStoreAnswered records that the store answered a call, before the answer is applied. After
+// a failure, entries that it no longer lists may have expired because of an outage.
+func (e *Edge) recordStoreAnswered(now time.Time) {
+	if !e.view.SetFailing(false) {
+		return
+	}
+	e.registry.RecordOutage(now)
+	e.log.Info().Msg("store regained")
+	e.timer.After(rescanDelay, func(time.Time) { e.tasks.Go(e.rescan) })
+}
+
+// updateStoreAvailability tells the registry whether the store can be read, here or through peers.
+func (e *Edge) updateStoreAvailability(now time.Time) {
+	unavailable := e.view.Unavailable(e.timer.Uptime())
+	if e.registry.SetStoreUnavailable(unavailable, now) {
+		e.log.Info().Bool("Unavailable", unavailable).Msg("knowledge of the store is too old, or current again")
+	}
+}
+
+// watchWait is the time that the store is asked to wait in a watch. A watch that the store never
+// answers is given up after it and half of the time limit of a call.
+const watchWait = time.Second
+
 // Bounds of the pause between two watches. Changes come in bursts, and a watch returns with the
-// first of them, so without a pause each change would cost a call by each instance. All instances
-// share one budget of calls, so the pause grows with their number, up to a share of the time in
-// which a change must take effect.
+// first of them, so without a pause each change would cost a call. While peers do not keep the
+// instances current, all of them watch and share one budget of calls, so the pause of those that
+// are not watchers grows with the number of instances, up to a share of the time in which a change
+// must take effect.
 const (
 	minWatchPause         = 250 * time.Millisecond
 	watchPausePerInstance = 15 * time.Millisecond
 	maxWatchPauseShare    = 0.4 // of settings.Edge.Drain, the time to react to leaving upstreams
 )
 
-// watchPause returns the pause for the number of instances known here.
+// watchPause returns the pause between two watches of this instance.
 func (e *Edge) watchPause() time.Duration {
+	if e.view.Watcher() {
+		return minWatchPause
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.watchPauseFor(len(e.peers) + 1)
 }
 
-// watchPauseFor returns the pause between watches with n instances.
+// watchPauseFor returns the pause between watches if all of n instances watch.
 func (e *Edge) watchPauseFor(n int) time.Duration {
 	longest := max(minWatchPause, time.Duration(maxWatchPauseShare*float64(e.cfg.Drain)))
 	return min(max(minWatchPause, time.Duration(n)*watchPausePerInstance), longest)
@@ -81,11 +123,13 @@
 
 // scan reads all store entries and replaces the known upstreams by those listed.
 func (e *Edge) scan() error {
+	began := e.timer.Uptime()
 	entries, at, err := e.store.Scan(e.ctx, "")
 	if err != nil {
 		return err
 	}
 	now := e.timer.Now()
+	e.recordStoreAnswered(now)
 	var list []directory.Upstream
 	instances := make(map[ident.Instance]bool)
 	for _, entry := range entries {
@@ -104,7 +148,7 @@
 	}
 	e.forgetPeers(instances)
 	e.registry.ReplaceAll(list, at, now)
-	e.advanceSeen(at)
+	e.view.Confirm(at, began)
 	e.publish(now)
 	e.log.Info().Uint64("Revision", uint64(at)).Int("Upstreams", len(list)).Msg("store read")
 	return nil
@@ -112,14 +156,12 @@
 
 // watchChanges waits for the next changes in the store and applies them.
 func (e *Edge) watchChanges() error {
-	e.mu.Lock()
-	after := e.seenVersion
-	e.mu.Unlock()
-	entries, at, err := e.store.Watch(e.ctx, "", after)
+	entries, at, err := e.store.Watch(e.ctx, "", e.view.Seen())
 	if err != nil {
 		return err
 	}
-	now := e.timer.Now()
+	answered, now := e.timer.Uptime(), e.timer.Now()
+	e.recordStoreAnswered(now)
 	changed := false
 	for _, entry := range entries {
 		switch {
@@ -134,7 +176,7 @@
 			}
 		}
 	}
-	e.advanceSeen(at)
+	e.view.Confirm(at, answered)
 	if changed {
 		e.publish(now)
 	}
@@ -203,13 +245,6 @@
 		Int("Workspaces", len(doc.Workspaces)).Msg("configuration in force")
 }
 
-// advanceSeen records that all changes up to a store version are known.
-func (e *Edge) advanceSeen(at store.Version) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.seenVersion = max(e.seenVersion, at)
-}
-
 // publish passes the registered upstreams to the fleet, with the memory of their service in
 // tokens.
 func (e *Edge) publish(now time.Time) {
--- a/keyvalue/client.go
+++ b/keyvalue/client.go
@@ -23,7 +23,8 @@
 type Settings struct {
 	Address         string        // host:port of the service
 	Timeout         time.Duration // limit of a call other than a watch; 0 means 2 s
-	WatchTimeout    time.Duration // limit of a watch; must exceed the wait of the service; 0 means 15 s
+	WatchWait       time.Duration // time that the service is asked to wait in a watch; 0 means 10 s
+	WatchAttempts   int           // connections on which a watch without an answer is tried; 0 means 2
 	ReadsPerSecond  float64       // budget of reads and watches; 0 means 20
 	WritesPerSecond float64       // budget of writes; 0 means 10
 	Burst           int           // calls that the budgets allow at once; 0 means 40
@@ -39,7 +40,8 @@
 // Defaults of Settings.
 const (
 	defaultTimeout         = 2 * time.Second
-	defaultWatchTimeout    = 15 * time.Second
+	defaultWatchWait       = 10 * time.Second
+	defaultWatchAttempts   = 2
 	defaultReadsPerSecond  = 20
 	defaultWritesPerSecond = 10
 	defaultBurst           = 40
@@ -52,7 +54,8 @@
 
 func (cfg *Settings) setDefaults() {
 	unit.SetDefault(&cfg.Timeout, defaultTimeout)
-	unit.SetDefault(&cfg.WatchTimeout, defaultWatchTimeout)
+	unit.SetDefault(&cfg.WatchWait, defaultWatchWait)
+	unit.SetDefault(&cfg.WatchAttempts, defaultWatchAttempts)
 	unit.SetDefault(&cfg.ReadsPerSecond, defaultReadsPerSecond)
 	unit.SetDefault(&cfg.WritesPerSecond, defaultWritesPerSecond)
 	unit.SetDefault(&cfg.Burst, defaultBurst)
@@ -72,7 +75,7 @@
 	BackedOff     uint64 // calls refused by the client during a back-off
 	Unavailable   uint64 // calls that failed and were not applied
 	Unknown       uint64 // writes whose outcome is unknown
-	SilentWatches uint64 // watches that were repeated because their connection was silent
+	SilentWatches uint64 // watches without an answer within their time limit
 }
 
 // Client calls the service. Its methods may be called from any goroutine.
@@ -86,9 +89,10 @@
 	writes    *rate.Limiter
 	coalescer coalescer
 
-	mu      sync.Mutex
-	breaker *breaker
-	calls   Calls
+	mu          sync.Mutex
+	breaker     *breaker
+	calls       Calls
+	watchSilent bool // the last watch got no answer within its time limit
 }
 
 // New returns a client that uses the time of t, which must be running.
--- a/keyvalue/client_test.go
+++ b/keyvalue/client_test.go
@@ -195,7 +195,7 @@
 }
 
 func TestSilentWatchIsReplaced(t *testing.T) {
-	r := newFixture(t, Settings{WatchTimeout: time.Second})
+	r := newFixture(t, Settings{WatchWait: 500 * time.Millisecond, Timeout: time.Second})
 	ctx := context.Background()
 	type found struct {
 		entries []store.Entry
--- a/keyvalue/dialect.go
+++ b/keyvalue/dialect.go
@@ -30,7 +30,7 @@
 type Dialect struct {
 	Get    func(key string) Request
 	List   func(prefix, after string) Request // the page after a key; "" means the first page
-	Watch  func(prefix string, after store.Version) Request
+	Watch  func(prefix string, after store.Version, wait time.Duration) Request
 	Put    func(key string, value []byte, expect store.Version, l store.Lease) Request
 	Delete func(key string, expect store.Version) Request
 	Grant  func(ttl time.Duration) Request
@@ -50,8 +50,8 @@
 		List: func(prefix, _ string) Request {
 			return Request{Method: http.MethodGet, URI: "/v1/keys?prefix=" + url.QueryEscape(prefix)}
 		},
-		Watch: func(prefix string, after store.Version) Request {
-			return Request{Method: http.MethodGet, URI: "/v1/watch?prefix=" + url.QueryEscape(prefix) + "&after=" + decimal(after)}
+		Watch: func(prefix string, after store.Version, wait time.Duration) Request {
+			return Request{Method: http.MethodGet, URI: "/v1/watch?prefix=" + url.QueryEscape(prefix) + "&after=" + decimal(after) + "&wait=" + wait.String()}
 		},
 		Put: func(key string, value []byte, expect store.Version, l store.Lease) Request {
 			uri := keyURI(key) + "?expect=" + decimal(expect)
--- a/keyvalue/operation.go
+++ b/keyvalue/operation.go
@@ -119,25 +119,27 @@
 	return r.body, err
 }
 
-// watchAttempts is the number of connections on which a watch is tried.
-const watchAttempts = 2
-
-// Watch waits for writes after a version to keys that start with prefix. A watch whose connection
-// becomes silent is repeated once. While the client backs off, Watch waits instead of failing at
-// once, because callers watch in a loop.
+// Watch waits for writes after a version to keys that start with prefix, at most for WatchWait. A
+// watch that gets no answer is repeated on another connection up to WatchAttempts. While the client
+// backs off, Watch waits instead of failing at once, because callers watch in a loop.
 func (c *Client) Watch(ctx context.Context, prefix string, after store.Version) ([]store.Entry, store.Version, error) {
 	if err := c.awaitService(ctx); err != nil {
 		return nil, after, err
 	}
-	q := call{Request: c.dialect.Watch(prefix, after), kind: watch, timeout: c.cfg.WatchTimeout}
+	q := call{Request: c.dialect.Watch(prefix, after, c.cfg.WatchWait), kind: watch}
 	var r reply
 	var err error
-	for range watchAttempts {
+	for range c.cfg.WatchAttempts {
+		q.timeout = c.watchTimeout()
 		r, err = c.do(ctx, q, nil)
-		if !isTimeout(err) || ctx.Err() != nil {
+		if ctx.Err() != nil {
+			break
+		}
+		silent := isTimeout(err)
+		c.recordWatch(silent)
+		if !silent {
 			break
 		}
-		c.increment(&c.calls.SilentWatches)
 	}
 	if err != nil && !store.Trimmed.Has(err) {
 		return nil, after, err
@@ -149,6 +151,27 @@
 	return page.Entries, page.Version, err
 }
 
+// watchTimeout returns the time limit of a watch: WatchWait and half of Timeout, or all of it if the
+// last watch got no answer, because the service may be slow.
+func (c *Client) watchTimeout() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.watchSilent {
+		return c.cfg.WatchWait + c.cfg.Timeout
+	}
+	return c.cfg.WatchWait + c.cfg.Timeout/2
+}
+
+// recordWatch records whether a watch got no answer within its time limit.
+func (c *Client) recordWatch(silent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.watchSilent = silent
+	if silent {
+		c.calls.SilentWatches++
+	}
+}
+
 // probeKey is the key that is read to find out whether the service is available. It need not
 // exist.
 const probeKey = "probe"
--- a/standinkeyvalue/server.go
+++ b/standinkeyvalue/server.go
@@ -138,7 +138,16 @@
 
 func (s *Server) watch(life context.Context, ctx *fasthttp.RequestCtx) {
 	after := store.Version(queryNumber(ctx, "after"))
-	entries, v, err := s.store.Watch(life, string(ctx.QueryArgs().Peek("prefix")), after)
+	var wait time.Duration
+	if text := ctx.QueryArgs().Peek("wait"); len(text) > 0 {
+		d, err := time.ParseDuration(string(text))
+		if err != nil || d <= 0 {
+			standinnetwork.Fail(ctx, http.StatusBadRequest, "wait is not a positive duration")
+			return
+		}
+		wait = d
+	}
+	entries, v, err := s.store.watch(life, string(ctx.QueryArgs().Peek("prefix")), after, wait)
 	if store.Trimmed.Has(err) {
 		standinnetwork.WriteJSON(ctx, http.StatusGone, versionBody{v})
 		return
--- a/standinkeyvalue/watch.go
+++ b/standinkeyvalue/watch.go
@@ -14,11 +14,17 @@
 // which it looked. If the history no longer reaches back to after, it returns
 // store.Trimmed and the present version.
 func (s *Store) Watch(ctx context.Context, prefix string, after store.Version) ([]store.Entry, store.Version, error) {
+	return s.watch(ctx, prefix, after, 0)
+}
+
+// watch implements Watch for a caller that asks for a wait of at most limit. A limit of 0 means the
+// longest wait of the service.
+func (s *Store) watch(ctx context.Context, prefix string, after store.Version, limit time.Duration) ([]store.Entry, store.Version, error) {
 	if err := s.beginCall(ctx, false); err != nil {
 		return nil, after, err
 	}
 	done := make(chan struct{})
-	sub := s.timer.After(s.beginWatch(), func(time.Time) { close(done) })
+	sub := s.timer.After(s.beginWatch(limit), func(time.Time) { close(done) })
 	defer sub.Stop()
 	waiting := false
 	defer s.endWatch(&waiting)
@@ -37,15 +43,19 @@
 	}
 }
 
-// beginWatch counts a watch and returns its longest wait.
-func (s *Store) beginWatch() time.Duration {
+// beginWatch counts a watch and returns its longest wait, which is at most limit if that is not 0.
+func (s *Store) beginWatch(limit time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls.Watches++
+	wait := defaultWatchWait
 	if s.faults.WatchWait > 0 {
-		return s.faults.WatchWait
+		wait = s.faults.WatchWait
+	}
+	if limit > 0 {
+		wait = min(wait, limit)
 	}
-	return defaultWatchWait
+	return wait
 }
 
 func (s *Store) endWatch(waiting *bool) {
--- /dev/null
+++ b/storeview/view.go
@@ -0,0 +1,179 @@
+// Package storeview tracks how current an instance's knowledge of the platform's store is, and
+// decides whether the instance watches the store itself.
+//
+// A watch that the store never answers looks like one that has nothing to report, so a watch that
+// has not failed proves nothing. An instance therefore records until when its knowledge is
+// confirmed: by an answer of the store, or by a peer that reports the same version together with
+// the age of its own confirmation.
+//
+// In each failure domain a few instances, the watchers, watch the store with short waits. The
+// others ask a peer for changes as soon as one reports a higher version. An instance whose
+// knowledge has not been confirmed for MaxAge watches the store itself, whoever else does.
+package storeview
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"crocuslug/ident"
+	"crocuslug/rendezvous"
+	"crocuslug/store"
+	"crocuslug/unit"
+)
+
+// Settings configures a View. Zero fields take the defaults.
+type Settings struct {
+	Watchers        int           // watchers in a failure domain; 0 means 2
+	MaxAge          time.Duration // age of the knowledge from which an instance watches the store itself; 0 means 2s
+	CatchUpDelay    time.Duration // lag behind a peer after which a watcher asks for changes; 0 means 750ms
+	CatchUpInterval time.Duration // least time between two requests for changes; 0 means 300ms
+}
+
+// Defaults of Settings.
+const (
+	defaultWatchers        = 2
+	defaultMaxAge          = 2 * time.Second
+	defaultCatchUpDelay    = 750 * time.Millisecond
+	defaultCatchUpInterval = 300 * time.Millisecond
+)
+
+// View is the knowledge that one instance has of the store. Times are uptimes of the machine,
+// which count the time in which it is suspended. The methods are safe for concurrent use.
+type View struct {
+	cfg Settings
+
+	mu          sync.Mutex
+	seen        store.Version // all changes up to this version are applied
+	known       bool          // confirmed is set
+	confirmed   time.Duration // all changes made until then are applied
+	watcher     bool          // one of the watchers of the failure domain
+	failing     bool          // the last call of this instance to the store failed
+	peerSeen    store.Version // newer version that a peer reported when this instance fell behind
+	behindSince time.Duration // when peerSeen was reported
+	asked       bool          // lastAsked is set
+	lastAsked   time.Duration // when a peer was last asked for changes
+}
+
+// New returns the View of an instance that knows nothing yet. Until SetPeers is called it is a
+// watcher.
+func New(cfg Settings) *View {
+	if cfg.Watchers <= 0 {
+		cfg.Watchers = defaultWatchers
+	}
+	unit.SetDefault(&cfg.MaxAge, defaultMaxAge)
+	unit.SetDefault(&cfg.CatchUpDelay, defaultCatchUpDelay)
+	unit.SetDefault(&cfg.CatchUpInterval, defaultCatchUpInterval)
+	return &View{cfg: cfg, watcher: true}
+}
+
+// SetPeers sets the live instances of the failure domain, self included. It reports whether self
+// has become a watcher or ceased to be one.
+func (v *View) SetPeers(domain ident.Domain, self ident.Instance, live []ident.Instance) bool {
+	order := rendezvous.Order(string(domain), live)
+	watcher := slices.Contains(order[:min(v.cfg.Watchers, len(order))], self)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	changed := v.watcher != watcher
+	v.watcher = watcher
+	return changed
+}
+
+// Watcher reports whether the instance is one of the watchers of its failure domain.
+func (v *View) Watcher() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.watcher
+}
+
+// ShouldWatch reports whether the instance has to watch the store itself.
+func (v *View) ShouldWatch(now time.Duration) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.watcher || !v.fresh(now)
+}
+
+// Confirm records that all changes up to a version are applied, and that it was the newest version
+// at the time at.
+func (v *View) Confirm(seen store.Version, at time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.seen = max(v.seen, seen)
+	v.confirm(at)
+}
+
+// confirm records that all changes made until at are applied. v.mu must be held.
+func (v *View) confirm(at time.Duration) {
+	if !v.known || at > v.confirmed {
+		v.known, v.confirmed = true, at
+	}
+}
+
+// Advance records that all changes up to a version are applied, which need not be the newest one.
+func (v *View) Advance(seen store.Version) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.seen = max(v.seen, seen)
+}
+
+// SetFailing records whether the last call of the instance to the store failed, and reports
+// whether this has changed.
+func (v *View) SetFailing(failing bool) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	changed := v.failing != failing
+	v.failing = failing
+	return changed
+}
+
+// Report takes the version that a peer has seen and the Age of its knowledge.
+// It reports whether to ask that peer for changes; the time of the request is recorded.
+func (v *View) Report(seen store.Version, age, now time.Duration) (ask bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if seen <= v.seen && age > 0 {
+		v.confirm(now - age)
+	}
+	if seen <= v.seen || v.asked && now-v.lastAsked < v.cfg.CatchUpInterval {
+		return false
+	}
+	if v.peerSeen <= v.seen {
+		v.peerSeen, v.behindSince = seen, now
+	}
+	ownWatch := v.watcher && !v.failing
+	if ownWatch && now-v.behindSince < v.cfg.CatchUpDelay {
+		return false // its watch normally brings the changes
+	}
+	v.asked, v.lastAsked = true, now
+	return true
+}
+
+// Seen returns the version up to which all changes are applied.
+func (v *View) Seen() store.Version {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.seen
+}
+
+// Age returns the age of the knowledge: all changes that were made longer ago are applied. It is at
+// least 1ms, or 0 if the store has never been read.
+func (v *View) Age(now time.Duration) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.known {
+		return 0
+	}
+	return max(now-v.confirmed, time.Millisecond)
+}
+
+// Unavailable reports whether the store can be read neither by this instance nor through peers.
+func (v *View) Unavailable(now time.Duration) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.failing && !v.fresh(now)
+}
+
+// fresh reports whether the knowledge was confirmed within MaxAge. v.mu must be held.
+func (v *View) fresh(now time.Duration) bool {
+	return v.known && now-v.confirmed <= v.cfg.MaxAge
+}
