The store may come back from an older copy: versions have an era

What callers would see without it: after a restore, requests at upstreams that had said they were leaving, an older configuration at instances that start, changes missed for good (a watch from a revision that is given out again), a lease that belongs to another.

Cause: revisions go back and are given out again, and nothing told old from new.

Change: a store.Version holds the era (Store-Era) above the revision, so later eras compare as higher everywhere, also in digests. The client answers for what is from before the restore: watches report a trimmed history, writes at such versions conflict, such leases are absent, answers of an earlier era are not used. The registry does not believe a copy about upstreams that it knew to leave or to be gone, until they write again; entries that the copy lacks get the grace period. An instance asks a peer for a higher configuration also if it is not behind in versions.

--- a/edge/catchup.go
+++ b/edge/catchup.go
@@ -50,6 +50,7 @@
 	if c.Seen <= e.view.Seen() {
 		return
 	}
+	e.recordEra(c.Seen)
 	e.registry.Merge(c.Changes, c.Seen, now)
 	if c.StoreAge > 0 {
 		e.view.Confirm(c.Seen, began-c.StoreAge.Std())
@@ -58,7 +59,7 @@
 	}
 	e.publish(now)
 	e.meters.Count("Store.CaughtUp", 1)
-	e.log.Info().Str("Peer", string(from)).Uint64("From", uint64(q.Seen)).Uint64("To", uint64(c.Seen)).Dur("StoreAgeMs", c.StoreAge.Std()).
+	e.log.Info().Str("Peer", string(from)).Uint64("From", q.Seen.Revision()).Uint64("To", c.Seen.Revision()).Dur("StoreAgeMs", c.StoreAge.Std()).
 		Int("Changed", len(c.Upstreams)).Int("Lapsed", len(c.Lapsed)).Msg("caught up from a peer")
 }
 
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -31,7 +31,8 @@
 	line("Store.Unavailable", calls.Unavailable)
 	line("Store.Unknown", calls.Unknown)
 	line("Store.SilentWatches", calls.SilentWatches)
-	line("Store.Seen", e.view.Seen())
+	line("Store.Seen", e.view.Seen().Revision())
+	line("Store.Era", e.view.Seen().Era())
 	line("Store.AgeMs", e.view.Age(e.timer.Uptime()).Milliseconds())
 	line("Store.Watcher", e.view.Watcher())
 	if e.DroppedLogLines != nil {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -290,15 +290,14 @@
 	e.mu.Lock()
 	p := e.ensurePeer(presence{from, d.Domain}, now)
 	if !e.peerAlive(p, now) {
-		e.log.Info().Str("Peer", string(from)).Uint64("Seen", uint64(d.Seen)).Uint64("Configuration", d.Configuration).Msg("digest received from a peer that had sent none lately")
+		e.log.Info().Str("Peer", string(from)).Uint64("Seen", d.Seen.Revision()).Uint64("Configuration", d.Configuration).Msg("digest received from a peer that had sent none lately")
 	}
 	p.lastDigest = now
 	p.inFlight = d.InFlight
 	loads := e.sumPeerLoads(now)
 	e.mu.Unlock()
 	behind := e.view.Report(d.Seen, d.StoreAge.Std(), e.timer.Uptime())
-	cur := e.current.Load()
-	behind = behind || d.Configuration > 0 && cur == nil
+	behind = behind || e.lacksConfiguration(d)
 	if loads != nil {
 		e.fleet.ReportPeerLoads(loads, now)
 	}
@@ -318,6 +317,16 @@
 	return nil
 }
 
+// lacksConfiguration reports whether a peer has a configuration that this instance does not get from
+// the store: the store has not been read yet, or was restored from an older copy.
+func (e *Edge) lacksConfiguration(d digest) bool {
+	cur := e.current.Load()
+	if cur == nil {
+		return d.Configuration > 0
+	}
+	return d.Configuration > cur.Version && d.Seen <= e.view.Seen() && e.view.MayAsk(e.timer.Uptime())
+}
+
 // sumPeerLoads returns the sum of the loads that the other instances report for each upstream, or
 // nil if it was computed a moment ago. The caller holds e.mu.
 func (e *Edge) sumPeerLoads(now time.Time) map[ident.Upstream]work.Load {
--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -34,13 +35,7 @@
 				t.Fatal(err)
 			}
 			t.Cleanup(undisturbed.Stop)
-			u := standinregistered.New(standinregistered.Settings{
-				Listen: "127.0.0.1:0", Store: undisturbed.Addr(), Service: "plain", Domain: "a", Drain: waitLimit,
-			}, s.clock)
-			if err := u.Start(); err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(u.Kill)
+			leave := s.startServingUpstream(undisturbed.Addr())
 			var listen []string
 			var seeds []string
 			for i := range n {
@@ -53,7 +48,7 @@
 			s.waitForPeers(listen)
 			began := time.Now()
 			s.http.Silence()
-			go u.Stop() // reports that it leaves and serves on
+			leave()
 			s.waitForDraining()
 			s.doc.Workspaces[0].Keys = []string{"k2"}
 			s.putConfiguration(5)
@@ -67,6 +62,24 @@
 	}
 }
 
+// startServingUpstream starts an upstream of the plain service. The function that it returns makes
+// the upstream report that it is leaving, and serve on until the test ends.
+func (s *site) startServingUpstream(storeAddress string) (leave func()) {
+	s.t.Helper()
+	u := standinregistered.New(standinregistered.Settings{
+		Listen: "127.0.0.1:0", Store: storeAddress, Service: "plain", Domain: "a", Drain: waitLimit,
+	}, s.clock)
+	if err := u.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	var running sync.WaitGroup
+	s.t.Cleanup(func() {
+		u.Kill()
+		running.Wait()
+	})
+	return func() { running.Go(u.Stop) }
+}
+
 // waitForPeers waits until all instances have exchanged digests for a second, so that they agree on
 // who watches the store.
 func (s *site) waitForPeers(listen []string) {
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -18,7 +18,7 @@
 		now := e.timer.Uptime()
 		if follow := scanned && !e.view.ShouldWatch(now); follow != following {
 			following = follow
-			e.log.Info().Bool("Following", following).Bool("Watcher", e.view.Watcher()).Uint64("Seen", uint64(e.view.Seen())).
+			e.log.Info().Bool("Following", following).Bool("Watcher", e.view.Watcher()).Uint64("Seen", e.view.Seen().Revision()).
 				Dur("StoreAgeMs", e.view.Age(now)).Msg("source of changes in the store chosen")
 		}
 		if following {
@@ -56,7 +56,7 @@
 // recordStoreLost records that a call to the store failed.
 func (e *Edge) recordStoreLost(err error) {
 	if e.view.SetFailing(true) {
-		e.log.Warn().Err(err).Uint64("Seen", uint64(e.view.Seen())).Dur("StoreAgeMs", e.view.Age(e.timer.Uptime())).Msg("store lost")
+		e.log.Warn().Err(err).Uint64("Seen", e.view.Seen().Revision()).Dur("StoreAgeMs", e.view.Age(e.timer.Uptime())).Msg("store lost")
 	}
 }
 
@@ -71,6 +71,14 @@
 	e.timer.After(rescanDelay, func(time.Time) { e.tasks.Go(e.rescan) })
 }
 
+// recordEra logs that a version is of a later era than those known here.
+func (e *Edge) recordEra(at store.Version) {
+	if seen := e.view.Seen(); seen > 0 && at.Era() > seen.Era() {
+		e.log.Warn().Uint64("Era", at.Era()).Uint64("FormerEra", seen.Era()).Uint64("Revision", at.Revision()).Uint64("Seen", seen.Revision()).
+			Msg("store was restored from an older copy")
+	}
+}
+
 // updateStoreAvailability tells the registry whether the store can be read, here or through peers.
 func (e *Edge) updateStoreAvailability(now time.Time) {
 	unavailable := e.view.Unavailable(e.timer.Uptime())
@@ -130,6 +138,7 @@
 	}
 	now := e.timer.Now()
 	e.recordStoreAnswered(now)
+	e.recordEra(at)
 	var list []directory.Upstream
 	instances := make(map[ident.Instance]bool)
 	for _, entry := range entries {
@@ -150,7 +159,7 @@
 	e.registry.ReplaceAll(list, at, now)
 	e.view.Confirm(at, began)
 	e.publish(now)
-	e.log.Info().Uint64("Revision", uint64(at)).Int("Upstreams", len(list)).Msg("store read")
+	e.log.Info().Uint64("Revision", at.Revision()).Uint64("Era", at.Era()).Int("Upstreams", len(list)).Msg("store read")
 	return nil
 }
 
@@ -199,13 +208,13 @@
 func (e *Edge) applyUpstreamChange(entry store.Entry, now time.Time) {
 	if entry.Deleted {
 		id := ident.Upstream(strings.TrimPrefix(entry.Key, e.ports.UpstreamsPrefix))
-		e.log.Info().Str("Upstream", string(id)).Uint64("Revision", uint64(entry.Version)).Msg("upstream removed")
+		e.log.Info().Str("Upstream", string(id)).Uint64("Revision", entry.Version.Revision()).Msg("upstream removed")
 		e.registry.Remove(id, entry.Version, now)
 		return
 	}
 	if u, ok := e.decodeUpstream(entry); ok {
 		e.log.Info().Str("Upstream", string(u.ID)).Str("Address", u.Address).Str("UpstreamDomain", string(u.Domain)).Str("Service", string(u.Service)).Bool("Draining", u.Draining).
-			Uint64("Revision", uint64(u.Revision)).Msg("upstream registered")
+			Uint64("Revision", u.Revision.Revision()).Msg("upstream registered")
 		e.registry.Set(u)
 	}
 }
@@ -222,7 +231,7 @@
 	e.unreadable[entry.Key] = entry.Version
 	e.mu.Unlock()
 	if !known {
-		e.log.Warn().Str("Key", entry.Key).Uint64("Revision", uint64(entry.Version)).Err(err).Msg("upstream entry could not be decoded; ignoring it")
+		e.log.Warn().Str("Key", entry.Key).Uint64("Revision", entry.Version.Revision()).Err(err).Msg("upstream entry could not be decoded; ignoring it")
 	}
 	return directory.Upstream{}, false
 }
--- a/keyvalue/call.go
+++ b/keyvalue/call.go
@@ -31,6 +31,7 @@
 // reply is an answer of the service.
 type reply struct {
 	status int
+	era    uint64 // of the service
 	body   []byte
 }
 
@@ -174,7 +175,14 @@
 		}
 		return reply{}, errs.Wrap(err)
 	}
-	return reply{res.StatusCode(), append([]byte(nil), res.Body()...)}, nil
+	era, err := c.eraOf(&res.Header)
+	if err == nil {
+		err = c.recordEra(era)
+	}
+	if err != nil {
+		return reply{}, err
+	}
+	return reply{res.StatusCode(), era, append([]byte(nil), res.Body()...)}, nil
 }
 
 // isTimeout reports whether a request was sent but not answered in time.
--- a/keyvalue/client.go
+++ b/keyvalue/client.go
@@ -92,7 +92,9 @@
 	mu          sync.Mutex
 	breaker     *breaker
 	calls       Calls
-	watchSilent bool // the last watch got no answer within its time limit
+	watchSilent bool                   // the last watch got no answer within its time limit
+	era         uint64                 // the latest era of the service that an answer has shown
+	leases      map[store.Lease]uint64 // eras in which leases were granted
 }
 
 // New returns a client that uses the time of t, which must be running.
@@ -111,6 +113,7 @@
 		reads:     rate.NewLimiter(rate.Limit(cfg.ReadsPerSecond), cfg.Burst),
 		writes:    rate.NewLimiter(rate.Limit(cfg.WritesPerSecond), cfg.Burst),
 		coalescer: coalescer{pending: make(map[string]*pendingRead)},
+		leases:    make(map[store.Lease]uint64),
 		breaker:   newBreaker(cfg.BackOff, cfg.MaxBackOff, cfg.Seed),
 		http: &fasthttp.HostClient{
 			Addr:                      cfg.Address,
--- a/keyvalue/dialect.go
+++ b/keyvalue/dialect.go
@@ -37,6 +37,10 @@
 	Renew  func(l store.Lease) Request
 	Revoke func(l store.Lease) Request
 
+	// EraField is the header field of an answer that holds the era of the service in decimal.
+	EraField string
+
+	// Versions in requests and answers are revisions without an era.
 	DecodeEntry   func(body []byte) (store.Entry, error)
 	DecodePage    func(body []byte) (Page, error)
 	DecodeVersion func(body []byte) (store.Version, error)
@@ -68,6 +72,7 @@
 		},
 		Renew:       func(l store.Lease) Request { return Request{Method: http.MethodPost, URI: leaseURI(l) + "/renew"} },
 		Revoke:      func(l store.Lease) Request { return Request{Method: http.MethodDelete, URI: leaseURI(l)} },
+		EraField:    "Store-Era",
 		DecodeEntry: decode[store.Entry],
 		DecodePage:  decode[Page],
 		DecodeVersion: func(body []byte) (store.Version, error) {
--- a/keyvalue/operation.go
+++ b/keyvalue/operation.go
@@ -9,11 +9,14 @@
 
 // Get returns the entry under key, or store.Absent if there is none.
 func (c *Client) Get(ctx context.Context, key string) (store.Entry, error) {
-	body, err := c.read(ctx, c.dialect.Get(key))
+	r, err := c.read(ctx, c.dialect.Get(key))
 	if err != nil {
 		return store.Entry{}, err
 	}
-	e, err := c.dialect.DecodeEntry(body)
+	e, err := c.dialect.DecodeEntry(r.body)
+	if err == nil {
+		e.Version, err = store.NewVersion(r.era, uint64(e.Version))
+	}
 	if err != nil {
 		return store.Entry{}, store.Unavailable.Wrap(err)
 	}
@@ -37,17 +40,20 @@
 	var from store.Version
 	after := ""
 	for n := range maxPages {
-		body, err := c.read(ctx, c.dialect.List(prefix, after))
+		r, err := c.read(ctx, c.dialect.List(prefix, after))
 		if err != nil {
 			return nil, 0, err
 		}
-		page, err := c.dialect.DecodePage(body)
+		page, err := c.decodePage(r)
 		if err != nil {
 			return nil, 0, store.Unavailable.Wrap(err)
 		}
 		if n == 0 {
 			from = page.Version
 		}
+		if page.Version.Era() != from.Era() {
+			return nil, 0, store.Unavailable.New("service was restored from a copy while its entries were read")
+		}
 		out = append(out, page.Entries...)
 		if !page.More || len(page.Entries) == 0 {
 			return out, from, nil
@@ -57,24 +63,32 @@
 	return nil, 0, store.Unavailable.New("prefix %q has more than %d pages", prefix, maxPages)
 }
 
-// read makes a read, which identical reads may share, and returns the body of the reply.
-func (c *Client) read(ctx context.Context, m Request) ([]byte, error) {
+// read makes a read, which identical reads may share.
+func (c *Client) read(ctx context.Context, m Request) (reply, error) {
 	r, joined, err := c.coalescer.read(ctx, m.URI, func(sent func()) (reply, error) {
 		return c.do(context.Background(), call{Request: m, kind: read, timeout: c.cfg.Timeout}, sent)
 	})
 	if joined {
 		c.increment(&c.calls.Joined)
 	}
-	return r.body, err
+	return r, err
 }
 
 // Put writes value under key if the current version of key is expect, and returns the new version.
 func (c *Client) Put(ctx context.Context, key string, value []byte, expect store.Version, l store.Lease) (store.Version, error) {
-	body, err := c.write(ctx, c.dialect.Put(key, value, expect, l))
+	if c.leaseLost(l) {
+		return 0, store.Conflict.New("lease %d was lost when the service was restored from a copy", l)
+	}
+	r, err := c.writeAt(ctx, expect, func(revision store.Version) Request {
+		return c.dialect.Put(key, value, revision, l)
+	})
 	if err != nil {
 		return 0, err
 	}
-	v, err := c.dialect.DecodeVersion(body)
+	v, err := c.dialect.DecodeVersion(r.body)
+	if err == nil {
+		v, err = store.NewVersion(r.era, uint64(v))
+	}
 	if err != nil {
 		return 0, store.Unknown.Wrap(err)
 	}
@@ -83,40 +97,73 @@
 
 // Delete removes key if its version is expect.
 func (c *Client) Delete(ctx context.Context, key string, expect store.Version) error {
-	_, err := c.write(ctx, c.dialect.Delete(key, expect))
+	_, err := c.writeAt(ctx, expect, func(revision store.Version) Request {
+		return c.dialect.Delete(key, revision)
+	})
 	return err
 }
 
+// writeAt makes a write whose condition is the expected version of a key. If the service was
+// restored from a copy since it gave out that version, the condition does not hold, though the
+// service may have given out the same revision again.
+func (c *Client) writeAt(ctx context.Context, expect store.Version, request func(revision store.Version) Request) (reply, error) {
+	if c.restored(expect) {
+		return reply{}, store.Conflict.New("service was restored from a copy after version %d", expect)
+	}
+	r, err := c.write(ctx, request(store.Version(expect.Revision())))
+	if err == nil && expect != 0 && r.era != expect.Era() {
+		return reply{}, store.Unknown.New("service was restored from a copy after version %d", expect)
+	}
+	return r, err
+}
+
 // Grant creates a lease that expires after ttl unless it is renewed.
 func (c *Client) Grant(ctx context.Context, ttl time.Duration) (store.Lease, error) {
-	body, err := c.write(ctx, c.dialect.Grant(ttl))
+	r, err := c.write(ctx, c.dialect.Grant(ttl))
 	if err != nil {
 		return 0, err
 	}
-	l, err := c.dialect.DecodeLease(body)
+	l, err := c.dialect.DecodeLease(r.body)
 	if err != nil {
 		return 0, store.Unknown.Wrap(err)
 	}
+	c.recordLease(l, r.era)
 	return l, nil
 }
 
-// Renew restarts the ttl of a lease. It returns store.Absent if the lease has expired.
+// Renew restarts the ttl of a lease. It returns store.Absent if the lease has expired, or was lost
+// when the service was restored from a copy.
 func (c *Client) Renew(ctx context.Context, l store.Lease) error {
-	_, err := c.write(ctx, c.dialect.Renew(l))
+	var err error
+	if !c.leaseLost(l) {
+		_, err = c.write(ctx, c.dialect.Renew(l))
+	}
+	if c.leaseLost(l) { // the answer may have shown it
+		err = store.Absent.New("lease %d was lost when the service was restored from a copy", l)
+	}
+	if store.Absent.Has(err) {
+		c.forgetLease(l)
+	}
 	return err
 }
 
 // Revoke ends a lease and removes the keys that are attached to it.
 func (c *Client) Revoke(ctx context.Context, l store.Lease) error {
+	if c.leaseLost(l) {
+		c.forgetLease(l)
+		return store.Absent.New("lease %d was lost when the service was restored from a copy", l)
+	}
 	_, err := c.write(ctx, c.dialect.Revoke(l))
+	if err == nil || store.Absent.Has(err) {
+		c.forgetLease(l)
+	}
 	return err
 }
 
-// write sends a write once and returns the body of the reply. If the caller cannot decode that,
-// the write was accepted but its result is unknown.
-func (c *Client) write(ctx context.Context, m Request) ([]byte, error) {
-	r, err := c.do(ctx, call{Request: m, kind: write, timeout: c.cfg.Timeout}, nil)
-	return r.body, err
+// write sends a write once. If the caller cannot decode the reply, the write was accepted but its
+// result is unknown.
+func (c *Client) write(ctx context.Context, m Request) (reply, error) {
+	return c.do(ctx, call{Request: m, kind: write, timeout: c.cfg.Timeout}, nil)
 }
 
 // Watch waits for writes after a version to keys that start with prefix, at most for WatchWait. A
@@ -126,7 +173,10 @@
 	if err := c.awaitService(ctx); err != nil {
 		return nil, after, err
 	}
-	q := call{Request: c.dialect.Watch(prefix, after, c.cfg.WatchWait), kind: watch}
+	if c.restored(after) {
+		return nil, after, store.Trimmed.New("service was restored from a copy after version %d", after)
+	}
+	q := call{Request: c.dialect.Watch(prefix, store.Version(after.Revision()), c.cfg.WatchWait), kind: watch}
 	var r reply
 	var err error
 	for range c.cfg.WatchAttempts {
@@ -144,11 +194,16 @@
 	if err != nil && !store.Trimmed.Has(err) {
 		return nil, after, err
 	}
-	page, malformed := c.dialect.DecodePage(r.body)
-	if malformed != nil && err == nil {
+	page, malformed := c.decodePage(r)
+	switch {
+	case err != nil:
+		return nil, page.Version, err
+	case malformed != nil:
 		return nil, after, store.Unavailable.Wrap(malformed)
+	case c.restored(after):
+		return nil, page.Version, store.Trimmed.New("service was restored from a copy after version %d", after)
 	}
-	return page.Entries, page.Version, err
+	return page.Entries, page.Version, nil
 }
 
 // watchTimeout returns the time limit of a watch: WatchWait and half of Timeout, or all of it if the
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -10,6 +10,10 @@
 // Knowledge arrives out of order: a list may be older than a removal that was applied while the
 // list was read. The removals are therefore remembered with their revisions, so that older
 // knowledge does not undo them.
+//
+// The store may also come back from an older copy, which shows a new era in its versions. What the
+// copy says of upstreams that were known to leave or to be gone is not believed until they write
+// again.
 package registry
 
 import (
@@ -44,6 +48,9 @@
 	removed     map[ident.Upstream]removal // entries removed within removalMemory
 	unavailable bool                       // the store cannot be read
 	outageEnd   time.Time                  // end of the last outage
+	copied      store.Version              // first version known of the present era; 0 in the first era known
+	era         uint64                     // of the store
+	eraKnown    bool                       // era is set
 }
 
 // lapse is the removal of an entry that may have expired because of an outage.
@@ -55,6 +62,7 @@
 // removal is the removal of an entry.
 type removal struct {
 	at   store.Version // revision of the removal, or of the last entry if that is not known
+	born int64         // directory.Upstream.Born of the entry
 	when time.Time
 }
 
@@ -98,7 +106,8 @@
 	r.outageEnd = now
 }
 
-// Set records a written entry. An entry older than the known one, or than its removal, is ignored.
+// Set records a written entry. It is ignored unless it is newer than the known one and than its
+// removal.
 func (r *Registry) Set(u directory.Upstream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -107,10 +116,13 @@
 
 // set implements Set. r.mu must be held.
 func (r *Registry) set(u directory.Upstream) {
-	if old, ok := r.upstreams[u.ID]; ok && old.Revision > u.Revision {
-		return
+	if old, ok := r.upstreams[u.ID]; ok {
+		if old.Revision >= u.Revision {
+			return
+		}
+		u.Draining = u.Draining || old.Draining && r.fromCopy(u, old.Revision, old.Born)
 	}
-	if old, ok := r.removed[u.ID]; ok && old.at >= u.Revision {
+	if old, ok := r.removed[u.ID]; ok && (old.at >= u.Revision || r.fromCopy(u, old.at, old.born)) {
 		return
 	}
 	if l, ok := r.lapsed[u.ID]; ok && l.at >= u.Revision {
@@ -121,6 +133,24 @@
 	delete(r.removed, u.ID)
 }
 
+// fromCopy reports whether an entry may be that of an older copy from which the store was restored,
+// while a newer one of the same run of the upstream was known at revision known, from before.
+// r.mu must be held.
+func (r *Registry) fromCopy(u directory.Upstream, known store.Version, born int64) bool {
+	return u.Revision.Era() > known.Era() && u.Revision <= r.copied && u.Born == born
+}
+
+// enterEra records the first version known of a new era. The entries that are missing in the copy
+// get the grace period, as after an outage. r.mu must be held.
+func (r *Registry) enterEra(at store.Version, now time.Time) {
+	switch era := at.Era(); {
+	case !r.eraKnown:
+		r.era, r.eraKnown = era, true
+	case era > r.era:
+		r.era, r.copied, r.outageEnd = era, at, now
+	}
+}
+
 // Remove records the removal of an entry at a revision of the store.
 func (r *Registry) Remove(id ident.Upstream, at store.Version, now time.Time) {
 	r.mu.Lock()
@@ -146,15 +176,21 @@
 
 // drop deletes an entry that was removed at a revision. r.mu must be held.
 func (r *Registry) drop(id ident.Upstream, at store.Version, now time.Time) {
+	former := r.removed[id]
+	born := former.born
+	if old, ok := r.upstreams[id]; ok {
+		born = old.Born
+	}
 	delete(r.upstreams, id)
 	delete(r.lapsed, id)
-	r.removed[id] = removal{max(at, r.removed[id].at), now}
+	r.removed[id] = removal{max(at, former.at), born, now}
 }
 
 // ReplaceAll sets all entries to the contents of the store at a revision.
 func (r *Registry) ReplaceAll(list []directory.Upstream, at store.Version, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.enterEra(at, now)
 	listed := make(map[ident.Upstream]bool, len(list))
 	for _, u := range list {
 		listed[u.ID] = true
@@ -196,6 +232,7 @@
 func (r *Registry) Merge(c Changes, at store.Version, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.enterEra(at, now)
 	listed := make(map[ident.Upstream]bool, len(c.All))
 	for _, id := range c.All {
 		listed[id] = true
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -19,14 +19,19 @@
 //	at MS                       sets the time
 //	store-down | store-up       sets whether the store is unavailable
 //	set ID ADDRESS REVISION [draining]
+//	leaving ID REVISION        the upstream reports that it is leaving
 //	remove ID REVISION
 //	replace REVISION [ID ...]   the contents of the store; entries keep their address
 //	merge REVISION [ID ...]     the ids known to another instance; lapsed ones follow a "/"
 //	update ID REVISION         changes what replace and merge give for an entry, here not known yet
 //	outage                     the end of a short outage
+//
+// A REVISION may be ERA:REVISION.
+//
 //	restart FORMER ID yes|no    a restart that the store does not show yet
 //	expire
 //	want [ID ...]               checks the list of upstreams
+//	want-leaving [ID ...]       checks which of them are leaving
 func TestScripts(t *testing.T) {
 	names, err := filepath.Glob("testdata/*.txt")
 	if err != nil || len(names) == 0 {
@@ -57,11 +62,15 @@
 		case "store-down", "store-up":
 			r.SetStoreUnavailable(w[0] == "store-down", now)
 		case "set":
-			u := directory.Upstream{ID: ident.Upstream(w[1]), Address: w[2], Revision: store.Version(number(t, w[3])), Draining: len(w) > 4}
+			u := directory.Upstream{ID: ident.Upstream(w[1]), Address: w[2], Revision: version(t, w[3]), Draining: len(w) > 4}
 			known[u.ID] = u
 			r.Set(u)
+		case "leaving":
+			u := known[ident.Upstream(w[1])]
+			u.Draining, u.Revision = true, version(t, w[2])
+			r.Set(u)
 		case "remove":
-			r.Remove(ident.Upstream(w[1]), store.Version(number(t, w[2])), now)
+			r.Remove(ident.Upstream(w[1]), version(t, w[2]), now)
 		case "replace", "merge":
 			var c Changes
 			ids, lapsed := w[2:], []string(nil)
@@ -77,13 +86,13 @@
 				c.Lapsed = append(c.Lapsed, ident.Upstream(id))
 			}
 			if w[0] == "replace" {
-				r.ReplaceAll(c.Upstreams, store.Version(number(t, w[1])), now)
+				r.ReplaceAll(c.Upstreams, version(t, w[1]), now)
 			} else {
-				r.Merge(c, store.Version(number(t, w[1])), now)
+				r.Merge(c, version(t, w[1]), now)
 			}
 		case "update":
 			u := known[ident.Upstream(w[1])]
-			u.Revision = store.Version(number(t, w[2]))
+			u.Revision = version(t, w[2])
 			known[u.ID] = u
 		case "outage":
 			r.RecordOutage(now)
@@ -93,10 +102,12 @@
 			}
 		case "expire":
 			r.Expire(now)
-		case "want":
+		case "want", "want-leaving":
 			var got []string
 			for _, u := range r.All() {
-				got = append(got, string(u.ID))
+				if w[0] == "want" || u.Draining {
+					got = append(got, string(u.ID))
+				}
 			}
 			slices.Sort(got)
 			if !slices.Equal(got, w[1:]) {
@@ -108,6 +119,20 @@
 	}
 }
 
+// version parses a revision or an era and a revision.
+func version(t *testing.T, s string) store.Version {
+	t.Helper()
+	era, revision, found := strings.Cut(s, ":")
+	if !found {
+		era, revision = "0", s
+	}
+	v, err := store.NewVersion(uint64(number(t, era)), uint64(number(t, revision)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
 func number(t *testing.T, s string) int {
 	t.Helper()
 	n, err := strconv.Atoi(s)
--- a/standinkeyvalue/server.go
+++ b/standinkeyvalue/server.go
@@ -84,6 +84,9 @@
 	Lease store.Lease
 }
 
+// eraField is the header field that holds the era of the store.
+const eraField = "Store-Era"
+
 // Paths of the service.
 const (
 	keysPath   = "/v1/keys"
@@ -91,7 +94,20 @@
 	leasesPath = "/v1/leases"
 )
 
+// handle answers a call with the era of the store. A call during which the store is restored gets no
+// answer.
 func (s *Server) handle(life context.Context, ctx *fasthttp.RequestCtx) {
+	era := s.store.Era()
+	s.answer(life, ctx)
+	switch {
+	case s.store.Era() != era:
+		standinnetwork.CloseUnanswered(ctx)
+	case era > 0:
+		ctx.Response.Header.Set(eraField, strconv.FormatUint(era, 10))
+	}
+}
+
+func (s *Server) answer(life context.Context, ctx *fasthttp.RequestCtx) {
 	path := string(ctx.URI().PathOriginal())
 	method := string(ctx.Method())
 	switch {
--- a/standinkeyvalue/store.go
+++ b/standinkeyvalue/store.go
@@ -22,6 +22,7 @@
 
 	mu      sync.Mutex
 	version store.Version
+	era     uint64 // number of times that the store was restored from a copy
 	entries map[string]entry
 	stale   *snapshot // content that stale reads return, or nil
 	history []store.Entry
--- a/store/store.go
+++ b/store/store.go
@@ -12,10 +12,6 @@
 	"github.com/zeebo/errs"
 )
 
-// Version numbers the writes to the service. It rises with every write to any key. As an expected
-// version, 0 means that the key does not exist.
-type Version uint64
-
 // Lease identifies a lease of the service. 0 means no lease.
 type Lease uint64
 
--- a/storeview/view.go
+++ b/storeview/view.go
@@ -134,7 +134,7 @@
 	if seen <= v.seen && age > 0 {
 		v.confirm(now - age)
 	}
-	if seen <= v.seen || v.asked && now-v.lastAsked < v.cfg.CatchUpInterval {
+	if seen <= v.seen || !v.mayAsk(now) {
 		return false
 	}
 	if v.peerSeen <= v.seen {
@@ -148,6 +148,22 @@
 	return true
 }
 
+// MayAsk reports whether a peer may be asked for changes now, and if so records the request.
+func (v *View) MayAsk(now time.Duration) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.mayAsk(now) {
+		return false
+	}
+	v.asked, v.lastAsked = true, now
+	return true
+}
+
+// mayAsk reports whether CatchUpInterval has passed since the last request. v.mu must be held.
+func (v *View) mayAsk(now time.Duration) bool {
+	return !v.asked || now-v.lastAsked >= v.cfg.CatchUpInterval
+}
+
 // Seen returns the version up to which all changes are applied.
 func (v *View) Seen() store.Version {
 	v.mu.Lock()
