soak, stand-in: silent connections to the store, and a store restored from a copy

The soak's silence of the store ended with a reset of the connections, which tells an instance that its watch is gone, and struck one instance at a time, which its peers then told. So it could not show a watch that is never answered. The new fault silences all open connections to the store for good; the check that a configuration is in force within 3 s is the one that was there. The second new fault takes a copy of the store and restores it some seconds later.

--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -54,6 +54,7 @@
 	dir               string
 	recorder          *recorder
 	storeProcess      *process
+	storeAddress      string
 	client            *keyvalue.Client
 	store             store.Store
 	upstreams         []*upstream
@@ -98,6 +99,7 @@
 	if err != nil {
 		return cl, err
 	}
+	cl.storeAddress = storeAddr
 	cl.storeProcess, err = newProcess(c, dir, "store", filepath.Join(bin, "standin"), nil, "--listen", storeAddr, "keyvalue")
 	if err != nil {
 		return cl, err
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -55,6 +57,26 @@
 	}
 }
 
+// injectStoreFault asks the store for a fault of its own. It reports a violation if the store refuses.
+func (s *Soak) injectStoreFault(ctx context.Context, kind string) {
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	body := strings.NewReader(`{"Kind":"` + kind + `"}`)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.cluster.storeAddress+"/standin/faults", body)
+	if err != nil {
+		s.reportViolation("fault %s of the store: %v", kind, err)
+		return
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return // the store is frozen by another fault
+	}
+	_ = res.Body.Close()
+	if res.StatusCode >= http.StatusMultipleChoices {
+		s.reportViolation("fault %s of the store: got status %d, want success", kind, res.StatusCode)
+	}
+}
+
 // faults lists all kinds of faults.
 var faults = []fault{
 	{"upstream killed", false, func(ctx context.Context, s *Soak, r *rand.Rand) {
@@ -108,6 +130,15 @@
 		s.clock.pause(ctx, randomDuration(r, time.Second, 4*time.Second))
 		p.setMode(pass)
 	}},
+	{"connections to the store silent", false, func(ctx context.Context, s *Soak, _ *rand.Rand) {
+		s.injectStoreFault(ctx, "Silence")
+	}},
+	{"store restored from a copy", false, func(ctx context.Context, s *Soak, r *rand.Rand) {
+		s.injectStoreFault(ctx, "Copy")
+		s.clock.pause(ctx, randomDuration(r, time.Second, 5*time.Second))
+		s.injectStoreFault(ctx, "Restore")
+		s.clock.pause(ctx, configurationInterval+time.Second) // until the operator has written again
+	}},
 	{"store frozen", false, func(ctx context.Context, s *Soak, r *rand.Rand) {
 		s.freeze(ctx, s.cluster.storeProcess, randomDuration(r, 500*time.Millisecond, 3*time.Second))
 	}},
--- a/standinkeyvalue/server.go
+++ b/standinkeyvalue/server.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -22,6 +23,9 @@
 type Server struct {
 	*standinnetwork.Server
 	store *Store
+
+	mu   sync.Mutex
+	copy *Copy // taken by the last fault of kind "Copy", or nil
 }
 
 // NewServer returns a server of s that listens on the address listen from Start
@@ -53,8 +57,24 @@
 }
 
 func (s *Server) applyFault(kind string, body []byte) error {
-	if kind != "Faults" {
-		return errs.New("unknown fault kind %q, want \"Faults\"", kind)
+	switch kind {
+	case "Faults":
+	case "Copy":
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		c := s.store.Copy()
+		s.copy = &c
+		return nil
+	case "Restore":
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.copy == nil {
+			return nil
+		}
+		s.store.Restore(*s.copy)
+		return nil
+	default:
+		return errs.New("unknown fault kind %q, want Faults, Copy or Restore", kind)
 	}
 	var b faultBody
 	if err := json.Unmarshal(body, &b); err != nil {
