Logs tell by what an instance learned of an upstream, and by which entry it chose

The lines "upstream registered" and "upstream removed" name their source (watch, scan or a peer) and whether a removed entry is kept for its grace period; changes taken from a peer are logged one by one, as those of the watch were.

--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -39,7 +39,7 @@
 		case !failed:
 			d.fleet.ReportEnd(u.ID, fleet.Served, end.Sub(now), end)
 			d.fleet.ReportAlive(u.ID, sent) // the upstream was alive after that time
-			d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Int("Attempt", a.sends).
+			d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Uint64("Revision", u.Revision.Revision()).Int("Attempt", a.sends).
 				Int("Status", reply.Status).Dur("TookMs", end.Sub(now)).Msg("answered")
 			return reply, nil
 		case ctx.Err() != nil:
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -211,7 +211,7 @@
 	w := s.w
 	attempt := work.Attempt{Upstream: u, Remaining: w.Deadline.Sub(now), LastPiece: s.lastPiece, Resumes: s.resumes, ResumeFrom: from, Rank: queueRank(w)}
 	attempt.CopyTo = s.copies.start(u, s.excluded(), now)
-	d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Str("UpstreamDomain", string(u.Domain)).Int("Attempt", s.sends).
+	d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Uint64("Revision", u.Revision.Revision()).Str("UpstreamDomain", string(u.Domain)).Int("Attempt", s.sends).
 		Uint64("After", s.lastPiece).Bool("FromCopy", from != nil).Str("CopyTo", attempt.CopyTo).Msg("stream sent")
 	r := d.exchangeRequest(w, &attempt)
 	r.AnswerBy = now.Add(s.gaps.FirstTimeout())
--- a/edge/catchup.go
+++ b/edge/catchup.go
@@ -51,7 +51,12 @@
 		return
 	}
 	e.recordEra(c.Seen)
-	e.registry.Merge(c.Changes, c.Seen, now)
+	if q.Seen > 0 { // otherwise these are all upstreams
+		for _, u := range c.Upstreams {
+			e.logRegistered(u, "peer "+string(from))
+		}
+	}
+	e.logRemovals(e.registry.Merge(c.Changes, c.Seen, now), c.Seen, "peer "+string(from))
 	if c.StoreAge > 0 {
 		e.view.Confirm(c.Seen, began-c.StoreAge.Std())
 	} else {
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -7,6 +7,7 @@
 
 	"crocuslug/directory"
 	"crocuslug/ident"
+	"crocuslug/registry"
 	"crocuslug/store"
 )
 
@@ -156,7 +157,7 @@
 		}
 	}
 	e.forgetPeers(instances)
-	e.registry.ReplaceAll(list, at, now)
+	e.logRemovals(e.registry.ReplaceAll(list, at, now), at, "scan")
 	e.view.Confirm(at, began)
 	e.publish(now)
 	e.log.Info().Uint64("Revision", at.Revision()).Uint64("Era", at.Era()).Int("Upstreams", len(list)).Msg("store read")
@@ -208,17 +209,35 @@
 func (e *Edge) applyUpstreamChange(entry store.Entry, now time.Time) {
 	if entry.Deleted {
 		id := ident.Upstream(strings.TrimPrefix(entry.Key, e.ports.UpstreamsPrefix))
-		e.log.Info().Str("Upstream", string(id)).Uint64("Revision", entry.Version.Revision()).Msg("upstream removed")
-		e.registry.Remove(id, entry.Version, now)
+		e.logRemovals(e.registry.Remove(id, entry.Version, now), entry.Version, "watch")
 		return
 	}
 	if u, ok := e.decodeUpstream(entry); ok {
-		e.log.Info().Str("Upstream", string(u.ID)).Str("Address", u.Address).Str("UpstreamDomain", string(u.Domain)).Str("Service", string(u.Service)).Bool("Draining", u.Draining).
-			Uint64("Revision", u.Revision.Revision()).Msg("upstream registered")
+		e.logRegistered(u, "watch")
 		e.registry.Set(u)
 	}
 }
 
+// logRegistered logs the entry of an upstream that was written. source says by what it became known.
+func (e *Edge) logRegistered(u directory.Upstream, source string) {
+	e.log.Info().Str("Upstream", string(u.ID)).Str("Address", u.Address).Str("UpstreamDomain", string(u.Domain)).Str("Service", string(u.Service)).Bool("Draining", u.Draining).
+		Uint64("Revision", u.Revision.Revision()).Str("Source", source).Msg("upstream registered")
+}
+
+// logRemovals logs the upstreams that ceased to be registered. source says by what this became known,
+// and at is the version of that knowledge.
+func (e *Edge) logRemovals(r registry.Removals, at store.Version, source string) {
+	line := func(id ident.Upstream, lapsed bool) {
+		e.log.Info().Str("Upstream", string(id)).Uint64("Revision", at.Revision()).Str("Source", source).Bool("Lapsed", lapsed).Msg("upstream removed")
+	}
+	for _, id := range r.Gone {
+		line(id, false)
+	}
+	for _, id := range r.Lapsed {
+		line(id, true)
+	}
+}
+
 // decodeUpstream decodes the entry of an upstream. It returns false for an entry that cannot be
 // decoded, and logs each version of such an entry once.
 func (e *Edge) decodeUpstream(entry store.Entry) (directory.Upstream, bool) {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -151,27 +151,43 @@
 	}
 }
 
+// Removals are the upstreams that ceased to be registered.
+type Removals struct {
+	Gone   []ident.Upstream
+	Lapsed []ident.Upstream // kept for their grace period
+}
+
 // Remove records the removal of an entry at a revision of the store.
-func (r *Registry) Remove(id ident.Upstream, at store.Version, now time.Time) {
+func (r *Registry) Remove(id ident.Upstream, at store.Version, now time.Time) Removals {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.remove(id, at, now)
+	var out Removals
+	r.remove(id, at, now, &out)
+	return out
 }
 
 // remove deletes an entry. If it may have expired because of an outage, it is kept for the
-// grace period instead. r.mu must be held.
-func (r *Registry) remove(id ident.Upstream, at store.Version, now time.Time) {
+// grace period instead. It adds the entry to out. r.mu must be held.
+func (r *Registry) remove(id ident.Upstream, at store.Version, now time.Time, out *Removals) {
 	old, ok := r.upstreams[id]
 	if ok && old.Revision > at {
 		return
 	}
 	if !ok || old.Draining || !r.unavailable && now.Sub(r.outageEnd) > r.cfg.GracePeriod {
 		r.drop(id, at, now)
+		out.Gone = append(out.Gone, id)
 		return
 	}
-	if _, ok := r.lapsed[id]; !ok {
-		r.lapsed[id] = lapse{at, r.outageEnd.Add(r.cfg.GracePeriod)}
+	r.keepLapsed(id, lapse{at, r.outageEnd.Add(r.cfg.GracePeriod)}, out)
+}
+
+// keepLapsed keeps an entry for its grace period, unless it is kept already. r.mu must be held.
+func (r *Registry) keepLapsed(id ident.Upstream, l lapse, out *Removals) {
+	if _, ok := r.lapsed[id]; ok {
+		return
 	}
+	r.lapsed[id] = l
+	out.Lapsed = append(out.Lapsed, id)
 }
 
 // drop deletes an entry that was removed at a revision. r.mu must be held.
@@ -187,7 +203,7 @@
 }
 
 // ReplaceAll sets all entries to the contents of the store at a revision.
-func (r *Registry) ReplaceAll(list []directory.Upstream, at store.Version, now time.Time) {
+func (r *Registry) ReplaceAll(list []directory.Upstream, at store.Version, now time.Time) Removals {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.enterEra(at, now)
@@ -196,11 +212,13 @@
 		listed[u.ID] = true
 		r.set(u)
 	}
+	var out Removals
 	for id := range r.upstreams {
 		if !listed[id] {
-			r.remove(id, at, now)
+			r.remove(id, at, now, &out)
 		}
 	}
+	return out
 }
 
 // Changes is what has changed since a revision, as one instance tells another.
@@ -229,7 +247,7 @@
 
 // Merge applies the changes that another instance knew at a revision. That instance could read the
 // store, so what it does not list was removed, unless this instance has just had an outage itself.
-func (r *Registry) Merge(c Changes, at store.Version, now time.Time) {
+func (r *Registry) Merge(c Changes, at store.Version, now time.Time) Removals {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.enterEra(at, now)
@@ -240,21 +258,23 @@
 	for _, u := range c.Upstreams {
 		r.set(u)
 	}
+	var out Removals
 	for id, old := range r.upstreams {
 		switch {
 		case listed[id] || old.Revision > at:
 		case r.unavailable:
 			r.drop(id, at, now)
+			out.Gone = append(out.Gone, id)
 		default:
-			r.remove(id, at, now)
+			r.remove(id, at, now, &out)
 		}
 	}
 	for _, id := range c.Lapsed {
-		u, known := r.upstreams[id]
-		if _, lapsed := r.lapsed[id]; known && !lapsed && u.Revision <= at {
-			r.lapsed[id] = lapse{at, now.Add(r.cfg.GracePeriod)}
+		if u, known := r.upstreams[id]; known && u.Revision <= at {
+			r.keepLapsed(id, lapse{at, now.Add(r.cfg.GracePeriod)}, &out)
 		}
 	}
+	return out
 }
 
 // StoreUnavailable reports whether the store is unavailable.
