edge: the wait of a watch follows from the time to react to leaving upstreams

The wait was one second whatever Drain says; a deployment with a shorter one could not have kept it. Half of Drain, between 250 ms and 1 s; knowledge counts as old after two waits. The same values as before for the deployments at hand (2 s and 3 s).

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -113,7 +113,7 @@
 		ports:        ports,
 		timer:        t,
 		log:          log.With().Str("Instance", cfg.Name).Str("Domain", string(cfg.Domain)).Logger(),
-		view:         storeview.New(storeview.Settings{}),
+		view:         storeview.New(storeview.Settings{MaxAge: maxAgeInWaits * watchWait(cfg.Drain.Std())}),
 		registry:     registry.New(registry.Settings{}),
 		exchange:     exchange.New(exchange.Settings{}, t),
 		suspects:     suspect.New(suspect.Settings{}),
@@ -126,7 +126,7 @@
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	kv := ports.Store
 	kv.BackOff, kv.MaxBackOff, kv.Seed = storeBackOff, storeMaxBackOff, randomSeed()
-	kv.WatchWait, kv.WatchAttempts = watchWait, 1
+	kv.WatchWait, kv.WatchAttempts = watchWait(cfg.Drain.Std()), 1
 	if cfg.StoreReads > 0 {
 		kv.ReadsPerSecond = max(minStoreRate, cfg.StoreReads/storeInstances)
 	}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -88,9 +88,23 @@
 	}
 }
 
-// watchWait is the time that the store is asked to wait in a watch. A watch that the store never
-// answers is given up after it and half of the time limit of a call.
-const watchWait = time.Second
+// Bounds of the time that the store is asked to wait in a watch. A watch that the store never answers
+// is given up after that wait and half of the time limit of a call. The wait is a share of the time to
+// react to leaving upstreams.
+const (
+	minWatchWait   = 250 * time.Millisecond
+	maxWatchWait   = time.Second
+	watchWaitShare = 0.5 // of settings.Edge.Drain
+)
+
+// maxAgeInWaits is the age of the knowledge of the store, in waits of a watch, from which an instance
+// watches the store itself. Knowledge that came through peers is older than that of a watcher.
+const maxAgeInWaits = 2
+
+// watchWait returns the wait of a watch for a time to react to leaving upstreams.
+func watchWait(drain time.Duration) time.Duration {
+	return min(max(minWatchWait, time.Duration(watchWaitShare*float64(drain))), maxWatchWait)
+}
 
 // Bounds of the pause between two watches. Changes come in bursts, and a watch returns with the
 // first of them, so without a pause each change would cost a call. While peers do not keep the
