Instances tell each other which upstreams were replaced

An engine answers 421 to a request for its former id, and that arrival counts.

Change: digests name the upstreams found replaced in the last three seconds, with the revision of the entry, and the receiver sends them nothing until they register again. A 421 is the engine's own word, so unlike a loss it does not depend on who asks.

--- a/edge/peers.go
+++ b/edge/peers.go
@@ -72,6 +72,9 @@
 	// callers return to instances there.
 	Prompts []work.Prompt    `json:",omitempty"`
 	Lost    []ident.Upstream `json:",omitempty"` // upstreams that the sender found dead recently
+	// Replaced are upstreams whose address the sender found taken by another one recently, with the
+	// revisions of their entries.
+	Replaced map[ident.Upstream]store.Version `json:",omitempty"`
 	// Refused holds the remaining time of the refusal of contents that crash engines, by
 	// fingerprint.
 	Refused map[uint64]unit.Duration `json:",omitempty"`
@@ -159,7 +162,7 @@
 
 // newDigest returns the state of this instance for its peers, without prompts.
 func (e *Edge) newDigest(now time.Time) digest {
-	d := digest{Domain: e.cfg.Domain, InFlight: e.fleet.InFlight(), Lost: e.fleet.FoundDead(now)}
+	d := digest{Domain: e.cfg.Domain, InFlight: e.fleet.InFlight(), Lost: e.fleet.FoundDead(now), Replaced: e.fleet.FoundReplaced(now)}
 	if cur := e.current.Load(); cur != nil {
 		d.Configuration = cur.Version
 	}
@@ -304,6 +307,9 @@
 	for _, id := range d.Lost {
 		e.fleet.ReportPeerLoss(id, now)
 	}
+	for id, revision := range d.Replaced {
+		e.fleet.ReportPeerReplaced(id, revision)
+	}
 	for _, p := range d.Prompts {
 		e.fleet.NotePrompt(p.Upstream, p.Blocks, now)
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -46,6 +46,7 @@
 	domainFailedAt map[ident.Domain]time.Time       // when failure domains last lost several upstreams at once
 	lastAlive      map[ident.Upstream]time.Duration // uptime of this machine when each upstream was last known to be alive
 	replaced       map[ident.Upstream]store.Version // registry revisions of upstreams whose address another upstream has taken
+	foundReplaced  map[ident.Upstream]time.Time     // when this instance found some of them
 }
 
 // New returns a Fleet without upstreams. The function random returns 64 random bits
@@ -72,6 +73,7 @@
 		lostAt:         make(map[ident.Upstream]time.Time),
 		foundDead:      make(map[ident.Upstream]time.Time),
 		replaced:       make(map[ident.Upstream]store.Version),
+		foundReplaced:  make(map[ident.Upstream]time.Time),
 		domainFailedAt: make(map[ident.Domain]time.Time),
 		lastAlive:      make(map[ident.Upstream]time.Duration),
 	}
@@ -291,6 +293,7 @@
 	f.observe(g, o, now)
 	if outcome == Replaced {
 		f.replaced[id] = u.Revision
+		f.foundReplaced[id] = now
 		f.foundDead[id] = now
 		g.updateCandidates(f)
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -30,6 +31,8 @@
 //	ended ID served|failed|dead|replaced reports the outcome of a request
 //	stream-start ID                      reports the start of a stream
 //	peer-loss ID                         reports that another instance found it dead
+//	peer-replaced ID REVISION            reports that another instance found it replaced
+//	replaced [ID ...]                    checks which were found replaced here lately
 //	tick
 //	never ID ... | always ID ...         none or all of a hundred choices are among these
 //	some ID ...                          each of these is among a hundred choices
@@ -100,6 +103,17 @@
 			f.ReportEnd(id, outcomes[w[2]], time.Millisecond, now)
 		case "stream-start":
 			f.ReportStreamStart(id, now)
+		case "peer-replaced":
+			f.ReportPeerReplaced(ident.Upstream(w[1]), store.Version(number(t, w[2])))
+		case "replaced":
+			got := slices.Sorted(maps.Keys(f.FoundReplaced(now)))
+			var want []ident.Upstream
+			for _, id := range w[1:] {
+				want = append(want, ident.Upstream(id))
+			}
+			if !slices.Equal(got, want) {
+				t.Errorf("line %d: found replaced: got %v, want %v", n+1, got, want)
+			}
 		case "peer-loss":
 			f.ReportPeerLoss(id, now)
 		case "tick":
--- a/fleet/losses.go
+++ b/fleet/losses.go
@@ -5,6 +5,7 @@
 
 	"crocuslug/directory"
 	"crocuslug/ident"
+	"crocuslug/store"
 )
 
 // A failure domain counts as failed when several of its upstreams are found dead within
@@ -95,3 +96,39 @@
 	f.services[u.Service].chooser.Suspect(id, now)
 	f.recordDeath(u, now)
 }
+
+// replacedReportTime is the time for which FoundReplaced returns an upstream.
+const replacedReportTime = 3 * time.Second
+
+// FoundReplaced returns the upstreams that this instance has recently found replaced, with the
+// revisions of their entries.
+func (f *Fleet) FoundReplaced(now time.Time) map[ident.Upstream]store.Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out map[ident.Upstream]store.Version
+	for id, at := range f.foundReplaced {
+		revision, ok := f.replaced[id]
+		if !ok || now.Sub(at) > replacedReportTime {
+			delete(f.foundReplaced, id)
+			continue
+		}
+		if out == nil {
+			out = make(map[ident.Upstream]store.Version)
+		}
+		out[id] = revision
+	}
+	return out
+}
+
+// ReportPeerReplaced records that another instance has found an upstream replaced, whose entry had
+// a revision. It gets no more requests here either, since each of them would be refused.
+func (f *Fleet) ReportPeerReplaced(id ident.Upstream, revision store.Version) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u, ok := f.upstreams[id]
+	if _, known := f.replaced[id]; !ok || known || u.Revision > revision {
+		return
+	}
+	f.replaced[id] = u.Revision
+	f.services[u.Service].updateCandidates(f)
+}
