soak: silent connections to the store as planned work, with time for a later change

The fault is one that callers must not notice, so it runs alone at times, and it lasts until a change that was made after it must be in force.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -13,7 +13,7 @@
 // fault is one kind of fault.
 type fault struct {
 	name    string
-	planned bool                                             // operation such as a graceful stop, which must cut nothing without another fault
+	planned bool                                             // callers must not notice it without another fault, as a graceful stop
 	run     func(ctx context.Context, s *Soak, r *rand.Rand) // returns when the fault is over
 }
 
@@ -130,8 +130,9 @@
 		s.clock.pause(ctx, randomDuration(r, time.Second, 4*time.Second))
 		p.setMode(pass)
 	}},
-	{"connections to the store silent", false, func(ctx context.Context, s *Soak, _ *rand.Rand) {
+	{"connections to the store silent", true, func(ctx context.Context, s *Soak, _ *rand.Rand) {
 		s.injectStoreFault(ctx, "Silence")
+		s.clock.pause(ctx, configurationInterval+configurationDelay+time.Second) // until a later change must be in force
 	}},
 	{"store restored from a copy", false, func(ctx context.Context, s *Soak, r *rand.Rand) {
 		s.injectStoreFault(ctx, "Copy")
