--- a/edge/edge.go
+++ b/edge/edge.go
@@ -63,6 +63,7 @@
 
 	self       ident.Instance
 	current    atomic.Pointer[activeConfiguration] // nil until the first configuration arrives
+	fetching   atomic.Bool                         // a configuration is being fetched because a peer has a newer one
 	leaving    atomic.Bool
 	leaveBegan atomic.Int64 // when Leave was called, in Unix nanoseconds of the timer
 
