--- a/registry/registry.go
+++ b/registry/registry.go
@@ -126,6 +126,9 @@
 		return
 	}
 	if l, ok := r.lapsed[u.ID]; ok && l.at >= u.Revision {
+		if u.Draining { // it had left when its entry disappeared
+			r.upstreams[u.ID] = u
+		}
 		return
 	}
 	r.upstreams[u.ID] = u
