standinsite: TestMetricsPage waits until the end of a generation is counted

Cause: the end of a generation is counted after its caller has the whole answer, and the test read the metrics without waiting. With 200 ms before the count (a trial) the test fails as it was seen to: "StreamsMoved: got none", "Generations.OK: got , want 1".

Change: it reads until the counter that is counted last is there, at most ten seconds; all its checks are as they were. With the same delay it passes.

--- a/standinsite/metrics_test.go
+++ b/standinsite/metrics_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"crocuslug/caller"
 	"crocuslug/result"
@@ -50,6 +51,21 @@
 	return name
 }
 
+// readMetrics returns the metrics of the instance at an address.
+func readMetrics(t *testing.T, address string) map[string]map[string]json.RawMessage {
+	t.Helper()
+	resp, err := http.Get("http://" + address + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	out := make(map[string]map[string]json.RawMessage)
+	if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
 // TestMetricsPage holds docs/operators/metrics.md against the metrics of an
 // instance that has answered, both ways.
 func TestMetricsPage(t *testing.T) {
@@ -65,15 +81,14 @@
 	if a := c.Do(t.Context(), caller.Request{ID: "r1", Model: "none", Prompt: "p", MaxTokens: 3}); a.Err == nil {
 		t.Fatal("answer of no model: got none, want a failure")
 	}
-	resp, err := http.Get("http://" + site.Addresses()[0] + "/metrics")
-	if err != nil {
-		t.Fatal(err)
-	}
 	defer http.DefaultClient.CloseIdleConnections()
-	defer func() { _ = resp.Body.Close() }()
-	got := make(map[string]map[string]json.RawMessage)
-	if err := json.NewDecoder(resp.Body).Decode(&got); err != nil {
-		t.Fatal(err)
+	got := readMetrics(t, site.Addresses()[0])
+	// The end of a generation is counted after its caller has the whole answer; this name comes last.
+	for end := time.Now().Add(10 * time.Second); got["TokensUnreplicated"] == nil; got = readMetrics(t, site.Addresses()[0]) {
+		if time.Now().After(end) {
+			break // the checks below say what is missing
+		}
+		time.Sleep(time.Millisecond)
 	}
 	want := pageMetrics(t)
 	for name, m := range got {
