edge: a watcher tells its failure domain of a change in one round

Cause: while the store changes all the time, an instance hears of a higher version mostly from peers that are only a little ahead, takes their changes, and hears of the one in question after several such steps. A watcher told four of its domain in a round.

Change: in a round before which a watcher has seen a change it tells up to 24 of its domain instead of four; a peer may be asked again after 150 ms instead of 300.

Proof: edge TestWatcherTellsNews.

--- a/edge/catchup_test.go
+++ b/edge/catchup_test.go
@@ -6,7 +6,9 @@
 	"github.com/rs/zerolog"
 
 	"crocuslug/directory"
+	"crocuslug/ident"
 	"crocuslug/settings"
+	"crocuslug/store"
 	"crocuslug/timer"
 )
 
@@ -33,3 +35,34 @@
 		}
 	}
 }
+
+// TestWatcherTellsNews guards against changes that reach the instances of a failure domain only through
+// others that know them late: a watcher tells many of them in the round after it has seen a change.
+func TestWatcherTellsNews(t *testing.T) {
+	e := New(settings.Edge{Name: "i", Domain: "a", PeerListen: "127.0.0.1:1"}, Ports{}, []byte("s"), timer.New(), zerolog.Nop())
+	t.Cleanup(e.exchange.Close)
+	alone := []ident.Instance{e.self}
+	crowd := alone
+	for i := 0; e.view.Watcher(); i++ {
+		crowd = append(crowd, ident.Instance(rune('a'+i)))
+		e.view.SetPeers("a", e.self, crowd)
+	}
+	tests := []struct {
+		name string
+		live []ident.Instance
+		seen store.Version
+		want int
+	}{
+		{"watcher, change", alone, 5, maxNewsDigests},
+		{"watcher, no change", alone, 5, nearDigests},
+		{"watcher, another change", alone, 6, maxNewsDigests},
+		{"not a watcher", crowd, 7, nearDigests},
+		{"watcher, change told before", alone, 7, nearDigests},
+	}
+	for _, tc := range tests {
+		e.view.SetPeers("a", e.self, tc.live)
+		if got := e.nearDigestCount(tc.seen); got != tc.want {
+			t.Errorf("%s: got %d digests, want %d", tc.name, got, tc.want)
+		}
+	}
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -72,6 +72,7 @@
 	unreadable   map[string]store.Version // versions of upstream entries that could not be decoded, by store key
 	peers        map[ident.Instance]*peer
 	digestRound  int                  // number of times that digests were sent
+	toldVersion  store.Version        // store version in the last digests
 	farPeers     int                  // number of peers in other failure domains
 	refusedUntil map[uint64]time.Time // end of the refusal of a content proven here to crash engines, by fingerprint
 	restarts     []restart            // restarts of upstreams that this instance found recently
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -39,6 +39,10 @@
 const (
 	nearDigests = 4 // to peers of the own failure domain
 	farDigests  = 4 // to peers of other failure domains
+	// maxNewsDigests is the largest number of digests to peers of the own failure domain in a round
+	// before which a watcher has seen a change in the store. The peers ask it for the change, so they
+	// should not hear of it from one that knows it later.
+	maxNewsDigests = 24
 	// maxSingleTurnPeers is the number of peers up to which each round of digests goes to other
 	// peers than the last. With more peers, each gets several digests in a row, so that its
 	// connection stays in use. With fewer, opening new connections costs less than working with
@@ -191,13 +195,25 @@
 	e.farPeers = len(far)
 	e.digestRound++
 	turn := e.digestRound
+	nearCount := e.nearDigestCount(d.Seen)
 	e.mu.Unlock()
 	if len(far) > maxSingleTurnPeers {
 		d.InFlight = nil // too few of these loads would be known at a time
 	}
 	e.sendDigest(digestTargets(far, farDigests, turn), d)
 	d.InFlight, d.Prompts = loads, e.dispatcher.Prompts()
-	e.sendDigest(digestTargets(near, nearDigests, turn), d)
+	e.sendDigest(digestTargets(near, nearCount, turn), d)
+}
+
+// nearDigestCount returns the number of digests to peers of the own failure domain in a round with
+// the given store version. The caller holds e.mu.
+func (e *Edge) nearDigestCount(seen store.Version) int {
+	news := seen > e.toldVersion
+	e.toldVersion = seen
+	if news && e.view.Watcher() {
+		return maxNewsDigests
+	}
+	return nearDigests
 }
 
 func (e *Edge) sendDigest(to []ident.Instance, d digest) {
--- a/storeview/view.go
+++ b/storeview/view.go
@@ -27,7 +27,7 @@
 	Watchers        int           // watchers in a failure domain; 0 means 2
 	MaxAge          time.Duration // age of the knowledge from which an instance watches the store itself; 0 means 2s
 	CatchUpDelay    time.Duration // lag behind a peer after which a watcher asks for changes; 0 means 750ms
-	CatchUpInterval time.Duration // least time between two requests for changes; 0 means 300ms
+	CatchUpInterval time.Duration // least time between two requests for changes; 0 means 150ms
 }
 
 // Defaults of Settings.
@@ -35,7 +35,7 @@
 	defaultWatchers        = 2
 	defaultMaxAge          = 2 * time.Second
 	defaultCatchUpDelay    = 750 * time.Millisecond
-	defaultCatchUpInterval = 300 * time.Millisecond
+	defaultCatchUpInterval = 150 * time.Millisecond
 )
 
 // View is the knowledge that one instance has of the store. Times are uptimes of the machine,
