--- a/standinkeyvalue/store.go
+++ b/standinkeyvalue/store.go
@@ -1,8 +1,8 @@
 // Package standinkeyvalue simulates the platform's key-value service.
 //
 // It offers compare-and-swap, leases and watches, counts calls, and simulates
-// faults on request: outages, delays, rate limits, stale reads, and writes whose
-// answer is lost. A Store is used within the process, or over HTTP through a
+// faults on request: outages, delays, rate limits, stale reads, writes whose
+// answer is lost, and a restore from an older copy. A Store is used within the process, or over HTTP through a
 // Server.
 package standinkeyvalue
 
