--- a/standinkeyvalue/store.go
+++ b/standinkeyvalue/store.go
@@ -2,8 +2,8 @@
 //
 // It offers compare-and-swap, leases and watches, counts calls, and simulates
 // faults on request: outages, delays, rate limits, stale reads, writes whose
-// answer is lost, and a restore from an older copy. A Store is used within the process, or over HTTP through a
-// Server.
+// answer is lost, and a restore from an older copy. A Store is used within the
+// process, or over HTTP through a Server.
 package standinkeyvalue
 
 import (
