dispatch: failing test of streams cut while their engine pauses

Six scripts, none of which needs a configuration: a sound engine is silent for 1.2 s and goes on.

Scripted engines answer probes now; without that an engine that lives could not be told from one that died.

--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -33,6 +33,7 @@
 	script  []string
 	http    *httptest.Server
 	cluster *cluster
+	still   sync.RWMutex // locked while the engine answers nobody
 }
 
 // cluster is a set of engines and the configuration of the dispatcher that uses them.
@@ -53,10 +54,21 @@
 //	want RESULT        "200 BODY", "pieces 1-5", "cut 1-3", "refused NotRun" or "refused Unknown"
 //	request ENGINE ...     a request received by an engine, in order
 //
-// The commands of an engine are ok:BODY, status:N, refuse, replaced, drop, unsigned, and
-// stream:N-M:END, where END is whole, drop, drop-late (after minRunTime) or hang.
-func TestScripts(t *testing.T) {
-	names, err := filepath.Glob("testdata/*.txt")
+// The commands of an engine are ok:BODY, status:N, refuse, replaced, drop, unsigned,
+// still:N-M (the engine answers nobody for pauseTime, then streams), and stream:N-M:END,
+// where END is whole, drop, drop-late (after minRunTime), hang, pause-K (silence for
+// pauseTime, then the pieces up to K) or crash (after minRunTime the engine is gone).
+func TestScripts(t *testing.T) { runScripts(t, "testdata/*.txt") }
+
+// TestPauses guards against answers that are cut because a sound engine paused.
+func TestPauses(t *testing.T) { runScripts(t, "testdata/pauses/*.txt") }
+
+// pauseTime is how long a sound engine pauses.
+const pauseTime = 1200 * time.Millisecond
+
+func runScripts(t *testing.T, pattern string) {
+	t.Helper()
+	names, err := filepath.Glob(pattern)
 	if err != nil || len(names) == 0 {
 		t.Fatalf("scripts: got %v, %v, want some", names, err)
 	}
@@ -152,6 +164,8 @@
 }
 
 func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
+	e.still.RLock()
+	e.still.RUnlock()
 	if r.URL.Path != "/x" {
 		w.WriteHeader(http.StatusNotFound) // a probe or a copy
 		return
@@ -183,6 +197,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	case "drop":
 		panic(http.ErrAbortHandler)
+	case "still":
+		e.still.Lock()
+		<-time.After(pauseTime)
+		e.still.Unlock()
+		e.stream(w, r, rest+":whole")
 	case "stream":
 		e.stream(w, r, rest)
 	}
@@ -193,15 +212,22 @@
 	first, last, _ := strings.Cut(span, "-")
 	from, _ := strconv.Atoi(first)
 	to, _ := strconv.Atoi(last)
-	for i := from; i <= to; i++ {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, e.name)
-		_ = http.NewResponseController(w).Flush()
-	}
-	switch end {
-	case "drop-late":
+	e.writePieces(w, from, to)
+	kind, pause, _ := strings.Cut(end, "-")
+	switch kind {
+	case "pause":
+		<-time.After(pauseTime)
+		last, _ := strconv.Atoi(pause)
+		e.writePieces(w, to+1, last)
+	case "crash":
 		<-time.After(minRunTime)
+		_ = e.http.Listener.Close()
 		panic(http.ErrAbortHandler)
 	case "drop":
+		if pause == "late" {
+			<-time.After(minRunTime)
+			panic(http.ErrAbortHandler)
+		}
 		_, _ = fmt.Fprint(w, "id: 99\nda")
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
@@ -210,6 +236,13 @@
 	}
 }
 
+func (e *engine) writePieces(w http.ResponseWriter, from, to int) {
+	for i := from; i <= to; i++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, e.name)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
 func dash(s string) string {
 	if s == "" {
 		return "-"
@@ -236,6 +269,8 @@
 		NotRun:   func(_ int, h http.Header) bool { return h.Get("Not-Run") != "" },
 		Replaced: func(status int, _ http.Header) bool { return status == http.StatusMisdirectedRequest },
 		Signed:   func(h http.Header) bool { return h.Get("Signed") != "" },
+
+		ProbePath: "/probe",
 	}
 }
 
