dispatch: a silent engine has not crashed

What callers saw: a stream that met three silent engines in a row was cut with "the request has crashed as many engines as allowed", though all three lived.

Cause: each end of an attempt that may have run counted as a crash at once, also one by silence. The probe that would have excused the engine came 250 ms later and excused only the content, not the request.

Change: only a lost connection can be a crash, and it counts once a probe is refused. At the third possible crash the stream waits for the checks of all of them, at most half a second, before it goes on. A probe without an answer is no evidence any more, for the content either: engines whose process is gone refuse connections, paused ones and those behind a cut do not answer.

TestPauses/several-engines failed before ("cut 1-3", want "pieces 1-4") and passes; so does the new script connections-lost, whose three engines lose the connection and live. The script crashing-content stated that three lost connections are three crashes, which is this fault; its engines now really go down, and the stream must still be cut before a fourth engine. TestCrashingContent passes unchanged.

Left: streams that cannot go on elsewhere are still cut by silence (KNOWN-RED).

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -114,7 +114,8 @@
 	w           *work.Work
 	sends       int              // attempts, including those that cannot have arrived
 	runs        int              // attempts that may have run
-	crashes     int              // runs that were broken off, except those lost with a whole failure domain
+	crashes     int              // engines that crashed while they ran the request
+	crashChecks []<-chan bool    // results of the checks whether further lost engines crashed
 	uncounted   int              // part of sends that does not count towards Settings.MaxSends any more
 	exclude     []ident.Upstream // upstreams that are not tried again
 	requireIdle bool             // the request waits, with others, for the first upstreams that return
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -31,7 +31,7 @@
 	waiting, stop := context.WithCancel(ctx)
 	sub := d.timer.Every(probeInterval, func(now time.Time) {
 		go func() {
-			if waiting.Err() == nil && !d.probe(waiting, u, now) && waiting.Err() == nil {
+			if waiting.Err() == nil && d.probe(waiting, u, now) != nil && waiting.Err() == nil {
 				lost(errProbeFailed)
 			}
 		}()
@@ -42,14 +42,14 @@
 	}
 }
 
-// probe reports whether u answers a probe.
-func (d *Dispatcher) probe(ctx context.Context, u directory.Upstream, now time.Time) bool {
+// probe returns nil if u answers a probe.
+func (d *Dispatcher) probe(ctx context.Context, u directory.Upstream, now time.Time) error {
 	sent := d.timer.Uptime()
 	_, _, err := d.callUpstream(ctx, u.Address, http.MethodGet, d.protocol.ProbePath, nil, now.Add(probeTimeout))
 	if err == nil {
 		d.fleet.ReportAlive(u.ID, sent)
 	}
-	return err == nil
+	return err
 }
 
 // callUpstream makes a call that is not on behalf of a caller, and returns the status and
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -94,7 +94,10 @@
 			s.lostAt = end
 		}
 		if v.mayHaveRun {
-			d.recordCrash(&s.attempts, u, now, end)
+			d.recordCrash(&s.attempts, u, v, now, end)
+			if !d.awaitCrashChecks(ctx, &s.attempts) {
+				return nil, s.started, d.contextEnded(ctx, s)
+			}
 		}
 		if !w.Route.Repeatable() && s.runs > 0 {
 			return nil, s.started, d.refuse(&s.attempts, result.UpstreamFailed, "the stream was interrupted and must not be resumed")
