dispatch: silence alone never ends an answer

What callers saw: a stream was cut, or refused before its first piece, because its engine was silent for a second, where it could not go on at another engine: the attempts of the route used up, a route that is not resumable, no other upstream. The engine would have gone on.

Cause: relay left an engine at the limit of a pause, and probes left it after 250 ms without an answer, before anybody asked whether the stream may go on elsewhere.

Change: the decision is in patience. An engine that is silent beyond the limit is left at once if another upstream is in rotation, two more attempts are allowed and, once pieces have come, there is a copy to resume from; after 1.5 s if there is another upstream and one more attempt; else the stream waits until the connection or the time of the request ends. The time to read an answer is extended below net/http and the chunk reader, which keep their first error (Request.Extend). A line of the log and EnginesPaused tell of such waits.

--- a/dispatch/copy.go
+++ b/dispatch/copy.go
@@ -84,6 +84,13 @@
 	return true
 }
 
+// hasCopy reports whether there is a copy to resume the run from.
+func (k *copyManager) hasCopy() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.copy != nil
+}
+
 // release gives up the capacity reserved at the holder. k.mu must be held.
 func (k *copyManager) release(now time.Time) {
 	if k.holder.ID != "" {
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"crocuslug/directory"
@@ -21,17 +22,23 @@
 // answer a probe.
 var errProbeFailed = errors.New("the engine did not answer a probe")
 
-// withProbes returns a context that ends if u does not answer a probe. Probes are sent
-// periodically until the returned function is called.
-func (d *Dispatcher) withProbes(ctx context.Context, u directory.Upstream) (context.Context, context.CancelFunc) {
+// withProbes returns a context that ends when u is to be left because it does not answer probes.
+// Probes are sent periodically until the returned function is called.
+func (d *Dispatcher) withProbes(ctx context.Context, u directory.Upstream, p patience) (context.Context, context.CancelFunc) {
 	if d.protocol.ProbePath == "" {
 		return ctx, func() {}
 	}
 	probed, lost := context.WithCancelCause(ctx)
 	waiting, stop := context.WithCancel(ctx)
+	var answered atomic.Int64 // when the last probe that was answered was sent, in Unix nanoseconds
+	answered.Store(d.timer.Now().UnixNano())
 	sub := d.timer.Every(probeInterval, func(now time.Time) {
 		go func() {
-			if waiting.Err() == nil && d.probe(waiting, u, now) != nil && waiting.Err() == nil {
+			switch err := d.probe(waiting, u, now); {
+			case waiting.Err() != nil:
+			case err == nil:
+				answered.Store(max(answered.Load(), now.UnixNano()))
+			case p.beforeStart(time.Duration(now.UnixNano() - answered.Load())):
 				lost(errProbeFailed)
 			}
 		}()
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -164,8 +164,7 @@
 }
 
 func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
-	e.still.RLock()
-	e.still.RUnlock()
+	e.awaitStill()
 	if r.URL.Path != "/x" {
 		w.WriteHeader(http.StatusNotFound) // a probe or a copy
 		return
@@ -236,6 +235,12 @@
 	}
 }
 
+// awaitStill waits until the engine answers again.
+func (e *engine) awaitStill() {
+	e.still.RLock()
+	defer e.still.RUnlock()
+}
+
 func (e *engine) writePieces(w http.ResponseWriter, from, to int) {
 	for i := from; i <= to; i++ {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, e.name)
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -32,6 +32,10 @@
 	lostAt    time.Time      // when the attempt was lost that delivered the last piece; zero while the stream runs
 	waiting   bool           // the stream waits or has waited for an upstream since the loss
 	whole     *Reply         // answer that is not a stream, to be returned whole
+
+	gotPiece    bool      // the current attempt has received a piece
+	pausing     bool      // its engine is silent for longer than the limit, and the stream waits
+	lastPieceAt time.Time // when it received the last piece; its start before that
 }
 
 // errCallerWrite marks a failure to write to the caller.
@@ -217,8 +221,11 @@
 	d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Uint64("Revision", u.Revision.Revision()).Str("UpstreamDomain", string(u.Domain)).Int("Attempt", s.sends).
 		Uint64("After", s.lastPiece).Bool("FromCopy", from != nil).Str("CopyTo", attempt.CopyTo).Msg("stream sent")
 	r := d.exchangeRequest(w, &attempt)
+	p := d.newPatience(s, u.ID)
+	s.lastPieceAt, s.gotPiece, s.pausing = now, false, false
 	r.AnswerBy = now.Add(s.gaps.FirstTimeout())
-	ctx, answered := d.withProbes(ctx, u)
+	r.Extend = func() time.Time { return d.extend(s, p) }
+	ctx, answered := d.withProbes(ctx, u, p)
 	defer answered()
 	ans, err := d.client.Do(ctx, u.Address, r)
 	if from == nil {
@@ -236,7 +243,27 @@
 	if ans.Status != http.StatusOK {
 		return d.readWhole(s, ans)
 	}
-	return d.relay(ctx, s, u.ID, ans, now)
+	return d.relay(ctx, s, u.ID, ans)
+}
+
+// extend returns until when the stream waits for an engine that has been silent for as long as
+// it may be, or zero if the stream leaves the engine.
+func (d *Dispatcher) extend(s *stream, p patience) time.Time {
+	now := d.timer.Now()
+	silent, leaves := now.Sub(s.lastPieceAt), p.beforeStart
+	if s.gotPiece {
+		leaves = p.midway
+	}
+	if leaves(silent) {
+		return time.Time{}
+	}
+	if !s.pausing {
+		s.pausing = true
+		d.meters.Count("EnginesPaused", 1)
+		d.log.Info().Str("Request", string(s.w.ID)).Str("Upstream", string(s.upstream)).Int("Attempt", s.sends).Uint64("LastPiece", s.lastPiece).
+			Dur("SilentMs", silent).Bool("MayMove", p.mayMove).Bool("Early", p.early).Bool("HasCopy", p.hasCopy()).Msg("stream waits for its silent engine")
+	}
+	return now.Add(silenceCheckInterval)
 }
 
 // readWhole reads an answer that is not a stream.
@@ -254,14 +281,13 @@
 }
 
 // relay passes pieces to the caller as they arrive.
-func (d *Dispatcher) relay(ctx context.Context, s *stream, id ident.Upstream, ans *exchange.Answer, began time.Time) (sendFailure, bool) {
+func (d *Dispatcher) relay(ctx context.Context, s *stream, id ident.Upstream, ans *exchange.Answer) (sendFailure, bool) {
 	r := pieces.New(ans)
 	limit := s.gaps.FirstTimeout()
-	lastPieceAt := began
 	lastAlive := d.timer.Uptime()
 	defer func() { d.fleet.ReportAlive(id, lastAlive) }()
-	for first := true; ; first = false {
-		ans.SetReadDeadline(lastPieceAt.Add(limit))
+	for {
+		ans.SetReadDeadline(s.lastPieceAt.Add(limit))
 		p, err := r.Next()
 		now := d.timer.Now()
 		if err == io.EOF {
@@ -269,16 +295,16 @@
 		}
 		if err != nil {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
-				return sendFailure{outcome: fleet.Failed, mayHaveRun: true, cause: silent, reason: "no data for " + now.Sub(lastPieceAt).String()}, false
+				return sendFailure{outcome: fleet.Failed, mayHaveRun: true, cause: silent, reason: "no data for " + now.Sub(s.lastPieceAt).String()}, false
 			}
 			return sendFailure{outcome: fleet.Failed, mayHaveRun: true, cause: broken, reason: err.Error()}, false
 		}
-		if first {
-			d.fleet.ReportStreamStart(id, now)
+		if s.gotPiece {
+			s.gaps.ObserveGap(now.Sub(s.lastPieceAt))
 		} else {
-			s.gaps.ObserveGap(now.Sub(lastPieceAt))
+			d.fleet.ReportStreamStart(id, now)
 		}
-		lastPieceAt, lastAlive = now, d.timer.Uptime()
+		s.gotPiece, s.pausing, s.lastPieceAt, lastAlive = true, false, now, d.timer.Uptime()
 		limit = min(s.gaps.GapTimeout(), s.maxGap)
 		if v, ok := d.deliver(s, ans, p); !ok {
 			return v, false
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -24,10 +24,11 @@
 // Settings configures a Dispatcher. Zero fields take the defaults.
 type Settings struct {
 	MaxSends          int           // attempts to send one request, including those that cannot have arrived; 0 means 8
-	FirstPieceTimeout time.Duration // wait for the first piece after which an engine counts as lost; 0 means 6s
-	GapShare          float64       // fraction of the longest pause of the route after which a silent engine counts as lost; 0 means 0.55
+	FirstPieceTimeout time.Duration // wait for the first piece after which an engine is left for another; 0 means 6s
+	GapShare          float64       // fraction of the longest pause of the route after which a silent engine is left for another; 0 means 0.55
 	MaxGapShare       float64       // same fraction for an engine that was slow before; 0 means 0.75
-	DefaultGap        time.Duration // wait after which a silent engine counts as lost if the route sets no longest pause; 0 means 1s
+	DefaultGap        time.Duration // wait after which a silent engine is left if the route sets no longest pause; 0 means 1s
+	MaxPause          time.Duration // silence of an engine after which a stream is resumed elsewhere though no copy or only one attempt is left; 0 means 1.5s
 	AttemptShare      float64       // fraction of the remaining time that one attempt may take if more are allowed; 0 means 0.5
 	MinRemaining      time.Duration // least remaining time with which a request is sent; 0 means 5ms
 	MaxBacklog        time.Duration // reading time of the prompts at an upstream up to which a new stream is sent there without queueing; 0 means 1.5s
@@ -47,6 +48,7 @@
 	defaultGapShare          = 0.55            // the rest of the pause is needed to resume from a copy, up to 300 ms on a busy engine
 	defaultMaxGapShare       = 0.75            // resuming from a copy mostly takes less than 100 ms
 	defaultGap               = time.Second
+	defaultMaxPause          = 1500 * time.Millisecond // sound engines pause for about a second
 	defaultAttemptShare      = 0.5
 	defaultMinRemaining      = 5 * time.Millisecond
 	defaultMaxBacklog        = 1500 * time.Millisecond // the answer to a prompt of the usual size sent then begins within 3 s, before the usual objective
@@ -66,6 +68,7 @@
 	unit.SetDefault(&cfg.GapShare, defaultGapShare)
 	unit.SetDefault(&cfg.MaxGapShare, defaultMaxGapShare)
 	unit.SetDefault(&cfg.DefaultGap, defaultGap)
+	unit.SetDefault(&cfg.MaxPause, defaultMaxPause)
 	unit.SetDefault(&cfg.AttemptShare, defaultAttemptShare)
 	unit.SetDefault(&cfg.MinRemaining, defaultMinRemaining)
 	unit.SetDefault(&cfg.MaxBacklog, defaultMaxBacklog)
--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -66,6 +66,7 @@
 	a.closed = true
 	running := a.stop()
 	a.cn.setReadDeadline(time.Time{})
+	a.cn.extend = nil
 	if running && a.bodyRead && a.reusable() {
 		a.client.putIdle(a.cn, a.Header)
 		return
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -42,6 +42,7 @@
 	}
 	stop := context.AfterFunc(ctx, cn.abort)
 	cn.setReadDeadline(r.AnswerBy)
+	cn.extend = r.Extend
 	sent := cn.written.Load()
 	sending := &requestWrite{done: make(chan struct{})}
 	go func() {
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -42,14 +44,15 @@
 	bw          *bufio.Writer
 	headLimit   *io.LimitedReader // source of br; bounds the head of an answer
 	maxHeader   int64
-	written     atomic.Int64 // bytes passed to the kernel
+	written     atomic.Int64     // bytes passed to the kernel
+	extend      func() time.Time // Request.Extend of the exchange in progress; nil if there is none
 	idleSince   time.Time
 	idleTimeout time.Duration // how long the connection may stay idle
 }
 
 func newConn(nc net.Conn, address string, cfg Settings) *conn {
 	cn := &conn{Conn: nc, address: address, maxHeader: int64(cfg.MaxHeader)}
-	cn.headLimit = &io.LimitedReader{R: nc, N: unlimited}
+	cn.headLimit = &io.LimitedReader{R: patientReader{cn}, N: unlimited}
 	cn.br = bufio.NewReaderSize(cn.headLimit, readBuffer)
 	cn.bw = bufio.NewWriterSize(countingWriter{cn}, writeBuffer)
 	return cn
@@ -73,6 +76,25 @@
 	return n, err
 }
 
+// patientReader reads from the connection. The readers above it keep the first error that they get,
+// so a read deadline is extended here.
+type patientReader struct{ cn *conn }
+
+// Read reads from the connection until its read deadline passes and is not extended.
+func (p patientReader) Read(b []byte) (int, error) {
+	for {
+		n, err := p.cn.Conn.Read(b)
+		if n > 0 || p.cn.extend == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		until := p.cn.extend()
+		if until.IsZero() {
+			return n, err
+		}
+		p.cn.setReadDeadline(until)
+	}
+}
+
 func (cn *conn) write(r *Request) error {
 	if err := writeHead(cn.bw, r); err != nil {
 		return err
--- a/exchange/types.go
+++ b/exchange/types.go
@@ -19,6 +19,10 @@
 
 	// AnswerBy is the time by which the head of the answer must arrive; zero means no bound.
 	AnswerBy time.Time
+	// Extend is called when AnswerBy or the read deadline of the body has passed without data, and
+	// returns the time until which to wait on, or zero to give up. It is called from the goroutine
+	// that reads the answer and may be nil, which means to give up.
+	Extend func() time.Time
 	// Fresh asks for a new connection, or one that was in use within Settings.FreshTime.
 	Fresh bool
 	// IsAnswer reports from the header of an answer whether it answers this request. If it is nil,
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -201,6 +201,21 @@
 	return f.upstreams[d.Upstream], routing.Send
 }
 
+// HasOther reports whether a service has an upstream in rotation that is not in exclude and
+// does not leave.
+func (f *Fleet) HasOther(service ident.Service, exclude []ident.Upstream) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g, ok := f.services[service]
+	if !ok {
+		return false
+	}
+	return slices.ContainsFunc(g.list, func(u directory.Upstream) bool {
+		_, replaced := f.replaced[u.ID]
+		return !replaced && !u.Draining && !g.tracker.Out(u.ID) && !slices.Contains(exclude, u.ID)
+	})
+}
+
 // Ready reports whether an upstream of the service can accept a waiting request now.
 func (f *Fleet) Ready(service ident.Service, now time.Time) bool {
 	f.mu.Lock()
