exchange: a paused upstream does not break a request that it has not read

What callers saw: a request ended as failed after 0.6 s because a sound upstream paused before it had read a body larger than the buffers of the connection. Where it must not be repeated nothing else could answer it.

Cause: AckTimeout, 600 ms, sets TCP_USER_TIMEOUT, which also bounds how long the window of the peer may stay closed. It was meant for peers that are gone.

Change: 2 s, the time within which keepAlive detects such a peer on an idle connection. Requests that may be repeated have their own shorter limits.

TestPausedReader failed before after 1.02 s ("exchange broken: unexpected EOF") and passes with a pause of 1.2 s.

--- a/exchange/types.go
+++ b/exchange/types.go
@@ -40,7 +40,7 @@
 // Settings of a Client. The zero value takes the defaults.
 type Settings struct {
 	DialTimeout time.Duration // limit for opening a connection; 0 means 250ms
-	AckTimeout  time.Duration // limit for data to be acknowledged before the connection is closed; 0 means 600ms
+	AckTimeout  time.Duration // limit for data to be acknowledged before the connection is closed; 0 means 2s
 	IdleTimeout time.Duration // how long an idle connection is kept if the upstream names no time; 0 means 3s
 	FreshTime   time.Duration // longest idle time of a connection that counts as recently used; 0 means 500ms
 	MaxIdle     int           // idle connections kept to each upstream; 0 means 32
@@ -51,7 +51,7 @@
 // Defaults of Settings.
 const (
 	defaultDialTimeout = 250 * time.Millisecond // many times a handshake with a busy upstream in another failure domain
-	defaultAckTimeout  = 600 * time.Millisecond // three TCP retransmissions at the minimum time-out of 200 ms
+	defaultAckTimeout  = 2 * time.Second        // a sound upstream may pause for a second without reading, and keepAlive takes as long
 	defaultIdleTimeout = 3 * time.Second        // below the smallest idle time-out in common use, 5 s
 	defaultFreshTime   = 500 * time.Millisecond
 	defaultMaxIdle     = 32
