ingress: an answer without chunks that is broken off ends with a reset

What callers saw: an HTTP/1.0 caller got the first events of a stream that was cut, and an orderly end of the connection, which is how a whole answer ends there.

Cause: an answer to HTTP/1.0 has neither a length nor chunks, and every connection was closed in the same way. Answers in chunks were not affected: a cut one has no last chunk, which TestCutInChunks now asserts.

The connection is set to reset when it is closed from Begin on, and to end in order again in End. So it also holds when the process ends.

TestCutWithoutChunks failed before, for each way to end early, with and without Connection: keep-alive:

/cut "": got end <nil> of "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\none", want cut true /failed "": got end <nil> of "...one", want cut true /process-ended "": got end <nil> of "...one", want cut true

--- a/ingress/call.go
+++ b/ingress/call.go
@@ -48,7 +48,8 @@
 	return nil
 }
 
-// Begin starts an answer that is written piece by piece.
+// Begin starts an answer that is written piece by piece. To an HTTP/1.0 caller it ends with the
+// connection, which is reset if it ends before End, also by the end of the process.
 func (c *Call) Begin(status int, h http.Header) error {
 	if c.started {
 		return errAnswerEnded
@@ -59,6 +60,7 @@
 	if !c.chunked {
 		framing = ""
 		c.conn.closing = true
+		c.conn.resetAtClose(true)
 	}
 	c.conn.setWriteTimeout()
 	return c.writeHead(c.conn.bw, status, h, framing)
@@ -100,6 +102,9 @@
 	if err := c.conn.bw.Flush(); err != nil {
 		return err
 	}
+	if !c.chunked {
+		c.conn.resetAtClose(false)
+	}
 	c.complete = true
 	return nil
 }
--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -260,3 +260,14 @@
 func (c *connection) setWriteTimeout() {
 	_ = c.SetWriteDeadline(c.server.timer.Now().Add(c.server.cfg.WriteTimeout)) // fails only on a closed connection
 }
+
+// resetAtClose sets whether closing the connection resets it, which discards data that was not sent.
+func (c *connection) resetAtClose(reset bool) {
+	linger := -1 // the default of the system
+	if reset {
+		linger = 0
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(linger) // fails only on a closed connection
+	}
+}
