ingress: a kept connection is announced to HTTP/1.0 callers

What callers saw: an answer to an HTTP/1.0 request with Connection: keep-alive named no keep-alive, though the connection stayed open. Such a caller waits for the end of the connection, up to its idle time.

The answer now names it; RFC 9112, 9.3, makes both sides say it.

TestKeptConnectionOfHTTP10 failed before:

Connection: got "", want "keep-alive"

--- a/ingress/call.go
+++ b/ingress/call.go
@@ -124,8 +124,11 @@
 	if err := h.Write(w); err != nil {
 		return err
 	}
-	if c.conn.closing {
+	switch {
+	case c.conn.closing:
 		framing += "Connection: close\r\n"
+	case !c.Request.ProtoAtLeast(1, 1):
+		framing += "Connection: keep-alive\r\n" // the caller asked for it; it would expect the end otherwise
 	}
 	_, err := w.WriteString(framing + "\r\n")
 	return err
--- a/ingress/framing_test.go
+++ b/ingress/framing_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -79,3 +80,33 @@
 		}
 	}
 }
+
+// TestKeptConnectionOfHTTP10 guards against HTTP/1.0 callers that wait for the end of a connection
+// that stays open: without Connection: keep-alive in the answer they must take it as its end.
+func TestKeptConnectionOfHTTP10(t *testing.T) {
+	s := startServer(t, echo)
+	c, err := net.Dial("tcp", s.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for _, target := range []string{"/a", "/b"} {
+		_, _ = io.WriteString(c, "GET "+target+" HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n")
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		res, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(res.Body)
+		if got, want := string(body), "GET "+target+" "; got != want || err != nil {
+			t.Errorf("body: got %q, %v, want %q", got, err, want)
+		}
+		if got, want := res.Header.Get("Connection"), "keep-alive"; got != want {
+			t.Errorf("Connection: got %q, want %q", got, want)
+		}
+	}
+	if got, err := readAll(t, s, "GET /a HTTP/1.0\r\nHost: h\r\n\r\n"); err != nil || !strings.Contains(got, "Connection: close\r\n") {
+		t.Errorf("without keep-alive: got %q, %v, want Connection: close and an orderly end", got, err)
+	}
+}
