ingress: an answer in pieces to HEAD has no body

What a caller would have seen: chunks after the head of an answer to HEAD, which it takes for its next answer on the connection. No stream answers HEAD today, because upstreams send no event for it and the stream then fails; the connection must not depend on that.

TestHeadInPieces failed before:

got "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\none \r\n3\r\ntwo\r\n0\r\n\r\nHTTP/1.1 200 OK\r\n...", want two heads and no other bytes

--- a/ingress/call.go
+++ b/ingress/call.go
@@ -36,7 +36,7 @@
 	if err := c.writeHead(w, status, h, "Content-Length: "+strconv.Itoa(len(body))+"\r\n"); err != nil {
 		return err
 	}
-	if c.Request.Method != http.MethodHead {
+	if !c.headOnly() {
 		if _, err := w.Write(body); err != nil {
 			return err
 		}
@@ -66,9 +66,12 @@
 	return c.writeHead(c.conn.bw, status, h, framing)
 }
 
-// Piece writes and flushes one part of the answer.
+// headOnly reports whether the answer consists of its head.
+func (c *Call) headOnly() bool { return c.Request.Method == http.MethodHead }
+
+// Piece writes and flushes one part of the answer. To a HEAD request it writes nothing.
 func (c *Call) Piece(b []byte) error {
-	if c.complete || len(b) == 0 {
+	if c.complete || len(b) == 0 || c.headOnly() {
 		return nil
 	}
 	w := c.conn.bw
@@ -94,7 +97,7 @@
 // the handler, so that the caller sees that the answer is incomplete.
 func (c *Call) End() error {
 	c.conn.setWriteTimeout()
-	if c.chunked {
+	if c.chunked && !c.headOnly() {
 		if _, err := c.conn.bw.WriteString("0\r\n\r\n"); err != nil {
 			return err
 		}
--- a/ingress/framing_test.go
+++ b/ingress/framing_test.go
@@ -110,3 +110,14 @@
 		t.Errorf("without keep-alive: got %q, %v, want Connection: close and an orderly end", got, err)
 	}
 }
+
+// TestHeadInPieces guards against a body after the head of an answer to HEAD: its bytes would be
+// taken for the next answer on the connection.
+func TestHeadInPieces(t *testing.T) {
+	s := startServer(t, echo)
+	got, _ := readAll(t, s, "HEAD /pieces HTTP/1.1\r\nHost: h\r\n\r\nHEAD /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+	heads := strings.SplitAfter(got, "\r\n\r\n")
+	if len(heads) != 3 || heads[2] != "" || !strings.HasPrefix(heads[1], "HTTP/1.1 200 ") {
+		t.Errorf("got %q, want two heads and no other bytes", got)
+	}
+}
