dispatch: scripts of answers that end with their connection

A stream that closes between events is complete, one that closes inside an event or is reset goes on at another engine, or is cut where it may not. A whole answer is complete after a close and not after a reset. With HTTP/1.1 and 1.0, with and without Connection: keep-alive. All passed at once.

Seen failing with pieces.Partial replaced by io.EOF: unframed-stream-not-resumable: got "pieces 1-3", want "cut 1-3" unframed-stream-inside: got "pieces 1-3", want "pieces 1-7" and with a failed read taken for the end of the body in exchange: unframed-stream-reset: got "pieces 1-3", want "pieces 1-7" unframed-answer: got "200 one", want "200 three" unframed-answer-unsafe: got "200 one", want "refused Unknown"

--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -54,7 +54,8 @@
 //	request ENGINE ...     a request received by an engine, in order
 //
 // The commands of an engine are ok:BODY, status:N, refuse, replaced, drop, unsigned, and
-// stream:N-M:END, where END is whole, drop, drop-late (after minRunTime) or hang.
+// stream:N-M:END, where END is whole, drop, drop-late (after minRunTime) or hang; and bare, see
+// engine.bare.
 func TestScripts(t *testing.T) {
 	names, err := filepath.Glob("testdata/*.txt")
 	if err != nil || len(names) == 0 {
@@ -185,6 +186,8 @@
 		panic(http.ErrAbortHandler)
 	case "stream":
 		e.stream(w, r, rest)
+	case "bare":
+		e.bare(w, r, rest)
 	}
 }
 
