exchange: bodies in memory are bounded over all answers

What instances saw: an answer could take 64 MiB and, while its buffer grew, three times that; several upstreams that send bytes without end took what the machine has, and an instance has 284 MB. A Content-Length alone took as much, before a byte of the body had come.

Cause: Settings.MaxBody bounds one answer; nothing bounded all of them.

Memory is now taken in parts as the body arrives and counted over all answers of a client. Beyond Settings.MaxBuffered the answer that holds the most is broken off, so sound answers beside endless ones are not. One body of 64 MiB still passes (TestGreatestBody).

Ruled out: to break off whichever answer asks for more, since sound ones would then fail as long as endless ones last (TestSoundBesideEndless); with that, TestBuffers said "take c 20 = a 50: got "c 90"".

TestEndlessTogether and TestClaimedLength failed before, with 8 answers at once and without the race detector:

body_without_length: heap: got 618 MiB, want at most 142 MiB body_with_a_length: heap: got 686 MiB, want at most 142 MiB chunk: heap: got 719 MiB, want at most 142 MiB chunks: heap: got 784 MiB, want at most 142 MiB TestClaimedLength: heap: got 401 MiB, want at most 142 MiB

TestEndless, that an exchange ends for each kind of bytes without end, passed before.

Left: a body that was read whole is held until its caller has taken it, uncounted.

--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -1,9 +1,9 @@
 package exchange
 
 import (
-	"bytes"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -19,6 +19,7 @@
 	client   *Client
 	stop     func() bool // stops the close of the connection at the end of the context
 	sending  *requestWrite
+	memory   hold
 	bodyRead bool // the body was read to its end
 	closed   bool
 }
@@ -35,21 +36,54 @@
 	return n, err
 }
 
+// Reserve counts n bytes more of the body as held in memory by the caller, until Close. It returns
+// an error of class Broken if the answer was broken off because the bodies in memory exceed
+// Settings.MaxBuffered.
+func (a *Answer) Reserve(n int64) error { return a.client.buffers.take(&a.memory, n) }
+
 // ReadBody returns the complete body. It returns an error if the body is incomplete or larger than
-// Settings.MaxBody.
+// Settings.MaxBody, or if Reserve does.
 func (a *Answer) ReadBody() ([]byte, error) {
-	var b bytes.Buffer
-	if a.Length > 0 {
-		b.Grow(int(min(a.Length, a.client.cfg.MaxBody)))
+	var parts [][]byte
+	var size int64
+	for !a.bodyRead {
+		if size > a.client.cfg.MaxBody || a.Length > a.client.cfg.MaxBody {
+			return nil, Broken.New("answer has more than %d bytes", a.client.cfg.MaxBody)
+		}
+		n := a.nextPart(size)
+		if err := a.Reserve(n); err != nil {
+			return nil, err
+		}
+		part := make([]byte, n)
+		got, err := io.ReadFull(a, part)
+		if err != nil && !a.bodyRead {
+			return nil, err
+		}
+		parts = append(parts, part[:got])
+		size += int64(got)
 	}
-	n, err := b.ReadFrom(io.LimitReader(a, a.client.cfg.MaxBody+1))
-	if err != nil {
-		return nil, err
+	if len(parts) == 1 {
+		return parts[0], nil
 	}
-	if n > a.client.cfg.MaxBody {
-		return nil, Broken.New("answer has more than %d bytes", a.client.cfg.MaxBody)
+	return slices.Concat(parts...), nil
+}
+
+// Sizes in bytes of the parts in which a body is read. Memory is taken for what has arrived and one
+// part more, whatever the length that the answer names.
+const (
+	firstPart   = 4 << 10  // of a body without a length
+	trustedPart = 64 << 10 // of a body with a length
+	maxPart     = 1 << 20
+)
+
+// nextPart returns how many bytes to read after size bytes of the body.
+func (a *Answer) nextPart(size int64) int64 {
+	first, rest := int64(firstPart), a.client.cfg.MaxBody+1-size
+	if a.Length >= 0 {
+		first, rest = trustedPart, a.Length-size
 	}
-	return b.Bytes(), nil
+	const least = 1 // shows the end of the body
+	return max(least, min(max(first, size), maxPart, rest))
 }
 
 // SetReadDeadline sets the time at which reading the body fails; zero means never.
@@ -65,8 +99,9 @@
 	}
 	a.closed = true
 	running := a.stop()
+	lost := a.client.buffers.release(&a.memory)
 	a.cn.setReadDeadline(time.Time{})
-	if running && a.bodyRead && a.reusable() {
+	if running && !lost && a.bodyRead && a.reusable() {
 		a.client.putIdle(a.cn, a.Header)
 		return
 	}
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -19,13 +19,16 @@
 	timer *timer.Service
 	dials atomic.Uint64
 
+	buffers *buffers
+
 	mu   sync.Mutex
 	idle map[string][]*conn // by address, the most recently used last
 }
 
 // New returns a client that takes the time from t.
 func New(cfg Settings, t *timer.Service) *Client {
-	return &Client{cfg: cfg.withDefaults(), timer: t, idle: make(map[string][]*conn)}
+	cfg = cfg.withDefaults()
+	return &Client{cfg: cfg, timer: t, buffers: newBuffers(cfg.MaxBuffered), idle: make(map[string][]*conn)}
 }
 
 // Dials returns the number of connections that the client has tried to open.
@@ -67,6 +70,7 @@
 		client:  c,
 		stop:    stop,
 		sending: sending,
+		memory:  hold{abort: cn.abort},
 	}, nil
 }
 
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -130,6 +130,11 @@
 func exchangeResult(ctx context.Context, c *Client, address, id string) string {
 	r := newRequest(id)
 	r.AnswerBy = time.Now().Add(5 * time.Second)
+	return result(ctx, c, address, r)
+}
+
+// result makes an exchange and returns the status and body, or the class of the error.
+func result(ctx context.Context, c *Client, address string, r *Request) string {
 	ans, err := c.Do(ctx, address, r)
 	if err != nil {
 		return errorClass(err)
--- a/exchange/types.go
+++ b/exchange/types.go
@@ -42,6 +42,7 @@
 	MaxIdle     int           // idle connections kept to each upstream; 0 means 32
 	MaxHeader   int           // size of the head of an answer in bytes; 0 means 64 KiB
 	MaxBody     int64         // size of a complete body in bytes; 0 means 64 MiB
+	MaxBuffered int64         // size in bytes of all bodies that are being read into memory; 0 means 68 MiB
 }
 
 // Defaults of Settings.
@@ -53,6 +54,7 @@
 	defaultMaxIdle     = 32
 	defaultMaxHeader   = 64 << 10
 	defaultMaxBody     = 64 << 20
+	defaultMaxBuffered = defaultMaxBody + 4<<20 // one body of the greatest size and some small ones
 )
 
 func (cfg Settings) withDefaults() Settings {
@@ -63,5 +65,6 @@
 	unit.SetDefault(&cfg.MaxIdle, defaultMaxIdle)
 	unit.SetDefault(&cfg.MaxHeader, defaultMaxHeader)
 	unit.SetDefault(&cfg.MaxBody, defaultMaxBody)
+	unit.SetDefault(&cfg.MaxBuffered, defaultMaxBuffered)
 	return cfg
 }
