exchange: a connection is kept however early its answer is read

What upstreams saw: a new connection where the former one could have been used. An answer can be read completely before the goroutine that wrote the request has noted that it is written; Answer.Close then took the request for unsent and closed the connection.

--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -117,12 +117,7 @@
 	if a.Length < 0 && !chunked(a.res.TransferEncoding) {
 		return false
 	}
-	select {
-	case <-a.sending.done:
-		return a.sending.err == nil
-	default:
-		return false // the upstream answered before it read the whole request
-	}
+	return a.sending.stop(a.cn) == nil // the upstream may answer before it reads the whole request
 }
 
 // chunked reports whether the body ends by its last chunk.
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"crocuslug/timer"
 )
@@ -81,6 +82,16 @@
 	err  error // valid once done is closed
 }
 
+// stop ends a write in progress and returns its error, which is nil if the whole request was written.
+// After that the connection can be written to again.
+func (w *requestWrite) stop(cn *conn) error {
+	const past = 1 // Unix time
+	_ = cn.SetWriteDeadline(time.Unix(past, 0)) // fails only on a closed connection, and then the write fails too
+	<-w.done
+	_ = cn.SetWriteDeadline(time.Time{})
+	return w.err
+}
+
 // readAnswerHead reads the head of the answer to r. It skips interim answers and answers to other
 // requests.
 func (c *Client) readAnswerHead(cn *conn, r *Request) (*http.Response, error) {
