--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -57,7 +57,8 @@
 // The commands of an engine are ok:BODY, status:N, refuse, replaced, drop, unsigned,
 // still:N-M (the engine answers nobody for pauseTime, then streams), and stream:N-M:END,
 // where END is whole, drop, drop-late (after minRunTime), hang, pause-K (silence for
-// pauseTime, then the pieces up to K) or crash (after minRunTime the engine is gone).
+// pauseTime, then the pieces up to K) or crash (after minRunTime the engine is gone); and
+// bare, see engine.bare.
 func TestScripts(t *testing.T) { runScripts(t, "testdata/*.txt") }
 
 // TestPauses guards against answers that are cut because a sound engine paused.
@@ -203,6 +204,8 @@
 		e.stream(w, r, rest+":whole")
 	case "stream":
 		e.stream(w, r, rest)
+	case "bare":
+		e.bare(w, r, rest)
 	}
 }
 
