standinsite: scripts with engines that pause and go on

A sound engine may fall silent for a second or so and go on; that is no fault of it and no reason to end an answer. Each answer has to be whole, without a reconnect of its caller.

--- a/standinsite/script_test.go
+++ b/standinsite/script_test.go
@@ -32,9 +32,10 @@
 //	prompt TEXT                                of the requests from now on
 //	refuses DOMAIN                             waits until all instances there have heard of a verdict
 //	sees DOMAIN STATE DOMAIN                   waits until all of the first are so to all of the second
+//	pause engine WHAT DURATION                 freezes an engine for a time, also as DO
 //
 // DO is one of the cases of do; WHAT is "serving" for the engine, instance or
-// replica of the first answer, or a number.
+// replica of the first answer, "all" for all engines, or a number.
 type script struct {
 	t       *testing.T
 	site    *Site
@@ -99,6 +100,8 @@
 		s.site.HealBetween()
 	case "sees":
 		s.sees(ident.Domain(words[1]), membership.State(words[2]), ident.Domain(words[3]))
+	case "pause":
+		s.pause(words)
 	case "want":
 		s.want(words[1:])
 	default:
@@ -224,6 +227,9 @@
 		s.site.CutBetween(ident.Domain(words[1]), ident.Domain(words[2]))
 		return true
 	}
+	if words[0] == "pause" && words[1] == "engine" {
+		return s.pause(words)
+	}
 	n := s.serving(words)
 	if n < 0 {
 		return false
@@ -256,6 +262,27 @@
 	return true
 }
 
+// pause freezes the engines that words name for a time, and reports whether there was one.
+func (s *script) pause(words []string) bool {
+	d, err := time.ParseDuration(words[3])
+	if err != nil {
+		s.t.Errorf("script: pause: got %v, want a duration", err)
+	}
+	engines := s.site.Engines
+	if words[2] != "all" {
+		n := s.serving(words)
+		if n < 0 {
+			return false
+		}
+		engines = engines[n : n+1]
+	}
+	for _, e := range engines {
+		e.Freeze()
+		time.AfterFunc(d, e.Thaw)
+	}
+	return true
+}
+
 // serving returns the number of the engine or instance that words name, or -1.
 func (s *script) serving(words []string) int {
 	if n, err := strconv.Atoi(words[2]); err == nil {
