generation: do not count the silence of engines as failures

What callers saw: an answer ended with 301, "too many engines failed while generating the answer", though no engine had failed.

Cause: engineLost counted every engine that an answer left towards MaxEngineLosses, and an engine is left after about 0.4 s without a token or an answer to the probe. Nine pauses of sound engines ended an answer of any length; with engines that stay silent it ended after 16.6 s instead of the 20 s of ResumeTimeout.

Change: only failures with evidence count (a broken connection or a lost stream on which the engine did not go on, and an engine that cannot continue). The setting is MaxEngineFailures now. Silence ends an answer once ResumeTimeout has passed since its last token; the limit is checked at each loss, so a long list of silent engines does not extend it.

Ruled out: that silence reaches suspect. ReportFailure was and is not called for it, and suspect counts nothing else.

Seen failing before, on:

TestPausesDoNotEndAnswer: pause 9: got result 301 GenerationLost: too many engines failed while generating the answer, want none TestSilentEnginesEndAnswer: end after the last token: got 16.58s, want 20s to 24s TestScripts/engine-pauses-often: got whole false, 301 GenerationLost: too many engines failed while generating the answer, want a whole answer; got 46 tokens, want 60

After: generation, daemon and standinsite pass with the race detector. From reading, the baseline of measure, which sets the limit to -1, still ends an answer at the first failure; measure was not run.

--- a/generation/loss.go
+++ b/generation/loss.go
@@ -60,28 +60,42 @@
 	return maxProbesGap
 }
 
-// engineLost abandons the engine and selects another. The engine is reported as failed only
-// if it is known to have stopped or to have lost the stream: one that merely does not answer
-// may be unreachable from here, and its requests must not be blamed.
+// engineLost abandons the engine and selects another. The engine is reported and counted as
+// failed only if it is known to have stopped or to have lost the stream: one that merely does
+// not answer may have paused or be unreachable from here, and its requests must not be blamed.
 func (m *Machine) engineLost(now time.Time, c LossCause) []Action {
 	if c == ConnectionRefused && m.phase != probing {
 		return m.switchEngine(now) // the request was not sent, so no work was lost
 	}
-	var acts []Action
-	if c != ResponseTimeout && c != TokenTimeout {
-		acts = append(acts, Action{Kind: ReportFailure, Upstream: m.engine})
-	}
+	m.engineLosses++
 	if c == ResponseTimeout || c == TokenTimeout {
-		acts = append(acts, m.cancelStream()...)
+		return m.engineSilent(now)
 	}
-	m.engineLosses++
-	if m.engineLosses > m.cfg.MaxEngineLosses {
+	m.engineFailures++
+	acts := []Action{{Kind: ReportFailure, Upstream: m.engine}}
+	if m.engineFailures > m.cfg.MaxEngineFailures {
 		r := result.New(result.GenerationLost, "too many engines failed while generating the answer").Ran(result.RunUnknown)
 		return append(acts, m.endWith(r)...)
 	}
 	return append(acts, m.switchEngine(now)...)
 }
 
+// engineSilent abandons an engine that does not answer. Silence alone ends the answer only
+// once ResumeTimeout has passed.
+func (m *Machine) engineSilent(now time.Time) []Action {
+	acts := m.cancelStream()
+	if now.Sub(m.lostAt) > m.cfg.ResumeTimeout {
+		return append(acts, m.endWith(resumeTimedOut())...)
+	}
+	return append(acts, m.switchEngine(now)...)
+}
+
+// resumeTimedOut returns the result of an answer that no engine continued within
+// ResumeTimeout.
+func resumeTimedOut() *result.Error {
+	return result.New(result.GenerationLost, "no engine could continue the answer within the time limit").Ran(result.RunUnknown)
+}
+
 // switchEngine excludes the current engine and selects a different one. If no other engine
 // is left, it waits, or ends the answer if no engine has accepted the request yet.
 func (m *Machine) switchEngine(now time.Time) []Action {
@@ -119,7 +133,7 @@
 		m.lostAt = now
 	}
 	if now.Sub(m.lostAt) > m.cfg.ResumeTimeout {
-		return m.endWith(result.New(result.GenerationLost, "no engine could continue the answer within the time limit").Ran(result.RunUnknown))
+		return m.endWith(resumeTimedOut())
 	}
 	m.exclude = nil
 	m.phase, m.retryAt = waitingToRetry, now.Add(m.cfg.EngineRetryDelay<<min(m.engineRetries, maxRetryShift))
@@ -133,7 +147,8 @@
 func (m *Machine) cannotContinue(now time.Time) []Action {
 	if m.released > 0 || m.takenOver {
 		m.engineLosses++
-		if m.engineLosses > m.cfg.MaxEngineLosses || len(m.exclude) >= m.cfg.MaxEngineLosses {
+		m.engineFailures++
+		if m.engineFailures > m.cfg.MaxEngineFailures || len(m.exclude) >= m.cfg.MaxEngineFailures {
 			return m.endWith(result.New(result.CannotContinue, "no engine could continue the answer").Ran(result.RunUnknown))
 		}
 		return m.switchEngine(now)
--- a/generation/machine.go
+++ b/generation/machine.go
@@ -31,22 +31,23 @@
 	spec Spec
 	log  *tokenlog.Log
 
-	phase         phase
-	engine        ident.Upstream
-	stream        string
-	exclude       []ident.Upstream
-	engineLosses  int
-	lastActivity  time.Time // start of the phase, or last event received while streaming
-	lostAt        time.Time // when the stream was lost; zero while it is not lost
-	retryAt       time.Time
-	paused        bool
-	probes        int  // since the last token
-	engineRetries int  // waits for an engine since the last token
-	moves         int  // moves to another engine since the last token
-	accepted      bool // an engine accepted the request and may have run it
-	takenOver     bool // taken over from another instance, which may have delivered tokens
-	timeouts      *silence.Detector
-	released      int
+	phase          phase
+	engine         ident.Upstream
+	stream         string
+	exclude        []ident.Upstream
+	engineLosses   int       // engines abandoned for any reason
+	engineFailures int       // engines that failed or could not continue the answer
+	lastActivity   time.Time // start of the phase, or last event received while streaming
+	lostAt         time.Time // when the stream was lost; zero while it is not lost
+	retryAt        time.Time
+	paused         bool
+	probes         int  // since the last token
+	engineRetries  int  // waits for an engine since the last token
+	moves          int  // moves to another engine since the last token
+	accepted       bool // an engine accepted the request and may have run it
+	takenOver      bool // taken over from another instance, which may have delivered tokens
+	timeouts       *silence.Detector
+	released       int
 
 	replica replicaState
 
--- a/generation/settings.go
+++ b/generation/settings.go
@@ -17,7 +17,7 @@
 	RetryAfter         time.Duration // retry delay suggested to a caller whose request no engine accepts
 	ResumeTimeout      time.Duration // how long a generation in progress waits for an engine
 	CallerTimeout      time.Duration // how long a generation continues without its caller
-	MaxEngineLosses    int           // number of engine losses after which the generation ends
+	MaxEngineFailures  int           // number of engine failures after which the generation ends; silence does not count
 	DisableProbe       bool          // moves a lost stream to another engine without a probe
 	DisableFencing     bool          // accepts stale tokens; for tests that show what fencing prevents
 	DisableReplication bool          // releases tokens without a replica
@@ -35,7 +35,7 @@
 	defaultRetryAfter        = time.Second
 	defaultResumeTimeout     = 20 * time.Second
 	defaultCallerTimeout     = 15 * time.Second
-	defaultMaxEngineLosses   = 8
+	defaultMaxEngineFailures = 8
 )
 
 func (cfg Settings) withDefaults() Settings {
@@ -53,8 +53,8 @@
 	setDefault(&cfg.RetryAfter, defaultRetryAfter)
 	setDefault(&cfg.ResumeTimeout, defaultResumeTimeout)
 	setDefault(&cfg.CallerTimeout, defaultCallerTimeout)
-	if cfg.MaxEngineLosses == 0 {
-		cfg.MaxEngineLosses = defaultMaxEngineLosses
+	if cfg.MaxEngineFailures == 0 {
+		cfg.MaxEngineFailures = defaultMaxEngineFailures
 	}
 	return cfg
 }
--- a/measuregeneration/loss.go
+++ b/measuregeneration/loss.go
@@ -35,7 +35,7 @@
 		Owner: owner.Settings{Generation: generation.Settings{
 			DisableProbe:       true,
 			DisableReplication: true,
-			MaxEngineLosses:    -1,
+			MaxEngineFailures:  -1,
 			Silence:            silence.Settings{MinFirstTimeout: never, MinGapTimeout: never, MaxTimeout: never},
 		}},
 		Gateway: gateway.Settings{DisableLookUp: true},
