generation: go on with a silent engine if no other can continue the answer

What callers saw: an answer ended with 302, "no engine could continue the answer", although its engine had only paused for a second and would have gone on.

Cause: an engine that did not answer a probe in 250 ms was left for good: its stream was cancelled before another engine had accepted the answer. Where engines cannot continue an answer of another one, each of them refused, eight times in a few milliseconds, and the answer ended.

Change: the stream of a silent engine is kept until another engine accepts the answer, and only then cancelled. If the other one cannot continue, if it is chosen again itself, or if no engine has room, the same stream is asked for again, until ResumeTimeout. If the engine has dropped the stream in that time, no failure is reported: it may have been cut off for longer than it keeps a stream without a reader. Until a new attempt begins, an instance that hands the answer over names the silent stream.

Ruled out: waiting longer before an engine is left.

Left: an engine that is asked again outside a choice is not counted as running the answer, as after a takeover; its own load reports include it.

--- a/generation/loss.go
+++ b/generation/loss.go
@@ -63,13 +63,14 @@
 // engineLost abandons the engine and selects another. The engine is reported and counted as
 // failed only if it is known to have stopped or to have lost the stream: one that merely does
 // not answer may have paused or be unreachable from here, and its requests must not be blamed.
+// Nor must they if it has dropped the stream in that time, as engines do without a reader.
 func (m *Machine) engineLost(now time.Time, c LossCause) []Action {
 	if c == ConnectionRefused && m.phase != probing {
 		return m.switchEngine(now) // the request was not sent, so no work was lost
 	}
 	m.engineLosses++
-	if c == ResponseTimeout || c == TokenTimeout {
-		return m.engineSilent(now)
+	if c == ResponseTimeout || c == TokenTimeout || m.wasSilent {
+		return m.engineSilent(now, c)
 	}
 	m.engineFailures++
 	acts := []Action{{Kind: ReportFailure, Upstream: m.engine}}
@@ -82,8 +83,8 @@
 
 // engineSilent abandons an engine that does not answer. Silence alone ends the answer only
 // once ResumeTimeout has passed.
-func (m *Machine) engineSilent(now time.Time) []Action {
-	acts := m.cancelStream()
+func (m *Machine) engineSilent(now time.Time, c LossCause) []Action {
+	acts := m.leaveSilent(c)
 	if now.Sub(m.lostAt) > m.cfg.ResumeTimeout {
 		return append(acts, m.endWith(resumeTimedOut())...)
 	}
@@ -102,7 +103,7 @@
 	m.log.RaiseAttempt(m.log.Attempt() + 1)
 	alreadyExcluded := slices.Contains(m.exclude, m.engine)
 	m.exclude = append(m.exclude, m.engine)
-	m.engine, m.stream = "", ""
+	m.engine, m.stream, m.wasSilent = "", "", false
 	m.probes = 0
 	switch {
 	case alreadyExcluded && !m.accepted:
@@ -141,10 +142,23 @@
 	return nil
 }
 
-// cannotContinue handles an engine that cannot continue from the tokens in the log. If
-// nothing was released to the caller, the answer is generated again from the start;
-// otherwise other engines are tried, and the answer ends when too many have failed.
+// retry asks for the silent stream, if there is one, or chooses an engine again.
+func (m *Machine) retry(now time.Time) []Action {
+	if m.silent.engine != "" {
+		return m.resumeSilent(now)
+	}
+	return m.chooseEngine(now)
+}
+
+// cannotContinue handles an engine that cannot continue from the tokens in the log. If the
+// former engine is only silent, its stream is asked for again. Otherwise, if nothing was
+// released to the caller, the answer is generated again from the start, or else other engines
+// are tried, and the answer ends when too many have failed.
 func (m *Machine) cannotContinue(now time.Time) []Action {
+	if m.silent.engine != "" {
+		m.exclude = append(m.exclude, m.engine)
+		return m.resumeSilent(now)
+	}
 	if m.released > 0 || m.takenOver {
 		m.engineLosses++
 		m.engineFailures++
@@ -171,5 +185,5 @@
 func (m *Machine) endWith(r *result.Error) []Action {
 	m.phase = ended
 	m.result = r
-	return []Action{{Kind: End, Result: r}}
+	return append(m.cancelSilent(), Action{Kind: End, Result: r})
 }
--- a/generation/machine.go
+++ b/generation/machine.go
@@ -35,10 +35,12 @@
 	engine         ident.Upstream
 	stream         string
 	exclude        []ident.Upstream
-	engineLosses   int       // engines abandoned for any reason
-	engineFailures int       // engines that failed or could not continue the answer
-	lastActivity   time.Time // start of the phase, or last event received while streaming
-	lostAt         time.Time // when the stream was lost; zero while it is not lost
+	engineLosses   int          // engines abandoned for any reason
+	engineFailures int          // engines that failed or could not continue the answer
+	silent         silentStream // the stream left last, until another engine accepts the answer
+	wasSilent      bool         // the current stream is the former silent one
+	lastActivity   time.Time    // start of the phase, or last event received while streaming
+	lostAt         time.Time    // when the stream was lost; zero while it is not lost
 	retryAt        time.Time
 	paused         bool
 	probes         int  // since the last token
@@ -152,6 +154,9 @@
 	if m.phase != choosingEngine {
 		return nil
 	}
+	if u == m.silent.engine {
+		return m.resumeSilent(now)
+	}
 	m.log.RaiseAttempt(m.log.Attempt() + 1)
 	m.engine = u
 	m.stream = fmt.Sprintf("%s-%d", m.spec.Generation, m.log.Attempt())
@@ -186,12 +191,13 @@
 }
 
 // StreamOpened records that the engine accepted the request of attempt a.
-func (m *Machine) StreamOpened(now time.Time, a ident.Attempt) {
+func (m *Machine) StreamOpened(now time.Time, a ident.Attempt) []Action {
 	m.accepted = true
 	if a != m.log.Attempt() || m.phase != connecting && m.phase != probing {
-		return
+		return nil
 	}
-	m.phase, m.lastActivity = streaming, now
+	m.phase, m.lastActivity, m.wasSilent = streaming, now, false
+	return m.cancelSilent()
 }
 
 // TokensReceived adds tokens of attempt a to the log. Index is the index of the first one.
@@ -291,6 +297,7 @@
 		return nil
 	}
 	m.engine, m.stream = "", ""
+	m.silent = silentStream{}
 	return m.endWith(result.New(result.GenerationMoved, "another instance has taken over the generation").Ran(result.RunUnknown))
 }
 
--- a/generation/silence_test.go
+++ b/generation/silence_test.go
@@ -29,7 +29,7 @@
 		case StartStream:
 			if s.accepts {
 				s.opened++
-				s.machine.StreamOpened(s.now, a.Attempt)
+				s.perform(s.machine.StreamOpened(s.now, a.Attempt))
 			}
 		}
 	}
@@ -84,3 +84,72 @@
 		t.Error("result: got none, want one")
 	}
 }
+
+// kinds returns the kinds of actions in order.
+func kinds(acts []Action) []Kind {
+	var out []Kind
+	for _, a := range acts {
+		out = append(out, a.Kind)
+	}
+	return out
+}
+
+// newSilentStream returns a machine that has left engine e1 in silence and waits for the
+// answer of e2.
+func newSilentStream(t *testing.T) *silentEngines {
+	s := newSilentEngines()
+	s.perform(s.machine.TokensReceived(s.now, s.machine.Log().Attempt(), 0, []string{"x"}))
+	s.accepts = false
+	for s.engines < 2 {
+		s.tick()
+	}
+	if u, _ := s.machine.Engine(); u != "e2" {
+		t.Fatalf("engine after a silence: got %q, want e2", u)
+	}
+	return s
+}
+
+// TestSilentStreamResumed guards against answers that end because no other engine can
+// continue them while their own engine only paused.
+func TestSilentStreamResumed(t *testing.T) {
+	s := newSilentStream(t)
+	m := s.machine
+	acts := m.StreamLost(s.now, m.Log().Attempt(), CannotContinue)
+	if got, want := fmt.Sprint(kinds(acts)), fmt.Sprint([]Kind{ResumeStream}); got != want {
+		t.Fatalf("actions: got %s, want %s", got, want)
+	}
+	if got, want := acts[0].Upstream, ident.Upstream("e1"); got != want {
+		t.Errorf("resumed engine: got %q, want %q", got, want)
+	}
+	acts = m.StreamOpened(s.now, m.Log().Attempt())
+	acts = append(acts, m.TokensReceived(s.now, m.Log().Attempt(), 1, []string{"y"})...)
+	acts = append(acts, m.StreamFinished(s.now, m.Log().Attempt(), 2, "stop")...)
+	if got, want := fmt.Sprint(kinds(acts)), fmt.Sprint([]Kind{Release, Release}); got != want || !m.Complete() {
+		t.Errorf("answer: got actions %s and complete %t, want %s and true", got, m.Complete(), want)
+	}
+}
+
+// TestSilentStreamCancelled guards against streams that two engines run for one answer: the
+// silent one is cancelled as soon as another engine accepts the answer, and not before.
+func TestSilentStreamCancelled(t *testing.T) {
+	s := newSilentStream(t)
+	acts := s.machine.StreamOpened(s.now, s.machine.Log().Attempt())
+	if got, want := fmt.Sprint(kinds(acts)), fmt.Sprint([]Kind{CancelStream}); got != want || acts[0].Upstream != "e1" {
+		t.Errorf("actions: got %v, want the stream on e1 cancelled", acts)
+	}
+}
+
+// TestDroppedStreamNotReported guards against contents that are blamed for an engine which
+// was silent and has dropped their stream in the meantime.
+func TestDroppedStreamNotReported(t *testing.T) {
+	for _, cause := range []LossCause{UnknownStream, ConnectionRefused, ConnectionReset} {
+		s := newSilentStream(t)
+		m := s.machine
+		m.StreamLost(s.now, m.Log().Attempt(), CannotContinue)
+		for _, a := range m.StreamLost(s.now, m.Log().Attempt(), cause) {
+			if a.Kind == ReportFailure {
+				t.Errorf("cause %d: got a report of the failure of %q, want none", cause, a.Upstream)
+			}
+		}
+	}
+}
--- a/generation/simulation_test.go
+++ b/generation/simulation_test.go
@@ -135,7 +135,7 @@
 // enqueueStream adds the events of a stream to the pending messages.
 func (w *simulation) enqueueStream(o int, a Action, s *fakeStream) {
 	now := func() time.Time { return w.now }
-	w.enqueue(o, "open", func(m *Machine) []Action { m.StreamOpened(now(), a.Attempt); return nil })
+	w.enqueue(o, "open", func(m *Machine) []Action { return m.StreamOpened(now(), a.Attempt) })
 	for i := a.From; i < len(s.tokens); i++ {
 		w.enqueue(o, "token", func(m *Machine) []Action {
 			return m.TokensReceived(now(), a.Attempt, i, s.tokens[i:i+1])
--- a/generation/tick.go
+++ b/generation/tick.go
@@ -26,7 +26,7 @@
 	switch m.phase {
 	case waitingToRetry:
 		if !now.Before(m.retryAt) {
-			return m.chooseEngine(now)
+			return m.retry(now)
 		}
 	case connecting:
 		if idle > m.cfg.ConnectTimeout {
--- a/owner/generation.go
+++ b/owner/generation.go
@@ -126,6 +126,9 @@
 	case generation.ChooseEngine:
 		return g.chooseEngine(now, a)
 	case generation.StartStream, generation.ResumeStream:
+		if a.Upstream != g.chosenEngine {
+			g.releaseLostEngine() // a former engine is asked again
+		}
 		g.startStream(a)
 	case generation.CancelStream:
 		g.cancel(a)
@@ -143,12 +146,7 @@
 }
 
 func (g *Generation) chooseEngine(now time.Time, a generation.Action) []generation.Action {
-	cause := g.lossCause
-	if cause == 0 {
-		cause = generation.TokenTimeout
-	}
-	g.lossCause = 0
-	g.releaseEngine(cause)
+	g.releaseLostEngine()
 	u, err := g.owner.ports.ChooseEngine(EngineQuery{
 		Spec:           g.machine.Spec(),
 		Exclude:        a.ExcludeEngines,
@@ -162,6 +160,16 @@
 	return g.machine.EngineChosen(now, u)
 }
 
+// releaseLostEngine releases the chosen engine after its stream was lost.
+func (g *Generation) releaseLostEngine() {
+	cause := g.lossCause
+	if cause == 0 {
+		cause = generation.TokenTimeout
+	}
+	g.lossCause = 0
+	g.releaseEngine(cause)
+}
+
 func (g *Generation) releaseEngine(cause generation.LossCause) {
 	if g.chosenEngine == "" {
 		return
@@ -290,7 +298,7 @@
 		Tokens:     log.Tokens(0, log.Len()),
 	}
 	s.Spec, _ = json.Marshal(g.machine.Spec())
-	s.Upstream, s.Stream = g.machine.Engine()
+	s.Upstream, s.Stream = g.machine.ResumableStream()
 	s.Finish, s.Done = log.Finished()
 	now := g.owner.ports.Timer.Now()
 	g.perform(now, g.machine.OwnershipLost())
--- a/owner/run.go
+++ b/owner/run.go
@@ -82,8 +82,7 @@
 		return err
 	}
 	r.g.handle(func(now time.Time) []generation.Action {
-		r.g.machine.StreamOpened(now, r.action.Attempt)
-		return nil
+		return r.g.machine.StreamOpened(now, r.action.Attempt)
 	})
 	started := r.action.Kind == generation.StartStream
 	if r.g.owner.ports.StreamOpened(r.action.Upstream, r.stream.Load(), started) {
