serviceproxy: do not take an upstream for dead that is slow to connect

Callers of plain services saw fewer upstreams than there were: one that did not respond to a connection within a second was out at once, like one that refuses connections, and came back only after a successful trial.

Cause: a connection that could not be opened in time was reported to health as Refused, which means dead, without any limit on the share of upstreams that is out. A sound upstream may pause for a second or so.

Change: it is reported as Failed, as everywhere at the engines' side. Refused and unreachable addresses are reported as before.

--- a/serviceproxy/action.go
+++ b/serviceproxy/action.go
@@ -116,7 +116,7 @@
 		if err == nil {
 			return conn, up, done, ""
 		}
-		done(health.Refused, 0)
+		done(dialKind(err), 0)
 		tried = append(tried, up.Name)
 		detail = "no upstream could be reached"
 	}
--- a/serviceproxy/exchange.go
+++ b/serviceproxy/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"net/http"
 	"strings"
@@ -33,7 +34,7 @@
 	began := p.timer.Now()
 	conn, err := p.dial(up.Address)
 	if err != nil {
-		done(health.Refused, p.timer.Now().Sub(began))
+		done(dialKind(err), p.timer.Now().Sub(began))
 		return result.RunNot, err
 	}
 	defer func() { _ = conn.Close() }()
@@ -45,6 +46,21 @@
 	return result.RunUnknown, err
 }
 
+// dialKind returns the outcome of a failed connection for the health of the upstream. One that
+// does not respond in time may only have paused.
+func dialKind(err error) health.Kind {
+	if isTimeout(err) {
+		return health.Failed
+	}
+	return health.Refused
+}
+
+// isTimeout reports whether a connection could not be opened in time.
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.Is(err, fasthttp.ErrDialTimeout) || errors.As(err, &ne) && ne.Timeout()
+}
+
 // healthKind returns the outcome of an exchange for the health of the upstream.
 func healthKind(resp *fasthttp.Response, err error) health.Kind {
 	switch {
--- a/serviceproxy/proxy_test.go
+++ b/serviceproxy/proxy_test.go
@@ -27,10 +27,11 @@
 type fixture struct {
 	proxy          *Proxy
 	store          *standinkeyvalue.Store
-	mode           atomic.Value // how the upstream answers the next requests, a string
-	runs           atomic.Int64 // bookings that the service ran
-	lostAnswers    atomic.Int64 // answers that were not sent
-	privateHeaders atomic.Int64 // requests with a header field that must not be forwarded, or without one that must
+	mode           atomic.Value  // how the upstream answers the next requests, a string
+	runs           atomic.Int64  // bookings that the service ran
+	lostAnswers    atomic.Int64  // answers that were not sent
+	privateHeaders atomic.Int64  // requests with a header field that must not be forwarded, or without one that must
+	kinds          []health.Kind // outcomes reported for the health of upstreams
 	live           string
 	dead           string
 }
@@ -89,12 +90,18 @@
 	return strings.TrimPrefix(outcome, "!") + " " + strconv.FormatInt(b.runs.Load(), 10)
 }
 
+// pauseLength is how long the upstream is silent in mode pause.
+const pauseLength = 1200 * time.Millisecond
+
 // serve is the handler of the service.
 func (b *fixture) serve(ctx *fasthttp.RequestCtx) {
 	h := &ctx.Request.Header
 	if len(h.Peek("X-Private")) > 0 || len(h.Peek("Authorization")) > 0 {
 		b.privateHeaders.Add(1)
 	}
+	if b.mode.Load() == "pause" {
+		time.Sleep(pauseLength)
+	}
 	ctx.SetBodyString("ok")
 	if string(ctx.Path()) == "/bookings" {
 		if len(h.Peek("traceparent")) == 0 || string(ctx.QueryArgs().Peek("q")) != "1" {
@@ -163,7 +170,12 @@
 	if b.mode.Load() == "lose-then-refuse" && len(tried) > 0 {
 		address = b.dead
 	}
-	return configuration.Upstream{Name: name, Address: address}, func(health.Kind, time.Duration) {}, len(tried) < 2
+	count := 2
+	if b.mode.Load() == "only" {
+		count = 1
+	}
+	done := func(k health.Kind, _ time.Duration) { b.kinds = append(b.kinds, k) }
+	return configuration.Upstream{Name: name, Address: address}, done, len(tried) < count
 }
 
 func startServer(t *testing.T, h fasthttp.RequestHandler) string {
