serviceproxy: go on connecting to an upstream that paused

What callers saw: a request to a plain service failed after one second, 502 or for an action 503, although its only upstream had paused and would have gone on.

Cause: each upstream was dialled once, for at most one second. With no other upstream left, or with three tried, or with the budget of retries spent, the request ended, though nothing had been sent and its time had not passed.

Change: an upstream that does not respond to a connection is dialled again until the deadline of the request, or for an action until the time by which it has to start, once no other is left. Refused connections and failed exchanges are limited as before, and a request that was sent is not sent again unless that was allowed before.

Left: where the only upstream is gone without a reset, the refusal comes at the deadline and not after one second; nothing tells the two apart.

--- a/serviceproxy/action.go
+++ b/serviceproxy/action.go
@@ -102,13 +102,19 @@
 	return nil
 }
 
-// connect dials upstreams until a connection opens, and sends nothing. Without a connection it
-// returns the reason.
+// connect dials upstreams until a connection opens, and sends nothing. Upstreams that do not
+// respond may only have paused, so they are dialled again until startBy. Without a connection
+// it returns the reason.
 func (p *Proxy) connect(r *request, startBy time.Time) (net.Conn, configuration.Upstream, func(health.Kind, time.Duration), string) {
 	detail := "no upstream serves the service"
 	var tried []ident.Upstream
-	for len(tried) < p.cfg.MaxAttempts && p.timer.Now().Before(startBy) {
+	failures, silent := 0, false
+	for failures < p.cfg.MaxAttempts && p.timer.Now().Before(startBy) {
 		up, done, ok := p.ports.ChooseUpstream(r.service.Name, tried)
+		if !ok && silent {
+			tried, silent = nil, false
+			continue
+		}
 		if !ok {
 			break
 		}
@@ -119,6 +125,11 @@
 		done(dialKind(err), 0)
 		tried = append(tried, up.Name)
 		detail = "no upstream could be reached"
+		if isTimeout(err) {
+			silent = true
+		} else {
+			failures++
+		}
 	}
 	return nil, configuration.Upstream{}, nil, detail
 }
--- a/serviceproxy/pause_test.go
+++ b/serviceproxy/pause_test.go
@@ -74,6 +74,25 @@
 	}
 }
 
+// TestUpstreamPausesBeforeConnection guards against requests that end because their only
+// upstream paused while it was being connected to.
+func TestUpstreamPausesBeforeConnection(t *testing.T) {
+	for _, c := range []struct{ method, path, key, want string }{
+		{"GET", "/records/x", "-", "200 0"},
+		{"PUT", "/notes", "-", "200 0"},
+		{"POST", "/bookings", "k1", "201 1"},
+	} {
+		t.Run(c.method, func(t *testing.T) {
+			t.Parallel()
+			b := newFixture(t)
+			b.pause(t, 1500*time.Millisecond)
+			if got := b.send(c.method, c.path, c.key, "a", "only"); got != c.want {
+				t.Errorf("%s %s: got %q, want %q", c.method, c.path, got, c.want)
+			}
+		})
+	}
+}
+
 // TestUpstreamPausesBeforeAnswer guards against requests that end because their upstream
 // paused after it had read them, also those that must not be repeated.
 func TestUpstreamPausesBeforeAnswer(t *testing.T) {
--- a/serviceproxy/proxy.go
+++ b/serviceproxy/proxy.go
@@ -199,19 +199,24 @@
 		strings.HasPrefix(path, r.PathPrefix)
 }
 
-// forward sends a request that is not an action, and retries it if that is allowed.
+// forward sends a request that is not an action, and retries it if that is allowed. Upstreams
+// that do not respond to a connection have not been sent anything and may only have paused, so
+// they are tried again until the deadline.
 func (p *Proxy) forward(r *request) *result.Error {
 	var tried []ident.Upstream
+	attempts, silent := 0, false
 	run := result.RunNot
 	for {
 		up, done, ok := p.ports.ChooseUpstream(r.service.Name, tried)
-		if !ok && tried == nil {
-			return result.New(result.NoUpstream, "no upstream serves the service").After(notRunRetryAfter)
+		if !ok && silent && p.timer.Now().Before(r.deadline) {
+			tried, silent = nil, false
+			continue
 		}
 		if !ok {
-			return upstreamFailed(run)
+			return noUpstreamLeft(attempts, run)
 		}
 		tried = append(tried, up.Name)
+		attempts++
 		last, err := p.exchange(r, up, done)
 		if err == nil {
 			return nil
@@ -219,10 +224,25 @@
 		if last != result.RunNot {
 			run = last
 		}
-		if !p.shouldRetry(r, len(tried), run) {
+		noResponse := last == result.RunNot && isTimeout(err)
+		silent = silent || noResponse
+		if p.shouldRetry(r, attempts, run) {
+			continue
+		}
+		if !noResponse || !p.timer.Now().Before(r.deadline) {
 			return upstreamFailed(run)
 		}
+		tried = nil
+	}
+}
+
+// noUpstreamLeft returns the error for a request for which there is no upstream that it has not
+// been tried on.
+func noUpstreamLeft(attempts int, run result.Run) *result.Error {
+	if attempts == 0 {
+		return result.New(result.NoUpstream, "no upstream serves the service").After(notRunRetryAfter)
 	}
+	return upstreamFailed(run)
 }
 
 // shouldRetry reports whether to send a failed request again, and waits until it is time to do so.
