generation: wait for engines that pause while an answer starts

What callers saw: a new answer was refused with 201, "no reachable engine accepts the request", after 0.5 s with one engine or 0.75 s with two, because none of them responded to a connection in that time.

Cause: a connection that is not open after 250 ms counts as a lost engine, and the answer was refused once all engines had been lost once. An engine that is connected gets 2 s for its first response; one that is not yet got 250 ms.

Change: if an engine has not responded, an answer that no engine has accepted is refused only after ConnectTimeout (2 s) from the first loss. If all engines refuse the connection or are full, it is refused at once, as before.

Seen failing before, on the parent of this change:

TestPauseBeforeStart: end 750ms after the start: got 201 Overloaded: no reachable engine accepts the request, want none within 1.5s

TestNoEngineResponds, which bounds the wait, passed before too.

After: generation and standinsite pass with the race detector.

Left: nothing of this over loopback, where the kernel accepts connections for an engine that pauses; standinsite has no engine whose host pauses.

--- a/generation/loss.go
+++ b/generation/loss.go
@@ -84,6 +84,7 @@
 // engineSilent abandons an engine that does not answer. Silence alone ends the answer only
 // once ResumeTimeout has passed.
 func (m *Machine) engineSilent(now time.Time, c LossCause) []Action {
+	m.unanswered = true
 	acts := m.leaveSilent(c)
 	if now.Sub(m.lostAt) > m.cfg.ResumeTimeout {
 		return append(acts, m.endWith(resumeTimedOut())...)
@@ -98,7 +99,8 @@
 }
 
 // switchEngine excludes the current engine and selects a different one. If no other engine
-// is left, it waits, or ends the answer if no engine has accepted the request yet.
+// is left, it waits, or ends the answer if no engine has accepted the request yet. Engines that
+// have not responded get ConnectTimeout to do so, since they may have paused.
 func (m *Machine) switchEngine(now time.Time) []Action {
 	m.log.RaiseAttempt(m.log.Attempt() + 1)
 	alreadyExcluded := slices.Contains(m.exclude, m.engine)
@@ -106,7 +108,7 @@
 	m.engine, m.stream, m.wasSilent = "", "", false
 	m.probes = 0
 	switch {
-	case alreadyExcluded && !m.accepted:
+	case alreadyExcluded && !m.accepted && (!m.unanswered || now.Sub(m.lostAt) > m.cfg.ConnectTimeout):
 		r := result.New(result.Overloaded, "no reachable engine accepts the request")
 		return m.endWith(r.After(m.cfg.RetryAfter))
 	case alreadyExcluded:
--- a/generation/machine.go
+++ b/generation/machine.go
@@ -38,6 +38,7 @@
 	engineLosses   int          // engines abandoned for any reason
 	engineFailures int          // engines that failed or could not continue the answer
 	silent         silentStream // the stream left last, until another engine accepts the answer
+	unanswered     bool         // an engine has not responded in time since the last token
 	wasSilent      bool         // the current stream is the former silent one
 	lastActivity   time.Time    // start of the phase, or last event received while streaming
 	lostAt         time.Time    // when the stream was lost; zero while it is not lost
@@ -253,7 +254,7 @@
 	}
 	m.stats.Recoveries++
 	m.stats.LastRecoveryTime = now.Sub(m.lostAt)
-	m.lostAt = time.Time{}
+	m.lostAt, m.unanswered = time.Time{}, false
 }
 
 // StreamFinished handles the end of the stream of attempt a. N is the total number of tokens
--- a/generation/silence_test.go
+++ b/generation/silence_test.go
@@ -153,3 +153,51 @@
 		}
 	}
 }
+
+// TestPauseBeforeStart guards against refusing a new answer because all engines paused for a
+// moment while it was sent to them.
+func TestPauseBeforeStart(t *testing.T) {
+	const (
+		engines     = 2
+		dialTimeout = 250 * time.Millisecond
+		pause       = 1500 * time.Millisecond
+	)
+	m := New(Settings{}, Spec{Generation: "g"})
+	start := time.Unix(1000, 0)
+	now := start
+	acts := m.Start(now)
+	for chosen := 0; now.Sub(start) < pause; {
+		for len(acts) > 0 {
+			a := acts[0]
+			acts = acts[1:]
+			switch a.Kind {
+			case ChooseEngine:
+				u := ident.Upstream(fmt.Sprintf("e%d", chosen%engines))
+				chosen++
+				acts = append(acts, m.EngineChosen(now, u)...)
+			case StartStream:
+				now = now.Add(dialTimeout)
+				acts = append(acts, m.StreamLost(now, a.Attempt, ResponseTimeout)...)
+			case End:
+				t.Fatalf("end %v after the start: got %v, want none within %v", now.Sub(start), a.Result, pause)
+			}
+		}
+		now = now.Add(20 * time.Millisecond)
+		acts = m.Tick(now)
+	}
+}
+
+// TestNoEngineResponds guards against new answers that are not refused while no engine
+// responds.
+func TestNoEngineResponds(t *testing.T) {
+	s := newSilentEngines()
+	s.machine, s.engines, s.accepts = New(Settings{}, Spec{Generation: "g"}), 0, false
+	start := s.now
+	s.perform(s.machine.Start(s.now))
+	for s.now.Sub(start) < 2*defaultResumeTimeout && !s.machine.Closed() {
+		s.tick()
+	}
+	if got, want := s.now.Sub(start), defaultResumeTimeout+2*defaultConnectTimeout; got > want {
+		t.Errorf("end after the start: got %v, want at most %v", got, want)
+	}
+}
