health: silence does not lengthen the time that an upstream is out

What callers saw: less capacity than there was. A sound engine that paused for a second every ten seconds was out of rotation for 1, 2, 4, 8, 16 and 32 s.

Cause: every ejection within a minute of the last re-admission doubles the back-off, whatever led to it, and the streams that an engine carries report one pause as several failures in a row, which eject it.

Change: failures by a time limit have their own kind, Silent. They eject as others do, which keeps new work off an engine while it is silent. If all failures in a row were silence, the back-off starts anew. Trials that fail still double it, so an upstream that is gone is not probed more often than before.

Ruled out: not counting silence at all. An engine that hangs would keep getting new work.

--- a/daemon/health.go
+++ b/daemon/health.go
@@ -80,7 +80,9 @@
 	switch cause {
 	case generation.ConnectionRefused:
 		d.observeOutcome(health.Outcome{Upstream: u, Kind: health.Refused})
-	case generation.ConnectionReset, generation.TokenTimeout, generation.ResponseTimeout, generation.CorruptStream:
+	case generation.TokenTimeout, generation.ResponseTimeout:
+		d.observeOutcome(health.Outcome{Upstream: u, Kind: health.Silent})
+	case generation.ConnectionReset, generation.CorruptStream:
 		d.observeOutcome(health.Outcome{Upstream: u, Kind: health.Failed})
 	}
 }
@@ -162,12 +164,16 @@
 	return nil
 }
 
+// outcomeKind returns the outcome of a probe or poll for the health of the upstream.
 func outcomeKind(err error) health.Kind {
+	var ne net.Error
 	switch {
 	case err == nil:
 		return health.OK
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return health.Refused
+	case errors.Is(err, fasthttp.ErrTimeout), errors.Is(err, fasthttp.ErrDialTimeout), errors.As(err, &ne) && ne.Timeout():
+		return health.Silent
 	}
 	return health.Failed
 }
--- a/health/tracker.go
+++ b/health/tracker.go
@@ -6,7 +6,8 @@
 // the median of all upstreams is ejected, but only while few are out. If many look bad, the
 // cause is probably common to all, and the remaining ones could not carry the load. An
 // upstream that is out is tried with one request at a time, after a back-off that doubles
-// with each failed trial.
+// with each failed trial, and each time that the upstream fails again soon. An upstream that
+// is only silent may have paused, so silence does not lengthen the first back-off.
 package health
 
 import (
@@ -84,6 +85,7 @@
 	OK      Kind = iota // answered
 	Failed              // failed after the connection was made, or timed out
 	Refused             // no connection could be made
+	Silent              // failed because nothing arrived in time
 )
 
 // Outcome describes the end of one request or trial.
@@ -265,6 +267,9 @@
 func (t *Tracker) eject(p *upstream, now time.Time) {
 	deadCount, ejectedCount := t.countOut()
 	if deadCount+ejectedCount < t.maxOut() {
+		if p.consecutiveFailures > 0 && p.consecutiveSilent == p.consecutiveFailures {
+			p.backOff = 0
+		}
 		t.takeOut(p, ejected, now)
 	}
 }
--- a/health/upstream.go
+++ b/health/upstream.go
@@ -28,6 +28,7 @@
 	trialStart  time.Time
 
 	consecutiveFailures int
+	consecutiveSilent   int     // failures of these that are Silent
 	requests            float64 // exponentially decayed
 	failures            float64
 	countedAt           time.Time
@@ -44,9 +45,12 @@
 	if o.Kind != OK {
 		p.failures++
 		p.consecutiveFailures++
+		if o.Kind == Silent {
+			p.consecutiveSilent++
+		}
 		return
 	}
-	p.consecutiveFailures = 0
+	p.consecutiveFailures, p.consecutiveSilent = 0, 0
 	const weight = 0.1
 	if p.answers == 0 {
 		p.latency = o.Latency.Seconds()
--- a/serviceproxy/exchange.go
+++ b/serviceproxy/exchange.go
@@ -50,7 +50,7 @@
 // does not respond in time may only have paused.
 func dialKind(err error) health.Kind {
 	if isTimeout(err) {
-		return health.Failed
+		return health.Silent
 	}
 	return health.Refused
 }
