--- a/generation/loss.go
+++ b/generation/loss.go
@@ -60,38 +60,55 @@
 	return maxProbesGap
 }
 
-// engineLost abandons the engine and selects another. The engine is reported as failed only
-// if it is known to have stopped or to have lost the stream: one that merely does not answer
-// may be unreachable from here, and its requests must not be blamed.
+// engineLost abandons the engine and selects another. The engine is reported and counted as
+// failed only if it is known to have stopped or to have lost the stream: one that merely does
+// not answer may have paused or be unreachable from here, and its requests must not be blamed.
+// Nor must they if it has dropped the stream in that time, as engines do without a reader.
 func (m *Machine) engineLost(now time.Time, c LossCause) []Action {
 	if c == ConnectionRefused && m.phase != probing {
 		return m.switchEngine(now) // the request was not sent, so no work was lost
 	}
-	var acts []Action
-	if c != ResponseTimeout && c != TokenTimeout {
-		acts = append(acts, Action{Kind: ReportFailure, Upstream: m.engine})
-	}
-	if c == ResponseTimeout || c == TokenTimeout {
-		acts = append(acts, m.cancelStream()...)
-	}
 	m.engineLosses++
-	if m.engineLosses > m.cfg.MaxEngineLosses {
+	if c == ResponseTimeout || c == TokenTimeout || m.wasSilent {
+		return m.engineSilent(now, c)
+	}
+	m.engineFailures++
+	acts := []Action{{Kind: ReportFailure, Upstream: m.engine}}
+	if m.engineFailures > m.cfg.MaxEngineFailures {
 		r := result.New(result.GenerationLost, "too many engines failed while generating the answer").Ran(result.RunUnknown)
 		return append(acts, m.endWith(r)...)
 	}
 	return append(acts, m.switchEngine(now)...)
 }
 
+// engineSilent abandons an engine that does not answer. Silence alone ends the answer only
+// once ResumeTimeout has passed.
+func (m *Machine) engineSilent(now time.Time, c LossCause) []Action {
+	m.unanswered = true
+	acts := m.leaveSilent(c)
+	if now.Sub(m.lostAt) > m.cfg.ResumeTimeout {
+		return append(acts, m.endWith(resumeTimedOut())...)
+	}
+	return append(acts, m.switchEngine(now)...)
+}
+
+// resumeTimedOut returns the result of an answer that no engine continued within
+// ResumeTimeout.
+func resumeTimedOut() *result.Error {
+	return result.New(result.GenerationLost, "no engine could continue the answer within the time limit").Ran(result.RunUnknown)
+}
+
 // switchEngine excludes the current engine and selects a different one. If no other engine
-// is left, it waits, or ends the answer if no engine has accepted the request yet.
+// is left, it waits, or ends the answer if no engine has accepted the request yet. Engines that
+// have not responded get ConnectTimeout to do so, since they may have paused.
 func (m *Machine) switchEngine(now time.Time) []Action {
 	m.log.RaiseAttempt(m.log.Attempt() + 1)
 	alreadyExcluded := slices.Contains(m.exclude, m.engine)
 	m.exclude = append(m.exclude, m.engine)
-	m.engine, m.stream = "", ""
+	m.engine, m.stream, m.wasSilent = "", "", false
 	m.probes = 0
 	switch {
-	case alreadyExcluded && !m.accepted:
+	case alreadyExcluded && !m.accepted && (!m.unanswered || now.Sub(m.lostAt) > m.cfg.ConnectTimeout):
 		r := result.New(result.Overloaded, "no reachable engine accepts the request")
 		return m.endWith(r.After(m.cfg.RetryAfter))
 	case alreadyExcluded:
@@ -119,7 +136,7 @@
 		m.lostAt = now
 	}
 	if now.Sub(m.lostAt) > m.cfg.ResumeTimeout {
-		return m.endWith(result.New(result.GenerationLost, "no engine could continue the answer within the time limit").Ran(result.RunUnknown))
+		return m.endWith(resumeTimedOut())
 	}
 	m.exclude = nil
 	m.phase, m.retryAt = waitingToRetry, now.Add(m.cfg.EngineRetryDelay<<min(m.engineRetries, maxRetryShift))
@@ -127,13 +144,27 @@
 	return nil
 }
 
-// cannotContinue handles an engine that cannot continue from the tokens in the log. If
-// nothing was released to the caller, the answer is generated again from the start;
-// otherwise other engines are tried, and the answer ends when too many have failed.
+// retry asks for the silent stream, if there is one, or chooses an engine again.
+func (m *Machine) retry(now time.Time) []Action {
+	if m.silent.engine != "" {
+		return m.resumeSilent(now)
+	}
+	return m.chooseEngine(now)
+}
+
+// cannotContinue handles an engine that cannot continue from the tokens in the log. If the
+// former engine is only silent, its stream is asked for again. Otherwise, if nothing was
+// released to the caller, the answer is generated again from the start, or else other engines
+// are tried, and the answer ends when too many have failed.
 func (m *Machine) cannotContinue(now time.Time) []Action {
+	if m.silent.engine != "" {
+		m.exclude = append(m.exclude, m.engine)
+		return m.resumeSilent(now)
+	}
 	if m.released > 0 || m.takenOver {
 		m.engineLosses++
-		if m.engineLosses > m.cfg.MaxEngineLosses || len(m.exclude) >= m.cfg.MaxEngineLosses {
+		m.engineFailures++
+		if m.engineFailures > m.cfg.MaxEngineFailures || len(m.exclude) >= m.cfg.MaxEngineFailures {
 			return m.endWith(result.New(result.CannotContinue, "no engine could continue the answer").Ran(result.RunUnknown))
 		}
 		return m.switchEngine(now)
@@ -156,5 +187,5 @@
 func (m *Machine) endWith(r *result.Error) []Action {
 	m.phase = ended
 	m.result = r
-	return []Action{{Kind: End, Result: r}}
+	return append(m.cancelSilent(), Action{Kind: End, Result: r})
 }
