--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -44,18 +44,21 @@
 	received []string // requests as received, "ENGINE after=N from=NAME copy=ENGINE"
 	route    directory.Route
 	service  directory.Service
+	budget   retry.Settings
+	deadline time.Duration
 }
 
 // TestScripts runs the scripts in testdata/*.txt. The near failure domain is that of the
 // instance, so its engine is chosen first. Each line is one of
 //
-//	route KIND [resumable] [attempts=N]
+//	route KIND [resumable] [attempts=N] [budget=RETRIES] [deadline=DURATION]
+//	                   the budget, if it is set, grows by other requests up to RETRIES
 //	engine NAME DOMAIN COMMAND ...
 //	want RESULT        "200 BODY", "pieces 1-5", "cut 1-3", "refused NotRun" or "refused Unknown"
 //	request ENGINE ...     a request received by an engine, in order
 //
-// The commands of an engine are ok:BODY, status:N, refuse, replaced, drop, unsigned,
-// still:N-M (the engine answers nobody for pauseTime, then streams), and stream:N-M:END,
+// The commands of an engine are ok:BODY, late:BODY (after pauseTime), status:N, refuse,
+// replaced, drop, unsigned, still:N-M (the engine answers nobody for pauseTime, then streams), and stream:N-M:END,
 // where END is whole, drop, drop-late (after minRunTime), hang, pause-K (silence for
 // pauseTime, then the pieces up to K) or crash (after minRunTime the engine is gone).
 func TestScripts(t *testing.T) { runScripts(t, "testdata/*.txt") }
@@ -63,6 +66,12 @@
 // TestPauses guards against answers that are cut because a sound engine paused.
 func TestPauses(t *testing.T) { runScripts(t, "testdata/pauses/*.txt") }
 
+// While a script sets the retry budget, other requests let it grow.
+const (
+	otherRequestInterval = 100 * time.Millisecond
+	retriesPerRequest    = 0.5
+)
+
 // pauseTime is how long a sound engine pauses.
 const pauseTime = 1200 * time.Millisecond
 
@@ -85,7 +94,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	wd := &cluster{service: directory.Service{Name: "s", Memory: 55000, Backups: true}}
+	wd := &cluster{service: directory.Service{Name: "s", Memory: 55000, Backups: true}, budget: retry.Settings{Burst: 100, MaxAttempts: 8}, deadline: 20 * time.Second}
 	var want string
 	var wantSeen []string
 	for n, line := range strings.Split(string(text), "\n") {
@@ -124,9 +133,24 @@
 	}
 	wd.route = directory.Route{Kind: kind, MaxAttempts: 5}
 	for _, w := range words[1:] {
-		if w == "resumable" {
+		switch name, value, _ := strings.Cut(w, "="); name {
+		case "resumable":
 			wd.route.Resumable = true
 			continue
+		case "budget":
+			retries, err := strconv.ParseFloat(value, 64)
+			if err != nil {
+				t.Fatal(err)
+			}
+			wd.budget.Burst, wd.budget.RetryRatio = retries, retriesPerRequest
+			continue
+		case "deadline":
+			limit, err := time.ParseDuration(value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			wd.deadline = limit
+			continue
 		}
 		n, err := strconv.Atoi(strings.TrimPrefix(w, "attempts="))
 		if err != nil {
@@ -186,6 +210,9 @@
 	switch kind {
 	case "ok", "unsigned":
 		_, _ = fmt.Fprint(w, rest)
+	case "late":
+		<-time.After(pauseTime)
+		_, _ = fmt.Fprint(w, rest)
 	case "status":
 		code, _ := strconv.Atoi(rest)
 		w.WriteHeader(code)
@@ -305,12 +332,17 @@
 	f.SetUpstreams(wd.list, func(ident.Service) int { return wd.service.Memory }, clock.Now())
 	client := exchange.New(exchange.Settings{}, clock)
 	defer client.Close()
-	d := New(Settings{DefaultGap: 300 * time.Millisecond, MaxResumeWait: time.Second}, testDependencies(testProtocol(), f, client, clock, zerolog.Nop()))
+	dependencies := testDependencies(testProtocol(), f, client, clock, zerolog.Nop())
+	dependencies.Budget = wd.budget
+	d := New(Settings{DefaultGap: 300 * time.Millisecond, MaxResumeWait: time.Second}, dependencies)
+	if wd.budget.RetryRatio > 0 {
+		clock.Every(otherRequestInterval, func(time.Time) { d.retryBudget(wd.service.Name).AddRequest() })
+	}
 	w := &work.Work{
 		ID:       "r1",
 		Route:    &wd.route,
 		Service:  &wd.service,
-		Deadline: clock.Now().Add(20 * time.Second),
+		Deadline: clock.Now().Add(wd.deadline),
 		Method:   http.MethodPost,
 		Target:   "/x",
 		Host:     "h",
