dispatch: an interrupted stream waits while others decline it

What callers saw: a stream whose engine was silent, or lost, was cut within half a second though another upstream would have taken it a moment later.

Cause: only the sending after a lost run is free of the retry budget, the one after an upstream declined is not. The stream was cut as soon as the budget was exhausted, for which one declined copy is enough while many streams move at once, and after eight sendings in all, since the count of the retry policy was not reset by a wait as that of MaxSends is. MaxResumeWait never came into play.

Change: a stream that may have run waits for the budget as it waits for an upstream, and asks for it again before it is sent. The retry policy counts the sendings since the last wait.

TestScripts/waits-while-declined and waits-for-budget failed before (cut 1-1, want pieces 1-4) and pass. The other scripts pass unchanged.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -233,7 +233,7 @@
 		run = result.RunUnknown
 	}
 	verdict, _ := d.retryBudget(w.Service.Name).Decide(retry.Attempt{
-		Number:     a.sends,
+		Number:     a.sends - a.uncounted,
 		Run:        run,
 		Repeatable: w.Route.Repeatable(),
 		Resumed:    free,
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -106,14 +106,15 @@
 		if !w.Route.Repeatable() && s.runs > 0 {
 			return nil, s.started, d.refuse(&s.attempts, result.UpstreamFailed, "the stream was interrupted and must not be resumed")
 		}
-		refusal = d.checkRetry(&s.attempts, end, v.mayHaveRun || v.unsent())
-		switch {
-		case d.shouldWait(s, refusal, end):
+		free := v.mayHaveRun || v.unsent()
+		for refusal = d.checkRetry(&s.attempts, end, free); refusal != nil; refusal = d.checkRetry(&s.attempts, end, free) {
+			if !d.shouldWait(s, refusal, end) {
+				return nil, s.started, refusal
+			}
 			if !d.sleep(ctx, resumePoll) {
 				return nil, s.started, d.contextEnded(ctx, s)
 			}
-		case refusal != nil:
-			return nil, s.started, refusal
+			end = d.timer.Now()
 		}
 	}
 }
@@ -121,12 +122,12 @@
 // resumePoll is the time between two attempts to find an upstream for an interrupted stream.
 const resumePoll = 100 * time.Millisecond
 
-// shouldWait reports whether a stream has to wait because no upstream is available. Its run
-// was lost with its engine, so it cannot be refused as not run, and its caller cannot resume
-// it elsewhere either: all upstreams of the service are unavailable, and crashed ones return
-// within seconds.
+// shouldWait reports whether a stream has to wait because no upstream is available or because
+// the retry budget, which grows with each request, is exhausted. Its run was lost, so it cannot
+// be refused as not run, and its caller cannot resume it elsewhere either: all upstreams of the
+// service are unavailable, and crashed ones return within seconds.
 func (d *Dispatcher) shouldWait(s *stream, refusal *result.Error, now time.Time) bool {
-	if refusal == nil || refusal.Code != result.NoUpstream || s.runs == 0 || s.runs >= d.cfg.MaxSends || now.Sub(s.lostAt) >= d.cfg.MaxResumeWait {
+	if refusal == nil || refusal.Code != result.NoUpstream && refusal.Code != result.Overloaded || s.runs == 0 || s.runs >= d.cfg.MaxSends || now.Sub(s.lostAt) >= d.cfg.MaxResumeWait {
 		return false
 	}
 	if !s.waiting {
