dispatch: a silent engine can be chosen again after a wait

What callers saw: a stream that left a paused engine was cut after MaxResumeWait if no other upstream took it, though the engine had gone on long before.

Cause: an engine on which a request may have run is never chosen again. That is meant for engines that fail, but silence is no failure.

Change: engines that were left because they were silent are excluded only until the stream waits, like those that declined it. For the same reason they count as upstreams to which a stream may leave a silent engine, and so do those that declined.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -119,6 +119,7 @@
 	uncounted   int              // part of sends that does not count towards Settings.MaxSends any more
 	exclude     []ident.Upstream // upstreams that are not tried again
 	requireIdle bool             // the request waits, with others, for the first upstreams that return
+	silent      []ident.Upstream // upstreams that were left because they were silent; tried again after a wait
 	declined    []ident.Upstream // upstreams that did not accept the request; tried again after a wait
 	lostDomain  ident.Domain     // failure domain of the last failed upstream; avoided if there are others
 	lastFailure string           // reason of the last failure
@@ -134,13 +135,13 @@
 
 // excluded returns the upstreams that are not to be chosen for the next attempt.
 func (a *attempts) excluded() []ident.Upstream {
-	return slices.Concat(a.exclude, a.declined)
+	return slices.Concat(a.exclude, a.silent, a.declined)
 }
 
-// retryDeclined allows the upstreams that declined the request to be chosen again, and
-// resets the count of attempts.
-func (a *attempts) retryDeclined() {
-	a.declined = nil
+// retryAll allows the upstreams that declined the request or were silent to be chosen again,
+// and resets the count of attempts.
+func (a *attempts) retryAll() {
+	a.silent, a.declined = nil, nil
 	a.uncounted = a.sends
 }
 
@@ -307,9 +308,14 @@
 	}
 	if v.mayHaveRun {
 		a.runs++
-		a.exclude = append(a.exclude, u.ID)
-	} else {
+	}
+	switch {
+	case !v.mayHaveRun:
 		a.declined = append(a.declined, u.ID)
+	case v.cause == silent || v.cause == probeFailed:
+		a.silent = append(a.silent, u.ID)
+	default:
+		a.exclude = append(a.exclude, u.ID)
 	}
 	d.log.Info().Str("Request", string(a.w.ID)).Str("Upstream", string(u.ID)).Uint64("Revision", u.Revision.Revision()).Int("Attempt", a.sends).
 		Bool("MayHaveRun", v.mayHaveRun).Str("Cause", string(v.cause)).Str("Reason", v.reason).Dur("AfterMs", now.Sub(began)).Msg("attempt failed")
--- a/dispatch/patience.go
+++ b/dispatch/patience.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"crocuslug/ident"
@@ -22,7 +23,7 @@
 	if most := s.w.Route.MaxAttempts; most > 0 {
 		left = min(left, most-s.runs-1)
 	}
-	exclude := append(s.excluded(), id)
+	exclude := append(slices.Clone(s.exclude), id) // those that declined or were silent are tried again
 	return patience{
 		mayMove:  s.w.Route.Repeatable() && left > 0,
 		early:    left > 1,
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -137,7 +137,7 @@
 	}
 	s.waiting = true
 	s.requireIdle = now.Sub(s.lostAt) < d.cfg.RequireIdleFor
-	s.retryDeclined()
+	s.retryAll()
 	return true
 }
 
