dispatch: a call leaves a silent upstream only if it may go elsewhere

What callers saw: a safe request failed with 502 after half of its time, though its paused upstream would have answered in time.

Cause: an attempt ended after AttemptShare of the time left, before anybody asked whether another upstream can take the request and whether the retry budget allows it.

Change: the share bounds the reading of the answer and is extended as long as there is no other upstream or no budget, like the limits of streams. Such an end, and the one of a stream without a head of an answer, is counted as TimedOut; the latter was counted as Broken, and so could be checked as a crash.

TestPauses/safe-only-upstream and safe-without-budget failed before (refused Unknown, want 200 a) and pass.

--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
 	"crocuslug/directory"
 	"crocuslug/fleet"
+	"crocuslug/ident"
 	"crocuslug/result"
 	"crocuslug/work"
 )
@@ -66,14 +69,15 @@
 // send makes one attempt and reads the whole answer.
 func (d *Dispatcher) send(ctx context.Context, a *attempts, u directory.Upstream, now time.Time) (*Reply, sendFailure, bool) {
 	w := a.w
-	limit := w.Deadline
-	if w.Route.Repeatable() && a.sends < w.Route.MaxAttempts {
-		limit = now.Add(time.Duration(d.cfg.AttemptShare * float64(w.Deadline.Sub(now))))
-	}
-	ctx, cancel := d.withDeadline(ctx, limit)
+	ctx, cancel := d.withDeadline(ctx, w.Deadline)
 	defer cancel()
 	attempt := work.Attempt{Upstream: u, Remaining: w.Deadline.Sub(now), Rank: queueRank(w)}
-	ans, err := d.client.Do(ctx, u.Address, d.exchangeRequest(w, &attempt))
+	r := d.exchangeRequest(w, &attempt)
+	if w.Route.Repeatable() && a.sends < w.Route.MaxAttempts {
+		r.AnswerBy = now.Add(time.Duration(d.cfg.AttemptShare * float64(w.Deadline.Sub(now))))
+		r.Extend = func() time.Time { return d.extendCall(a, u.ID) }
+	}
+	ans, err := d.client.Do(ctx, u.Address, r)
 	if err == nil {
 		defer ans.Close()
 	}
@@ -81,8 +85,21 @@
 		return nil, v, true
 	}
 	body, err := ans.ReadBody()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, timeLimitPassed, true
+	}
 	if err != nil {
 		return nil, sendFailure{outcome: fleet.Failed, mayHaveRun: true, cause: broken, reason: err.Error()}, true
 	}
 	return &Reply{Status: ans.Status, Header: ans.Header, Body: body}, sendFailure{}, false
 }
+
+// extendCall returns until when a request waits for an upstream that has not answered within
+// its share of the time, or zero if the request may be sent to another one.
+func (d *Dispatcher) extendCall(a *attempts, id ident.Upstream) time.Time {
+	service := a.w.Service.Name
+	if d.fleet.HasOther(service, append(a.excluded(), id)) && d.retryBudget(service).Available() {
+		return time.Time{}
+	}
+	return d.timer.Now().Add(silenceCheckInterval)
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -276,6 +278,9 @@
 	status      cause = "Status"    // the upstream answered with a failure
 )
 
+// timeLimitPassed is the failure of an attempt whose upstream has not answered in time.
+var timeLimitPassed = sendFailure{outcome: fleet.Failed, mayHaveRun: true, cause: timedOut, reason: "no answer within its time limit"}
+
 // classify reports whether an attempt failed, and how. The answer is used only if err is
 // nil.
 func (d *Dispatcher) classify(ctx context.Context, ans *exchange.Answer, err error) (sendFailure, bool) {
@@ -284,6 +289,8 @@
 		return sendFailure{outcome: fleet.Dead, mayHaveRun: true, cause: probeFailed, reason: errProbeFailed.Error()}, true
 	case err != nil && context.Cause(ctx) == context.DeadlineExceeded:
 		return sendFailure{outcome: fleet.Failed, mayHaveRun: !exchange.NotSent.Has(err), cause: timedOut, reason: "no answer within its time limit"}, true
+	case exchange.Broken.Has(err) && errors.Is(err, os.ErrDeadlineExceeded):
+		return timeLimitPassed, true
 	case exchange.NotSent.Has(err):
 		return sendFailure{outcome: fleet.Dead, cause: notSent, reason: err.Error()}, true
 	case err != nil:
@@ -312,7 +319,7 @@
 	switch {
 	case !v.mayHaveRun:
 		a.declined = append(a.declined, u.ID)
-	case v.cause == silent || v.cause == probeFailed:
+	case v.cause == silent || v.cause == probeFailed || v.cause == timedOut:
 		a.silent = append(a.silent, u.ID)
 	default:
 		a.exclude = append(a.exclude, u.ID)
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -83,6 +83,13 @@
 	b.tokens = min(b.cfg.Burst, b.tokens+b.cfg.RetryRatio)
 }
 
+// Available reports whether the budget allows a retry now.
+func (b *Budget) Available() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens >= 1
+}
+
 // Decide returns whether a failed request is retried, and after which delay. A
 // decision to retry is charged to the budget, except for resumed requests. These
 // result from the loss of an engine, and are limited by their remaining time and by
