dispatch: an engine that does not answer a probe is not dead

What callers saw: beside two engines of a failure domain that paused, the sound ones there were avoided and new streams refused or queued; an engine that a content crashed in the next 1.5 s was not counted against it, and copies at the paused engines were given up.

Cause: a probe without an answer within 250 ms made its engine dead, like a refused connection, and two dead ones make a failed failure domain, here and at all instances that hear the digest.

Change: only an engine to which no connection can be made for a probe is dead (Failed.Unreachable). One that is silent on an open connection has failed.

TestPausedDomain failed before (got failed, want not failed) and passes.

Left: an engine that is cut off is found dead only by a probe or a sending that needs a new connection; over a kept one its silence cannot be told from a pause.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -266,16 +266,17 @@
 
 // Causes of failed attempts.
 const (
-	probeFailed cause = "NoProbe"   // the silent engine did not answer a probe
-	timedOut    cause = "TimedOut"  // no answer within the time limit
-	notSent     cause = "NotSent"   // no connection was made
-	broken      cause = "Broken"    // the connection ended before the answer
-	silent      cause = "Silent"    // no piece within the longest pause
-	replaced    cause = "Replaced"  // another upstream now has the address
-	notRun      cause = "NotRun"    // refused by the upstream without running it
-	unsigned    cause = "Unsigned"  // the answer carries no signature of an upstream
-	incorrect   cause = "Incorrect" // the stream did not consist of the expected pieces
-	status      cause = "Status"    // the upstream answered with a failure
+	probeFailed cause = "NoProbe"     // the silent engine did not answer a probe
+	unreachable cause = "Unreachable" // no connection to the silent engine could be made for a probe
+	timedOut    cause = "TimedOut"    // no answer within the time limit
+	notSent     cause = "NotSent"     // no connection was made
+	broken      cause = "Broken"      // the connection ended before the answer
+	silent      cause = "Silent"      // no piece within the longest pause
+	replaced    cause = "Replaced"    // another upstream now has the address
+	notRun      cause = "NotRun"      // refused by the upstream without running it
+	unsigned    cause = "Unsigned"    // the answer carries no signature of an upstream
+	incorrect   cause = "Incorrect"   // the stream did not consist of the expected pieces
+	status      cause = "Status"      // the upstream answered with a failure
 )
 
 // timeLimitPassed is the failure of an attempt whose upstream has not answered in time.
@@ -285,8 +286,10 @@
 // nil.
 func (d *Dispatcher) classify(ctx context.Context, ans *exchange.Answer, err error) (sendFailure, bool) {
 	switch {
+	case err != nil && context.Cause(ctx) == errUnreachable:
+		return sendFailure{outcome: fleet.Dead, mayHaveRun: true, cause: unreachable, reason: errUnreachable.Error()}, true
 	case err != nil && context.Cause(ctx) == errProbeFailed:
-		return sendFailure{outcome: fleet.Dead, mayHaveRun: true, cause: probeFailed, reason: errProbeFailed.Error()}, true
+		return sendFailure{outcome: fleet.Failed, mayHaveRun: true, cause: probeFailed, reason: errProbeFailed.Error()}, true
 	case err != nil && context.Cause(ctx) == context.DeadlineExceeded:
 		return sendFailure{outcome: fleet.Failed, mayHaveRun: !exchange.NotSent.Has(err), cause: timedOut, reason: "no answer within its time limit"}, true
 	case exchange.Broken.Has(err) && errors.Is(err, os.ErrDeadlineExceeded):
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -18,9 +18,11 @@
 	probeTimeout  = 250 * time.Millisecond // probes are answered at once, without a slot
 )
 
-// errProbeFailed is the cause with which the context of an attempt ends if its engine does not
-// answer a probe.
-var errProbeFailed = errors.New("the engine did not answer a probe")
+// Causes with which the context of an attempt ends if its engine is left after a probe.
+var (
+	errProbeFailed = errors.New("the engine did not answer a probe")
+	errUnreachable = errors.New("no connection to the engine could be made for a probe")
+)
 
 // withProbes returns a context that ends when u is to be left because it does not answer probes.
 // Probes are sent periodically until the returned function is called.
@@ -38,7 +40,10 @@
 			case waiting.Err() != nil:
 			case err == nil:
 				answered.Store(max(answered.Load(), now.UnixNano()))
-			case p.beforeStart(time.Duration(now.UnixNano() - answered.Load())):
+			case !p.beforeStart(time.Duration(now.UnixNano() - answered.Load())):
+			case exchange.NotSent.Has(err):
+				lost(errUnreachable)
+			default:
 				lost(errProbeFailed)
 			}
 		}()
