ingress: answer a request that was read during the answer before it when the server closes

What callers saw: a caller that sends its next request before the answer to the first has ended lost it if the instance began to stop meanwhile. The instance had read the request whole and closed the connection.

Cause: finishRequest closed the connection of a closed server without regard to what had been read for the next request. If the answer was a stream that had begun before the stop, its header had not announced the close.

Ruled out: an answer that does announce the close. Its caller must send later requests again (RFC 9112, 9.6), and such connections are closed as before.

Change: as in closeIfIdle, only a read deadline is set and the reading goroutine decides. Data that has been read is a request; it is answered with Connection: close.

Proof: TestPipelinedRequestAnsweredAtStop failed before with "second answer: got unexpected EOF, want an answer". TestRequestAtIdleLimit passed before, too; it guards the idle limit, where the deadline decides in the same way.

--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -68,16 +68,20 @@
 }
 
 // finishRequest marks the end of a request: it closes the connection or bounds the wait for the
-// next request to idle.
+// next request to idle. If the server is closed it waits no longer, but a request whose first bytes
+// were read during the answer is still answered.
 func (c *connection) finishRequest(idle time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = false
-	if c.closing || c.server.closed.Load() {
+	switch {
+	case c.closing:
 		_ = c.Conn.Close() // the reader in handle then returns
-		return
+	case c.server.closed.Load():
+		_ = c.SetReadDeadline(c.server.timer.Now()) // fails only on a closed connection
+	default:
+		c.setReadTimeout(c.server.timer.Now(), idle)
 	}
-	c.setReadTimeout(c.server.timer.Now(), idle)
 }
 
 // closeIfIdle ends the connection unless a request has begun. It only sets a read deadline in the
@@ -216,7 +220,7 @@
 		cancel()
 	}
 	<-done
-	return err == nil && call.complete && !c.closing && !c.server.closed.Load()
+	return err == nil && call.complete && !c.closing
 }
 
 // reject answers a request that could not be read and ends the connection.
