soak: pauses of sound upstreams, also beside planned work

The soak could not find it: a frozen upstream was an unplanned fault, planned work was judged only while nothing else went on, and streams of 3.6 s met at most two pauses.

Change: pauses of 0.3 to 1.2 s of one, several, a domain of or all upstreams come in series and are judged like planned work. Each run begins with a series beside planned work, in which the configuration changes in any way that the soak can write. While nothing unplanned goes on, no request may fail before seven tenths of its time. Streams last about 5 s and allow the longest pause of the users' sites; a third of the callers sends none, so that plain calls go on. The grace period is 16 s, since a stream that meets pauses may last 12 s, and planned stops must not cut it. The figures hold the reasons in the logs.

"upstream frozen", up to 2 s, stays an unplanned fault.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -15,8 +15,12 @@
 	"crocuslug/standinregistered"
 )
 
-// answerTimeout is the time that a caller waits for an answer or the next piece.
-const answerTimeout = 12 * time.Second
+// Time limits of callers.
+const (
+	answerTimeout = 12 * time.Second // for an answer or the next piece
+	plainTimeout  = 10 * time.Second // of a request with a plain answer
+	streamTimeout = 25 * time.Second // of a streaming request, which may meet many pauses
+)
 
 // caller sends one request after the other and reuses its connection while it stays open.
 type caller struct {
@@ -28,20 +32,28 @@
 	reader   *bufio.Reader
 }
 
+// plainOnly is the period, in callers, at which one sends no streaming requests, which take most of
+// the time of the others.
+const plainOnly = 3
+
 // run sends requests until the soak is over.
 func (c *caller) run(n int) {
 	defer c.closeConnection()
+	kinds := 4
+	if n%plainOnly == 0 {
+		kinds--
+	}
 	for i := 0; !c.soak.isStopping(); i++ {
 		id := fmt.Sprintf("s%d-c%d-r%d", c.soak.cfg.Seed, n, i)
 		if c.conn == nil && !c.connect() {
 			c.soak.clock.sleep(shortDelay)
 			continue
 		}
-		switch c.random.IntN(4) {
+		switch c.random.IntN(kinds) {
 		case 0:
-			c.sendStreaming(id)
-		case 1:
 			c.sendPlain(id, "/safe/x")
+		case 3:
+			c.sendStreaming(id)
 		default:
 			c.sendPlain(id, "/unsafe/x")
 		}
@@ -71,11 +83,11 @@
 }
 
 // send writes a request and reads the header of its answer.
-func (c *caller) send(id, target, method string) (*http.Response, error) {
+func (c *caller) send(id, target string, limit time.Duration) (*http.Response, error) {
 	_ = c.conn.SetDeadline(c.soak.clock.Now().Add(answerTimeout))
-	text := method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\n" +
+	text := http.MethodPost + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\n" +
 		nativewire.RequestField + ": " + id + "\r\n" + nativewire.KeyField + ": " + apiKey + "\r\n" +
-		nativewire.TimeoutField + ": 10s\r\n" + nativewire.PromptField + ": 100\r\n" + nativewire.TokensField + ": 200\r\n" +
+		nativewire.TimeoutField + ": " + limit.String() + "\r\n" + nativewire.PromptField + ": 100\r\n" + nativewire.TokensField + ": 200\r\n" +
 		fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(id), id)
 	_, err := io.WriteString(c.conn, text)
 	c.sentAt = c.soak.clock.Now()
@@ -88,7 +100,7 @@
 // sendPlain sends a request with a plain answer and checks the answer.
 func (c *caller) sendPlain(id, target string) {
 	state := c.soak.currentFaultState()
-	res, err := c.send(id, target, http.MethodPost)
+	res, err := c.send(id, target, plainTimeout)
 	var body []byte
 	if err == nil {
 		body, err = io.ReadAll(res.Body)
@@ -106,7 +118,7 @@
 	case res.StatusCode == http.StatusOK && unsafe && c.soak.cluster.recorder.count(id) != 1:
 		c.soak.reportViolation("%s: was answered, but ran %d times, want 1", id, c.soak.cluster.recorder.count(id))
 	}
-	c.soak.recordAnswer(id, res.StatusCode, unsafe, state)
+	c.soak.recordAnswer(id, res.StatusCode, unsafe, c.sentAt, plainTimeout, state)
 	if res.Close {
 		c.closeConnection()
 	}
@@ -115,7 +127,7 @@
 // sendStreaming sends a request with a streamed answer and checks each piece.
 func (c *caller) sendStreaming(id string) {
 	state := c.soak.currentFaultState()
-	res, err := c.send(id, "/stream/x", http.MethodPost)
+	res, err := c.send(id, "/stream/x", streamTimeout)
 	c.soak.countRequest(id, false)
 	if err != nil {
 		c.soak.recordCut(c.instance, id, c.sentAt, state)
@@ -124,7 +136,7 @@
 	}
 	if res.StatusCode != http.StatusOK {
 		_, _ = io.Copy(io.Discard, res.Body)
-		c.soak.recordAnswer(id, res.StatusCode, false, state)
+		c.soak.recordAnswer(id, res.StatusCode, false, c.sentAt, streamTimeout, state)
 		if res.Close {
 			c.closeConnection()
 		}
@@ -153,7 +165,7 @@
 	if n != pieceCount {
 		c.soak.reportViolation("%s: stream ended as complete after %d pieces, want %d", id, n, pieceCount)
 	}
-	c.soak.recordAnswer(id, http.StatusOK, false, state)
+	c.soak.recordAnswer(id, http.StatusOK, false, c.sentAt, streamTimeout, state)
 	if res.Close {
 		c.closeConnection()
 	}
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -17,17 +17,20 @@
 	"crocuslug/nativewire"
 	"crocuslug/settings"
 	"crocuslug/store"
+	"crocuslug/unit"
 )
 
 // Layout and timing of a cluster.
 const (
 	domainCount               = 3
 	enginesPerDomain          = 2
-	pieceCount                = 120
+	pieceCount                = 160 // a stream lasts about 5 s without pauses, so that it meets several
 	engineService             = ident.Service("engine")
 	plainService              = ident.Service("plain")
 	host                      = "soak.example"
 	apiKey                    = "key-1"
+	targetGap                 = 700 * time.Millisecond // of streams, on the users' sites
+	grace                     = 16 * time.Second       // of instances; a stream that meets pauses ends within it
 	startTimeout              = 10 * time.Second
 	secretVariable            = "CROCUSLUG_PEER_SECRET"
 	configurationDelay        = 3 * time.Second // until a change is in force at an instance that reaches the store
@@ -129,14 +132,14 @@
 func (cl *cluster) writeFirstConfiguration(ctx context.Context) error {
 	route := func(prefix string, kind directory.Kind, s ident.Service, attempts int) directory.Route {
 		return directory.Route{
-			Name: prefix, Host: host, Prefix: prefix, Kind: kind, Timeout: 15 * time.Second, TargetGap: time.Second,
+			Name: prefix, Host: host, Prefix: prefix, Kind: kind, Timeout: streamTimeout, TargetGap: targetGap,
 			Services: []directory.Share{{Service: s, Weight: 1}}, MaxAttempts: attempts, Resumable: true,
 		}
 	}
 	cl.document = directory.Document{
 		Version: 1,
 		Routes: []directory.Route{
-			route("/stream/", directory.Streaming, engineService, 6),
+			route("/stream/", directory.Streaming, engineService, 5),
 			route("/unsafe/", directory.Unsafe, plainService, 1),
 			route("/safe/", directory.Safe, plainService, 3),
 		},
@@ -211,7 +214,7 @@
 		}
 		cfgs = append(cfgs, settings.Edge{
 			Name: fmt.Sprint("edge-", d), Domain: ident.Domain(fmt.Sprint("d", d)), Listen: addrs[0], ReadyListen: addrs[1],
-			PeerListen: addrs[2], StoreAddress: p.addr(), RetryShare: 0.8, RetrySlack: 400,
+			PeerListen: addrs[2], StoreAddress: p.addr(), RetryShare: 0.8, RetrySlack: 400, Grace: unit.Duration(grace),
 		})
 		cl.instances = append(cl.instances, &instance{listen: addrs[0], ready: addrs[1], store: p})
 	}
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -8,9 +8,12 @@
 // Processes are paused, killed, asked to stop and started again. Faults overlap, and
 // one seed determines all of them as far as the timing of the machine allows.
 //
+// A sound upstream may be silent for about a second. Such pauses are no fault: they
+// come in series, also beside planned work, and are checked like planned work.
+//
 // The checks are: each answer is complete and belongs to its caller; pieces arrive
 // once and in order; a request that may run only once does; a request refused as not
 // run did not run; a configuration is in force within seconds and never reverted;
-// planned stops cut no connections while no fault is active; and all requests are
-// served again after the faults.
+// planned work and pauses cut no connections while no fault is active, and then no
+// request fails before its deadline; and all requests are served again after the faults.
 package soak
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -33,6 +33,8 @@
 // restart sends a terminating signal to a process and starts it again after the given time. A process
 // that does not exit within stopTimeout is killed.
 func (s *Soak) restart(ctx context.Context, p *process, sig syscall.Signal, after time.Duration) {
+	p.setLeaving(true)
+	defer p.setLeaving(false)
 	done := p.exit()
 	p.signal(sig)
 	limit := s.clock.After(stopTimeout, func(time.Time) { p.signal(syscall.SIGKILL) })
@@ -77,6 +79,19 @@
 	}
 }
 
+// Planned work that also overlaps pauses of sound upstreams.
+var (
+	upstreamLeaves = fault{"upstream leaves", true, func(ctx context.Context, s *Soak, r *rand.Rand) {
+		s.restart(ctx, s.randomUpstream(r).process, syscall.SIGTERM, randomDuration(r, 100*time.Millisecond, time.Second))
+	}}
+	instanceLeaves = fault{"instance leaves", true, func(ctx context.Context, s *Soak, r *rand.Rand) {
+		s.restart(ctx, s.randomInstance(r).process, syscall.SIGTERM, randomDuration(r, 100*time.Millisecond, time.Second))
+	}}
+	instanceReload = fault{"instance reads its settings again", true, func(_ context.Context, s *Soak, r *rand.Rand) {
+		s.randomInstance(r).signal(syscall.SIGHUP)
+	}}
+)
+
 // faults lists all kinds of faults.
 var faults = []fault{
 	{"upstream killed", false, func(ctx context.Context, s *Soak, r *rand.Rand) {
@@ -97,9 +112,7 @@
 	{"upstream frozen", false, func(ctx context.Context, s *Soak, r *rand.Rand) {
 		s.freeze(ctx, s.randomUpstream(r).process, randomDuration(r, 300*time.Millisecond, 2*time.Second))
 	}},
-	{"upstream leaves", true, func(ctx context.Context, s *Soak, r *rand.Rand) {
-		s.restart(ctx, s.randomUpstream(r).process, syscall.SIGTERM, randomDuration(r, 100*time.Millisecond, time.Second))
-	}},
+	upstreamLeaves,
 	{"connections to an upstream reset", false, func(_ context.Context, s *Soak, r *rand.Rand) { s.randomUpstream(r).proxy.reset() }},
 	{"way to an upstream silent", false, func(ctx context.Context, s *Soak, r *rand.Rand) {
 		s.setModeFor(ctx, s.randomUpstream(r).proxy, silent, randomDuration(r, 500*time.Millisecond, 2*time.Second))
@@ -116,10 +129,8 @@
 	{"instance frozen", false, func(ctx context.Context, s *Soak, r *rand.Rand) {
 		s.freeze(ctx, s.randomInstance(r).process, randomDuration(r, 200*time.Millisecond, 1500*time.Millisecond))
 	}},
-	{"instance leaves", true, func(ctx context.Context, s *Soak, r *rand.Rand) {
-		s.restart(ctx, s.randomInstance(r).process, syscall.SIGTERM, randomDuration(r, 100*time.Millisecond, time.Second))
-	}},
-	{"instance reads its settings again", true, func(_ context.Context, s *Soak, r *rand.Rand) { s.randomInstance(r).signal(syscall.SIGHUP) }},
+	instanceLeaves,
+	instanceReload,
 	{"store silent for an instance", false, func(ctx context.Context, s *Soak, r *rand.Rand) {
 		s.setModeFor(ctx, s.randomInstance(r).store, silent, randomDuration(r, time.Second, 4*time.Second))
 	}},
@@ -146,13 +157,19 @@
 }
 
 // plannedAlonePeriod is the period, in faults, at which a planned fault runs without any
-// other, so that a connection that it cuts is detected.
+// other, so that a connection that it cuts is detected. Each second one runs beside pauses
+// of sound upstreams, which are no fault.
 const plannedAlonePeriod = 6
 
-// injectFaults starts faults at random intervals until the period for faults is over, and
-// waits for the last of them. Every plannedAlonePeriod-th fault is a planned one without others.
+// injectFaults begins with pauses beside planned work. Then it starts faults at random intervals
+// until the period for faults is over, and waits for the last of them. Every
+// plannedAlonePeriod-th fault is a planned one without others.
 func (s *Soak) injectFaults(ctx context.Context) {
 	r := rand.New(rand.NewPCG(s.cfg.Seed, 0))
+	pauses := rand.New(rand.NewPCG(s.cfg.Seed, pauseStream))
+	if !s.cfg.NoFault {
+		s.pauseBesidePlannedWork(ctx, pauses)
+	}
 	end := s.clock.Now().Add(s.cfg.FaultPeriod)
 	var running sync.WaitGroup
 	for n := 0; s.clock.Now().Before(end) && ctx.Err() == nil; n++ {
@@ -172,12 +189,13 @@
 			s.clock.pause(ctx, faultFreePeriod+time.Second)
 		}
 		s.beginFault(f)
-		running.Add(1)
-		go func() {
-			defer running.Done()
+		running.Go(func() {
 			f.run(ctx, s, rand.New(rand.NewPCG(seed, 1)))
 			s.endFault(f)
-		}()
+		})
+		if alone && n/plannedAlonePeriod%2 == 1 {
+			s.pauseSeries(ctx, pauses)
+		}
 		if alone {
 			running.Wait()
 		}
@@ -189,6 +207,17 @@
 	running.Wait()
 }
 
+// pauseStream is the stream of the random source of pauses. Streams 0 and up to the number of
+// callers belong to the faults and the callers.
+const pauseStream = 1 << 32
+
+// countFault counts planned work or a pause.
+func (s *Soak) countFault(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.figures.Faults[name]++
+}
+
 func (s *Soak) beginFault(f fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/soak/process.go
+++ b/soak/process.go
@@ -24,6 +24,7 @@
 	starts     int
 	lastChange time.Time     // last start or signal
 	stopped    bool          // never start the program again
+	leaving    int           // number of restarts in progress
 	exited     chan struct{} // closed when the program has exited; nil before the first start
 }
 
@@ -72,6 +73,24 @@
 	}
 }
 
+// setLeaving records that a restart of the program begins or has ended.
+func (p *process) setLeaving(leaving bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if leaving {
+		p.leaving++
+	} else {
+		p.leaving--
+	}
+}
+
+// isLeaving reports whether a restart of the program is in progress.
+func (p *process) isLeaving() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.leaving > 0
+}
+
 // signal sends a signal to the program, if it was started.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
--- a/soak/routes.go
+++ b/soak/routes.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -17,18 +18,14 @@
 func (s *Soak) addRoutes(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.clock.pause(ctx, configurationInterval)
-		cl := s.cluster
-		before := cl.document
-		prefix := fmt.Sprintf("/v%d/", cl.document.Version)
-		next := cl.document.Routes[2]
-		next.Name, next.Prefix = prefix, prefix
-		cl.document.Routes = append(append([]directory.Route{}, cl.document.Routes...), next)
-		cl.document.Version += 3 // versions need not be consecutive
-		if err := cl.writeConfiguration(ctx); err != nil {
-			cl.document = before // if only the answer was lost, the next write would conflict
-			if e, err := cl.store.Get(ctx, nativewire.ConfigurationKey); err == nil {
-				cl.revision = e.Version
-			}
+		var prefix string
+		err := s.changeConfiguration(ctx, func(doc *directory.Document, _ *rand.Rand) {
+			prefix = fmt.Sprintf("/v%d/", doc.Version)
+			next := doc.Routes[safeRoute]
+			next.Name, next.Prefix = prefix, prefix
+			doc.Routes = append(doc.Routes, next)
+		}, nil)
+		if err != nil {
 			continue
 		}
 		s.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -32,6 +32,7 @@
 	Cut        int            // connections that ended before a complete answer
 	Faults     map[string]int // number of faults by name
 	Checked    map[string]int // number of checks by promise
+	Reasons    map[string]int // cut streams, refusals and failed attempts in the instances' logs, by reason
 	Violations []string
 }
 
@@ -41,13 +42,15 @@
 	clock   clock
 	cluster *cluster
 
+	configurationMu sync.Mutex // held while the configuration is changed
+
 	mu             sync.Mutex
 	figures        Figures
 	refused        map[string]time.Time // ids of unsafe requests that were refused as not run
 	unsafe         []string             // ids of requests that may run at most once
 	readyInstances []*instance          // instances that reported ready at the last poll
 	faultEpoch     int                  // incremented when an unplanned fault begins or ends
-	lastFault      time.Time            // when an unplanned fault last began or ended
+	lastFault      time.Time            // when an unplanned fault last began or ended; zero before the first
 	activeCount    int                  // number of unplanned faults in progress
 	stopping       bool                 // callers stop
 	recovered      bool                 // the system had time to recover from the last fault and must serve all requests
@@ -73,7 +76,7 @@
 	routeCheckInterval    = 300 * time.Millisecond // between checks of the added routes
 	configurationInterval = 4 * time.Second        // between changes of the configuration
 	closeRaceLimit        = 200 * time.Millisecond // lost_slack_ms of the users' data sheets
-	stopTimeout           = 10 * time.Second       // until a process that was asked to stop is killed
+	stopTimeout           = 20 * time.Second       // longer than the grace period; until a process that was asked to stop is killed
 	minFaultInterval      = 250 * time.Millisecond // shortest time between the starts of two faults
 	maxActiveFaults       = 3                      // unplanned faults in progress at once
 	maxFaultInterval      = 700 * time.Millisecond // longest random time between the starts of two faults
@@ -99,7 +102,6 @@
 		return s.figures, err
 	}
 	s.cluster = cl
-	s.lastFault = s.clock.Now()
 	var running sync.WaitGroup
 	background, stopBackground := context.WithCancel(ctx)
 	for _, f := range []func(context.Context){s.pollReadiness, s.addRoutes, s.checkRoutes} {
@@ -131,8 +133,10 @@
 	stopBackground()
 	running.Wait()
 	s.checkRuns()
+	reasons := s.countInstanceReasons()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.figures.Reasons = reasons
 	return s.figures, nil
 }
 
@@ -181,12 +185,25 @@
 	return faultState{s.faultEpoch, s.activeCount == 0 && s.clock.since(s.lastFault) > faultFreePeriod, s.recovered}
 }
 
-// recordAnswer records a complete answer and checks its status.
-func (s *Soak) recordAnswer(id string, status int, unsafe bool, began faultState) {
+// deadlineShare is the share of its time that a request must have used before a failure may be put
+// down to its deadline.
+const deadlineShare = 0.7
+
+// recordAnswer records a complete answer to a request with a time limit and checks its status.
+// Without an unplanned fault a request may be refused as not run at any time, and fail only at its
+// deadline.
+func (s *Soak) recordAnswer(id string, status int, unsafe bool, sent time.Time, limit time.Duration, began faultState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.figures.Statuses[status]++
 	s.countCheck("own whole answer")
+	took := s.clock.since(sent)
+	if s.undisturbed(began) {
+		s.countCheck("no early failure without a fault")
+		if status > http.StatusInternalServerError && status != http.StatusServiceUnavailable && took < time.Duration(deadlineShare*float64(limit)) {
+			s.reportViolationLocked("%s: got status %d after %v without an unplanned fault, want none before the deadline of %v", id, status, took, limit)
+		}
+	}
 	switch {
 	case status == http.StatusServiceUnavailable && unsafe:
 		s.refused[id] = s.clock.Now()
@@ -201,16 +218,22 @@
 	}
 }
 
+// undisturbed reports whether no unplanned fault has affected a request. The caller holds s.mu.
+func (s *Soak) undisturbed(began faultState) bool {
+	return began.faultFree && began.epoch == s.faultEpoch
+}
+
 // recordCut records a connection that ended before a complete answer. Without an unplanned
 // fault that is a violation, unless the request and the close of an idle connection
 // crossed: no upstream ran it, and the connection ended shortly after the write.
 func (s *Soak) recordCut(in *instance, id string, sent time.Time, began faultState) {
-	crossed := s.clock.since(sent) <= closeRaceLimit && s.cluster.recorder.count(id) == 0
+	took := s.clock.since(sent)
+	crossed := took <= closeRaceLimit && s.cluster.recorder.count(id) == 0
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.figures.Cut++
-	if !crossed && began.faultFree && began.epoch == s.faultEpoch {
-		s.reportViolationLocked("%s: connection to %s cut without an unplanned fault", id, in.name)
+	if !crossed && s.undisturbed(began) {
+		s.reportViolationLocked("%s: connection to %s cut after %v without an unplanned fault", id, in.name, took)
 	}
 }
 
