soak: engines read prompts, and a series has twelve pauses

On the users' sites an engine reads a prompt for about a second before the first piece. The soak's engines began at once, so pauses hardly ever met a stream that had not begun, which is watched by probes.

--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -24,7 +24,7 @@
 const (
 	domainCount               = 3
 	enginesPerDomain          = 2
-	pieceCount                = 160 // a stream lasts about 5 s without pauses, so that it meets several
+	pieceCount                = 160 // a stream lasts about 6 s without pauses, so that it meets several
 	engineService             = ident.Service("engine")
 	plainService              = ident.Service("plain")
 	host                      = "soak.example"
@@ -184,7 +184,7 @@
 	}
 	name := fmt.Sprintf("engine-%d-%d", domain, n)
 	if n < enginesPerDomain {
-		args = append(args, "--service", string(engineService), "--pieces", fmt.Sprint(pieceCount), "--interval", "30ms")
+		args = append(args, "--service", string(engineService), "--pieces", fmt.Sprint(pieceCount), "--interval", "30ms", "--prefill", "800ms")
 	} else {
 		name = fmt.Sprintf("plain-%d", domain)
 		args = append(args, "--service", string(plainService), "--prefill", "40ms")
--- a/soak/pauses.go
+++ b/soak/pauses.go
@@ -13,8 +13,8 @@
 	maxPause      = 1200 * time.Millisecond
 	minPauseGap   = 150 * time.Millisecond // between two pauses; upstreams renew their registration in it
 	maxPauseGap   = 400 * time.Millisecond
-	pauseCount    = 9 // pauses of one series, which lasts about 9 s
-	plannedCount  = 4 // kinds of planned work that overlap a series at the start of a run
+	pauseCount    = 12 // pauses of one series, which lasts about 12 s
+	plannedCount  = 4  // kinds of planned work that overlap a series at the start of a run
 	maxPlannedGap = 2 * time.Second
 )
 
@@ -45,7 +45,7 @@
 }
 
 // pauseSeries makes sound upstreams silent for a moment, several times in a row, so that one
-// stream meets several pauses. Each scope occurs at least twice. Upstreams that are leaving do not
+// stream meets several pauses. Each scope occurs three times. Upstreams that are leaving do not
 // pause, since they end at a set time.
 func (s *Soak) pauseSeries(ctx context.Context, r *rand.Rand) {
 	order := r.Perm(pauseCount)
