--- a/edge/change_test.go
+++ b/edge/change_test.go
@@ -29,6 +29,7 @@
 	changeCallers  = 6 // of each kind of request
 	changeSeed     = 7
 	manyRoutes     = 350
+	longPrompt     = 20000 // tokens; streams with such prompts wait for each other in the queue of their service
 )
 
 // configurationChanges lists the kinds of changes, in the order in which they are made.
@@ -191,14 +192,19 @@
 	}
 }
 
-// callOn sends requests until the instance closes the connection.
+// callOn sends requests until the instance closes the connection. Callers that pipeline send long
+// prompts.
 func (l *changeLoad) callOn(conn net.Conn, name, path string, pipelining bool) {
 	_ = conn.SetDeadline(time.Now().Add(waitLimit))
 	reader := bufio.NewReader(conn)
 	var sent []time.Time
+	tokens := 0
+	if pipelining {
+		tokens = longPrompt
+	}
 	for answered := 0; !l.stopped.Load() || answered < len(sent); answered++ {
 		for !l.stopped.Load() && (len(sent) == answered || pipelining && len(sent) == answered+1) {
-			if _, err := io.WriteString(conn, changeRequest(fmt.Sprintf("%s-%d", name, len(sent)), path)); err != nil {
+			if _, err := io.WriteString(conn, changeRequest(fmt.Sprintf("%s-%d", name, len(sent)), path, tokens)); err != nil {
 				return // a kept connection was closed between two requests
 			}
 			sent = append(sent, time.Now())
@@ -225,8 +231,10 @@
 // lost_slack_ms of the users' data sheets.
 const closeRace = 200 * time.Millisecond
 
-func changeRequest(id, path string) string {
-	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: k\r\nContent-Length: 2\r\n\r\nhi", path, nativewire.RequestField, id, nativewire.KeyField)
+// changeRequest returns a request with a prompt of the given length.
+func changeRequest(id, path string, tokens int) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: k\r\n%s: %d\r\nContent-Length: 2\r\n\r\nhi",
+		path, nativewire.RequestField, id, nativewire.KeyField, nativewire.PromptField, tokens)
 }
 
 // checkAnswer reads the body of an answer and returns an error if it is not complete.
