generation: do not say that a request was not run if an engine may have read it

What callers saw: 201 Overloaded with Run NotRun for a new answer whose engines had read the request and were silent then; one that paused goes on and runs it.

Cause: only an accepted request counted as one that may have run. An engine that was connected, and did not respond within ConnectTimeout or broke the connection, may have read the request too.

Change: such a request ends with 308 UpstreamFailed and Run Unknown. Where no connection was opened, or engines refused the request, the result stays 201 with NotRun.

Seen failing before, on the parent of this change:

TestSilentStartMayHaveRun: run of 201 Overloaded: no reachable engine accepts the request: got NotRun, want Unknown

--- a/generation/loss.go
+++ b/generation/loss.go
@@ -17,6 +17,9 @@
 	if m.lostAt.IsZero() {
 		m.lostAt = now
 	}
+	if c == ConnectionReset && m.phase == connecting {
+		m.sent = true
+	}
 	if c == UnknownStream && m.phase == connecting {
 		c = EngineFull // a new stream is refused as unknown if the engine does not have the model
 	}
@@ -109,17 +112,24 @@
 	m.probes = 0
 	switch {
 	case alreadyExcluded && !m.accepted && (!m.unanswered || now.Sub(m.lostAt) > m.cfg.ConnectTimeout):
-		r := result.New(result.Overloaded, "no reachable engine accepts the request")
-		return m.endWith(r.After(m.cfg.RetryAfter))
+		return m.endWith(m.notAccepted())
 	case alreadyExcluded:
 		return m.retryLater(now) // all other engines are excluded, so choosing again would return the same one
 	}
 	return m.chooseEngine(now)
 }
 
+// notAccepted returns the result of an answer that no engine has accepted.
+func (m *Machine) notAccepted() *result.Error {
+	if m.sent {
+		return result.New(result.UpstreamFailed, "no engine responded to the request in time").Ran(result.RunUnknown)
+	}
+	return result.New(result.Overloaded, "no reachable engine accepts the request").After(m.cfg.RetryAfter)
+}
+
 // runStatus reports whether an engine may have run the request.
 func (m *Machine) runStatus() result.Run {
-	if m.accepted || m.takenOver {
+	if m.accepted || m.sent || m.takenOver {
 		return result.RunUnknown
 	}
 	return result.RunNot
--- a/generation/machine.go
+++ b/generation/machine.go
@@ -48,6 +48,7 @@
 	engineRetries  int  // waits for an engine since the last token
 	moves          int  // moves to another engine since the last token
 	accepted       bool // an engine accepted the request and may have run it
+	sent           bool // an engine may have read the request, but did not accept it
 	takenOver      bool // taken over from another instance, which may have delivered tokens
 	timeouts       *silence.Detector
 	released       int
--- a/generation/silence_test.go
+++ b/generation/silence_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"crocuslug/ident"
+	"crocuslug/result"
 )
 
 // silentEngines runs a machine whose engines accept every stream but become silent.
@@ -201,3 +202,23 @@
 		t.Errorf("end after the start: got %v, want at most %v", got, want)
 	}
 }
+
+// TestSilentStartMayHaveRun guards against telling a caller that its request was not run,
+// though engines that may have read it became silent.
+func TestSilentStartMayHaveRun(t *testing.T) {
+	m := New(Settings{}, Spec{Generation: "g"})
+	now := time.Unix(1000, 0)
+	acts := m.Start(now)
+	for !m.Closed() {
+		for _, a := range acts {
+			if a.Kind == ChooseEngine {
+				m.EngineChosen(now, "e1")
+			}
+		}
+		now = now.Add(100 * time.Millisecond)
+		acts = m.Tick(now)
+	}
+	if got, want := m.Result().Run, result.RunUnknown; got != want {
+		t.Errorf("run of %v: got %s, want %s", m.Result(), got, want)
+	}
+}
--- a/generation/tick.go
+++ b/generation/tick.go
@@ -30,6 +30,7 @@
 		}
 	case connecting:
 		if idle > m.cfg.ConnectTimeout {
+			m.sent = true // connections are opened in less time
 			return m.StreamLost(now, a, ResponseTimeout)
 		}
 	case probing:
