generation: do not blame a content for a stream that its former owner cancelled

What callers saw: a content could be kept apart, and after three such cases refused, though no engine had failed under it.

Cause: after a takeover the new owner asks for the stream that the replica knows. If the engine does not have it, that was reported as the failure of the engine. The former owner may have left that stream because the engine was silent and have cancelled it, or the engine may have dropped it, for want of a reader, before the caller came back.

Change: until an engine has accepted a stream of this owner, an unknown stream is a loss without evidence. The answer goes on as before. A refused or broken connection is reported as before, so an engine that fails together with an instance still counts, unless it is back within the time that the caller takes to come back.

Found by reading; seen failing before, on the parent of this change:

TestForgottenStreamAfterTakeover: got a report of the failure of "e1", want none

After: generation, daemon and standinsite pass with the race detector.

--- a/generation/loss.go
+++ b/generation/loss.go
@@ -66,13 +66,12 @@
 // engineLost abandons the engine and selects another. The engine is reported and counted as
 // failed only if it is known to have stopped or to have lost the stream: one that merely does
 // not answer may have paused or be unreachable from here, and its requests must not be blamed.
-// Nor must they if it has dropped the stream in that time, as engines do without a reader.
 func (m *Machine) engineLost(now time.Time, c LossCause) []Action {
 	if c == ConnectionRefused && m.phase != probing {
 		return m.switchEngine(now) // the request was not sent, so no work was lost
 	}
 	m.engineLosses++
-	if c == ResponseTimeout || c == TokenTimeout || m.wasSilent {
+	if !m.showsFailure(c) {
 		return m.engineSilent(now, c)
 	}
 	m.engineFailures++
@@ -84,7 +83,20 @@
 	return append(acts, m.switchEngine(now)...)
 }
 
-// engineSilent abandons an engine that does not answer. Silence alone ends the answer only
+// showsFailure reports whether a loss shows that the engine has stopped or lost the stream.
+// One that was silent may have dropped the stream for want of a reader, and the former owner
+// of a generation may have cancelled it.
+func (m *Machine) showsFailure(c LossCause) bool {
+	switch c {
+	case ResponseTimeout, TokenTimeout:
+		return false
+	case UnknownStream:
+		return !m.wasSilent && (m.accepted || !m.takenOver)
+	}
+	return !m.wasSilent
+}
+
+// engineSilent abandons an engine that is not known to have failed. Silence alone ends the answer only
 // once ResumeTimeout has passed.
 func (m *Machine) engineSilent(now time.Time, c LossCause) []Action {
 	m.unanswered = true
--- a/generation/silence_test.go
+++ b/generation/silence_test.go
@@ -222,3 +222,17 @@
 		t.Errorf("run of %v: got %s, want %s", m.Result(), got, want)
 	}
 }
+
+// TestForgottenStreamAfterTakeover guards against blaming a content because the engine no
+// longer has the stream that a former owner knew: that owner may have left it in silence and
+// cancelled it.
+func TestForgottenStreamAfterTakeover(t *testing.T) {
+	m := Adopt(Settings{}, Spec{Generation: "g"}, AdoptedState{Upstream: "e1", Stream: "g-1", Tokens: []string{"x"}, Attempt: 1})
+	now := time.Unix(1000, 0)
+	m.Start(now)
+	for _, a := range m.StreamLost(now, m.Log().Attempt(), UnknownStream) {
+		if a.Kind == ReportFailure {
+			t.Errorf("got a report of the failure of %q, want none", a.Upstream)
+		}
+	}
+}
