generation: do not count a stall of the instance as silence of engines

What callers saw: an answer whose stream was lost when the instance itself stalled ended with 301, "no engine could continue the answer within the time limit".

Cause: after a stall the running limits were extended, but not the time from which ResumeTimeout counts. After a stall of 20 s the next loss ended the answer.

Change: that time moves by the length of the stall too, at most to now.

Seen failing before, on the parent of this change:

TestInstanceStallDoesNotEndAnswer: result after a stall of 21s: got 301 GenerationLost: no engine could continue the answer within the time limit, want none

After: generation, daemon and standinsite pass with the race detector.

--- a/generation/machine.go
+++ b/generation/machine.go
@@ -287,8 +287,11 @@
 // InstanceStalled extends the running time limits by d after this instance itself was
 // stalled for d, since it could not have received anything from engines or replicas in that
 // time.
-func (m *Machine) InstanceStalled(d time.Duration) {
+func (m *Machine) InstanceStalled(now time.Time, d time.Duration) {
 	m.lastActivity = m.lastActivity.Add(d)
+	if !m.lostAt.IsZero() {
+		m.lostAt = m.lostAt.Add(min(d, now.Sub(m.lostAt)))
+	}
 	m.replica.lastAck = m.replica.lastAck.Add(d)
 }
 
--- a/generation/silence_test.go
+++ b/generation/silence_test.go
@@ -236,3 +236,18 @@
 		}
 	}
 }
+
+// TestInstanceStallDoesNotEndAnswer guards against counting the time in which this instance
+// itself was stalled as silence of engines.
+func TestInstanceStallDoesNotEndAnswer(t *testing.T) {
+	s := newSilentStream(t)
+	const stall = defaultResumeTimeout + time.Second
+	s.now = s.now.Add(stall)
+	s.machine.InstanceStalled(s.now, stall)
+	for range 5 * defaultConnectTimeout / (20 * time.Millisecond) {
+		s.tick()
+	}
+	if r := s.machine.Result(); r != nil {
+		t.Errorf("result after a stall of %v: got %v, want none", stall, r)
+	}
+}
--- a/owner/generation.go
+++ b/owner/generation.go
@@ -259,7 +259,7 @@
 		return true
 	}
 	if delay > 0 {
-		g.machine.InstanceStalled(delay)
+		g.machine.InstanceStalled(now, delay)
 	}
 	g.perform(now, g.machine.Tick(now))
 	g.cleanUp(now)
