daemon: count the pause of an engine once for the choice of engines

What callers saw: a sound engine got hardly any new work for a quarter of a minute after a pause of a second.

Cause: each stream that ended by a time limit added the penalty of a failure (2 s, halved every 2 s). Sixteen streams on one engine made 32 s of one pause, which takes 14 s to fall below the share at which an engine is looked at again; one failure takes 6 s.

Change: a stream that ended by a time limit sets the penalty to that of one failure and does not add to it. Broken and refused connections add to it as before.

The 14 s and 6 s are computed from the settings.

--- a/daemon/load.go
+++ b/daemon/load.go
@@ -143,10 +143,8 @@
 	now := d.opt.Timer.Now()
 	if r, ok := d.spilledOut.take(spec.Generation); ok {
 		d.releaseRemote(spec.Generation, r)
-	} else if cause == 0 || cause == generation.EngineFull {
-		d.engineChooser.Done(u, now)
 	} else {
-		d.engineChooser.Failed(u, now)
+		d.countRelease(u, cause, now)
 	}
 	d.observeStreamEnd(u, cause)
 	if cause == generation.EngineDraining {
@@ -154,6 +152,20 @@
 	}
 }
 
+// countRelease tells the chooser that a request at engine u ended. A pause of the engine ends
+// many of them, and counts as one failure.
+func (d *Daemon) countRelease(u ident.Upstream, cause generation.LossCause, now time.Time) {
+	switch cause {
+	case 0, generation.EngineFull:
+		d.engineChooser.Done(u, now)
+	case generation.TokenTimeout, generation.ResponseTimeout:
+		d.engineChooser.Done(u, now)
+		d.engineChooser.Suspect(u, now)
+	default:
+		d.engineChooser.Failed(u, now)
+	}
+}
+
 // tokensReceived counts tokens and records the time to the first token if first is not 0.
 func (d *Daemon) tokensReceived(_ ident.Upstream, _ generation.Spec, tokens int, first time.Duration) {
 	d.metrics.tokens.Inc(int64(tokens))
