Log the parts of the prompt of a lost run

No line named the parts of a prompt, so logs could not tell which part the requests at lost engines share. The line of an attempt that failed and may have run names up to eight parts, 24 bytes each; other lines stay as they are.

The own wire format gets the parts of a prompt too, in the same form as the platform's.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -311,7 +311,11 @@
 	} else {
 		a.declined = append(a.declined, u.ID)
 	}
-	d.log.Info().Str("Request", string(a.w.ID)).Str("Upstream", string(u.ID)).Uint64("Revision", u.Revision.Revision()).Int("Attempt", a.sends).
+	line := d.log.Info()
+	if v.mayHaveRun && len(a.w.Parts) > 0 {
+		line.Str("Parts", partNames(a.w.Parts))
+	}
+	line.Str("Request", string(a.w.ID)).Str("Upstream", string(u.ID)).Uint64("Revision", u.Revision.Revision()).Int("Attempt", a.sends).
 		Bool("MayHaveRun", v.mayHaveRun).Str("Cause", string(v.cause)).Str("Reason", v.reason).Dur("AfterMs", now.Sub(began)).Msg("attempt failed")
 }
 
--- a/dispatch/prompts.go
+++ b/dispatch/prompts.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"strings"
 	"sync"
 
 	"crocuslug/ident"
@@ -47,3 +48,18 @@
 	}
 	return out
 }
+
+// Bounds of the names of parts in a log line. Callers choose the names.
+const (
+	maxNamedParts = 8
+	maxPartName   = 24 // bytes
+)
+
+// partNames returns the names of the parts of a prompt for the log.
+func partNames(parts []prefix.Part) string {
+	names := make([]string, 0, maxNamedParts)
+	for _, p := range parts[:min(len(parts), maxNamedParts)] {
+		names = append(names, p.Name[:min(len(p.Name), maxPartName)])
+	}
+	return strings.Join(names, ",")
+}
--- a/edge/requests.go
+++ b/edge/requests.go
@@ -122,6 +122,7 @@
 		Tokens:       desc.Tokens,
 		Blocks:       prefix.Chain(desc.Model, desc.Parts),
 		Sizes:        partTokens(desc.Parts),
+		Parts:        desc.Parts,
 		LastPiece:    desc.LastPiece,
 		Resumes:      desc.Resumes,
 		Priority:     priority,
--- a/nativewire/nativewire.go
+++ b/nativewire/nativewire.go
@@ -17,6 +17,7 @@
 	"crocuslug/edge"
 	"crocuslug/ident"
 	"crocuslug/keyvalue"
+	"crocuslug/prefix"
 	"crocuslug/store"
 	"crocuslug/work"
 )
@@ -29,6 +30,7 @@
 	AfterField     = "Crocuslug-After"     // number of the last piece that the caller has received
 	PromptField    = "Crocuslug-Prompt"    // tokens of the prompt
 	TokensField    = "Crocuslug-Tokens"    // tokens of prompt and answer together
+	PartsField     = "Crocuslug-Parts"     // parts of the prompt in order, each as NAME:TOKENS
 	WorkspaceField = "Crocuslug-Workspace" // set by the instance
 	UpstreamField  = "Crocuslug-Upstream"  // id of the upstream that must run the request
 	CopyToField    = "Crocuslug-Copy-To"   // address of the upstream that keeps a copy of the run
@@ -108,6 +110,7 @@
 	if n, err := strconv.Atoi(h.Get(TokensField)); err == nil {
 		d.Tokens = n
 	}
+	d.Parts = prefix.ParseParts(h.Get(PartsField))
 	return d
 }
 
--- a/prefix/part.go
+++ b/prefix/part.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"strconv"
+	"strings"
 
 	"github.com/zeebo/xxh3"
 )
@@ -24,3 +26,21 @@
 	}
 	return blocks
 }
+
+// ParseParts parses parts that are listed as NAME:TOKENS and separated by commas. It returns nil if
+// the list is empty or malformed.
+func ParseParts(s string) []Part {
+	if s == "" {
+		return nil
+	}
+	var out []Part
+	for entry := range strings.SplitSeq(s, ",") {
+		name, tokens, ok := strings.Cut(strings.TrimSpace(entry), ":")
+		n, err := strconv.Atoi(tokens)
+		if !ok || name == "" || err != nil || n < 0 {
+			return nil
+		}
+		out = append(out, Part{Name: name, Tokens: n})
+	}
+	return out
+}
--- a/prefix/part_test.go
+++ b/prefix/part_test.go
@@ -36,3 +36,24 @@
 		}
 	}
 }
+
+func TestParseParts(t *testing.T) {
+	tests := []struct {
+		in   string
+		want []Part
+	}{
+		{"", nil},
+		{"a:200", []Part{{"a", 200}}},
+		{"a:200, b:0", []Part{{"a", 200}, {"b", 0}}},
+		{"a", nil},
+		{"a:", nil},
+		{":3", nil},
+		{"a:3,", nil},
+		{"a:3,b:-1", nil},
+	}
+	for _, tc := range tests {
+		if got := ParseParts(tc.in); !slices.Equal(got, tc.want) {
+			t.Errorf("%q: got %v, want %v", tc.in, got, tc.want)
+		}
+	}
+}
