edge: failing test of a part of prompts that crashes engines

Five instances before twelve stand-in engines in four failure domains. Requests at any instance, no two alike, hold one part; an engine crashes as it begins to answer one and is back after 1 to 2 s under a new id. Sound requests share their key and their other parts.

--- /dev/null
+++ b/edge/parts_test.go
@@ -0,0 +1,343 @@
+package edge_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"crocuslug/ident"
+	"crocuslug/nativewire"
+	"crocuslug/settings"
+	"crocuslug/standinregistered"
+)
+
+// Targets of the users' platform for requests with a part of their prompts that crashes engines.
+const (
+	crashesKnown   = 5          // crashes after which the part has to be known
+	blameTime      = stableTime // from then until requests with the part must not be sent on
+	maxSendsAfter  = 3          // requests with the part that may be sent on later
+	recoveryTime   = 2 * stableTime
+	minSoundShare  = 0.5 // of the share of sound requests that began before
+	minSoundSample = 20
+	troubleTime    = 5 * time.Second // in which requests with the part crash as many engines as they can
+)
+
+// crashing is a site whose engines crash on a part of prompts.
+type crashing struct {
+	*site
+	listen []string // of the instances
+	seeds  []string
+	random *rand.Rand
+
+	mu      sync.Mutex
+	ended   bool
+	engines map[string]*standinregistered.Server // by address
+	domains map[string]ident.Domain              // by address
+	crashes []time.Time
+	sends   map[string][]time.Time // arrivals at engines, by kind of request
+	results []promptResult
+	callers sync.WaitGroup
+}
+
+// promptResult is how one request ended.
+type promptResult struct {
+	kind   string
+	sent   time.Time
+	status int // 0 if there was no answer
+}
+
+// Sizes of the site.
+const (
+	crashingInstances = 5
+	enginesPerDomain  = 3
+	badPart           = "bad"
+)
+
+var engineDomains = []ident.Domain{"a", "b", "c", "d"}
+
+func newCrashing(t *testing.T, instances int) *crashing {
+	t.Helper()
+	c := &crashing{
+		site: newSite(t), random: rand.New(rand.NewPCG(1, 2)), engines: make(map[string]*standinregistered.Server),
+		domains: make(map[string]ident.Domain), sends: make(map[string][]time.Time),
+	}
+	recorder := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		kind, _, _ := strings.Cut(r.URL.Query().Get("id"), "-")
+		c.recordSend(kind)
+	}))
+	t.Cleanup(recorder.Close)
+	c.putConfiguration(3)
+	for _, domain := range engineDomains {
+		for range enginesPerDomain {
+			c.startEngine(freeAddress(t), domain, recorder.Listener.Addr().String())
+		}
+	}
+	t.Cleanup(c.stopEngines)
+	c.startUpstream("plain", 0, "127.0.0.1:0")
+	for i := range instances {
+		c.startPeer(fmt.Sprintf("e%d", i+1))
+	}
+	for _, addr := range c.listen {
+		c.waitForStatus(addr, "/unsafe/x", "k", http.StatusOK)
+	}
+	c.waitForPeers(c.listen)
+	return c
+}
+
+// startPeer starts one more instance.
+func (c *crashing) startPeer(name string) settings.Edge {
+	c.t.Helper()
+	_, cfg := c.startInstance(name, c.http.Addr(), c.seeds...)
+	c.listen, c.seeds = append(c.listen, cfg.Listen), append(c.seeds, cfg.PeerListen)
+	return cfg
+}
+
+// startEngine starts an engine that crashes on badPart and starts again after 1 to 2 s.
+func (c *crashing) startEngine(address string, domain ident.Domain, recorder string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return
+	}
+	const minDown, downSpread = 1000, 1000 // ms
+	down := time.Duration(minDown+c.random.IntN(downSpread)) * time.Millisecond
+	u := standinregistered.New(standinregistered.Settings{
+		Listen: address, Store: c.http.Addr(), Recorder: recorder, Service: "engine", Domain: domain, CrashPart: badPart,
+		Prefill: 100 * time.Millisecond, Interval: 30 * time.Millisecond, Pieces: 45,
+		OnCrash: func() {
+			c.mu.Lock()
+			c.crashes = append(c.crashes, time.Now())
+			c.mu.Unlock()
+			time.AfterFunc(down, func() { c.startEngine(address, domain, recorder) }) // under a new id
+		},
+	}, c.clock)
+	if err := u.Start(); err != nil { // the port has been taken meanwhile
+		time.AfterFunc(time.Millisecond, func() { c.startEngine("127.0.0.1:0", domain, recorder) })
+		return
+	}
+	c.engines[u.Addr()], c.domains[u.Addr()] = u, domain
+}
+
+func (c *crashing) stopEngines() {
+	c.callers.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+	for _, u := range c.engines {
+		u.Kill()
+	}
+}
+
+func (c *crashing) recordSend(kind string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sends[kind] = append(c.sends[kind], time.Now())
+}
+
+// crashCount returns the number of engines that have crashed.
+func (c *crashing) crashCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.crashes)
+}
+
+// send sends a request of a kind with a prompt to an instance, from a caller of its own.
+func (c *crashing) send(kind, address, prompt string, n int) {
+	c.callers.Go(func() {
+		r := promptResult{kind: kind, sent: time.Now()}
+		r.status, _ = sendPrompt(address, fmt.Sprintf("%s-%d", kind, n), fmt.Sprintf("%s,own%d:100", prompt, n))
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.results = append(c.results, r)
+	})
+}
+
+// sendPrompt sends a stream request with a prompt and returns the status of the answer.
+func sendPrompt(address, id, parts string) (int, error) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return 0, err
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(waitLimit))
+	_, err = fmt.Fprintf(conn, "POST /stream/x HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: k\r\n%s: %s\r\n%s: 10s\r\nContent-Length: %d\r\n\r\n%s",
+		nativewire.RequestField, id, nativewire.KeyField, nativewire.PartsField, parts, nativewire.TimeoutField, len(id), id)
+	if err != nil {
+		return 0, err
+	}
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, err
+	}
+	_, err = io.Copy(io.Discard, res.Body)
+	return res.StatusCode, err
+}
+
+// traffic sends requests of several kinds at any instance until a time.
+type traffic struct {
+	kind     string
+	prompts  []string      // all parts but the last
+	interval time.Duration // mean time between requests
+}
+
+func (c *crashing) run(until time.Time, list ...traffic) {
+	next := make([]time.Time, len(list))
+	for n := 0; time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		for i, f := range list {
+			if time.Now().Before(next[i]) {
+				continue
+			}
+			c.mu.Lock()
+			wait := time.Duration((0.5 + c.random.Float64()) * float64(f.interval))
+			address, prompt := c.listen[c.random.IntN(len(c.listen))], f.prompts[c.random.IntN(len(f.prompts))]
+			c.mu.Unlock()
+			next[i] = time.Now().Add(wait)
+			n++
+			c.send(f.kind, address, prompt, c.serial(n))
+		}
+	}
+}
+
+// serial returns a number that no other request has.
+func (c *crashing) serial(n int) int { return int(time.Now().UnixNano()/1000)*1000 + n%1000 }
+
+// begun returns the share of the requests of a kind, sent between two times, that were answered, and
+// their number.
+func (c *crashing) begun(kind string, from, to time.Time) (share float64, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ok := 0
+	for _, r := range c.results {
+		if r.kind != kind || r.sent.Before(from) || !r.sent.Before(to) {
+			continue
+		}
+		n++
+		if r.status == http.StatusOK {
+			ok++
+		}
+	}
+	return float64(ok) / float64(max(1, n)), n
+}
+
+// sendsAfter returns the number of requests of a kind that reached an engine after a time.
+func (c *crashing) sendsAfter(kind string, from time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, at := range c.sends[kind] {
+		if at.After(from) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestPartThatCrashesEngines guards against requests that share one part of their prompts and crash
+// engines one after the other, while sound requests share their key and their other parts.
+func TestPartThatCrashesEngines(t *testing.T) {
+	tests := []struct {
+		name       string
+		bad, sound []string
+	}{
+		{"part alone", []string{"common:200," + badPart + ":300"}, []string{"common:200,x:300", "common:200,y:300", "common:200"}},
+		{"always with another part", []string{"common:200,other:300," + badPart + ":300"}, []string{"common:200,other:300", "common:200,x:300", "other:300"}},
+		{"at any place", []string{badPart + ":300", "x:300," + badPart + ":300", "common:200,y:300," + badPart + ":300"}, []string{"common:200,x:300", "y:300", "x:300"}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCrashing(t, crashingInstances)
+			sound := traffic{"sound", tc.sound, 50 * time.Millisecond}
+			bad := traffic{"bad", tc.bad, 300 * time.Millisecond}
+			began := time.Now()
+			c.run(began.Add(2*time.Second), sound)
+			troubled := time.Now()
+			for end := troubled.Add(troubleTime); c.crashCount() < crashesKnown && time.Now().Before(end); {
+				c.run(time.Now().Add(100*time.Millisecond), sound, bad)
+			}
+			fifth := c.crashTime(crashesKnown) // or the last, if the requests are refused before
+			c.run(fifth.Add(recoveryTime+2*time.Second), sound, bad)
+			last := time.Now()
+			c.callers.Wait()
+			if got := c.sendsAfter("bad", fifth.Add(blameTime)); got > maxSendsAfter {
+				t.Errorf("requests with the part sent to engines after %v: got %d, want at most %d; %d engines crashed", blameTime, got, maxSendsAfter, c.crashCount())
+			}
+			before, _ := c.begun("sound", began, troubled)
+			after, n := c.begun("sound", fifth.Add(recoveryTime), last)
+			if after < minSoundShare*before || n < minSoundSample {
+				t.Errorf("sound requests that began: got a share of %.2f of %d, want at least half of %.2f", after, n, before)
+			}
+			c.checkLateInstance()
+		})
+	}
+}
+
+// crashTime returns the time of the nth crash, or of the last if there were fewer.
+func (c *crashing) crashTime(n int) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.crashes) == 0 {
+		return time.Now()
+	}
+	return c.crashes[min(n, len(c.crashes))-1]
+}
+
+// checkLateInstance starts an instance and checks that it soon refuses requests with the part, and
+// serves sound ones.
+func (c *crashing) checkLateInstance() {
+	c.t.Helper()
+	cfg := c.startPeer("late")
+	c.waitForStatus(cfg.Listen, "/unsafe/x", "k", http.StatusOK)
+	time.Sleep(blameTime)
+	sent := c.sendsAfter("bad", time.Time{})
+	const tries = 5
+	for i := range tries {
+		if got, err := sendPrompt(cfg.Listen, fmt.Sprintf("bad-late%d", i), fmt.Sprintf("common:200,other:300,%s:300,late%d:100", badPart, i)); got != http.StatusServiceUnavailable {
+			c.t.Errorf("late instance, request with the part: got %d, %v, want %d", got, err, http.StatusServiceUnavailable)
+		}
+	}
+	if got := c.sendsAfter("bad", time.Time{}) - sent; got > 0 {
+		c.t.Errorf("late instance, requests with the part sent to engines: got %d, want none", got)
+	}
+	if got, err := sendPrompt(cfg.Listen, "sound-late", "common:200,x:300,late:100"); got != http.StatusOK {
+		c.t.Errorf("late instance, sound request: got %d, %v, want %d", got, err, http.StatusOK)
+	}
+}
+
+// TestLostDomainBlamesNobody checks that no request is refused after all engines of a failure domain
+// have been lost at the same moment, several times, though the same parts were on all of them.
+func TestLostDomainBlamesNobody(t *testing.T) {
+	c := newCrashing(t, crashingInstances)
+	sound := traffic{"sound", []string{"common:200,x:300", "common:200,y:300"}, 30 * time.Millisecond}
+	began := time.Now()
+	c.run(began.Add(time.Second), sound)
+	for _, domain := range engineDomains[:2] {
+		c.killDomain(domain)
+		c.run(time.Now().Add(2*time.Second), sound)
+	}
+	last := time.Now()
+	c.run(last.Add(2*time.Second), sound)
+	c.callers.Wait()
+	if share, n := c.begun("sound", last, time.Now()); share < 1 {
+		t.Errorf("sound requests that began: got a share of %.2f of %d, want all", share, n)
+	}
+}
+
+// killDomain ends the engines of a failure domain at once. They do not come back.
+func (c *crashing) killDomain(domain ident.Domain) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, u := range c.engines {
+		if c.domains[address] == domain {
+			u.Kill()
+		}
+	}
+}
--- a/standinregistered/server.go
+++ b/standinregistered/server.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -26,6 +27,7 @@
 	"crocuslug/ident"
 	"crocuslug/keyvalue"
 	"crocuslug/nativewire"
+	"crocuslug/prefix"
 	"crocuslug/store"
 	"crocuslug/timer"
 	"crocuslug/work"
@@ -43,6 +45,10 @@
 	Interval time.Duration // between pieces
 	Pieces   int           // of an answer; 0 means a plain service
 	Drain    time.Duration // between the announcement that it is leaving and its end
+	// CrashPart is a part of prompts. The server ends like a crashed process when it is about to
+	// write the first piece of an answer to a prompt that holds it. Empty means none.
+	CrashPart string
+	OnCrash   func() // called after such an end, on another goroutine; nil means nothing
 }
 
 // Intervals and timeouts of an upstream.
@@ -251,6 +257,13 @@
 		delete(s.piecesWritten, id)
 		s.mu.Unlock()
 	}()
+	if s.crashes(r) {
+		s.Kill()
+		if s.cfg.OnCrash != nil {
+			go s.cfg.OnCrash()
+		}
+		panic(http.ErrAbortHandler)
+	}
 	copyTo := r.Header.Get(nativewire.CopyToField)
 	for n := after + 1; n <= s.cfg.Pieces; n++ {
 		s.wait(s.cfg.Interval)
@@ -270,6 +283,16 @@
 	}
 }
 
+// crashes reports whether the server crashes as it begins to answer r. It is false if the server has
+// ended already.
+func (s *Server) crashes(r *http.Request) bool {
+	if s.cfg.CrashPart == "" || r.Context().Err() != nil || s.ctx.Err() != nil {
+		return false
+	}
+	parts := prefix.ParseParts(r.Header.Get(nativewire.PartsField))
+	return slices.ContainsFunc(parts, func(p prefix.Part) bool { return p.Name == s.cfg.CrashPart })
+}
+
 // sendCopy stores a copy under key at the engine with address to, and reports
 // whether that succeeded.
 func (s *Server) sendCopy(to, key string) bool {
