standinregistered: an upstream that has ended answers no more

A request that was running when its stand-in was killed had its waits ended and wrote the rest of its answer at once, sometimes before its connection was closed. So a request with the part that crashes engines was answered whole now and then, which no engine does. Ports of test listeners are taken from below those of outgoing connections, which took them now and then.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -6,9 +6,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -86,14 +88,29 @@
 	return u
 }
 
+// Ports of listeners that are opened later. They are below those that the system gives to outgoing
+// connections, of which tests open thousands.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+)
+
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(rand.Int64N(lastPort - firstPort)) }
+
+// freeAddress returns an address that nobody listens on, another one at each call.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range lastPort - firstPort {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%(lastPort-firstPort))
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return address
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 // startInstance starts an instance that uses the store at storeAddress.
--- a/edge/parts_test.go
+++ b/edge/parts_test.go
@@ -272,6 +272,7 @@
 			}
 			before, _ := c.begun("sound", began, troubled)
 			after, n := c.begun("sound", fifth.Add(recoveryTime), last)
+			t.Logf("%d engines crashed, the last after %v; sound requests that began: %.2f before, %.2f after", c.crashCount(), c.crashTime(c.crashCount()).Sub(troubled), before, after)
 			if after < minSoundShare*before || n < minSoundSample {
 				t.Errorf("sound requests that began: got a share of %.2f of %d, want at least half of %.2f", after, n, before)
 			}
--- a/standinregistered/server.go
+++ b/standinregistered/server.go
@@ -257,6 +257,9 @@
 		delete(s.piecesWritten, id)
 		s.mu.Unlock()
 	}()
+	if s.ctx.Err() != nil {
+		panic(http.ErrAbortHandler) // the server has ended
+	}
 	if s.crashes(r) {
 		s.Kill()
 		if s.cfg.OnCrash != nil {
@@ -270,6 +273,9 @@
 		if r.Context().Err() != nil {
 			return
 		}
+		if s.ctx.Err() != nil {
+			panic(http.ErrAbortHandler) // the server has ended
+		}
 		s.mu.Lock()
 		s.piecesWritten[id] = n
 		s.mu.Unlock()
@@ -283,10 +289,9 @@
 	}
 }
 
-// crashes reports whether the server crashes as it begins to answer r. It is false if the server has
-// ended already.
+// crashes reports whether the server crashes as it begins to answer r.
 func (s *Server) crashes(r *http.Request) bool {
-	if s.cfg.CrashPart == "" || r.Context().Err() != nil || s.ctx.Err() != nil {
+	if s.cfg.CrashPart == "" || r.Context().Err() != nil {
 		return false
 	}
 	parts := prefix.ParseParts(r.Header.Get(nativewire.PartsField))
