Refuse requests with a part of their prompts that crashes engines

Cause: a request was blamed by a hash of its whole content, and no two of these are alike; and a crash did not count while several engines of its failure domain, or several domains, died, which is what a frequent cause of crashes makes them do.

Package poison takes the place of suspect at this door. Evidence is a lost connection, a run whose answer had not been written for a second, and an engine that then refuses connections; other deaths are no excuse. The stream that ended without any piece is such a loss too. Crashes, cleared parts and bans go into digests; instances that learn of a crash tell up to 24 peers of their domain at once, and the first round of digests is random, since instances that start together told the same peers. Requests are checked at each sending, now also after the wait in the queue. An answer clears its parts after a second, or when it is whole and says where it ends.

The limit of engines that one request may crash stays as it is. Keeping suspected contents on separate engines (suspect.ExcludedEngines) is gone here: the parts of all runs lost in a crash are compared instead. Runs in progress with a refused set are not ended: they have reached an engine, and sound ones are what clears a wrong ban.

TestLostDomainBlamesNobody fails without the clearing of parts: 0.52 of the sound requests began. TestQueuedThenRefused hangs without the check after the wait, because the stream reaches the engine. TestCrashingContent asks the tracker that is in use now; its bound is the same.

--- a/dispatch/suspects_test.go
+++ b/dispatch/crashes_test.go
@@ -13,8 +13,8 @@
 	"crocuslug/exchange"
 	"crocuslug/fleet"
 	"crocuslug/ident"
+	"crocuslug/poison"
 	"crocuslug/result"
-	"crocuslug/suspect"
 	"crocuslug/timer"
 	"crocuslug/work"
 )
@@ -73,7 +73,8 @@
 		t.Errorf("first request: got %v, want RequestCrashes that may have run", got)
 	}
 	for {
-		if treatment, _ := ps.Suspects.Restriction(clock.Now(), 7); treatment == suspect.Banned {
+		ps.Poison.Tick(clock.Now())
+		if _, refused := ps.Poison.Refused(poison.Run{Content: 7}, clock.Now()); refused {
 			break
 		}
 		<-time.After(10 * time.Millisecond)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -17,10 +17,10 @@
 	"crocuslug/ident"
 	"crocuslug/line"
 	"crocuslug/meter"
+	"crocuslug/poison"
 	"crocuslug/result"
 	"crocuslug/retry"
 	"crocuslug/routing"
-	"crocuslug/suspect"
 	"crocuslug/timer"
 	"crocuslug/work"
 )
@@ -35,8 +35,8 @@
 	timer    *timer.Service
 	random   func() uint64
 	log      zerolog.Logger
-	// suspects records the contents that make engines fail.
-	suspects *suspect.Tracker
+	// poison records the crashes of engines and knows which requests cause them.
+	poison   *poison.Tracker
 	prompts  *prompts
 	meters   *meter.Meters
 	queueSeq atomic.Uint64 // number of the last queued stream, see waiterID
@@ -53,7 +53,7 @@
 	Protocol work.Protocol
 	Fleet    *fleet.Fleet
 	Client   *exchange.Client
-	Suspects *suspect.Tracker
+	Poison   *poison.Tracker
 	Meters   *meter.Meters
 	Budget   retry.Settings // settings of the retry budget of each service
 	Timer    *timer.Service
@@ -68,7 +68,7 @@
 		protocol:       p.Protocol,
 		fleet:          p.Fleet,
 		client:         p.Client,
-		suspects:       p.Suspects,
+		poison:         p.Poison,
 		prompts:        newPrompts(),
 		meters:         p.Meters,
 		timer:          p.Timer,
@@ -148,7 +148,7 @@
 func (d *Dispatcher) pickRequest(a *attempts, now time.Time) fleet.PickRequest {
 	return fleet.PickRequest{
 		Service: a.w.Service.Name, Tokens: a.w.Tokens, Blocks: a.w.Blocks, Sizes: a.w.Sizes,
-		Exclude: append(d.suspects.ExcludedEngines(now, a.w.Fingerprint), a.excluded()...), ExcludeDomain: a.lostDomain, RequireIdle: a.requireIdle, UnreadTokens: a.w.PromptTokens,
+		Exclude: a.excluded(), ExcludeDomain: a.lostDomain, RequireIdle: a.requireIdle, UnreadTokens: a.w.PromptTokens,
 	}
 }
 
@@ -168,8 +168,8 @@
 	request := d.pickRequest(a, now)
 	request.MaxBacklog = backlog
 	u, kind := d.fleet.Pick(request, now)
-	if kind != routing.Send && (a.lostDomain != "" || len(request.Exclude) > 0) {
-		request.ExcludeDomain, request.Exclude = "", a.excluded()
+	if kind != routing.Send && a.lostDomain != "" {
+		request.ExcludeDomain = ""
 		u, kind = d.fleet.Pick(request, now)
 	}
 	if kind == routing.Wait && backlog > 0 {
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -20,8 +20,8 @@
 	"crocuslug/fleet"
 	"crocuslug/ident"
 	"crocuslug/meter"
+	"crocuslug/poison"
 	"crocuslug/retry"
-	"crocuslug/suspect"
 	"crocuslug/timer"
 	"crocuslug/work"
 )
@@ -285,7 +285,7 @@
 		Protocol: p,
 		Fleet:    f,
 		Client:   c,
-		Suspects: suspect.New(suspect.Settings{}),
+		Poison:   poison.New(),
 		Meters:   meter.New(clock),
 		Budget:   retry.Settings{Burst: 100, MaxAttempts: 8},
 		Timer:    clock,
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -33,9 +33,12 @@
 	waiting   bool           // the stream waits or has waited for an upstream since the loss
 	whole     *Reply         // answer that is not a stream, to be returned whole
 
-	gotPiece    bool      // the current attempt has received a piece
-	pausing     bool      // its engine is silent for longer than the limit, and the stream waits
-	lastPieceAt time.Time // when it received the last piece; its start before that
+	gotPiece     bool      // the current attempt has received a piece
+	cleared      bool      // its answer has cleared the parts of its prompt
+	delimited    bool      // its answer says where it ends
+	pausing      bool      // its engine is silent for longer than the limit, and the stream waits
+	firstPieceAt time.Time // when it received the first piece; set if gotPiece
+	lastPieceAt  time.Time // when it received the last piece; its start before that
 }
 
 // errCallerWrite marks a failure to write to the caller.
@@ -74,17 +77,17 @@
 		s.sends++
 		s.upstream = u.ID
 		d.countSend(s, from)
-		d.suspects.RequestPlaced(now, u.ID, w.Fingerprint)
 		forget := d.prompts.add(u.ID, w.Blocks)
 		v, done := d.attempt(ctx, s, u, from, now)
 		forget()
-		d.suspects.RequestRemoved(u.ID, w.Fingerprint)
 		end := d.timer.Now()
 		runCopy = s.copies.end(end, done)
 		switch {
 		case done:
 			d.fleet.ReportEnd(u.ID, fleet.Served, 0, end)
-			d.suspects.Completed(w.Fingerprint)
+			if s.whole == nil && (s.delimited || s.proven(end)) {
+				d.poison.Answered(runOf(w), end)
+			}
 			d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Int("Attempt", s.sends).
 				Uint64("LastPiece", s.lastPiece).Dur("TookMs", end.Sub(now)).Msg("stream ended")
 			return s.whole, s.started, nil
@@ -98,7 +101,7 @@
 			s.lostAt = end
 		}
 		if v.mayHaveRun {
-			d.recordCrash(&s.attempts, u, v, now, end)
+			d.recordCrash(s, u, v, now, end)
 			if !d.awaitCrashChecks(ctx, &s.attempts) {
 				return nil, s.started, d.contextEnded(ctx, s)
 			}
@@ -222,7 +225,7 @@
 		Uint64("After", s.lastPiece).Bool("FromCopy", from != nil).Str("CopyTo", attempt.CopyTo).Msg("stream sent")
 	r := d.exchangeRequest(w, &attempt)
 	p := d.newPatience(s, u.ID)
-	s.lastPieceAt, s.gotPiece, s.pausing = now, false, false
+	s.lastPieceAt, s.gotPiece, s.cleared, s.pausing = now, false, false, false
 	r.AnswerBy = now.Add(s.gaps.FirstTimeout())
 	r.Extend = func() time.Time { return d.extend(s, p) }
 	ctx, answered := d.withProbes(ctx, u, p)
@@ -283,6 +286,7 @@
 // relay passes pieces to the caller as they arrive.
 func (d *Dispatcher) relay(ctx context.Context, s *stream, id ident.Upstream, ans *exchange.Answer) (sendFailure, bool) {
 	r := pieces.New(ans)
+	s.delimited = ans.Delimited()
 	limit := s.gaps.FirstTimeout()
 	lastAlive := d.timer.Uptime()
 	defer func() { d.fleet.ReportAlive(id, lastAlive) }()
@@ -302,6 +306,7 @@
 		if s.gotPiece {
 			s.gaps.ObserveGap(now.Sub(s.lastPieceAt))
 		} else {
+			s.firstPieceAt = now
 			d.fleet.ReportStreamStart(id, now)
 		}
 		s.gotPiece, s.pausing, s.lastPieceAt, lastAlive = true, false, now, d.timer.Uptime()
@@ -309,6 +314,10 @@
 		if v, ok := d.deliver(s, ans, p); !ok {
 			return v, false
 		}
+		if !s.cleared && s.proven(now) {
+			s.cleared = true
+			d.poison.Answered(runOf(s.w), now)
+		}
 		s.copies.update(ctx, now)
 	}
 }
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -120,19 +120,28 @@
 	end := d.timer.Now()
 	switch {
 	case ctx.Err() != nil && outcome.Err == nil:
-		d.fleet.ReportEnd(queued.upstream.ID, fleet.Abandoned, 0, end)
-		d.fleet.AddUnreadTokens(queued.upstream.ID, -w.PromptTokens, end)
+		d.giveBack(queued.upstream.ID, w, end)
 		return directory.Upstream{}, d.contextEnded(ctx, s)
 	case ctx.Err() != nil:
 		return directory.Upstream{}, d.contextEnded(ctx, s)
 	case outcome.Err != nil:
 		return directory.Upstream{}, d.queueRefusal(s, outcome.Err)
 	}
+	if refusal := d.checkContent(&s.attempts, end); refusal != nil { // others may have crashed engines meanwhile
+		d.giveBack(queued.upstream.ID, w, end)
+		return directory.Upstream{}, refusal
+	}
 	d.meters.Observe("QueuedUs", end.Sub(now))
 	d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(queued.upstream.ID)).Dur("WaitedMs", end.Sub(now)).Msg("queued stream was assigned an upstream")
 	return queued.upstream, nil
 }
 
+// giveBack gives back the place at an upstream that was picked for w and is not used.
+func (d *Dispatcher) giveBack(id ident.Upstream, w *work.Work, now time.Time) {
+	d.fleet.ReportEnd(id, fleet.Abandoned, 0, now)
+	d.fleet.AddUnreadTokens(id, -w.PromptTokens, now)
+}
+
 // waiterID returns a unique name for one wait in the queue. Request ids do not serve for this,
 // since callers choose them and may leave them out or use one twice.
 func (d *Dispatcher) waiterID(id ident.Request) ident.Generation {
--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -16,6 +16,7 @@
 	"crocuslug/exchange"
 	"crocuslug/fleet"
 	"crocuslug/ident"
+	"crocuslug/poison"
 	"crocuslug/result"
 	"crocuslug/timer"
 	"crocuslug/work"
@@ -62,10 +63,10 @@
 	return &queueTest{e, New(Settings{MaxBacklog: time.Millisecond}, testDependencies(testProtocol(), f, client, clock, zerolog.Nop())), clock}
 }
 
-func (tt *queueTest) send(ctx context.Context, id string, objective time.Duration) *result.Error {
+func (tt *queueTest) send(ctx context.Context, id string, objective time.Duration, parts ...poison.Part) *result.Error {
 	_, _, refusal := tt.d.Stream(ctx, &work.Work{
 		ID: ident.Request(id), Route: &directory.Route{Kind: directory.Streaming, Target: objective}, Service: &directory.Service{Name: "s"},
-		PromptTokens: 5000, Tokens: 5500, Deadline: tt.clock.Now().Add(time.Minute), Method: http.MethodPost, Target: "/x", Header: http.Header{},
+		PromptTokens: 5000, Tokens: 5500, Deadline: tt.clock.Now().Add(time.Minute), Method: http.MethodPost, Target: "/x", Header: http.Header{}, Shared: parts,
 	}, (&receivedStream{}).sink())
 	return refusal
 }
@@ -130,3 +131,41 @@
 	close(tt.engine.release)
 	<-done
 }
+
+// TestQueuedThenRefused has a stream wait while a part of its prompt is found to crash engines. It
+// must be refused as not run and its place given back.
+func TestQueuedThenRefused(t *testing.T) {
+	const bad poison.Part = 9
+	tt := newQueueTest(t)
+	var all sync.WaitGroup
+	all.Go(func() {
+		if refusal := tt.send(context.Background(), "first", time.Minute); refusal != nil {
+			t.Errorf("first stream: got %v, want an answer", refusal)
+		}
+	})
+	<-tt.engine.arrived
+	all.Go(func() {
+		got := tt.send(context.Background(), "bad", time.Minute, bad)
+		if got == nil || got.Code != result.RequestCrashes || got.Run != result.RunNot || got.RetryAfter <= 0 {
+			t.Errorf("queued stream: got %v, want RequestCrashes that has not run, with a retry time", got)
+		}
+	})
+	for tt.d.Waiting("s") < 1 {
+		<-time.After(time.Millisecond)
+	}
+	now := tt.clock.Now()
+	for i, name := range []ident.Upstream{"x", "y", "z"} {
+		at := now.Add(time.Duration(i) * time.Second)
+		tt.d.poison.EngineCrashed(poison.Engine{ID: name}, poison.Run{Content: poison.Part(100 + i), Parts: []poison.Part{bad}}, at, at)
+	}
+	const later = 10 * time.Second
+	tt.d.poison.Tick(now.Add(later))
+	tt.engine.release <- struct{}{}
+	all.Wait()
+	if got := len(tt.engine.arrived); got > 0 {
+		t.Errorf("requests that reached the engine after the first: got %d, want none", got)
+	}
+	if n := tt.d.fleet.Count("s"); n.InFlight != 0 || n.UnreadTokens != 0 {
+		t.Errorf("load of the engine at the end: got %d requests and %d tokens, want none", n.InFlight, n.UnreadTokens)
+	}
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -22,12 +22,12 @@
 	"crocuslug/keyvalue"
 	"crocuslug/meter"
 	"crocuslug/peerlink"
+	"crocuslug/poison"
 	"crocuslug/registry"
 	"crocuslug/retry"
 	"crocuslug/settings"
 	"crocuslug/store"
 	"crocuslug/storeview"
-	"crocuslug/suspect"
 	"crocuslug/timer"
 	"crocuslug/unit"
 )
@@ -54,7 +54,7 @@
 	registry   *registry.Registry
 	fleet      *fleet.Fleet
 	exchange   *exchange.Client
-	suspects   *suspect.Tracker
+	poison     *poison.Tracker
 	dispatcher *dispatch.Dispatcher
 	server     *ingress.Server
 	link       *peerlink.Link
@@ -67,15 +67,14 @@
 	leaving    atomic.Bool
 	leaveBegan atomic.Int64 // when Leave was called, in Unix nanoseconds of the timer
 
-	mu           sync.Mutex
-	lastLoadSum  time.Time                // when the loads that peers report were last added up
-	unreadable   map[string]store.Version // versions of upstream entries that could not be decoded, by store key
-	peers        map[ident.Instance]*peer
-	digestRound  int                  // number of times that digests were sent
-	toldVersion  store.Version        // store version in the last digests
-	farPeers     int                  // number of peers in other failure domains
-	refusedUntil map[uint64]time.Time // end of the refusal of a content proven here to crash engines, by fingerprint
-	restarts     []restart            // restarts of upstreams that this instance found recently
+	mu          sync.Mutex
+	lastLoadSum time.Time                // when the loads that peers report were last added up
+	unreadable  map[string]store.Version // versions of upstream entries that could not be decoded, by store key
+	peers       map[ident.Instance]*peer
+	digestRound int           // number of times that digests were sent
+	toldVersion store.Version // store version in the last digests
+	farPeers    int           // number of peers in other failure domains
+	restarts    []restart     // restarts of upstreams that this instance found recently
 }
 
 // activeConfiguration is the configuration in force, with the bytes that it was decoded from.
@@ -111,19 +110,19 @@
 func New(cfg settings.Edge, ports Ports, secret []byte, t *timer.Service, log zerolog.Logger) *Edge {
 	withDefaults(&cfg)
 	e := &Edge{
-		cfg:          cfg,
-		ports:        ports,
-		timer:        t,
-		log:          log.With().Str("Instance", cfg.Name).Str("Domain", string(cfg.Domain)).Logger(),
-		view:         storeview.New(storeview.Settings{MaxAge: maxAgeInWaits * watchWait(cfg.Drain.Std())}),
-		registry:     registry.New(registry.Settings{}),
-		exchange:     exchange.New(exchange.Settings{}, t),
-		suspects:     suspect.New(suspect.Settings{}),
-		refusedUntil: make(map[uint64]time.Time),
-		meters:       meter.New(t),
-		self:         ident.Instance(cfg.PeerListen),
-		unreadable:   make(map[string]store.Version),
-		peers:        make(map[ident.Instance]*peer),
+		cfg:         cfg,
+		ports:       ports,
+		timer:       t,
+		log:         log.With().Str("Instance", cfg.Name).Str("Domain", string(cfg.Domain)).Logger(),
+		view:        storeview.New(storeview.Settings{MaxAge: maxAgeInWaits * watchWait(cfg.Drain.Std())}),
+		registry:    registry.New(registry.Settings{}),
+		exchange:    exchange.New(exchange.Settings{}, t),
+		poison:      poison.New(),
+		meters:      meter.New(t),
+		self:        ident.Instance(cfg.PeerListen),
+		digestRound: rand.IntN(maxDigestRound),
+		unreadable:  make(map[string]store.Version),
+		peers:       make(map[ident.Instance]*peer),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	kv := ports.Store
@@ -147,7 +146,7 @@
 		Protocol: ports.UpstreamPorts,
 		Fleet:    e.fleet,
 		Client:   e.exchange,
-		Suspects: e.suspects,
+		Poison:   e.poison,
 		Meters:   e.meters,
 		Budget:   e.budget(),
 		Timer:    t,
@@ -239,7 +238,7 @@
 	e.subs = append(e.subs, e.timer.Every(d, f))
 }
 
-// tick updates the state of upstreams, waiting requests and suspects that changes with time.
+// tick updates the state of upstreams, waiting requests and crashes that changes with time.
 func (e *Edge) tick(now time.Time) {
 	e.updateStoreAvailability(now)
 	for _, id := range e.registry.Expire(now) {
@@ -248,7 +247,8 @@
 	}
 	e.fleet.Tick(now)
 	e.dispatcher.Tick(now)
-	e.suspects.Expire(now)
+	e.poison.Tick(now)
+	e.logBans()
 }
 
 // Times of a planned shutdown.
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -39,6 +39,7 @@
 		line("Log.Dropped", e.DroppedLogLines())
 	}
 	line("Upstream.Dials", e.exchange.Dials())
+	line("Parts.Refused", e.poison.Bans())
 	line("Connections.Open", e.server.Open())
 	line("Upstreams.Registered", len(e.registry.All()))
 	for _, name := range e.fleet.Services() {
--- a/edge/parts_test.go
+++ b/edge/parts_test.go
@@ -272,7 +272,8 @@
 			}
 			before, _ := c.begun("sound", began, troubled)
 			after, n := c.begun("sound", fifth.Add(recoveryTime), last)
-			t.Logf("%d engines crashed, the last after %v; sound requests that began: %.2f before, %.2f after", c.crashCount(), c.crashTime(c.crashCount()).Sub(troubled), before, after)
+			t.Logf("%d engines crashed, the last after %v; %d requests with the part sent later than %v after the fifth; sound requests that began: %.2f before, %.2f after",
+				c.crashCount(), c.crashTime(c.crashCount()).Sub(troubled), c.sendsAfter("bad", fifth.Add(blameTime)), blameTime, before, after)
 			if after < minSoundShare*before || n < minSoundSample {
 				t.Errorf("sound requests that began: got a share of %.2f of %d, want at least half of %.2f", after, n, before)
 			}
@@ -313,14 +314,14 @@
 	}
 }
 
-// TestLostDomainBlamesNobody checks that no request is refused after all engines of a failure domain
-// have been lost at the same moment, several times, though the same parts were on all of them.
+// TestLostDomainBlamesNobody checks that no request is refused after the engines of three failure
+// domains have been lost, those of each at the same moment, though the same parts were on all of them.
 func TestLostDomainBlamesNobody(t *testing.T) {
 	c := newCrashing(t, crashingInstances)
 	sound := traffic{"sound", []string{"common:200,x:300", "common:200,y:300"}, 30 * time.Millisecond}
 	began := time.Now()
 	c.run(began.Add(time.Second), sound)
-	for _, domain := range engineDomains[:2] {
+	for _, domain := range engineDomains[:3] {
 		c.killDomain(domain)
 		c.run(time.Now().Add(2*time.Second), sound)
 	}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -8,8 +8,8 @@
 
 	"crocuslug/ident"
 	"crocuslug/peerlink"
+	"crocuslug/poison"
 	"crocuslug/store"
-	"crocuslug/suspect"
 	"crocuslug/unit"
 	"crocuslug/work"
 )
@@ -40,9 +40,13 @@
 	nearDigests = 4 // to peers of the own failure domain
 	farDigests  = 4 // to peers of other failure domains
 	// maxNewsDigests is the largest number of digests to peers of the own failure domain in a round
-	// before which a watcher has seen a change in the store. The peers ask it for the change, so they
-	// should not hear of it from one that knows it later.
+	// before which a watcher has seen a change in the store, or an instance has learned of a crash of
+	// an engine. The peers ask a watcher for the change, so they should not hear of it from one that
+	// knows it later.
 	maxNewsDigests = 24
+	// maxDigestRound bounds the number of the first round, which is random. Instances that start at
+	// the same time would tell the same peers otherwise.
+	maxDigestRound = 1 << 20
 	// maxSingleTurnPeers is the number of peers up to which each round of digests goes to other
 	// peers than the last. With more peers, each gets several digests in a row, so that its
 	// connection stays in use. With fewer, opening new connections costs less than working with
@@ -79,11 +83,11 @@
 	// Replaced are upstreams whose address the sender found taken by another one recently, with the
 	// revisions of their entries.
 	Replaced map[ident.Upstream]store.Version `json:",omitempty"`
-	// Refused holds the remaining time of the refusal of contents that crash engines, by
-	// fingerprint.
-	Refused map[uint64]unit.Duration `json:",omitempty"`
+	Poison   poison.Report                    `json:",omitzero"` // crashes of engines, and what is refused because of them
 	// Restarts are those of upstreams that were found without the store.
 	Restarts []restart `json:",omitempty"`
+
+	crashNews bool // Poison holds something that the last digest did not
 }
 
 // presence identifies an instance and its failure domain. Instances write it to the store.
@@ -170,11 +174,10 @@
 	if cur := e.current.Load(); cur != nil {
 		d.Configuration = cur.Version
 	}
-	proven := e.suspects.TakeNewBans()
+	d.Poison, d.crashNews = e.poison.Report(now)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	d.Seen, d.StoreAge = e.view.Seen(), unit.Duration(e.view.Age(e.timer.Uptime()))
-	d.Refused = e.addVerdicts(proven, now)
 	d.Restarts = e.recentRestarts(now)
 	return d
 }
@@ -195,7 +198,7 @@
 	e.farPeers = len(far)
 	e.digestRound++
 	turn := e.digestRound
-	nearCount := e.nearDigestCount(d.Seen)
+	nearCount := e.nearDigestCount(d)
 	e.mu.Unlock()
 	if len(far) > maxSingleTurnPeers {
 		d.InFlight = nil // too few of these loads would be known at a time
@@ -205,12 +208,12 @@
 	e.sendDigest(digestTargets(near, nearCount, turn), d)
 }
 
-// nearDigestCount returns the number of digests to peers of the own failure domain in a round with
-// the given store version. The caller holds e.mu.
-func (e *Edge) nearDigestCount(seen store.Version) int {
-	news := seen > e.toldVersion
-	e.toldVersion = seen
-	if news && e.view.Watcher() {
+// nearDigestCount returns the number of digests d to peers of the own failure domain. The caller
+// holds e.mu.
+func (e *Edge) nearDigestCount(d digest) int {
+	news := d.Seen > e.toldVersion
+	e.toldVersion = d.Seen
+	if news && e.view.Watcher() || d.crashNews {
 		return maxNewsDigests
 	}
 	return nearDigests
@@ -258,29 +261,6 @@
 	return !p.lastDigest.IsZero() && now.Sub(p.lastDigest) <= limit
 }
 
-// addVerdicts records newly proven verdicts and returns the remaining time of each refusal in
-// force. Digests carry remaining times because the clocks of instances differ. The caller holds
-// e.mu.
-func (e *Edge) addVerdicts(proven []suspect.Ban, now time.Time) map[uint64]unit.Duration {
-	for _, v := range proven {
-		e.refusedUntil[v.Fingerprint] = v.Until
-		e.log.Warn().Uint64("Content", v.Fingerprint).Time("Until", v.Until).Msg("content refused: engines fail with it")
-	}
-	var out map[uint64]unit.Duration
-	for fp, until := range e.refusedUntil {
-		remaining := until.Sub(now)
-		if remaining <= 0 {
-			delete(e.refusedUntil, fp)
-			continue
-		}
-		if out == nil {
-			out = make(map[uint64]unit.Duration)
-		}
-		out[fp] = unit.Duration(remaining)
-	}
-	return out
-}
-
 // digestTargets returns the n of ids that get a digest in this round; successive rounds go through
 // all ids. If there are more than maxSingleTurnPeers, each id is chosen in several rounds in a
 // row, because otherwise most digests would need a new connection. It sorts ids.
@@ -329,9 +309,7 @@
 	for _, p := range d.Prompts {
 		e.fleet.NotePrompt(p.Upstream, p.Blocks, now)
 	}
-	for fp, remaining := range d.Refused {
-		e.suspects.AddBan(suspect.Ban{Fingerprint: fp, Until: now.Add(remaining.Std())})
-	}
+	e.poison.Merge(d.Poison, now)
 	e.applyRestarts(d.Restarts, from, now)
 	if behind {
 		e.tasks.Go(func() { e.catchUp(from) })
--- a/edge/requests.go
+++ b/edge/requests.go
@@ -13,6 +13,7 @@
 	"crocuslug/dispatch"
 	"crocuslug/ident"
 	"crocuslug/ingress"
+	"crocuslug/poison"
 	"crocuslug/prefix"
 	"crocuslug/result"
 	"crocuslug/work"
@@ -117,12 +118,13 @@
 		Service:      service,
 		Workspace:    workspace,
 		Deadline:     c.Arrived.Add(timeout),
-		Fingerprint:  fingerprint(workspace, c),
+		Fingerprint:  fingerprint(workspace, c, desc),
 		PromptTokens: desc.PromptTokens,
 		Tokens:       desc.Tokens,
 		Blocks:       prefix.Chain(desc.Model, desc.Parts),
 		Sizes:        partTokens(desc.Parts),
 		Parts:        desc.Parts,
+		Shared:       poison.Parts(desc.Model, desc.Parts),
 		LastPiece:    desc.LastPiece,
 		Resumes:      desc.Resumes,
 		Priority:     priority,
@@ -151,12 +153,16 @@
 	return host
 }
 
-// fingerprint returns a hash of the workspace, host, target and body of a request.
-func fingerprint(w ident.Workspace, c *ingress.Call) uint64 {
+// fingerprint returns a hash of the workspace, host, target, parts of the prompt and body of a
+// request.
+func fingerprint(w ident.Workspace, c *ingress.Call, desc *work.Description) uint64 {
 	h := xxh3.New()
 	for _, s := range []string{string(w), "\n", c.Request.Host, c.Request.RequestURI, "\n"} {
 		_, _ = h.WriteString(s) // writing to a hash never fails
 	}
+	for _, p := range desc.Parts {
+		_, _ = h.WriteString(p.Name + "\n")
+	}
 	_, _ = h.Write(c.Body)
 	return h.Sum64()
 }
--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -80,7 +80,7 @@
 	if a.res.Close || a.cn.br.Buffered() > 0 {
 		return false
 	}
-	if a.Length < 0 && !chunked(a.res.TransferEncoding) {
+	if !a.Delimited() {
 		return false
 	}
 	select {
@@ -91,6 +91,10 @@
 	}
 }
 
+// Delimited reports whether the answer says where its body ends. Otherwise the body ends with the
+// connection, and an upstream that crashes between two events leaves what looks like a whole answer.
+func (a *Answer) Delimited() bool { return a.Length >= 0 || chunked(a.res.TransferEncoding) }
+
 // chunked reports whether the body ends by its last chunk.
 func chunked(encodings []string) bool {
 	return len(encodings) > 0 && strings.EqualFold(encodings[len(encodings)-1], "chunked")
--- a/explain/report.go
+++ b/explain/report.go
@@ -32,12 +32,12 @@
 // instanceEvents are events that may affect any request at their instance.
 var instanceEvents = []string{
 	"configuration in force", "store lost", "store regained", "leaving", "started", "failure domain hit; its upstreams are avoided",
-	"caught up from a peer", "content refused: engines fail with it", "settings reloaded",
+	"caught up from a peer", "parts of prompts refused: engines crash with them", "parts of prompts refused no more", "settings reloaded",
 }
 
 // upstreamEvents are events that may affect the requests sent to their upstream.
 var upstreamEvents = []string{
-	"upstream health changed", "upstream removed", "upstream registered", "engine died alone while it ran the request",
+	"upstream health changed", "upstream removed", "upstream registered", "engine died alone while it ran the request", "engine crashed while it ran the request",
 	"upstream did not register again after the outage",
 }
 
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -150,6 +150,13 @@
 	return remaining, refused
 }
 
+// Bans returns the number of sets of parts that are refused.
+func (t *Tracker) Bans() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.bans)
+}
+
 // TakeChanges returns the changes of bans since the last call, for the log.
 func (t *Tracker) TakeChanges() []Change {
 	t.mu.Lock()
--- a/result/result.go
+++ b/result/result.go
@@ -92,7 +92,7 @@
 	InstanceLeaving:      {"InstanceLeaving", http.StatusServiceUnavailable, 5, "This instance is leaving and takes no new work."},
 	GenerationLost:       {"GenerationLost", http.StatusGone, 6, "The generation is lost; discard what was delivered."},
 	CannotContinue:       {"CannotContinue", http.StatusGone, 6, "The engine cannot continue this answer; discard what was delivered."},
-	RequestCrashes:       {"RequestCrashes", http.StatusUnprocessableEntity, 6, "A request with this content makes engines fail and is refused."},
+	RequestCrashes:       {"RequestCrashes", http.StatusUnprocessableEntity, 6, "A request with this content, or a part of its prompt, makes engines fail and is refused."},
 	CursorAhead:          {"CursorAhead", http.StatusConflict, 6, "The cursor is not one that this generation gave out."},
 	RequestConflict:      {"RequestConflict", http.StatusConflict, 6, "The request id was used before with another body."},
 	GenerationMoved:      {"GenerationMoved", http.StatusConflict, 6, "Another instance has taken the generation over; reconnect."},
--- a/work/work.go
+++ b/work/work.go
@@ -11,6 +11,7 @@
 
 	"crocuslug/directory"
 	"crocuslug/ident"
+	"crocuslug/poison"
 	"crocuslug/prefix"
 )
 
@@ -36,12 +37,13 @@
 	Service      *directory.Service
 	Workspace    ident.Workspace
 	Deadline     time.Time      // end of the time allowed by the caller or the route
-	Fingerprint  uint64         // hash of caller, path and body; equal for equal content
+	Fingerprint  uint64         // hash of caller, path, prompt and body; equal for equal content
 	PromptTokens int            // tokens of the prompt; 0 if the request is not for a model
 	Tokens       int            // upper bound of prompt and answer together
 	Blocks       []prefix.Block // names of the parts of the prompt, each with those before it
 	Sizes        []int          // tokens of each of Blocks
 	Parts        []prefix.Part  // parts of the prompt as the caller names them
+	Shared       []poison.Part  // parts of the prompt that other requests may share
 	LastPiece    uint64         // number of the last piece that the caller has
 	Resumes      bool           // LastPiece was given
 	Priority     int            // 0 is the most urgent
