--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -70,10 +70,18 @@
 			runCopy = nil
 			continue
 		}
-		if refusal != nil || ctx.Err() != nil {
+		if refusal != nil {
 			return nil, s.started, refusal
 		}
 		now = d.timer.Now() // the stream may have waited in the queue
+		if ctx.Err() != nil {
+			d.giveBack(u.ID, w, from, now)
+			return nil, s.started, d.contextEnded(ctx, s)
+		}
+		if refusal := d.checkContent(&s.attempts, now); refusal != nil { // engines may have crashed meanwhile
+			d.giveBack(u.ID, w, from, now)
+			return nil, s.started, refusal
+		}
 		s.sends++
 		s.upstream = u.ID
 		d.countSend(s, from)
@@ -109,27 +117,42 @@
 		if !w.Route.Repeatable() && s.runs > 0 {
 			return nil, s.started, d.refuse(&s.attempts, result.UpstreamFailed, "the stream was interrupted and must not be resumed")
 		}
-		refusal = d.checkRetry(&s.attempts, end, v.mayHaveRun || v.unsent())
-		switch {
-		case d.shouldWait(s, refusal, end):
+		free := v.mayHaveRun || v.unsent()
+		for refusal = d.checkRetry(&s.attempts, end, free); refusal != nil; refusal = d.checkRetry(&s.attempts, d.timer.Now(), free) {
+			if !d.shouldWait(s, refusal, d.timer.Now()) {
+				return nil, s.started, refusal
+			}
+			if refusal.Code == result.Overloaded && d.timer.Now().Sub(end) >= maxBudgetWait {
+				break
+			}
 			if !d.sleep(ctx, resumePoll) {
 				return nil, s.started, d.contextEnded(ctx, s)
 			}
-		case refusal != nil:
-			return nil, s.started, refusal
 		}
 	}
 }
 
+// giveBack gives back the place at an upstream that was chosen for w and is not used.
+func (d *Dispatcher) giveBack(id ident.Upstream, w *work.Work, from *work.Copy, now time.Time) {
+	d.fleet.Release(id, now)
+	if from == nil {
+		d.fleet.AddUnreadTokens(id, -w.PromptTokens, now)
+	}
+}
+
 // resumePoll is the time between two attempts to find an upstream for an interrupted stream.
 const resumePoll = 100 * time.Millisecond
 
-// shouldWait reports whether a stream has to wait because no upstream is available. Its run
-// was lost with its engine, so it cannot be refused as not run, and its caller cannot resume
-// it elsewhere either: all upstreams of the service are unavailable, and crashed ones return
-// within seconds.
+// maxBudgetWait is how long an interrupted stream waits for the retry budget. The budget grows
+// only with new requests, and there may be none.
+const maxBudgetWait = time.Second
+
+// shouldWait reports whether a stream has to wait because no upstream is available or because
+// the retry budget, which grows with each request, is exhausted. Its run was lost, so it cannot
+// be refused as not run, and its caller cannot resume it elsewhere either: all upstreams of the
+// service are unavailable, and crashed ones return within seconds.
 func (d *Dispatcher) shouldWait(s *stream, refusal *result.Error, now time.Time) bool {
-	if refusal == nil || refusal.Code != result.NoUpstream || s.runs == 0 || s.runs >= d.cfg.MaxSends || now.Sub(s.lostAt) >= d.cfg.MaxResumeWait {
+	if refusal == nil || refusal.Code != result.NoUpstream && refusal.Code != result.Overloaded || s.runs == 0 || s.runs >= d.cfg.MaxSends || now.Sub(s.lostAt) >= d.cfg.MaxResumeWait {
 		return false
 	}
 	if !s.waiting {
@@ -139,7 +162,7 @@
 	}
 	s.waiting = true
 	s.requireIdle = now.Sub(s.lostAt) < d.cfg.RequireIdleFor
-	s.retryDeclined()
+	s.retryAll()
 	return true
 }
 
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -36,7 +36,7 @@
 	if err := c.writeHead(w, status, h, "Content-Length: "+strconv.Itoa(len(body))+"\r\n"); err != nil {
 		return err
 	}
-	if c.Request.Method != http.MethodHead {
+	if !c.headOnly() {
 		if _, err := w.Write(body); err != nil {
 			return err
 		}
@@ -48,7 +48,8 @@
 	return nil
 }
 
-// Begin starts an answer that is written piece by piece.
+// Begin starts an answer that is written piece by piece. To an HTTP/1.0 caller it ends with the
+// connection, which is reset if it ends before End, also by the end of the process.
 func (c *Call) Begin(status int, h http.Header) error {
 	if c.started {
 		return errAnswerEnded
@@ -59,14 +60,18 @@
 	if !c.chunked {
 		framing = ""
 		c.conn.closing = true
+		c.conn.resetAtClose(true)
 	}
 	c.conn.setWriteTimeout()
 	return c.writeHead(c.conn.bw, status, h, framing)
 }
 
-// Piece writes and flushes one part of the answer.
+// headOnly reports whether the answer consists of its head.
+func (c *Call) headOnly() bool { return c.Request.Method == http.MethodHead }
+
+// Piece writes and flushes one part of the answer. To a HEAD request it writes nothing.
 func (c *Call) Piece(b []byte) error {
-	if c.complete || len(b) == 0 {
+	if c.complete || len(b) == 0 || c.headOnly() {
 		return nil
 	}
 	w := c.conn.bw
@@ -92,7 +97,7 @@
 // the handler, so that the caller sees that the answer is incomplete.
 func (c *Call) End() error {
 	c.conn.setWriteTimeout()
-	if c.chunked {
+	if c.chunked && !c.headOnly() {
 		if _, err := c.conn.bw.WriteString("0\r\n\r\n"); err != nil {
 			return err
 		}
@@ -100,6 +105,9 @@
 	if err := c.conn.bw.Flush(); err != nil {
 		return err
 	}
+	if !c.chunked {
+		c.conn.resetAtClose(false)
+	}
 	c.complete = true
 	return nil
 }
@@ -119,8 +127,11 @@
 	if err := h.Write(w); err != nil {
 		return err
 	}
-	if c.conn.closing {
+	switch {
+	case c.conn.closing:
 		framing += "Connection: close\r\n"
+	case !c.Request.ProtoAtLeast(1, 1):
+		framing += "Connection: keep-alive\r\n" // the caller asked for it; it would expect the end otherwise
 	}
 	_, err := w.WriteString(framing + "\r\n")
 	return err
