--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -50,7 +50,7 @@
 // had really begun, if no other upstreams of the failure domain died as well, and if not
 // several failure domains failed at once (which an isolated instance observes).
 func (d *Dispatcher) recordCrash(s *stream, u directory.Upstream, v sendFailure, began, now time.Time) {
-	ended := v.cause == broken || v.cause == probeFailed || v.cause == incorrect
+	ended := v.cause == broken || v.cause == probeFailed || v.cause == unreachable || v.cause == incorrect
 	if !ended || d.protocol.ProbePath == "" {
 		return
 	}
