edge: tell of crashes in the usual digests, from random first rounds

Crashes made an instance tell 24 peers of its failure domain at once. A test of the spread in virtual time shows that this is not needed once the rounds of digests begin at random peers: with 930 instances all refuse a part 1 s after the fifth crash, 0.75 s with the extra digests, which were 26 instead of 8 a round. With rounds that begin at the same peers and no extra digests it took 6.5 s, 4.25 to 5 s with 300 instances; the bound is 3 s.

TestSpreadOfRefusals holds it for 8, 85, 300 and 930 instances.

--- a/edge/peers.go
+++ b/edge/peers.go
@@ -40,9 +40,8 @@
 	nearDigests = 4 // to peers of the own failure domain
 	farDigests  = 4 // to peers of other failure domains
 	// maxNewsDigests is the largest number of digests to peers of the own failure domain in a round
-	// before which a watcher has seen a change in the store, or an instance has learned of a crash of
-	// an engine. The peers ask a watcher for the change, so they should not hear of it from one that
-	// knows it later.
+	// before which a watcher has seen a change in the store. The peers ask it for the change, so they
+	// should not hear of it from one that knows it later.
 	maxNewsDigests = 24
 	// maxDigestRound bounds the number of the first round, which is random. Instances that start at
 	// the same time would tell the same peers otherwise.
@@ -86,8 +85,6 @@
 	Poison   poison.Report                    `json:",omitzero"` // crashes of engines, and what is refused because of them
 	// Restarts are those of upstreams that were found without the store.
 	Restarts []restart `json:",omitempty"`
-
-	crashNews bool // Poison holds something that the last digest did not
 }
 
 // presence identifies an instance and its failure domain. Instances write it to the store.
@@ -174,7 +171,7 @@
 	if cur := e.current.Load(); cur != nil {
 		d.Configuration = cur.Version
 	}
-	d.Poison, d.crashNews = e.poison.Report(now)
+	d.Poison = e.poison.Report(now)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	d.Seen, d.StoreAge = e.view.Seen(), unit.Duration(e.view.Age(e.timer.Uptime()))
@@ -198,7 +195,7 @@
 	e.farPeers = len(far)
 	e.digestRound++
 	turn := e.digestRound
-	nearCount := e.nearDigestCount(d)
+	nearCount := e.nearDigestCount(d.Seen)
 	e.mu.Unlock()
 	if len(far) > maxSingleTurnPeers {
 		d.InFlight = nil // too few of these loads would be known at a time
@@ -208,12 +205,12 @@
 	e.sendDigest(digestTargets(near, nearCount, turn), d)
 }
 
-// nearDigestCount returns the number of digests d to peers of the own failure domain. The caller
-// holds e.mu.
-func (e *Edge) nearDigestCount(d digest) int {
-	news := d.Seen > e.toldVersion
-	e.toldVersion = d.Seen
-	if news && e.view.Watcher() || d.crashNews {
+// nearDigestCount returns the number of digests to peers of the own failure domain in a round with
+// the given store version. The caller holds e.mu.
+func (e *Edge) nearDigestCount(seen store.Version) int {
+	news := seen > e.toldVersion
+	e.toldVersion = seen
+	if news && e.view.Watcher() {
 		return maxNewsDigests
 	}
 	return nearDigests
--- a/poison/ban.go
+++ b/poison/ban.go
@@ -136,7 +136,6 @@
 		t.bans = slices.Delete(t.bans, 0, 1)
 	}
 	t.bans = append(t.bans, ban{set, until})
-	t.news = true
 	return true
 }
 
--- a/poison/crash.go
+++ b/poison/crash.go
@@ -69,7 +69,7 @@
 	}
 	c.runs = append(c.runs, kept)
 	c.tell = now.Add(tellTime)
-	t.pending, t.news = t.pending || c.counts, true
+	t.pending = t.pending || c.counts
 	if t.held != nil {
 		t.hold(kept)
 	}
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -103,7 +103,6 @@
 	telling map[Part]time.Time // cleared parts that reports mention, and until when
 	changes []Change
 	pending bool // the next tick evaluates the crashes
-	news    bool // the next report holds something new
 }
 
 // Change is a set of parts that was banned, or is banned no more.
--- a/poison/report.go
+++ b/poison/report.go
@@ -38,19 +38,17 @@
 
 // tell adds a cleared part to the reports of the next time. t.mu must be held.
 func (t *Tracker) tell(p Part, now time.Time) {
-	_, told := t.telling[p]
-	if told || len(t.telling) < maxTold {
+	if _, ok := t.telling[p]; ok || len(t.telling) < maxTold {
 		t.telling[p] = now.Add(tellTime)
-		t.news = t.news || !told
 	}
 }
 
-// Report returns what the other instances are to be told at this time, and whether it holds
-// something that the last report did not. Of many crashes, the latest are told.
-func (t *Tracker) Report(now time.Time) (out Report, news bool) {
+// Report returns what the other instances are to be told at this time. Of many crashes, the latest
+// are told.
+func (t *Tracker) Report(now time.Time) Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	news, t.news = t.news, false
+	var out Report
 	n := 0
 	for _, c := range slices.Backward(t.crashes) {
 		if !now.Before(c.tell) || len(c.runs) == 0 {
@@ -79,7 +77,7 @@
 			out.Bans = append(out.Bans, Ban{b.parts, durationOf(left)})
 		}
 	}
-	return out, news
+	return out
 }
 
 // Merge adds the report of another instance.
