--- a/generation/loss.go
+++ b/generation/loss.go
@@ -17,6 +17,9 @@
 	if m.lostAt.IsZero() {
 		m.lostAt = now
 	}
+	if c == ConnectionReset && m.phase == connecting {
+		m.sent = true
+	}
 	if c == UnknownStream && m.phase == connecting {
 		c = EngineFull // a new stream is refused as unknown if the engine does not have the model
 	}
@@ -63,13 +66,12 @@
 // engineLost abandons the engine and selects another. The engine is reported and counted as
 // failed only if it is known to have stopped or to have lost the stream: one that merely does
 // not answer may have paused or be unreachable from here, and its requests must not be blamed.
-// Nor must they if it has dropped the stream in that time, as engines do without a reader.
 func (m *Machine) engineLost(now time.Time, c LossCause) []Action {
 	if c == ConnectionRefused && m.phase != probing {
 		return m.switchEngine(now) // the request was not sent, so no work was lost
 	}
 	m.engineLosses++
-	if c == ResponseTimeout || c == TokenTimeout || m.wasSilent {
+	if !m.showsFailure(c) {
 		return m.engineSilent(now, c)
 	}
 	m.engineFailures++
@@ -81,7 +83,20 @@
 	return append(acts, m.switchEngine(now)...)
 }
 
-// engineSilent abandons an engine that does not answer. Silence alone ends the answer only
+// showsFailure reports whether a loss shows that the engine has stopped or lost the stream.
+// One that was silent may have dropped the stream for want of a reader, and the former owner
+// of a generation may have cancelled it.
+func (m *Machine) showsFailure(c LossCause) bool {
+	switch c {
+	case ResponseTimeout, TokenTimeout:
+		return false
+	case UnknownStream:
+		return !m.wasSilent && (m.accepted || !m.takenOver)
+	}
+	return !m.wasSilent
+}
+
+// engineSilent abandons an engine that is not known to have failed. Silence alone ends the answer only
 // once ResumeTimeout has passed.
 func (m *Machine) engineSilent(now time.Time, c LossCause) []Action {
 	m.unanswered = true
@@ -109,17 +124,24 @@
 	m.probes = 0
 	switch {
 	case alreadyExcluded && !m.accepted && (!m.unanswered || now.Sub(m.lostAt) > m.cfg.ConnectTimeout):
-		r := result.New(result.Overloaded, "no reachable engine accepts the request")
-		return m.endWith(r.After(m.cfg.RetryAfter))
+		return m.endWith(m.notAccepted())
 	case alreadyExcluded:
 		return m.retryLater(now) // all other engines are excluded, so choosing again would return the same one
 	}
 	return m.chooseEngine(now)
 }
 
+// notAccepted returns the result of an answer that no engine has accepted.
+func (m *Machine) notAccepted() *result.Error {
+	if m.sent {
+		return result.New(result.UpstreamFailed, "no engine responded to the request in time").Ran(result.RunUnknown)
+	}
+	return result.New(result.Overloaded, "no reachable engine accepts the request").After(m.cfg.RetryAfter)
+}
+
 // runStatus reports whether an engine may have run the request.
 func (m *Machine) runStatus() result.Run {
-	if m.accepted || m.takenOver {
+	if m.accepted || m.sent || m.takenOver {
 		return result.RunUnknown
 	}
 	return result.RunNot
--- a/generation/machine.go
+++ b/generation/machine.go
@@ -48,6 +48,7 @@
 	engineRetries  int  // waits for an engine since the last token
 	moves          int  // moves to another engine since the last token
 	accepted       bool // an engine accepted the request and may have run it
+	sent           bool // an engine may have read the request, but did not accept it
 	takenOver      bool // taken over from another instance, which may have delivered tokens
 	timeouts       *silence.Detector
 	released       int
@@ -286,8 +287,11 @@
 // InstanceStalled extends the running time limits by d after this instance itself was
 // stalled for d, since it could not have received anything from engines or replicas in that
 // time.
-func (m *Machine) InstanceStalled(d time.Duration) {
+func (m *Machine) InstanceStalled(now time.Time, d time.Duration) {
 	m.lastActivity = m.lastActivity.Add(d)
+	if !m.lostAt.IsZero() {
+		m.lostAt = m.lostAt.Add(min(d, now.Sub(m.lostAt)))
+	}
 	m.replica.lastAck = m.replica.lastAck.Add(d)
 }
 
--- a/generation/silence_test.go
+++ b/generation/silence_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"crocuslug/ident"
+	"crocuslug/result"
 )
 
 // silentEngines runs a machine whose engines accept every stream but become silent.
@@ -201,3 +202,52 @@
 		t.Errorf("end after the start: got %v, want at most %v", got, want)
 	}
 }
+
+// TestSilentStartMayHaveRun guards against telling a caller that its request was not run,
+// though engines that may have read it became silent.
+func TestSilentStartMayHaveRun(t *testing.T) {
+	m := New(Settings{}, Spec{Generation: "g"})
+	now := time.Unix(1000, 0)
+	acts := m.Start(now)
+	for !m.Closed() {
+		for _, a := range acts {
+			if a.Kind == ChooseEngine {
+				m.EngineChosen(now, "e1")
+			}
+		}
+		now = now.Add(100 * time.Millisecond)
+		acts = m.Tick(now)
+	}
+	if got, want := m.Result().Run, result.RunUnknown; got != want {
+		t.Errorf("run of %v: got %s, want %s", m.Result(), got, want)
+	}
+}
+
+// TestForgottenStreamAfterTakeover guards against blaming a content because the engine no
+// longer has the stream that a former owner knew: that owner may have left it in silence and
+// cancelled it.
+func TestForgottenStreamAfterTakeover(t *testing.T) {
+	m := Adopt(Settings{}, Spec{Generation: "g"}, AdoptedState{Upstream: "e1", Stream: "g-1", Tokens: []string{"x"}, Attempt: 1})
+	now := time.Unix(1000, 0)
+	m.Start(now)
+	for _, a := range m.StreamLost(now, m.Log().Attempt(), UnknownStream) {
+		if a.Kind == ReportFailure {
+			t.Errorf("got a report of the failure of %q, want none", a.Upstream)
+		}
+	}
+}
+
+// TestInstanceStallDoesNotEndAnswer guards against counting the time in which this instance
+// itself was stalled as silence of engines.
+func TestInstanceStallDoesNotEndAnswer(t *testing.T) {
+	s := newSilentStream(t)
+	const stall = defaultResumeTimeout + time.Second
+	s.now = s.now.Add(stall)
+	s.machine.InstanceStalled(s.now, stall)
+	for range 5 * defaultConnectTimeout / (20 * time.Millisecond) {
+		s.tick()
+	}
+	if r := s.machine.Result(); r != nil {
+		t.Errorf("result after a stall of %v: got %v, want none", stall, r)
+	}
+}
