--- a/edge/parts_test.go
+++ b/edge/parts_test.go
@@ -317,6 +317,7 @@
 // TestLostDomainBlamesNobody checks that no request is refused after the engines of three failure
 // domains have been lost, those of each at the same moment, though the same parts were on all of them.
 func TestLostDomainBlamesNobody(t *testing.T) {
+	t.Parallel()
 	c := newCrashing(t, crashingInstances)
 	sound := traffic{"sound", []string{"common:200,x:300", "common:200,y:300"}, 30 * time.Millisecond}
 	began := time.Now()
--- a/edge/spread_test.go
+++ b/edge/spread_test.go
@@ -86,6 +86,7 @@
 // several sizes, up to that of docs/CAPACITY.md, must refuse the part within stableTime after the last
 // crash, and none may refuse the sound parts.
 func TestSpreadOfRefusals(t *testing.T) {
+	t.Parallel()
 	const (
 		stableTime = 3 * time.Second // the users' stable_ms
 		crashes    = 5
