--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -88,6 +88,21 @@
 	}
 }
 
+// waitForUpstreams waits until the store lists n upstreams.
+func (s *site) waitForUpstreams(n int) {
+	s.t.Helper()
+	for end := time.Now().Add(waitLimit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		entries, err := s.store.List(context.Background(), nativewire.UpstreamsPrefix)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		if len(entries) == n {
+			return
+		}
+	}
+	s.t.Fatalf("the store does not list %d upstreams", n)
+}
+
 // waitForDraining waits until the store lists an upstream that is leaving.
 func (s *site) waitForDraining() {
 	s.t.Helper()
