--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -114,10 +116,12 @@
 	w           *work.Work
 	sends       int              // attempts, including those that cannot have arrived
 	runs        int              // attempts that may have run
-	crashes     int              // runs that were broken off, except those lost with a whole failure domain
+	crashes     int              // engines that crashed while they ran the request
+	crashChecks []<-chan bool    // results of the checks whether further lost engines crashed
 	uncounted   int              // part of sends that does not count towards Settings.MaxSends any more
 	exclude     []ident.Upstream // upstreams that are not tried again
 	requireIdle bool             // the request waits, with others, for the first upstreams that return
+	silent      []ident.Upstream // upstreams that were left because they were silent; tried again after a wait
 	declined    []ident.Upstream // upstreams that did not accept the request; tried again after a wait
 	lostDomain  ident.Domain     // failure domain of the last failed upstream; avoided if there are others
 	lastFailure string           // reason of the last failure
@@ -133,13 +137,13 @@
 
 // excluded returns the upstreams that are not to be chosen for the next attempt.
 func (a *attempts) excluded() []ident.Upstream {
-	return slices.Concat(a.exclude, a.declined)
+	return slices.Concat(a.exclude, a.silent, a.declined)
 }
 
-// retryDeclined allows the upstreams that declined the request to be chosen again, and
-// resets the count of attempts.
-func (a *attempts) retryDeclined() {
-	a.declined = nil
+// retryAll allows the upstreams that declined the request or were silent to be chosen again,
+// and resets the count of attempts.
+func (a *attempts) retryAll() {
+	a.silent, a.declined = nil, nil
 	a.uncounted = a.sends
 }
 
@@ -232,7 +236,7 @@
 		run = result.RunUnknown
 	}
 	verdict, _ := d.retryBudget(w.Service.Name).Decide(retry.Attempt{
-		Number:     a.sends,
+		Number:     a.sends - a.uncounted,
 		Run:        run,
 		Repeatable: w.Route.Repeatable(),
 		Resumed:    free,
@@ -262,26 +266,34 @@
 
 // Causes of failed attempts.
 const (
-	probeFailed cause = "NoProbe"   // the silent engine did not answer a probe
-	timedOut    cause = "TimedOut"  // no answer within the time limit
-	notSent     cause = "NotSent"   // no connection was made
-	broken      cause = "Broken"    // the connection ended before the answer
-	silent      cause = "Silent"    // no piece within the longest pause
-	replaced    cause = "Replaced"  // another upstream now has the address
-	notRun      cause = "NotRun"    // refused by the upstream without running it
-	unsigned    cause = "Unsigned"  // the answer carries no signature of an upstream
-	incorrect   cause = "Incorrect" // the stream did not consist of the expected pieces
-	status      cause = "Status"    // the upstream answered with a failure
+	probeFailed cause = "NoProbe"     // the silent engine did not answer a probe
+	unreachable cause = "Unreachable" // no connection to the silent engine could be made for a probe
+	timedOut    cause = "TimedOut"    // no answer within the time limit
+	notSent     cause = "NotSent"     // no connection was made
+	broken      cause = "Broken"      // the connection ended before the answer
+	silent      cause = "Silent"      // no piece within the longest pause
+	replaced    cause = "Replaced"    // another upstream now has the address
+	notRun      cause = "NotRun"      // refused by the upstream without running it
+	unsigned    cause = "Unsigned"    // the answer carries no signature of an upstream
+	incorrect   cause = "Incorrect"   // the stream did not consist of the expected pieces
+	status      cause = "Status"      // the upstream answered with a failure
 )
 
+// timeLimitPassed is the failure of an attempt whose upstream has not answered in time.
+var timeLimitPassed = sendFailure{outcome: fleet.Failed, mayHaveRun: true, cause: timedOut, reason: "no answer within its time limit"}
+
 // classify reports whether an attempt failed, and how. The answer is used only if err is
 // nil.
 func (d *Dispatcher) classify(ctx context.Context, ans *exchange.Answer, err error) (sendFailure, bool) {
 	switch {
+	case err != nil && context.Cause(ctx) == errUnreachable:
+		return sendFailure{outcome: fleet.Dead, mayHaveRun: true, cause: unreachable, reason: errUnreachable.Error()}, true
 	case err != nil && context.Cause(ctx) == errProbeFailed:
-		return sendFailure{outcome: fleet.Dead, mayHaveRun: true, cause: probeFailed, reason: errProbeFailed.Error()}, true
+		return sendFailure{outcome: fleet.Failed, mayHaveRun: true, cause: probeFailed, reason: errProbeFailed.Error()}, true
 	case err != nil && context.Cause(ctx) == context.DeadlineExceeded:
 		return sendFailure{outcome: fleet.Failed, mayHaveRun: !exchange.NotSent.Has(err), cause: timedOut, reason: "no answer within its time limit"}, true
+	case exchange.Broken.Has(err) && errors.Is(err, os.ErrDeadlineExceeded):
+		return timeLimitPassed, true
 	case exchange.NotSent.Has(err):
 		return sendFailure{outcome: fleet.Dead, cause: notSent, reason: err.Error()}, true
 	case err != nil:
@@ -306,9 +318,14 @@
 	}
 	if v.mayHaveRun {
 		a.runs++
-		a.exclude = append(a.exclude, u.ID)
-	} else {
+	}
+	switch {
+	case !v.mayHaveRun:
 		a.declined = append(a.declined, u.ID)
+	case v.cause == silent || v.cause == probeFailed || v.cause == timedOut:
+		a.silent = append(a.silent, u.ID)
+	default:
+		a.exclude = append(a.exclude, u.ID)
 	}
 	d.log.Info().Str("Request", string(a.w.ID)).Str("Upstream", string(u.ID)).Uint64("Revision", u.Revision.Revision()).Int("Attempt", a.sends).
 		Bool("MayHaveRun", v.mayHaveRun).Str("Cause", string(v.cause)).Str("Reason", v.reason).Dur("AfterMs", now.Sub(began)).Msg("attempt failed")
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"crocuslug/directory"
@@ -17,21 +18,32 @@
 	probeTimeout  = 250 * time.Millisecond // probes are answered at once, without a slot
 )
 
-// errProbeFailed is the cause with which the context of an attempt ends if its engine does not
-// answer a probe.
-var errProbeFailed = errors.New("the engine did not answer a probe")
+// Causes with which the context of an attempt ends if its engine is left after a probe.
+var (
+	errProbeFailed = errors.New("the engine did not answer a probe")
+	errUnreachable = errors.New("no connection to the engine could be made for a probe")
+)
 
-// withProbes returns a context that ends if u does not answer a probe. Probes are sent
-// periodically until the returned function is called.
-func (d *Dispatcher) withProbes(ctx context.Context, u directory.Upstream) (context.Context, context.CancelFunc) {
+// withProbes returns a context that ends when u is to be left because it does not answer probes.
+// Probes are sent periodically until the returned function is called.
+func (d *Dispatcher) withProbes(ctx context.Context, u directory.Upstream, p patience) (context.Context, context.CancelFunc) {
 	if d.protocol.ProbePath == "" {
 		return ctx, func() {}
 	}
 	probed, lost := context.WithCancelCause(ctx)
 	waiting, stop := context.WithCancel(ctx)
+	var answered atomic.Int64 // when the last probe that was answered was sent, in Unix nanoseconds
+	answered.Store(d.timer.Now().UnixNano())
 	sub := d.timer.Every(probeInterval, func(now time.Time) {
 		go func() {
-			if waiting.Err() == nil && !d.probe(waiting, u, now) && waiting.Err() == nil {
+			switch err := d.probe(waiting, u, now); {
+			case waiting.Err() != nil:
+			case err == nil:
+				answered.Store(max(answered.Load(), now.UnixNano()))
+			case !p.beforeStart(time.Duration(now.UnixNano() - answered.Load())):
+			case exchange.NotSent.Has(err):
+				lost(errUnreachable)
+			default:
 				lost(errProbeFailed)
 			}
 		}()
@@ -42,14 +54,14 @@
 	}
 }
 
-// probe reports whether u answers a probe.
-func (d *Dispatcher) probe(ctx context.Context, u directory.Upstream, now time.Time) bool {
+// probe returns nil if u answers a probe.
+func (d *Dispatcher) probe(ctx context.Context, u directory.Upstream, now time.Time) error {
 	sent := d.timer.Uptime()
 	_, _, err := d.callUpstream(ctx, u.Address, http.MethodGet, d.protocol.ProbePath, nil, now.Add(probeTimeout))
 	if err == nil {
 		d.fleet.ReportAlive(u.ID, sent)
 	}
-	return err == nil
+	return err
 }
 
 // callUpstream makes a call that is not on behalf of a caller, and returns the status and
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -33,6 +33,7 @@
 	script  []string
 	http    *httptest.Server
 	cluster *cluster
+	still   sync.RWMutex // locked while the engine answers nobody
 }
 
 // cluster is a set of engines and the configuration of the dispatcher that uses them.
@@ -43,20 +44,41 @@
 	received []string // requests as received, "ENGINE after=N from=NAME copy=ENGINE"
 	route    directory.Route
 	service  directory.Service
+	budget   retry.Settings
+	deadline time.Duration
 }
 
 // TestScripts runs the scripts in testdata/*.txt. The near failure domain is that of the
 // instance, so its engine is chosen first. Each line is one of
 //
-//	route KIND [resumable] [attempts=N]
+//	route KIND [resumable] [attempts=N] [budget=RETRIES] [deadline=DURATION]
+//	                   the budget, if it is set, grows by other requests up to RETRIES
 //	engine NAME DOMAIN COMMAND ...
 //	want RESULT        "200 BODY", "pieces 1-5", "cut 1-3", "refused NotRun" or "refused Unknown"
 //	request ENGINE ...     a request received by an engine, in order
 //
-// The commands of an engine are ok:BODY, status:N, refuse, replaced, drop, unsigned, and
-// stream:N-M:END, where END is whole, drop, drop-late (after minRunTime) or hang.
-func TestScripts(t *testing.T) {
-	names, err := filepath.Glob("testdata/*.txt")
+// The commands of an engine are ok:BODY, late:BODY (after pauseTime), status:N, refuse,
+// replaced, drop, unsigned, still:N-M (the engine answers nobody for pauseTime, then streams), and stream:N-M:END,
+// where END is whole, drop, drop-late (after minRunTime), hang, pause-K (silence for
+// pauseTime, then the pieces up to K) or crash (after minRunTime the engine is gone); and
+// bare, see engine.bare.
+func TestScripts(t *testing.T) { runScripts(t, "testdata/*.txt") }
+
+// TestPauses guards against answers that are cut because a sound engine paused.
+func TestPauses(t *testing.T) { runScripts(t, "testdata/pauses/*.txt") }
+
+// While a script sets the retry budget, other requests let it grow.
+const (
+	otherRequestInterval = 100 * time.Millisecond
+	retriesPerRequest    = 0.5
+)
+
+// pauseTime is how long a sound engine pauses.
+const pauseTime = 1200 * time.Millisecond
+
+func runScripts(t *testing.T, pattern string) {
+	t.Helper()
+	names, err := filepath.Glob(pattern)
 	if err != nil || len(names) == 0 {
 		t.Fatalf("scripts: got %v, %v, want some", names, err)
 	}
@@ -73,7 +95,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	wd := &cluster{service: directory.Service{Name: "s", Memory: 55000, Backups: true}}
+	wd := &cluster{service: directory.Service{Name: "s", Memory: 55000, Backups: true}, budget: retry.Settings{Burst: 100, MaxAttempts: 8}, deadline: 20 * time.Second}
 	var want string
 	var wantSeen []string
 	for n, line := range strings.Split(string(text), "\n") {
@@ -112,9 +134,24 @@
 	}
 	wd.route = directory.Route{Kind: kind, MaxAttempts: 5}
 	for _, w := range words[1:] {
-		if w == "resumable" {
+		switch name, value, _ := strings.Cut(w, "="); name {
+		case "resumable":
 			wd.route.Resumable = true
 			continue
+		case "budget":
+			retries, err := strconv.ParseFloat(value, 64)
+			if err != nil {
+				t.Fatal(err)
+			}
+			wd.budget.Burst, wd.budget.RetryRatio = retries, retriesPerRequest
+			continue
+		case "deadline":
+			limit, err := time.ParseDuration(value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			wd.deadline = limit
+			continue
 		}
 		n, err := strconv.Atoi(strings.TrimPrefix(w, "attempts="))
 		if err != nil {
@@ -152,6 +189,7 @@
 }
 
 func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
+	e.awaitStill()
 	if r.URL.Path != "/x" {
 		w.WriteHeader(http.StatusNotFound) // a probe or a copy
 		return
@@ -173,6 +211,9 @@
 	switch kind {
 	case "ok", "unsigned":
 		_, _ = fmt.Fprint(w, rest)
+	case "late":
+		<-time.After(pauseTime)
+		_, _ = fmt.Fprint(w, rest)
 	case "status":
 		code, _ := strconv.Atoi(rest)
 		w.WriteHeader(code)
@@ -183,8 +224,15 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	case "drop":
 		panic(http.ErrAbortHandler)
+	case "still":
+		e.still.Lock()
+		<-time.After(pauseTime)
+		e.still.Unlock()
+		e.stream(w, r, rest+":whole")
 	case "stream":
 		e.stream(w, r, rest)
+	case "bare":
+		e.bare(w, r, rest)
 	}
 }
 
@@ -193,15 +241,22 @@
 	first, last, _ := strings.Cut(span, "-")
 	from, _ := strconv.Atoi(first)
 	to, _ := strconv.Atoi(last)
-	for i := from; i <= to; i++ {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, e.name)
-		_ = http.NewResponseController(w).Flush()
-	}
-	switch end {
-	case "drop-late":
+	e.writePieces(w, from, to)
+	kind, pause, _ := strings.Cut(end, "-")
+	switch kind {
+	case "pause":
+		<-time.After(pauseTime)
+		last, _ := strconv.Atoi(pause)
+		e.writePieces(w, to+1, last)
+	case "crash":
 		<-time.After(minRunTime)
+		_ = e.http.Listener.Close()
 		panic(http.ErrAbortHandler)
 	case "drop":
+		if pause == "late" {
+			<-time.After(minRunTime)
+			panic(http.ErrAbortHandler)
+		}
 		_, _ = fmt.Fprint(w, "id: 99\nda")
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
@@ -210,6 +265,19 @@
 	}
 }
 
+// awaitStill waits until the engine answers again.
+func (e *engine) awaitStill() {
+	e.still.RLock()
+	defer e.still.RUnlock()
+}
+
+func (e *engine) writePieces(w http.ResponseWriter, from, to int) {
+	for i := from; i <= to; i++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, e.name)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
 func dash(s string) string {
 	if s == "" {
 		return "-"
@@ -236,6 +304,8 @@
 		NotRun:   func(_ int, h http.Header) bool { return h.Get("Not-Run") != "" },
 		Replaced: func(status int, _ http.Header) bool { return status == http.StatusMisdirectedRequest },
 		Signed:   func(h http.Header) bool { return h.Get("Signed") != "" },
+
+		ProbePath: "/probe",
 	}
 }
 
@@ -265,12 +335,17 @@
 	f.SetUpstreams(wd.list, func(ident.Service) int { return wd.service.Memory }, clock.Now())
 	client := exchange.New(exchange.Settings{}, clock)
 	defer client.Close()
-	d := New(Settings{DefaultGap: 300 * time.Millisecond, MaxResumeWait: time.Second}, testDependencies(testProtocol(), f, client, clock, zerolog.Nop()))
+	dependencies := testDependencies(testProtocol(), f, client, clock, zerolog.Nop())
+	dependencies.Budget = wd.budget
+	d := New(Settings{DefaultGap: 300 * time.Millisecond, MaxResumeWait: 3 * time.Second}, dependencies)
+	if wd.budget.RetryRatio > 0 {
+		clock.Every(otherRequestInterval, func(time.Time) { d.retryBudget(wd.service.Name).AddRequest() })
+	}
 	w := &work.Work{
 		ID:       "r1",
 		Route:    &wd.route,
 		Service:  &wd.service,
-		Deadline: clock.Now().Add(20 * time.Second),
+		Deadline: clock.Now().Add(wd.deadline),
 		Method:   http.MethodPost,
 		Target:   "/x",
 		Host:     "h",
@@ -297,35 +372,3 @@
 	}
 	return "pieces " + got.span()
 }
-
-// receivedStream is what a caller has received of a stream.
-type receivedStream struct {
-	numbers []string
-	ended   bool
-}
-
-func (g *receivedStream) sink() Sink {
-	return Sink{
-		Begin: func(int, http.Header) error { return nil },
-		Piece: func(raw []byte) error {
-			id, _, _ := strings.Cut(strings.TrimPrefix(string(raw), "id: "), "\n")
-			g.numbers = append(g.numbers, id)
-			return nil
-		},
-		End: func() error { g.ended = true; return nil },
-	}
-}
-
-// span returns "N-M" if the numbers from N to M were received once each and in order.
-func (g *receivedStream) span() string {
-	if len(g.numbers) == 0 {
-		return "none"
-	}
-	first, _ := strconv.Atoi(g.numbers[0])
-	for i, s := range g.numbers {
-		if s != strconv.Itoa(first+i) {
-			return strings.Join(g.numbers, ",")
-		}
-	}
-	return g.numbers[0] + "-" + g.numbers[len(g.numbers)-1]
-}
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -32,6 +32,10 @@
 	lostAt    time.Time      // when the attempt was lost that delivered the last piece; zero while the stream runs
 	waiting   bool           // the stream waits or has waited for an upstream since the loss
 	whole     *Reply         // answer that is not a stream, to be returned whole
+
+	gotPiece    bool      // the current attempt has received a piece
+	pausing     bool      // its engine is silent for longer than the limit, and the stream waits
+	lastPieceAt time.Time // when it received the last piece; its start before that
 }
 
 // errCallerWrite marks a failure to write to the caller.
@@ -63,10 +67,17 @@
 			runCopy = nil
 			continue
 		}
-		if refusal != nil || ctx.Err() != nil {
+		if refusal != nil {
 			return nil, s.started, refusal
 		}
 		now = d.timer.Now() // the stream may have waited in the queue
+		if ctx.Err() != nil {
+			d.fleet.Release(u.ID, now)
+			if from == nil {
+				d.fleet.AddUnreadTokens(u.ID, -w.PromptTokens, now)
+			}
+			return nil, s.started, d.contextEnded(ctx, s)
+		}
 		s.sends++
 		s.upstream = u.ID
 		d.countSend(s, from)
@@ -94,19 +105,25 @@
 			s.lostAt = end
 		}
 		if v.mayHaveRun {
-			d.recordCrash(&s.attempts, u, now, end)
+			d.recordCrash(&s.attempts, u, v, now, end)
+			if !d.awaitCrashChecks(ctx, &s.attempts) {
+				return nil, s.started, d.contextEnded(ctx, s)
+			}
 		}
 		if !w.Route.Repeatable() && s.runs > 0 {
 			return nil, s.started, d.refuse(&s.attempts, result.UpstreamFailed, "the stream was interrupted and must not be resumed")
 		}
-		refusal = d.checkRetry(&s.attempts, end, v.mayHaveRun || v.unsent())
-		switch {
-		case d.shouldWait(s, refusal, end):
+		free := v.mayHaveRun || v.unsent()
+		for refusal = d.checkRetry(&s.attempts, end, free); refusal != nil; refusal = d.checkRetry(&s.attempts, d.timer.Now(), free) {
+			if !d.shouldWait(s, refusal, d.timer.Now()) {
+				return nil, s.started, refusal
+			}
+			if refusal.Code == result.Overloaded && d.timer.Now().Sub(end) >= maxBudgetWait {
+				break
+			}
 			if !d.sleep(ctx, resumePoll) {
 				return nil, s.started, d.contextEnded(ctx, s)
 			}
-		case refusal != nil:
-			return nil, s.started, refusal
 		}
 	}
 }
@@ -114,12 +131,16 @@
 // resumePoll is the time between two attempts to find an upstream for an interrupted stream.
 const resumePoll = 100 * time.Millisecond
 
-// shouldWait reports whether a stream has to wait because no upstream is available. Its run
-// was lost with its engine, so it cannot be refused as not run, and its caller cannot resume
-// it elsewhere either: all upstreams of the service are unavailable, and crashed ones return
-// within seconds.
+// maxBudgetWait is how long an interrupted stream waits for the retry budget. The budget grows
+// only with new requests, and there may be none.
+const maxBudgetWait = time.Second
+
+// shouldWait reports whether a stream has to wait because no upstream is available or because
+// the retry budget, which grows with each request, is exhausted. Its run was lost, so it cannot
+// be refused as not run, and its caller cannot resume it elsewhere either: all upstreams of the
+// service are unavailable, and crashed ones return within seconds.
 func (d *Dispatcher) shouldWait(s *stream, refusal *result.Error, now time.Time) bool {
-	if refusal == nil || refusal.Code != result.NoUpstream || s.runs == 0 || s.runs >= d.cfg.MaxSends || now.Sub(s.lostAt) >= d.cfg.MaxResumeWait {
+	if refusal == nil || refusal.Code != result.NoUpstream && refusal.Code != result.Overloaded || s.runs == 0 || s.runs >= d.cfg.MaxSends || now.Sub(s.lostAt) >= d.cfg.MaxResumeWait {
 		return false
 	}
 	if !s.waiting {
@@ -129,7 +150,7 @@
 	}
 	s.waiting = true
 	s.requireIdle = now.Sub(s.lostAt) < d.cfg.RequireIdleFor
-	s.retryDeclined()
+	s.retryAll()
 	return true
 }
 
@@ -214,8 +235,11 @@
 	d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Uint64("Revision", u.Revision.Revision()).Str("UpstreamDomain", string(u.Domain)).Int("Attempt", s.sends).
 		Uint64("After", s.lastPiece).Bool("FromCopy", from != nil).Str("CopyTo", attempt.CopyTo).Msg("stream sent")
 	r := d.exchangeRequest(w, &attempt)
+	p := d.newPatience(s, u.ID)
+	s.lastPieceAt, s.gotPiece, s.pausing = now, false, false
 	r.AnswerBy = now.Add(s.gaps.FirstTimeout())
-	ctx, answered := d.withProbes(ctx, u)
+	r.Extend = func() time.Time { return d.extend(s, p) }
+	ctx, answered := d.withProbes(ctx, u, p)
 	defer answered()
 	ans, err := d.client.Do(ctx, u.Address, r)
 	if from == nil {
@@ -233,7 +257,27 @@
 	if ans.Status != http.StatusOK {
 		return d.readWhole(s, ans)
 	}
-	return d.relay(ctx, s, u.ID, ans, now)
+	return d.relay(ctx, s, u.ID, ans)
+}
+
+// extend returns until when the stream waits for an engine that has been silent for as long as
+// it may be, or zero if the stream leaves the engine.
+func (d *Dispatcher) extend(s *stream, p patience) time.Time {
+	now := d.timer.Now()
+	silent, leaves := now.Sub(s.lastPieceAt), p.beforeStart
+	if s.gotPiece {
+		leaves = p.midway
+	}
+	if leaves(silent) {
+		return time.Time{}
+	}
+	if !s.pausing {
+		s.pausing = true
+		d.meters.Count("EnginesPaused", 1)
+		d.log.Info().Str("Request", string(s.w.ID)).Str("Upstream", string(s.upstream)).Int("Attempt", s.sends).Uint64("LastPiece", s.lastPiece).
+			Dur("SilentMs", silent).Bool("MayMove", p.mayMove).Bool("Early", p.early).Bool("HasCopy", p.hasCopy()).Msg("stream waits for its silent engine")
+	}
+	return now.Add(silenceCheckInterval)
 }
 
 // readWhole reads an answer that is not a stream.
@@ -251,14 +295,13 @@
 }
 
 // relay passes pieces to the caller as they arrive.
-func (d *Dispatcher) relay(ctx context.Context, s *stream, id ident.Upstream, ans *exchange.Answer, began time.Time) (sendFailure, bool) {
+func (d *Dispatcher) relay(ctx context.Context, s *stream, id ident.Upstream, ans *exchange.Answer) (sendFailure, bool) {
 	r := pieces.New(ans)
 	limit := s.gaps.FirstTimeout()
-	lastPieceAt := began
 	lastAlive := d.timer.Uptime()
 	defer func() { d.fleet.ReportAlive(id, lastAlive) }()
-	for first := true; ; first = false {
-		ans.SetReadDeadline(lastPieceAt.Add(limit))
+	for {
+		ans.SetReadDeadline(s.lastPieceAt.Add(limit))
 		p, err := r.Next()
 		now := d.timer.Now()
 		if err == io.EOF {
@@ -266,16 +309,16 @@
 		}
 		if err != nil {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
-				return sendFailure{outcome: fleet.Failed, mayHaveRun: true, cause: silent, reason: "no data for " + now.Sub(lastPieceAt).String()}, false
+				return sendFailure{outcome: fleet.Failed, mayHaveRun: true, cause: silent, reason: "no data for " + now.Sub(s.lastPieceAt).String()}, false
 			}
 			return sendFailure{outcome: fleet.Failed, mayHaveRun: true, cause: broken, reason: err.Error()}, false
 		}
-		if first {
-			d.fleet.ReportStreamStart(id, now)
+		if s.gotPiece {
+			s.gaps.ObserveGap(now.Sub(s.lastPieceAt))
 		} else {
-			s.gaps.ObserveGap(now.Sub(lastPieceAt))
+			d.fleet.ReportStreamStart(id, now)
 		}
-		lastPieceAt, lastAlive = now, d.timer.Uptime()
+		s.gotPiece, s.pausing, s.lastPieceAt, lastAlive = true, false, now, d.timer.Uptime()
 		limit = min(s.gaps.GapTimeout(), s.maxGap)
 		if v, ok := d.deliver(s, ans, p); !ok {
 			return v, false
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"crocuslug/timer"
 )
@@ -19,13 +20,16 @@
 	timer *timer.Service
 	dials atomic.Uint64
 
+	buffers *buffers
+
 	mu   sync.Mutex
 	idle map[string][]*conn // by address, the most recently used last
 }
 
 // New returns a client that takes the time from t.
 func New(cfg Settings, t *timer.Service) *Client {
-	return &Client{cfg: cfg.withDefaults(), timer: t, idle: make(map[string][]*conn)}
+	cfg = cfg.withDefaults()
+	return &Client{cfg: cfg, timer: t, buffers: newBuffers(cfg.MaxBuffered), idle: make(map[string][]*conn)}
 }
 
 // Dials returns the number of connections that the client has tried to open.
@@ -42,6 +46,7 @@
 	}
 	stop := context.AfterFunc(ctx, cn.abort)
 	cn.setReadDeadline(r.AnswerBy)
+	cn.extend = r.Extend
 	sent := cn.written.Load()
 	sending := &requestWrite{done: make(chan struct{})}
 	go func() {
@@ -67,6 +72,7 @@
 		client:  c,
 		stop:    stop,
 		sending: sending,
+		memory:  hold{abort: cn.abort},
 	}, nil
 }
 
@@ -77,6 +83,16 @@
 	err  error // valid once done is closed
 }
 
+// stop ends a write in progress and returns its error, which is nil if the whole request was written.
+// After that the connection can be written to again.
+func (w *requestWrite) stop(cn *conn) error {
+	const past = 1                              // Unix time
+	_ = cn.SetWriteDeadline(time.Unix(past, 0)) // fails only on a closed connection, and then the write fails too
+	<-w.done
+	_ = cn.SetWriteDeadline(time.Time{})
+	return w.err
+}
+
 // readAnswerHead reads the head of the answer to r. It skips interim answers and answers to other
 // requests.
 func (c *Client) readAnswerHead(cn *conn, r *Request) (*http.Response, error) {
--- a/exchange/types.go
+++ b/exchange/types.go
@@ -19,6 +19,10 @@
 
 	// AnswerBy is the time by which the head of the answer must arrive; zero means no bound.
 	AnswerBy time.Time
+	// Extend is called when AnswerBy or the read deadline of the body has passed without data, and
+	// returns the time until which to wait on, or zero to give up. It is called from the goroutine
+	// that reads the answer and may be nil, which means to give up.
+	Extend func() time.Time
 	// Fresh asks for a new connection, or one that was in use within Settings.FreshTime.
 	Fresh bool
 	// IsAnswer reports from the header of an answer whether it answers this request. If it is nil,
@@ -36,23 +40,25 @@
 // Settings of a Client. The zero value takes the defaults.
 type Settings struct {
 	DialTimeout time.Duration // limit for opening a connection; 0 means 250ms
-	AckTimeout  time.Duration // limit for data to be acknowledged before the connection is closed; 0 means 600ms
+	AckTimeout  time.Duration // limit for data to be acknowledged before the connection is closed; 0 means 2s
 	IdleTimeout time.Duration // how long an idle connection is kept if the upstream names no time; 0 means 3s
 	FreshTime   time.Duration // longest idle time of a connection that counts as recently used; 0 means 500ms
 	MaxIdle     int           // idle connections kept to each upstream; 0 means 32
 	MaxHeader   int           // size of the head of an answer in bytes; 0 means 64 KiB
 	MaxBody     int64         // size of a complete body in bytes; 0 means 64 MiB
+	MaxBuffered int64         // size in bytes of all bodies that are being read into memory; 0 means 68 MiB
 }
 
 // Defaults of Settings.
 const (
 	defaultDialTimeout = 250 * time.Millisecond // many times a handshake with a busy upstream in another failure domain
-	defaultAckTimeout  = 600 * time.Millisecond // three TCP retransmissions at the minimum time-out of 200 ms
+	defaultAckTimeout  = 2 * time.Second        // a sound upstream may pause for a second without reading, and keepAlive takes as long
 	defaultIdleTimeout = 3 * time.Second        // below the smallest idle time-out in common use, 5 s
 	defaultFreshTime   = 500 * time.Millisecond
 	defaultMaxIdle     = 32
 	defaultMaxHeader   = 64 << 10
 	defaultMaxBody     = 64 << 20
+	defaultMaxBuffered = defaultMaxBody + 4<<20 // one body of the greatest size and some small ones
 )
 
 func (cfg Settings) withDefaults() Settings {
@@ -63,5 +69,6 @@
 	unit.SetDefault(&cfg.MaxIdle, defaultMaxIdle)
 	unit.SetDefault(&cfg.MaxHeader, defaultMaxHeader)
 	unit.SetDefault(&cfg.MaxBody, defaultMaxBody)
+	unit.SetDefault(&cfg.MaxBuffered, defaultMaxBuffered)
 	return cfg
 }
--- a/generation/machine.go
+++ b/generation/machine.go
@@ -31,22 +31,27 @@
 	spec Spec
 	log  *tokenlog.Log
 
-	phase         phase
-	engine        ident.Upstream
-	stream        string
-	exclude       []ident.Upstream
-	engineLosses  int
-	lastActivity  time.Time // start of the phase, or last event received while streaming
-	lostAt        time.Time // when the stream was lost; zero while it is not lost
-	retryAt       time.Time
-	paused        bool
-	probes        int  // since the last token
-	engineRetries int  // waits for an engine since the last token
-	moves         int  // moves to another engine since the last token
-	accepted      bool // an engine accepted the request and may have run it
-	takenOver     bool // taken over from another instance, which may have delivered tokens
-	timeouts      *silence.Detector
-	released      int
+	phase          phase
+	engine         ident.Upstream
+	stream         string
+	exclude        []ident.Upstream
+	engineLosses   int          // engines abandoned for any reason
+	engineFailures int          // engines that failed or could not continue the answer
+	silent         silentStream // the stream left last, until another engine accepts the answer
+	unanswered     bool         // an engine has not responded in time since the last token
+	wasSilent      bool         // the current stream is the former silent one
+	lastActivity   time.Time    // start of the phase, or last event received while streaming
+	lostAt         time.Time    // when the stream was lost; zero while it is not lost
+	retryAt        time.Time
+	paused         bool
+	probes         int  // since the last token
+	engineRetries  int  // waits for an engine since the last token
+	moves          int  // moves to another engine since the last token
+	accepted       bool // an engine accepted the request and may have run it
+	sent           bool // an engine may have read the request, but did not accept it
+	takenOver      bool // taken over from another instance, which may have delivered tokens
+	timeouts       *silence.Detector
+	released       int
 
 	replica replicaState
 
@@ -151,6 +156,9 @@
 	if m.phase != choosingEngine {
 		return nil
 	}
+	if u == m.silent.engine {
+		return m.resumeSilent(now)
+	}
 	m.log.RaiseAttempt(m.log.Attempt() + 1)
 	m.engine = u
 	m.stream = fmt.Sprintf("%s-%d", m.spec.Generation, m.log.Attempt())
@@ -185,12 +193,13 @@
 }
 
 // StreamOpened records that the engine accepted the request of attempt a.
-func (m *Machine) StreamOpened(now time.Time, a ident.Attempt) {
+func (m *Machine) StreamOpened(now time.Time, a ident.Attempt) []Action {
 	m.accepted = true
 	if a != m.log.Attempt() || m.phase != connecting && m.phase != probing {
-		return
+		return nil
 	}
-	m.phase, m.lastActivity = streaming, now
+	m.phase, m.lastActivity, m.wasSilent = streaming, now, false
+	return m.cancelSilent()
 }
 
 // TokensReceived adds tokens of attempt a to the log. Index is the index of the first one.
@@ -246,7 +255,7 @@
 	}
 	m.stats.Recoveries++
 	m.stats.LastRecoveryTime = now.Sub(m.lostAt)
-	m.lostAt = time.Time{}
+	m.lostAt, m.unanswered = time.Time{}, false
 }
 
 // StreamFinished handles the end of the stream of attempt a. N is the total number of tokens
@@ -278,8 +287,11 @@
 // InstanceStalled extends the running time limits by d after this instance itself was
 // stalled for d, since it could not have received anything from engines or replicas in that
 // time.
-func (m *Machine) InstanceStalled(d time.Duration) {
+func (m *Machine) InstanceStalled(now time.Time, d time.Duration) {
 	m.lastActivity = m.lastActivity.Add(d)
+	if !m.lostAt.IsZero() {
+		m.lostAt = m.lostAt.Add(min(d, now.Sub(m.lostAt)))
+	}
 	m.replica.lastAck = m.replica.lastAck.Add(d)
 }
 
@@ -290,6 +302,7 @@
 		return nil
 	}
 	m.engine, m.stream = "", ""
+	m.silent = silentStream{}
 	return m.endWith(result.New(result.GenerationMoved, "another instance has taken over the generation").Ran(result.RunUnknown))
 }
 
--- a/generation/tick.go
+++ b/generation/tick.go
@@ -26,10 +26,11 @@
 	switch m.phase {
 	case waitingToRetry:
 		if !now.Before(m.retryAt) {
-			return m.chooseEngine(now)
+			return m.retry(now)
 		}
 	case connecting:
 		if idle > m.cfg.ConnectTimeout {
+			m.sent = true // connections are opened in less time
 			return m.StreamLost(now, a, ResponseTimeout)
 		}
 	case probing:
