edge: callers pause after a refusal in TestChangesCutNothing

They sent about 12000 requests that were refused, half of them with the connection closed, each of which holds a port for a minute. Tests beside it may need those ports.

--- a/edge/change_test.go
+++ b/edge/change_test.go
@@ -29,7 +29,8 @@
 	changeCallers  = 6 // of each kind of request
 	changeSeed     = 7
 	manyRoutes     = 350
-	longPrompt     = 20000 // tokens; streams with such prompts wait for each other in the queue of their service
+	refusalPause   = 20 * time.Millisecond // after a refusal, which may close the connection and occupy its port for a minute
+	longPrompt     = 20000                 // tokens; streams with such prompts wait for each other in the queue of their service
 )
 
 // configurationChanges lists the kinds of changes, in the order in which they are made.
@@ -245,6 +246,7 @@
 	}
 	if res.StatusCode != http.StatusOK {
 		l.refused.Add(1)
+		time.Sleep(refusalPause)
 		return nil
 	}
 	l.whole.Add(1)
