pieces: a stream goes on with events of its answer only

What callers saw: a stream whose engine went on with comments, events without a number or events that had been passed did not go on at another engine. Callers got such bytes as long as they came, or nothing, until the time of the request was over. Before the first event of the answer they also made the stream count as begun, and its run as copied.

Cause: every event counted as one of the answer. It renewed the limit of silence, and dispatch passed it on if it had no number. Empty lines were read without end; only the limit of silence ended that.

NextNew returns an event once its number is greater than those before it, preceded by the events without a number, and discards events whose number was passed. More than 64 KiB of these since the last such event are an error, so the stream goes on elsewhere. A comment thus reaches the caller with the next event of the answer, at the latest at the end. Next still returns every event, since the callers of the soak must see repeated ones.

The scripts dispatch/testdata/endless-* failed before, but for bytes, lines and empty lines, after 20 s, the time of the request:

endless-comments: got "cut and foreign bytes", want "pieces 1-5" endless-events: got "cut and foreign bytes", want "pieces 1-5" endless-first: got "cut and foreign bytes", want "pieces 1-5" endless-repeats, endless-earlier: got "cut 1-3", want "pieces 1-5" endless-texts: got "cut 1,2,3,x,x,x,...", want "pieces 1-5"

Left: numbers that increase without end are events of an answer; only the time of the request ends them.

--- a/dispatch/framing_test.go
+++ b/dispatch/framing_test.go
@@ -49,3 +49,27 @@
 	}
 	return b.String()
 }
+
+// floods are bytes that are no events of an answer, by name.
+var floods = map[string]string{
+	"bytes":    "x",
+	"lines":    "data: x\n",
+	"empty":    "\n",
+	"comments": ": x\n\n",
+	"events":   "data: x\n\n",
+	"texts":    "id: x\ndata: x\n\n",
+	"repeats":  "id: 2\ndata: x\n\n",
+	"earlier":  "id: 1\ndata: x\n\nid: 2\ndata: x\n\n",
+}
+
+// flood answers with a stream that goes on with other bytes until the connection is closed. The
+// script is N-M:NAME, where NAME is one of floods.
+func (e *engine) flood(w http.ResponseWriter, script string) {
+	span, name, _ := strings.Cut(script, ":")
+	_, err := fmt.Fprint(w, e.events(span))
+	const block = 16 << 10 // bytes
+	units := strings.Repeat(floods[name], block/len(floods[name]))
+	for err == nil {
+		_, err = fmt.Fprint(w, units)
+	}
+}
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -54,8 +54,8 @@
 //	request ENGINE ...     a request received by an engine, in order
 //
 // The commands of an engine are ok:BODY, status:N, refuse, replaced, drop, unsigned, and
-// stream:N-M:END, where END is whole, drop, drop-late (after minRunTime) or hang; and bare, see
-// engine.bare.
+// stream:N-M:END, where END is whole, drop, drop-late (after minRunTime) or hang; bare, see
+// engine.bare; and flood, see engine.flood.
 func TestScripts(t *testing.T) {
 	names, err := filepath.Glob("testdata/*.txt")
 	if err != nil || len(names) == 0 {
@@ -188,6 +188,8 @@
 		e.stream(w, r, rest)
 	case "bare":
 		e.bare(w, r, rest)
+	case "flood":
+		e.flood(w, rest)
 	}
 }
 
@@ -304,6 +306,7 @@
 // receivedStream is what a caller has received of a stream.
 type receivedStream struct {
 	numbers []string
+	foreign int // bytes of events without a number
 	ended   bool
 }
 
@@ -312,6 +315,10 @@
 		Begin: func(int, http.Header) error { return nil },
 		Piece: func(raw []byte) error {
 			id, _, _ := strings.Cut(strings.TrimPrefix(string(raw), "id: "), "\n")
+			if _, err := strconv.Atoi(id); err != nil {
+				g.foreign += len(raw)
+				return nil
+			}
 			g.numbers = append(g.numbers, id)
 			return nil
 		},
@@ -319,8 +326,15 @@
 	}
 }
 
-// span returns "N-M" if the numbers from N to M were received once each and in order.
+// maxForeign is how much a caller may receive of bytes that are no events of its answer.
+const maxForeign = 64 << 10
+
+// span returns "N-M" if the numbers from N to M were received once each and in order, and not too
+// many other bytes.
 func (g *receivedStream) span() string {
+	if g.foreign > maxForeign {
+		return fmt.Sprintf("and %d foreign bytes", g.foreign)
+	}
 	if len(g.numbers) == 0 {
 		return "none"
 	}
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -259,7 +259,7 @@
 	defer func() { d.fleet.ReportAlive(id, lastAlive) }()
 	for first := true; ; first = false {
 		ans.SetReadDeadline(lastPieceAt.Add(limit))
-		p, err := r.Next()
+		p, err := r.NextNew()
 		now := d.timer.Now()
 		if err == io.EOF {
 			return d.finish(s)
--- a/pieces/pieces.go
+++ b/pieces/pieces.go
@@ -4,6 +4,10 @@
 // partial event written by an upstream before it crashed must be discarded. The Reader
 // returns an event only after its end has arrived, together with the number in its id field,
 // which shows where a resumed stream continues.
+//
+// The numbers of the events of an answer increase. An upstream in trouble may send other bytes
+// without end, so NextNew holds back events without a number until one with a new number
+// follows, and bounds their size. It discards events with a number that was passed.
 package pieces
 
 import (
@@ -24,17 +28,24 @@
 
 // Error classes of a Reader, besides the errors of its source.
 var (
-	TooLong = errs.Class("event too long")
-	Partial = errs.Class("stream ends inside an event")
+	TooLong    = errs.Class("event too long")
+	Partial    = errs.Class("stream ends inside an event")
+	NoProgress = errs.Class("stream without progress")
 )
 
 // maxBytes is the greatest size of an event in bytes.
 const maxBytes = 1 << 20
 
+// maxOther is the number of bytes that may come between two events with increasing numbers.
+const maxOther = 64 << 10
+
 // Reader reads the events of a stream.
 type Reader struct {
-	br  *bufio.Reader
-	raw []byte
+	br       *bufio.Reader
+	raw      []byte // bytes of the next piece
+	numbered bool   // NextNew has returned an event with a number
+	last     uint64 // its number
+	other    int    // bytes since that event that belong to no event with a new number
 }
 
 // New returns a Reader of the events in r.
@@ -47,38 +58,78 @@
 // class Partial if the stream ends inside an event, and one of class TooLong if an event
 // exceeds the greatest size.
 func (r *Reader) Next() (Piece, error) {
+	for {
+		r.raw = r.raw[:0]
+		number, numbered, err := r.readEvent()
+		if err != nil {
+			return Piece{}, err
+		}
+		if !r.empty() {
+			return Piece{Number: number, HasNumber: numbered, Raw: r.raw}, nil
+		}
+	}
+}
+
+// NextNew returns the next event with a number that is greater than those before it, together
+// with the events without a number before it. At the end of the stream it returns those that
+// are left, as a piece without a number. Its errors are those of Next, and one of class
+// NoProgress if too many bytes come that belong to no event with a new number.
+func (r *Reader) NextNew() (Piece, error) {
 	r.raw = r.raw[:0]
-	var p Piece
 	for {
 		start := len(r.raw)
-		if err := r.readLine(); err != nil {
-			if err == io.EOF && len(r.raw) > 0 {
-				return Piece{}, Partial.New("%d bytes of an incomplete event", len(r.raw))
-			}
+		number, numbered, err := r.readEvent()
+		if err == io.EOF && start > 0 {
+			return Piece{Raw: r.raw}, nil
+		}
+		if err != nil {
 			return Piece{}, err
 		}
+		if numbered && (!r.numbered || number > r.last) {
+			r.numbered, r.last, r.other = true, number, 0
+			return Piece{Number: number, HasNumber: true, Raw: r.raw}, nil
+		}
+		r.other += len(r.raw) - start
+		if r.other > maxOther {
+			return Piece{}, NoProgress.New("more than %d bytes since the event with the greatest number", maxOther)
+		}
+		if numbered || r.empty() {
+			r.raw = r.raw[:0]
+		}
+	}
+}
+
+// empty reports whether there are only empty lines.
+func (r *Reader) empty() bool { return len(bytes.Trim(r.raw, "\r\n")) == 0 }
+
+// readEvent appends the next event, or an empty line, to r.raw and returns the number of the event.
+func (r *Reader) readEvent() (number uint64, numbered bool, err error) {
+	first := len(r.raw)
+	for {
+		start := len(r.raw)
+		if err := r.readLine(first); err != nil {
+			if err == io.EOF && len(r.raw) > first {
+				err = Partial.New("%d bytes of an incomplete event", len(r.raw)-first)
+			}
+			return 0, false, err
+		}
 		line := bytes.TrimRight(r.raw[start:], "\r\n")
 		if len(line) == 0 {
-			if start == 0 {
-				r.raw = r.raw[:0] // empty line before an event
-				continue
-			}
-			p.Raw = r.raw
-			return p, nil
+			return number, numbered, nil
 		}
 		if value, ok := field(line, "id"); ok {
-			n, err := strconv.ParseUint(string(value), 10, 64)
-			p.Number, p.HasNumber = n, err == nil
+			number, err = strconv.ParseUint(string(value), 10, 64)
+			numbered = err == nil
 		}
 	}
 }
 
-// readLine appends one line, including its end, to r.raw.
-func (r *Reader) readLine() error {
+// readLine appends one line, including its end, to r.raw. The event of the line begins at first.
+func (r *Reader) readLine(first int) error {
 	for {
 		part, err := r.br.ReadSlice('\n')
 		r.raw = append(r.raw, part...)
-		if len(r.raw) > maxBytes {
+		if len(r.raw)-first > maxBytes {
 			return TooLong.New("event exceeds %d bytes", maxBytes)
 		}
 		if err != bufio.ErrBufferFull {
