pieces: long events count as memory of answers

What instances saw: each stream could take 1 MiB, and 2 MiB while its buffer grew, for an event that never ends, uncounted. Hundreds of streams at once are usual, and an instance has 284 MB.

The memory of an event beyond 4 KiB is now reserved with the exchange, which breaks off the answer that holds the most when Settings.MaxBuffered is exceeded. A stream that is broken off goes on at another engine.

--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -43,19 +43,21 @@
 	received []string // requests as received, "ENGINE after=N from=NAME copy=ENGINE"
 	route    directory.Route
 	service  directory.Service
+	memory   int64 // bound on answers in memory in bytes; 0 means the default
 }
 
 // TestScripts runs the scripts in testdata/*.txt. The near failure domain is that of the
 // instance, so its engine is chosen first. Each line is one of
 //
 //	route KIND [resumable] [attempts=N]
+//	memory BYTES           the bound on answers in memory
 //	engine NAME DOMAIN COMMAND ...
 //	want RESULT        "200 BODY", "pieces 1-5", "cut 1-3", "refused NotRun" or "refused Unknown"
 //	request ENGINE ...     a request received by an engine, in order
 //
 // The commands of an engine are ok:BODY, status:N, refuse, replaced, drop, unsigned, and
 // stream:N-M:END, where END is whole, drop, drop-late (after minRunTime) or hang; bare, see
-// engine.bare; and flood, see engine.flood.
+// engine.bare; flood, see engine.flood; and long:BYTES for a stream of one event of that size.
 func TestScripts(t *testing.T) {
 	names, err := filepath.Glob("testdata/*.txt")
 	if err != nil || len(names) == 0 {
@@ -85,6 +87,8 @@
 		switch w[0] {
 		case "route":
 			wd.setRoute(t, w[1:])
+		case "memory":
+			wd.memory, _ = strconv.ParseInt(w[1], 10, 64)
 		case "engine":
 			wd.add(t, w[1], ident.Domain(w[2]), w[3:])
 		case "want":
@@ -190,6 +194,9 @@
 		e.bare(w, r, rest)
 	case "flood":
 		e.flood(w, rest)
+	case "long":
+		size, _ := strconv.Atoi(rest)
+		_, _ = fmt.Fprintf(w, "id: 1\ndata: %s\n\n", strings.Repeat("x", size))
 	}
 }
 
@@ -268,7 +275,7 @@
 	random := func() uint64 { return 0 }
 	f := fleet.New(fleet.Settings{Domain: "near"}, random, zerolog.Nop())
 	f.SetUpstreams(wd.list, func(ident.Service) int { return wd.service.Memory }, clock.Now())
-	client := exchange.New(exchange.Settings{}, clock)
+	client := exchange.New(exchange.Settings{MaxBuffered: wd.memory}, clock)
 	defer client.Close()
 	d := New(Settings{DefaultGap: 300 * time.Millisecond, MaxResumeWait: time.Second}, testDependencies(testProtocol(), f, client, clock, zerolog.Nop()))
 	w := &work.Work{
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -253,6 +253,7 @@
 // relay passes pieces to the caller as they arrive.
 func (d *Dispatcher) relay(ctx context.Context, s *stream, id ident.Upstream, ans *exchange.Answer, began time.Time) (sendFailure, bool) {
 	r := pieces.New(ans)
+	r.Reserve = ans.Reserve
 	limit := s.gaps.FirstTimeout()
 	lastPieceAt := began
 	lastAlive := d.timer.Uptime()
--- a/pieces/pieces.go
+++ b/pieces/pieces.go
@@ -41,10 +41,15 @@
 
 // Reader reads the events of a stream.
 type Reader struct {
+	// Reserve, if it is set, is called before the Reader takes n bytes of memory more for a long
+	// event. If it returns an error, so does the Reader.
+	Reserve func(n int64) error
+
 	br       *bufio.Reader
 	raw      []byte // bytes of the next piece
 	numbered bool   // NextNew has returned an event with a number
 	last     uint64 // its number
+	reserved int    // bytes passed to Reserve
 	other    int    // bytes since that event that belong to no event with a new number
 }
 
@@ -128,6 +133,9 @@
 func (r *Reader) readLine(first int) error {
 	for {
 		part, err := r.br.ReadSlice('\n')
+		if err := r.grow(len(part)); err != nil {
+			return err
+		}
 		r.raw = append(r.raw, part...)
 		if len(r.raw)-first > maxBytes {
 			return TooLong.New("event exceeds %d bytes", maxBytes)
@@ -138,6 +146,28 @@
 	}
 }
 
+// freeBytes is the size of an event in bytes up to which its memory is not reserved.
+const freeBytes = 4 << 10
+
+// grow makes room for n bytes more in r.raw.
+func (r *Reader) grow(n int) error {
+	if len(r.raw)+n <= cap(r.raw) {
+		return nil
+	}
+	const least = 256 // bytes; most events
+	size := max(least, 2*cap(r.raw), len(r.raw)+n)
+	if r.Reserve != nil && size > freeBytes {
+		if err := r.Reserve(int64(size - r.reserved)); err != nil {
+			return err
+		}
+		r.reserved = size
+	}
+	raw := make([]byte, len(r.raw), size)
+	copy(raw, r.raw)
+	r.raw = raw
+	return nil
+}
+
 // field returns the value of a line and true if the line is of the named field.
 func field(line []byte, name string) ([]byte, bool) {
 	value, ok := bytes.CutPrefix(line, []byte(name+":"))
--- a/pieces/pieces_test.go
+++ b/pieces/pieces_test.go
@@ -123,6 +123,31 @@
 	}
 }
 
+// TestReserve guards against long events of many streams at once that take memory uncounted.
+func TestReserve(t *testing.T) {
+	const limit, small = 100 << 10, "id: 1\ndata: a\n\n"
+	var reserved int64
+	r := New(io.MultiReader(strings.NewReader(small), &endless{text: "x"}))
+	r.Reserve = func(n int64) error {
+		if reserved+n > limit {
+			return errFull
+		}
+		reserved += n
+		return nil
+	}
+	if _, err := r.NextNew(); err != nil || reserved != 0 {
+		t.Errorf("small event: got %v and %d bytes reserved, want 0", err, reserved)
+	}
+	if _, err := r.NextNew(); err != errFull {
+		t.Errorf("long event: got %v, want %v", err, errFull)
+	}
+	if got := int64(cap(r.raw)); got > reserved || reserved == 0 {
+		t.Errorf("memory: got %d bytes, %d reserved", got, reserved)
+	}
+}
+
+var errFull = errors.New("full")
+
 // TestOtherBytesBetweenEvents checks that the bound on other bytes applies between two events, not
 // to the whole stream.
 func TestOtherBytesBetweenEvents(t *testing.T) {
