exchange: errors quote the beginning of what an upstream sent

What operators saw: a line of the log as long as the head that an upstream had sent instead of an answer, up to 64 KiB, for each attempt, and once more in the reason of the refusal. The volume of the log is to be bounded.

TestErrorLength failed before:

long lines that are no HTTP: got an error of 60043 bytes, want at most 400

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -88,7 +88,7 @@
 	cn.headLimit.N = cn.maxHeader
 	res, err := http.ReadResponse(cn.br, &http.Request{Method: method})
 	if err != nil {
-		return nil, err
+		return nil, shorten(err)
 	}
 	cn.headLimit.N = unlimited
 	if !strings.HasPrefix(res.Proto, "HTTP/1.") {
@@ -97,6 +97,17 @@
 	return res, nil
 }
 
+// maxErrorText is the length in bytes up to which errors quote what an upstream sent.
+const maxErrorText = 200
+
+// shorten returns err, or an error with the beginning of its text if that is long.
+func shorten(err error) error {
+	if text := err.Error(); len(text) > maxErrorText {
+		return errs.New("%s... (%d bytes)", text[:maxErrorText], len(text))
+	}
+	return err
+}
+
 // abort closes the connection. It may be called during a read or a write.
 func (cn *conn) abort() {
 	_ = cn.Close() // a failure to close cannot be handled
--- a/exchange/endless_test.go
+++ b/exchange/endless_test.go
@@ -31,6 +31,8 @@
 	{"line", "HTTP/1.1 200 ", "x", "broken"},
 	{"no line of HTTP", "", "x", "broken"},
 	{"lines that are no HTTP", "", "x\r\n", "broken"},
+	{"long lines that are no HTTP", "", strings.Repeat("x", 60000) + "\r\n", "broken"},
+	{"long lines that are no fields", floodHead, strings.Repeat("x", 60000) + "\r\n", "broken"},
 	{"field", floodHead + "A: ", "x", "broken"},
 	{"fields", floodHead, "A: b\r\n", "broken"},
 	{"folded field", floodHead + "A: b\r\n", " x\r\n", "broken"},
@@ -202,3 +204,21 @@
 		t.Errorf("heap: got %d MiB, want at most %d MiB", got>>20, maxEndlessHeap>>20)
 	}
 }
+
+// TestErrorLength guards against log lines as long as the head that an upstream sent.
+func TestErrorLength(t *testing.T) {
+	for _, f := range append(append([]flood(nil), headFloods...), bodyFloods...) {
+		address, _ := f.start(t)
+		c := New(Settings{MaxBody: 1 << 20}, timer.New())
+		ans, err := c.Do(context.Background(), address, newRequest("1"))
+		if err == nil {
+			_, err = ans.ReadBody()
+			ans.Close()
+		}
+		const most = 400 // bytes
+		if err != nil && len(err.Error()) > most {
+			t.Errorf("%s: got an error of %d bytes, %.80s, want at most %d", f.name, len(err.Error()), err.Error(), most)
+		}
+		c.Close()
+	}
+}
