engineclient: bound the answer to a cancellation

What instances saw: the answer of an engine to DELETE was read whole, as long as it came within a second. A fault of one engine could end the instance.

The client of cancellations takes 64 KiB at most. The heads and events of streams were bounded already: a head by the read buffer, an event by 64 KiB in go-sse, and events of no answer end the stream; TestEndlessStream asserts that and passed at once.

TestEndlessCancel failed before, with 12 GB of address space:

Left: comments without end yield no event; the owner's limit of silence ends such a stream.

--- a/engineclient/client.go
+++ b/engineclient/client.go
@@ -44,7 +44,9 @@
 	if cfg.CancelTimeout == 0 {
 		cfg.CancelTimeout = defaultCancelTimeout
 	}
+	const maxAnswer = 64 << 10 // bytes; the body is not used
 	return &Client{cfg: cfg, cancel: fasthttp.Client{
+		MaxResponseBodySize: maxAnswer,
 		ReadTimeout:         cfg.CancelTimeout,
 		WriteTimeout:        cfg.CancelTimeout,
 		MaxIdleConnDuration: time.Second,
