serviceproxy: bound what is read of a response beside its body

What callers saw: a request whose service sent the extension of a chunk without end was answered when its time was over, instead of at once. The memory was bounded; the bytes read were not.

TestEndless/chunk_extension failed before:

got a body of 0 bytes, cannot read '\r' char at the end of chunk size: read tcp ...: i/o timeout, want an error before the time limit

The other cases of TestEndless, and TestUnframed, that a reset never completes an answer that ends with its connection, passed at once.

--- a/serviceproxy/exchange.go
+++ b/serviceproxy/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -99,6 +100,12 @@
 	}
 }
 
+// Bounds on what is read of a response, beside that on its body.
+const (
+	maxHead    = 64 << 10 // bytes
+	maxFraming = 8        // bytes in chunks for each byte of the body; those of one byte take six
+)
+
 // roundTrip writes a request and reads its response of at most maxBody bytes, both before
 // deadline.
 func roundTrip(conn net.Conn, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, maxBody int) error {
@@ -114,7 +121,8 @@
 		return err
 	}
 	resp.SkipBody = req.Header.IsHead()
-	if err := resp.ReadLimitBody(bufio.NewReader(conn), maxBody); err != nil {
+	r := io.LimitReader(conn, maxHead+maxFraming*int64(maxBody))
+	if err := resp.ReadLimitBody(bufio.NewReader(r), maxBody); err != nil {
 		return err
 	}
 	resp.Header.ResetConnectionClose()
