upstreamcontrol: bound the answer of an engine

What instances saw: the state of an engine, and its answer to an order, were read whole, as long as they came within the time limit, from 64 engines at once. Now 256 KiB of each are read at most.

TestEndlessAnswer failed before, with 9 GB of address space:

--- a/upstreamcontrol/control.go
+++ b/upstreamcontrol/control.go
@@ -87,10 +87,14 @@
 		cfg: cfg, ports: seams, store: store, timer: t, self: self, domain: d,
 		holder:  lease.New(cfg.Lease),
 		planner: placement.New(cfg.Placement, d),
-		client:  fasthttp.Client{MaxIdemponentCallAttempts: 1},
+		client:  fasthttp.Client{MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxAnswer},
 	}
 }
 
+// maxAnswer is the greatest size of the answer of an engine in bytes. That many may be read from
+// maxConcurrentReads engines at once.
+const maxAnswer = 256 << 10
+
 // HoldsLease reports whether this instance holds the lease.
 func (c *Control) HoldsLease() bool { return c.holder.Remaining(c.timer.Now()) > 0 }
 
