daemon: bound the answer of an engine to a poll

What instances saw: the load and the cache events of an engine were read whole, as long as they came within a second. Now 1 MiB is read at most.

TestPollWithoutEnd failed before; the memory was not measured:

got read tcp4 ...: i/o timeout, want fasthttp: body size exceeds the given limit

--- a/daemon/poll.go
+++ b/daemon/poll.go
@@ -36,7 +36,7 @@
 // poll may overdraw the budget of bytes; the next one then waits until the budget is no longer
 // negative.
 type poller struct {
-	client   fasthttp.Client
+	client   *fasthttp.Client
 	interval time.Duration
 	rate     float64 // bytes per second
 
@@ -62,13 +62,20 @@
 		cfg.PollInterval = defaultPollInterval
 	}
 	d.poller = &poller{
-		client:   fasthttp.Client{ReadTimeout: pollTimeout, WriteTimeout: pollTimeout, MaxIdemponentCallAttempts: 1},
+		client:   pollClient(),
 		interval: cfg.PollInterval.Std(),
 		rate:     float64(orDefault(cfg.PollBytesPerSecond, defaultPollBytes)),
 		next:     int(rng.Uint64() % (1 << 16)),
 	}
 }
 
+// maxPollAnswer is the greatest size of an answer to a poll in bytes.
+const maxPollAnswer = 1 << 20
+
+func pollClient() *fasthttp.Client {
+	return &fasthttp.Client{ReadTimeout: pollTimeout, WriteTimeout: pollTimeout, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxPollAnswer}
+}
+
 // setTargets replaces the engines that are polled. Engines whose address is unchanged keep
 // their state.
 func (p *poller) setTargets(names []ident.Upstream, address func(ident.Upstream) (string, bool)) {
--- a/daemon/poll_test.go
+++ b/daemon/poll_test.go
@@ -1,10 +1,15 @@
 package daemon
 
 import (
+	"errors"
 	"fmt"
+	"io"
+	"net"
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"crocuslug/ident"
 )
 
@@ -38,3 +43,27 @@
 		}
 	}
 }
+
+// TestPollWithoutEnd guards against memory that the answer of one engine may take.
+func TestPollWithoutEnd(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+		for block := make([]byte, 64<<10); err == nil; { // until the reader closes the connection
+			_, err = c.Write(block)
+		}
+	}()
+	p := &poller{client: pollClient()}
+	if _, err := p.get(l.Addr().String(), "/v1/load", nil); !errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		t.Errorf("got %v, want %v", err, fasthttp.ErrBodyTooLarge)
+	}
+}
