exchange: an answer to HEAD may name any length

What callers would have seen: a failure instead of an answer to HEAD whose Content-Length exceeds Settings.MaxBody, since the bound on bodies in memory also looks at the length that an answer names. An answer to HEAD has no body.

TestHead failed before: got broken, want 200 "".

--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -47,7 +47,7 @@
 	var parts [][]byte
 	var size int64
 	for !a.bodyRead {
-		if size > a.client.cfg.MaxBody || a.Length > a.client.cfg.MaxBody {
+		if size > a.client.cfg.MaxBody || a.Length > a.client.cfg.MaxBody && a.res.Body != http.NoBody {
 			return nil, Broken.New("answer has more than %d bytes", a.client.cfg.MaxBody)
 		}
 		n := a.nextPart(size)
--- a/exchange/endless_test.go
+++ b/exchange/endless_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"net/http"
 	"runtime"
 	"runtime/debug"
 	"runtime/metrics"
@@ -222,3 +223,18 @@
 		c.Close()
 	}
 }
+
+// TestHead guards against answers to HEAD that fail for the length of a body that they do not have.
+func TestHead(t *testing.T) {
+	u := startUpstream(t, func(_ int, c *net.TCPConn) {
+		defer c.Close()
+		if _, err := readRequest(c, bufio.NewReader(c)); err == nil {
+			_, _ = c.Write([]byte(floodHead + "Content-Length: 99999999999\r\n\r\n"))
+		}
+	})
+	r := newRequest("1")
+	r.Method, r.Body = http.MethodHead, nil
+	if got, want := result(context.Background(), New(Settings{}, timer.New()), u.Addr().String(), r), `200 ""`; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
