exchange: a request may bound the body of its answer

The probe of a restarted upstream read what came within its time, up to 64 MiB, to find its id in the head. It now reads 64 KiB at most. Request.MaxBody is for such calls; the probes and copies in dispatch do not use it yet.

TestMaxBody does not compile without it. With Request.MaxBody ignored:

"", at most 3: got 200 "four", want broken "Content-Length: 4\r\n", at most 3: got 200 "four", want broken

--- a/edge/restart.go
+++ b/edge/restart.go
@@ -70,7 +70,8 @@
 	}
 	ctx, cancel := context.WithTimeout(e.ctx, restartProbeTimeout)
 	defer cancel()
-	ans, err := e.exchange.Do(ctx, u.Address, &exchange.Request{Method: http.MethodGet, Target: path, Host: u.Address, Header: http.Header{}, Fresh: true})
+	const maxBody = 64 << 10 // bytes
+	ans, err := e.exchange.Do(ctx, u.Address, &exchange.Request{Method: http.MethodGet, Target: path, Host: u.Address, Header: http.Header{}, MaxBody: maxBody, Fresh: true})
 	if err != nil {
 		return // it has not started again yet
 	}
--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -20,7 +20,8 @@
 	stop     func() bool // stops the close of the connection at the end of the context
 	sending  *requestWrite
 	memory   hold
-	bodyRead bool // the body was read to its end
+	maxBody  int64 // in bytes
+	bodyRead bool  // the body was read to its end
 	closed   bool
 }
 
@@ -42,13 +43,13 @@
 func (a *Answer) Reserve(n int64) error { return a.client.buffers.take(&a.memory, n) }
 
 // ReadBody returns the complete body. It returns an error if the body is incomplete or larger than
-// Settings.MaxBody, or if Reserve does.
+// allowed, or if Reserve does.
 func (a *Answer) ReadBody() ([]byte, error) {
 	var parts [][]byte
 	var size int64
 	for !a.bodyRead {
-		if size > a.client.cfg.MaxBody || a.Length > a.client.cfg.MaxBody && a.res.Body != http.NoBody {
-			return nil, Broken.New("answer has more than %d bytes", a.client.cfg.MaxBody)
+		if size > a.maxBody || a.Length > a.maxBody && a.res.Body != http.NoBody {
+			return nil, Broken.New("answer has more than %d bytes", a.maxBody)
 		}
 		n := a.nextPart(size)
 		if err := a.Reserve(n); err != nil {
@@ -78,7 +79,7 @@
 
 // nextPart returns how many bytes to read after size bytes of the body.
 func (a *Answer) nextPart(size int64) int64 {
-	first, rest := int64(firstPart), a.client.cfg.MaxBody+1-size
+	first, rest := int64(firstPart), a.maxBody+1-size
 	if a.Length >= 0 {
 		first, rest = trustedPart, a.Length-size
 	}
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -72,9 +72,17 @@
 		stop:    stop,
 		sending: sending,
 		memory:  hold{abort: cn.abort},
+		maxBody: c.maxBody(r),
 	}, nil
 }
 
+func (c *Client) maxBody(r *Request) int64 {
+	if r.MaxBody > 0 {
+		return r.MaxBody
+	}
+	return c.cfg.MaxBody
+}
+
 // requestWrite is the write of a request. It runs concurrently with reading the answer, because an
 // upstream may answer before it has read a long request.
 type requestWrite struct {
@@ -85,7 +93,7 @@
 // stop ends a write in progress and returns its error, which is nil if the whole request was written.
 // After that the connection can be written to again.
 func (w *requestWrite) stop(cn *conn) error {
-	const past = 1 // Unix time
+	const past = 1                              // Unix time
 	_ = cn.SetWriteDeadline(time.Unix(past, 0)) // fails only on a closed connection, and then the write fails too
 	<-w.done
 	_ = cn.SetWriteDeadline(time.Time{})
--- a/exchange/endless_test.go
+++ b/exchange/endless_test.go
@@ -224,6 +224,34 @@
 	}
 }
 
+// TestMaxBody guards against small calls whose answers may be as long as those to callers.
+func TestMaxBody(t *testing.T) {
+	tests := []struct {
+		framing string
+		max     int64
+		want    string
+	}{
+		{"", 0, `200 "four"`},
+		{"", 4, `200 "four"`},
+		{"", 3, "broken"},
+		{"Content-Length: 4\r\n", 4, `200 "four"`},
+		{"Content-Length: 4\r\n", 3, "broken"},
+	}
+	for _, tc := range tests {
+		u := startUpstream(t, func(_ int, c *net.TCPConn) {
+			defer c.Close()
+			if _, err := readRequest(c, bufio.NewReader(c)); err == nil {
+				_, _ = c.Write([]byte(floodHead + tc.framing + "\r\nfour"))
+			}
+		})
+		r := newRequest("1")
+		r.MaxBody = tc.max
+		if got := result(context.Background(), New(Settings{}, timer.New()), u.Addr().String(), r); got != tc.want {
+			t.Errorf("%q, at most %d: got %s, want %s", tc.framing, tc.max, got, tc.want)
+		}
+	}
+}
+
 // TestHead guards against answers to HEAD that fail for the length of a body that they do not have.
 func TestHead(t *testing.T) {
 	u := startUpstream(t, func(_ int, c *net.TCPConn) {
--- a/exchange/types.go
+++ b/exchange/types.go
@@ -19,6 +19,8 @@
 
 	// AnswerBy is the time by which the head of the answer must arrive; zero means no bound.
 	AnswerBy time.Time
+	// MaxBody is the size of a complete body in bytes; 0 means Settings.MaxBody.
+	MaxBody int64
 	// Fresh asks for a new connection, or one that was in use within Settings.FreshTime.
 	Fresh bool
 	// IsAnswer reports from the header of an answer whether it answers this request. If it is nil,
@@ -41,7 +43,7 @@
 	FreshTime   time.Duration // longest idle time of a connection that counts as recently used; 0 means 500ms
 	MaxIdle     int           // idle connections kept to each upstream; 0 means 32
 	MaxHeader   int           // size of the head of an answer in bytes; 0 means 64 KiB
-	MaxBody     int64         // size of a complete body in bytes; 0 means 64 MiB
+	MaxBody     int64         // size of a complete body in bytes, unless the request sets one; 0 means 64 MiB
 	MaxBuffered int64         // size in bytes of all bodies that are being read into memory; 0 means 68 MiB
 }
 
