exchange: an HTTP/1.0 answer with a transfer coding is an error

What callers would have seen: an answer of status 200 with the sizes of its chunks in the body. http.ReadResponse drops the field from HTTP/1.0 answers and reads the body to the end of the connection. RFC 9112, 6.1, says that such framing is faulty.

The head of an HTTP/1.0 answer is searched for the field before it is parsed, as far as it fits the read buffer.

TestScripts/http10-chunks failed before:

got 200 "3\r\none\r\n0\r\n\r\n", want broken

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -86,6 +87,9 @@
 // readHead reads the head of an answer to a request with the given method.
 func (cn *conn) readHead(method string) (*http.Response, error) {
 	cn.headLimit.N = cn.maxHeader
+	if cn.oldWithCoding() {
+		return nil, errs.New("HTTP/1.0 answer has a transfer coding")
+	}
 	res, err := http.ReadResponse(cn.br, &http.Request{Method: method})
 	if err != nil {
 		return nil, shorten(err)
@@ -97,6 +101,26 @@
 	return res, nil
 }
 
+// oldWithCoding reports whether the next answer is of HTTP/1.0 and has a Transfer-Encoding field. Such
+// an answer has no framing that can be relied on (RFC 9112, 6.1), and http.ReadResponse drops the field.
+// It looks at the part of the head that fits the read buffer.
+func (cn *conn) oldWithCoding() bool {
+	const version, field = "HTTP/1.0", "\ntransfer-encoding:"
+	if b, _ := cn.br.Peek(len(version)); string(b) != version {
+		return false
+	}
+	for {
+		b, _ := cn.br.Peek(cn.br.Buffered())
+		head, _, whole := bytes.Cut(bytes.ReplaceAll(bytes.ToLower(b), []byte("\r"), nil), []byte("\n\n"))
+		if whole || len(b) == readBuffer {
+			return bytes.Contains(head, []byte(field))
+		}
+		if _, err := cn.br.Peek(len(b) + 1); err != nil {
+			return false // http.ReadResponse returns the error
+		}
+	}
+}
+
 // maxErrorText is the length in bytes up to which errors quote what an upstream sent.
 const maxErrorText = 200
 
