exchange: an answer broken off for its memory says so

What operators saw: an attempt that was ended because its answer held the most memory had the reason "use of closed network connection", if another answer had asked for the memory.

TestReasonOfBreak failed before: got exchange broken: read tcp ...: use of closed network connection, want "bodies in memory exceed 100 bytes".

--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -32,11 +32,18 @@
 	if err == io.EOF {
 		a.bodyRead = true
 	} else if err != nil {
-		err = Broken.Wrap(err)
+		err = a.readError(err)
 	}
 	return n, err
 }
 
+func (a *Answer) readError(err error) error {
+	if reason := a.client.buffers.reason(&a.memory); reason != nil {
+		return reason
+	}
+	return Broken.Wrap(err)
+}
+
 // Reserve counts n bytes more of the body as held in memory by the caller, until Close. It returns
 // an error of class Broken if the answer was broken off because the bodies in memory exceed
 // Settings.MaxBuffered.
--- a/exchange/buffers.go
+++ b/exchange/buffers.go
@@ -40,6 +40,17 @@
 		most.lost = true
 		most.abort()
 	}
+	return b.lostError(h)
+}
+
+// reason returns why h was broken off, or nil if it was not.
+func (b *buffers) reason(h *hold) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lostError(h)
+}
+
+func (b *buffers) lostError(h *hold) error {
 	if h.lost {
 		return Broken.New("bodies in memory exceed %d bytes, and this one is the largest", b.limit)
 	}
--- a/exchange/buffers_test.go
+++ b/exchange/buffers_test.go
@@ -121,3 +121,37 @@
 		}
 	}
 }
+
+// TestReasonOfBreak guards against an answer that is broken off for another one and says only that its
+// connection was closed.
+func TestReasonOfBreak(t *testing.T) {
+	u := startUpstream(t, func(_ int, c *net.TCPConn) {
+		br := bufio.NewReader(c)
+		if _, err := readRequest(c, br); err == nil {
+			_, _ = c.Write([]byte(floodHead + "\r\n"))
+		}
+		_, _ = br.ReadByte() // until the reader closes the connection
+		_ = c.Close()
+	})
+	const limit = 100 // bytes
+	c := New(Settings{MaxBuffered: limit}, timer.New())
+	var answers []*Answer
+	for range 2 {
+		ans, err := c.Do(context.Background(), u.Addr().String(), newRequest("1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ans.Close()
+		answers = append(answers, ans)
+	}
+	if err := answers[0].Reserve(limit); err != nil {
+		t.Fatal(err)
+	}
+	if err := answers[1].Reserve(1); err != nil {
+		t.Fatal(err)
+	}
+	_, err := answers[0].Read(make([]byte, 1))
+	if want := "bodies in memory exceed 100 bytes"; !Broken.Has(err) || !strings.Contains(err.Error(), want) {
+		t.Errorf("got %v, want %q", err, want)
+	}
+}
