--- a/dispatch/received_test.go
+++ b/dispatch/received_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -9,6 +10,7 @@
 // receivedStream is what a caller has received of a stream.
 type receivedStream struct {
 	numbers []string
+	foreign int // bytes of events without a number
 	ended   bool
 }
 
@@ -17,6 +19,10 @@
 		Begin: func(int, http.Header) error { return nil },
 		Piece: func(raw []byte) error {
 			id, _, _ := strings.Cut(strings.TrimPrefix(string(raw), "id: "), "\n")
+			if _, err := strconv.Atoi(id); err != nil {
+				g.foreign += len(raw)
+				return nil
+			}
 			g.numbers = append(g.numbers, id)
 			return nil
 		},
@@ -24,8 +30,15 @@
 	}
 }
 
-// span returns "N-M" if the numbers from N to M were received once each and in order.
+// maxForeign is how much a caller may receive of bytes that are no events of its answer.
+const maxForeign = 64 << 10
+
+// span returns "N-M" if the numbers from N to M were received once each and in order, and not too
+// many other bytes.
 func (g *receivedStream) span() string {
+	if g.foreign > maxForeign {
+		return fmt.Sprintf("and %d foreign bytes", g.foreign)
+	}
 	if len(g.numbers) == 0 {
 		return "none"
 	}
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -46,6 +46,7 @@
 	service  directory.Service
 	budget   retry.Settings
 	deadline time.Duration
+	memory   int64 // bound on answers in memory in bytes; 0 means the default
 }
 
 // TestScripts runs the scripts in testdata/*.txt. The near failure domain is that of the
@@ -53,15 +54,17 @@
 //
 //	route KIND [resumable] [attempts=N] [budget=RETRIES] [deadline=DURATION]
 //	                   the budget, if it is set, grows by other requests up to RETRIES
+//	memory BYTES           the bound on answers in memory
 //	engine NAME DOMAIN COMMAND ...
 //	want RESULT        "200 BODY", "pieces 1-5", "cut 1-3", "refused NotRun" or "refused Unknown"
 //	request ENGINE ...     a request received by an engine, in order
 //
 // The commands of an engine are ok:BODY, late:BODY (after pauseTime), status:N, refuse,
-// replaced, drop, unsigned, still:N-M (the engine answers nobody for pauseTime, then streams), and stream:N-M:END,
-// where END is whole, drop, drop-late (after minRunTime), hang, pause-K (silence for
-// pauseTime, then the pieces up to K) or crash (after minRunTime the engine is gone); and
-// bare, see engine.bare.
+// replaced, drop, unsigned, still:N-M (the engine answers nobody for pauseTime, then streams),
+// and stream:N-M:END, where END is whole, drop, drop-late (after minRunTime), hang, pause-K
+// (silence for pauseTime, then the pieces up to K) or crash (after minRunTime the engine is
+// gone); bare, see engine.bare; flood, see engine.flood; and long:BYTES for a stream of one
+// event of that size.
 func TestScripts(t *testing.T) { runScripts(t, "testdata/*.txt") }
 
 // TestPauses guards against answers that are cut because a sound engine paused.
@@ -106,6 +109,8 @@
 		switch w[0] {
 		case "route":
 			wd.setRoute(t, w[1:])
+		case "memory":
+			wd.memory, _ = strconv.ParseInt(w[1], 10, 64)
 		case "engine":
 			wd.add(t, w[1], ident.Domain(w[2]), w[3:])
 		case "want":
@@ -233,6 +238,11 @@
 		e.stream(w, r, rest)
 	case "bare":
 		e.bare(w, r, rest)
+	case "flood":
+		e.flood(w, rest)
+	case "long":
+		size, _ := strconv.Atoi(rest)
+		_, _ = fmt.Fprintf(w, "id: 1\ndata: %s\n\n", strings.Repeat("x", size))
 	}
 }
 
@@ -333,7 +343,7 @@
 	random := func() uint64 { return 0 }
 	f := fleet.New(fleet.Settings{Domain: "near"}, random, zerolog.Nop())
 	f.SetUpstreams(wd.list, func(ident.Service) int { return wd.service.Memory }, clock.Now())
-	client := exchange.New(exchange.Settings{}, clock)
+	client := exchange.New(exchange.Settings{MaxBuffered: wd.memory}, clock)
 	defer client.Close()
 	dependencies := testDependencies(testProtocol(), f, client, clock, zerolog.Nop())
 	dependencies.Budget = wd.budget
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -310,12 +310,13 @@
 func (d *Dispatcher) relay(ctx context.Context, s *stream, id ident.Upstream, ans *exchange.Answer) (sendFailure, bool) {
 	r := pieces.New(ans)
 	s.delimited = ans.Delimited()
+	r.Reserve = ans.Reserve
 	limit := s.gaps.FirstTimeout()
 	lastAlive := d.timer.Uptime()
 	defer func() { d.fleet.ReportAlive(id, lastAlive) }()
 	for {
 		ans.SetReadDeadline(s.lastPieceAt.Add(limit))
-		p, err := r.Next()
+		p, err := r.NextNew()
 		now := d.timer.Now()
 		if err == io.EOF {
 			return d.finish(s)
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -73,9 +73,17 @@
 		stop:    stop,
 		sending: sending,
 		memory:  hold{abort: cn.abort},
+		maxBody: c.maxBody(r),
 	}, nil
 }
 
+func (c *Client) maxBody(r *Request) int64 {
+	if r.MaxBody > 0 {
+		return r.MaxBody
+	}
+	return c.cfg.MaxBody
+}
+
 // requestWrite is the write of a request. It runs concurrently with reading the answer, because an
 // upstream may answer before it has read a long request.
 type requestWrite struct {
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -108,9 +109,12 @@
 // readHead reads the head of an answer to a request with the given method.
 func (cn *conn) readHead(method string) (*http.Response, error) {
 	cn.headLimit.N = cn.maxHeader
+	if cn.oldWithCoding() {
+		return nil, errs.New("HTTP/1.0 answer has a transfer coding")
+	}
 	res, err := http.ReadResponse(cn.br, &http.Request{Method: method})
 	if err != nil {
-		return nil, err
+		return nil, shorten(err)
 	}
 	cn.headLimit.N = unlimited
 	if !strings.HasPrefix(res.Proto, "HTTP/1.") {
@@ -119,6 +123,37 @@
 	return res, nil
 }
 
+// oldWithCoding reports whether the next answer is of HTTP/1.0 and has a Transfer-Encoding field. Such
+// an answer has no framing that can be relied on (RFC 9112, 6.1), and http.ReadResponse drops the field.
+// It looks at the part of the head that fits the read buffer.
+func (cn *conn) oldWithCoding() bool {
+	const version, field = "HTTP/1.0", "\ntransfer-encoding:"
+	if b, _ := cn.br.Peek(len(version)); string(b) != version {
+		return false
+	}
+	for {
+		b, _ := cn.br.Peek(cn.br.Buffered())
+		head, _, whole := bytes.Cut(bytes.ReplaceAll(bytes.ToLower(b), []byte("\r"), nil), []byte("\n\n"))
+		if whole || len(b) == readBuffer {
+			return bytes.Contains(head, []byte(field))
+		}
+		if _, err := cn.br.Peek(len(b) + 1); err != nil {
+			return false // http.ReadResponse returns the error
+		}
+	}
+}
+
+// maxErrorText is the length in bytes up to which errors quote what an upstream sent.
+const maxErrorText = 200
+
+// shorten returns err, or an error with the beginning of its text if that is long.
+func shorten(err error) error {
+	if text := err.Error(); len(text) > maxErrorText {
+		return errs.New("%s... (%d bytes)", text[:maxErrorText], len(text))
+	}
+	return err
+}
+
 // abort closes the connection. It may be called during a read or a write.
 func (cn *conn) abort() {
 	_ = cn.Close() // a failure to close cannot be handled
--- a/exchange/endless_test.go
+++ b/exchange/endless_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"net/http"
 	"runtime"
 	"runtime/debug"
 	"runtime/metrics"
@@ -31,6 +32,8 @@
 	{"line", "HTTP/1.1 200 ", "x", "broken"},
 	{"no line of HTTP", "", "x", "broken"},
 	{"lines that are no HTTP", "", "x\r\n", "broken"},
+	{"long lines that are no HTTP", "", strings.Repeat("x", 60000) + "\r\n", "broken"},
+	{"long lines that are no fields", floodHead, strings.Repeat("x", 60000) + "\r\n", "broken"},
 	{"field", floodHead + "A: ", "x", "broken"},
 	{"fields", floodHead, "A: b\r\n", "broken"},
 	{"folded field", floodHead + "A: b\r\n", " x\r\n", "broken"},
@@ -202,3 +205,64 @@
 		t.Errorf("heap: got %d MiB, want at most %d MiB", got>>20, maxEndlessHeap>>20)
 	}
 }
+
+// TestErrorLength guards against log lines as long as the head that an upstream sent.
+func TestErrorLength(t *testing.T) {
+	for _, f := range append(append([]flood(nil), headFloods...), bodyFloods...) {
+		address, _ := f.start(t)
+		c := New(Settings{MaxBody: 1 << 20}, timer.New())
+		ans, err := c.Do(context.Background(), address, newRequest("1"))
+		if err == nil {
+			_, err = ans.ReadBody()
+			ans.Close()
+		}
+		const most = 400 // bytes
+		if err != nil && len(err.Error()) > most {
+			t.Errorf("%s: got an error of %d bytes, %.80s, want at most %d", f.name, len(err.Error()), err.Error(), most)
+		}
+		c.Close()
+	}
+}
+
+// TestMaxBody guards against small calls whose answers may be as long as those to callers.
+func TestMaxBody(t *testing.T) {
+	tests := []struct {
+		framing string
+		max     int64
+		want    string
+	}{
+		{"", 0, `200 "four"`},
+		{"", 4, `200 "four"`},
+		{"", 3, "broken"},
+		{"Content-Length: 4\r\n", 4, `200 "four"`},
+		{"Content-Length: 4\r\n", 3, "broken"},
+	}
+	for _, tc := range tests {
+		u := startUpstream(t, func(_ int, c *net.TCPConn) {
+			defer c.Close()
+			if _, err := readRequest(c, bufio.NewReader(c)); err == nil {
+				_, _ = c.Write([]byte(floodHead + tc.framing + "\r\nfour"))
+			}
+		})
+		r := newRequest("1")
+		r.MaxBody = tc.max
+		if got := result(context.Background(), New(Settings{}, timer.New()), u.Addr().String(), r); got != tc.want {
+			t.Errorf("%q, at most %d: got %s, want %s", tc.framing, tc.max, got, tc.want)
+		}
+	}
+}
+
+// TestHead guards against answers to HEAD that fail for the length of a body that they do not have.
+func TestHead(t *testing.T) {
+	u := startUpstream(t, func(_ int, c *net.TCPConn) {
+		defer c.Close()
+		if _, err := readRequest(c, bufio.NewReader(c)); err == nil {
+			_, _ = c.Write([]byte(floodHead + "Content-Length: 99999999999\r\n\r\n"))
+		}
+	})
+	r := newRequest("1")
+	r.Method, r.Body = http.MethodHead, nil
+	if got, want := result(context.Background(), New(Settings{}, timer.New()), u.Addr().String(), r), `200 ""`; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
