standinsite: keep the addresses of killed parts reserved

What was seen: scripts of standinsite failed with "bind: address already in use" on a machine with few free ports, and beside them dead-engine (engine 1 not back in).

Cause: engines, services, the store and the instances listened on port 0. A port-0 bind fails as soon as each port of the ephemeral range has a socket, also one in TIME-WAIT. And the port of a killed part was free: another listener of the machine could get it. Then the engine could not start again, an error that the load scripts ignored, and clients of this site reached a part of another one.

Change: package loopback reserves addresses below the ephemeral range by a socket that is bound and never listens. Connections to the address of a part that is down are refused as before; only a bind to this very port with SO_REUSEADDR, as its owner does, succeeds. Stand-ins keep theirs until Stop, a site those of its instances. The scripts fail on an error of an engine's restart.

--- a/standinengine/engine.go
+++ b/standinengine/engine.go
@@ -29,7 +29,7 @@
 // Settings configures an engine. A negative duration means none.
 type Settings struct {
 	Name            string
-	Listen          string        // address; "" means 127.0.0.1:0
+	Listen          string        // address; "" means a loopback address that is reserved until Stop
 	Models          []Model       // loaded at the start; empty means model "m", version "1"
 	Slots           int           // streams decoded at once; 0 means 16
 	QueueLimit      int           // maximum number of queued streams; 0 means 64, below 0 none
@@ -46,7 +46,6 @@
 }
 
 func (cfg *Settings) setDefaults() {
-	unit.SetDefault(&cfg.Listen, "127.0.0.1:0")
 	unit.SetDefault(&cfg.Slots, 16)
 	unit.SetDefault(&cfg.QueueLimit, 64)
 	unit.SetDefault(&cfg.TokenInterval, 25*time.Millisecond)
@@ -79,7 +78,7 @@
 	timer *timer.Service
 
 	mu       sync.Mutex
-	addr     string
+	addr     standinnetwork.Address
 	counters Counters
 	run      *runState // nil while the engine is down
 }
@@ -106,20 +105,15 @@
 	return &Engine{cfg: cfg, timer: t}
 }
 
-// Start listens and begins to serve, on the port of the previous start if there
-// was one. It returns an error if it cannot listen.
+// Start listens and begins to serve, on the port of the previous start unless Stop
+// has released it. It returns an error if it cannot listen.
 func (e *Engine) Start() error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	address := e.addr
-	if address == "" {
-		address = e.cfg.Listen
-	}
-	listener, err := standinnetwork.Listen(address)
+	listener, err := e.addr.Listen(e.cfg.Listen)
 	if err != nil {
 		return err
 	}
-	e.addr = listener.Addr().String()
 	l := &runState{
 		listener: listener,
 		ended:    make(chan struct{}),
@@ -151,7 +145,7 @@
 func (e *Engine) Addr() string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.addr
+	return e.addr.String()
 }
 
 // Counters returns the current counts.
@@ -161,24 +155,30 @@
 	return e.counters
 }
 
-// Stop ends the engine and waits until its server has returned. It does
-// nothing if the engine is down.
+// Stop ends the engine, waits until its server has returned, and releases a reserved
+// address.
 func (e *Engine) Stop() {
-	if l := e.shutDown(); l != nil {
-		<-l.served
+	e.stop()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.addr.Release()
+}
+
+// stop ends the engine and reports whether it was up.
+func (e *Engine) stop() bool {
+	l := e.shutDown()
+	if l == nil {
+		return false
 	}
+	<-l.served
+	return true
 }
 
 // Kill simulates a crash: the engine refuses and resets connections and loses all
 // state except its counters. Then it calls Settings.Exit. It does nothing if the
 // engine is down.
 func (e *Engine) Kill() {
-	l := e.shutDown()
-	if l == nil {
-		return
-	}
-	<-l.served
-	if e.cfg.Exit != nil {
+	if e.stop() && e.cfg.Exit != nil {
 		e.cfg.Exit()
 	}
 }
@@ -186,7 +186,7 @@
 // Restart stops the engine if it is up and starts it with empty state on the same
 // port.
 func (e *Engine) Restart() error {
-	e.Stop()
+	e.stop()
 	return e.Start()
 }
 
--- a/standininstances/instances.go
+++ b/standininstances/instances.go
@@ -22,7 +22,7 @@
 
 // Settings configures an instance list.
 type Settings struct {
-	Listen string        // address; "" means 127.0.0.1:0
+	Listen string        // address; "" means a loopback address that is reserved until Stop
 	Lag    time.Duration // time until a change is visible; the first list is visible at once
 	Exit   func()        // called after Kill; nil means nothing
 }
--- a/standinkeyvalue/server.go
+++ b/standinkeyvalue/server.go
@@ -29,7 +29,7 @@
 }
 
 // NewServer returns a server of s that listens on the address listen from Start
-// on; "" means 127.0.0.1:0. After Kill it calls exit, unless exit is nil.
+// on; "" means a loopback address that is reserved until Stop. After Kill it calls exit, unless exit is nil.
 func NewServer(s *Store, listen string, exit func()) *Server {
 	srv := &Server{store: s}
 	srv.Server = standinnetwork.NewServer(standinnetwork.Settings{
--- a/standinnetwork/server.go
+++ b/standinnetwork/server.go
@@ -23,7 +23,7 @@
 
 // Settings configures a Server.
 type Settings struct {
-	Listen string // address; "" means 127.0.0.1:0
+	Listen string // address; "" means a loopback address that is reserved until Stop
 	// Handle answers a call. Its context ends when the server stops.
 	Handle func(life context.Context, ctx *fasthttp.RequestCtx)
 	// Fault starts a fault of a kind that the server itself does not implement;
@@ -41,7 +41,7 @@
 	cfg Settings
 
 	mu   sync.Mutex
-	addr string
+	addr Address
 	run  *run // nil while the server is down
 }
 
@@ -57,26 +57,18 @@
 
 // NewServer returns a server that is down until Start.
 func NewServer(cfg Settings) *Server {
-	if cfg.Listen == "" {
-		cfg.Listen = "127.0.0.1:0"
-	}
 	return &Server{cfg: cfg}
 }
 
-// Start listens and begins to serve, on the port of the previous start if there
-// was one. It returns an error if it cannot listen.
+// Start listens and begins to serve, on the port of the previous start unless Stop
+// has released it. It returns an error if it cannot listen.
 func (s *Server) Start() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	address := s.addr
-	if address == "" {
-		address = s.cfg.Listen
-	}
-	listener, err := Listen(address)
+	listener, err := s.addr.Listen(s.cfg.Listen)
 	if err != nil {
 		return err
 	}
-	s.addr = listener.Addr().String()
 	life, end := context.WithCancel(context.Background())
 	r := &run{listener: listener, life: life, end: end, served: make(chan struct{})}
 	s.run = r
@@ -110,12 +102,17 @@
 func (s *Server) Addr() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.addr
+	return s.addr.String()
 }
 
-// Stop resets all connections and waits until the server has returned. It does
-// nothing if the server is down.
-func (s *Server) Stop() { s.stop() }
+// Stop resets all connections, waits until the server has returned, and releases a
+// reserved address.
+func (s *Server) Stop() {
+	s.stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addr.Release()
+}
 
 // stop stops the server and reports whether it was up.
 func (s *Server) stop() bool {
@@ -142,7 +139,7 @@
 
 // Restart stops the server if it is up and starts it on the same port.
 func (s *Server) Restart() error {
-	s.Stop()
+	s.stop()
 	return s.Start()
 }
 
--- a/standinservice/service.go
+++ b/standinservice/service.go
@@ -26,7 +26,7 @@
 
 // Settings configures a service.
 type Settings struct {
-	Listen string  // address; "" means 127.0.0.1:0
+	Listen string  // address; "" means a loopback address that is reserved until Stop
 	Faults Faults  // faults at the start
 	Exit   func()  // called after Kill; nil means nothing
 	Record *Record // record of all runs; nil means a new one
--- a/standinsite/load_test.go
+++ b/standinsite/load_test.go
@@ -244,7 +244,9 @@
 	case "kill":
 		e.Kill()
 	case "restart":
-		_ = e.Restart()
+		if err := e.Restart(); err != nil {
+			s.t.Errorf("restart of engine %d: got error %v, want none", n, err)
+		}
 	case "slow":
 		e.Slow(20)
 	case "fast":
--- a/standinsite/script_test.go
+++ b/standinsite/script_test.go
@@ -243,7 +243,9 @@
 		s.site.Engines[n].Silence()
 	case "restart engine":
 		s.site.Engines[n].Kill()
-		_ = s.site.Engines[n].Restart()
+		if err := s.site.Engines[n].Restart(); err != nil {
+			s.t.Errorf("restart of engine %d: got error %v, want none", n, err)
+		}
 	case "kill instance":
 		s.site.KillInstance(s.site.Instances[n].Addr())
 	case "kill replica":
--- a/standinsite/site.go
+++ b/standinsite/site.go
@@ -22,6 +22,7 @@
 	"crocuslug/configuration"
 	"crocuslug/daemon"
 	"crocuslug/ident"
+	"crocuslug/loopback"
 	"crocuslug/settings"
 	"crocuslug/standinengine"
 	"crocuslug/standinkeyvalue"
@@ -88,6 +89,7 @@
 	client    fasthttp.Client
 	doc       configuration.Document
 	dir       string
+	reserved  []*loopback.Address // of the instances, also of killed ones
 	pairs     map[[2]ident.Domain]bool
 }
 
@@ -205,7 +207,6 @@
 	cfg := s.cfg.Daemon
 	cfg.Name = fmt.Sprintf("%s-%d", domain, i)
 	cfg.Domain = domain
-	cfg.Listen, cfg.PeerAddr = "127.0.0.1:0", "127.0.0.1:0"
 	cfg.Platform.KeyValue = s.KeyValue[domain].Addr()
 	cfg.Secret = settings.Secret{File: s.dir + "/secret"}
 	cfg.Operator = settings.Secret{File: s.dir + "/operator"}
@@ -264,6 +265,11 @@
 }
 
 func (s *Site) startInstance(cfg settings.Settings) error {
+	for _, address := range []*string{&cfg.Listen, &cfg.PeerAddr} {
+		if err := s.reserve(address); err != nil {
+			return err
+		}
+	}
 	opt := s.cfg.Options
 	opt.Timer = s.timer
 	if !s.cfg.Unconfigured {
@@ -291,6 +297,20 @@
 	return nil
 }
 
+// reserve sets an address of an instance to one that nobody else gets until Stop, also
+// after the instance was killed, since callers and other instances still try it.
+func (s *Site) reserve(address *string) error {
+	a, err := loopback.Reserve()
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reserved = append(s.reserved, a)
+	*address = a.String()
+	return nil
+}
+
 // AddInstance starts one more instance in the first failure domain.
 func (s *Site) AddInstance() error {
 	if err := s.startInstance(s.instance(s.cfg.Domains[0], len(s.Instances))); err != nil {
@@ -350,5 +370,8 @@
 	s.client.CloseIdleConnections()
 	s.stop()
 	s.wg.Wait()
+	for _, a := range s.reserved {
+		a.Release()
+	}
 	_ = os.RemoveAll(s.dir)
 }
