edge, soak, crocuslug: reserve the addresses of programs that restart

The tests of edge closed a listener on port 0 and gave its address to an instance, the process test started killed programs again on ports of the ephemeral range, and the soak kept its ports apart from its own only. Others could get such an address while its owner was down. All now use package loopback.

No failure by these addresses had been seen.

--- a/cmd/crocuslug/process_test.go
+++ b/cmd/crocuslug/process_test.go
@@ -25,6 +25,7 @@
 	"crocuslug/configuration"
 	"crocuslug/ident"
 	"crocuslug/intent"
+	"crocuslug/loopback"
 	"crocuslug/operatorapi"
 	"crocuslug/result"
 	"crocuslug/settings"
@@ -34,7 +35,7 @@
 // process is a child process of the test.
 type process struct {
 	t      *testing.T
-	args   []string // of the first start; later starts add the address
+	args   []string
 	cmd    *exec.Cmd
 	ended  chan struct{}
 	addr   string
@@ -112,10 +113,10 @@
 	for _, name := range []string{"peers", "bootstrap", "operator", "workspace"} {
 		s.write(name+".key", []byte(name+"-key"))
 	}
-	s.keyvalue = s.launch("standin", "keyvalue")
-	s.list = s.launch("standin", "instances")
+	s.keyvalue = s.launch("standin", "keyvalue", "--listen", s.reserveAddress())
+	s.list = s.launch("standin", "instances", "--listen", s.reserveAddress())
 	for range 3 {
-		s.engines = append(s.engines, s.launch("standin", "engine", "--token-interval", "10ms"))
+		s.engines = append(s.engines, s.launch("standin", "engine", "--token-interval", "10ms", "--listen", s.reserveAddress()))
 	}
 	for i := range 3 {
 		s.addDaemon(i)
@@ -153,14 +154,23 @@
 }
 
 // restart starts a stand-in again with the same address.
-func (s *system) restart(p *process) {
-	p.start(append(p.args, "--listen", p.addr)...)
+func (s *system) restart(p *process) { p.start(p.args...) }
+
+// reserveAddress returns an address that nobody else gets before the test ends, also while
+// the process that listens on it is down.
+func (s *system) reserveAddress() string {
+	a, err := loopback.Reserve()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(a.Release)
+	return a.String()
 }
 
 func (s *system) addDaemon(i int) {
 	key := func(name string) settings.Secret { return settings.Secret{File: s.file(name + ".key")} }
 	cfg := settings.Settings{
-		Name: fmt.Sprintf("accra-%d", i), Domain: "accra", Listen: "127.0.0.1:0", PeerAddr: "127.0.0.1:0",
+		Name: fmt.Sprintf("accra-%d", i), Domain: "accra", Listen: s.reserveAddress(), PeerAddr: s.reserveAddress(),
 		Secret: key("peers"), Operator: key("bootstrap"),
 		Platform: settings.Platform{KeyValue: s.keyvalue.addr, InstanceList: s.list.addr},
 	}
@@ -168,7 +178,6 @@
 		cfg.Peers = append(cfg.Peers, settings.Peer{Instance: ident.Instance(s.cfgs[j].Name), Domain: "accra", Address: p.addr, PeerAddr: p.peer})
 	}
 	p := s.launch("crocuslug", "serve", "--settings", s.writeJSON(cfg.Name+".json", cfg))
-	cfg.Listen, cfg.PeerAddr = p.addr, p.peer
 	s.daemons, s.cfgs = append(s.daemons, p), append(s.cfgs, cfg)
 }
 
--- a/edge/change_test.go
+++ b/edge/change_test.go
@@ -132,7 +132,7 @@
 		load.change.Store(c.name)
 		c.change(&s.doc)
 		s.putChange(cfg.Listen, uint64(5+2*i))
-		e.Reload(settings.Edge{Seeds: []string{freeAddress(t)}}, nil)
+		e.Reload(settings.Edge{Seeds: []string{reserveAddress(t)}}, nil)
 		time.Sleep(time.Duration(random.Int64N(int64(changePrefill))))
 	}
 	load.stopped.Store(true)
@@ -146,7 +146,7 @@
 // startSlowUpstream starts an upstream whose answers take longer than a change needs.
 func (s *site) startSlowUpstream(service ident.Service) {
 	s.t.Helper()
-	cfg := standinregistered.Settings{Listen: "127.0.0.1:0", Store: s.http.Addr(), Service: service, Domain: "a", Prefill: changePrefill}
+	cfg := standinregistered.Settings{Listen: reserveAddress(s.t), Store: s.http.Addr(), Service: service, Domain: "a", Prefill: changePrefill}
 	if strings.HasPrefix(string(service), "engine") {
 		cfg.Pieces, cfg.Interval = changePieces, changeInterval
 	}
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -17,6 +17,7 @@
 	"crocuslug/directory"
 	"crocuslug/edge"
 	"crocuslug/ident"
+	"crocuslug/loopback"
 	"crocuslug/nativewire"
 	"crocuslug/settings"
 	"crocuslug/standinkeyvalue"
@@ -86,21 +87,22 @@
 	return u
 }
 
-func freeAddress(t *testing.T) string {
+// reserveAddress returns an address that nobody else gets before the test ends.
+func reserveAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	a, err := loopback.Reserve()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Cleanup(a.Release)
+	return a.String()
 }
 
 // startInstance starts an instance that uses the store at storeAddress.
 func (s *site) startInstance(name, storeAddress string, seeds ...string) (*edge.Edge, settings.Edge) {
 	s.t.Helper()
 	cfg := settings.Edge{
-		Name: name, Domain: "a", Listen: freeAddress(s.t), ReadyListen: freeAddress(s.t), PeerListen: freeAddress(s.t), StoreAddress: storeAddress,
+		Name: name, Domain: "a", Listen: reserveAddress(s.t), ReadyListen: reserveAddress(s.t), PeerListen: reserveAddress(s.t), StoreAddress: storeAddress,
 		Seeds: seeds, Grace: unit.Duration(3 * time.Second), ReuseAfter: unit.Duration(waitLimit),
 	}
 	e := edge.New(cfg, nativewire.Ports(storeAddress), []byte("secret"), s.clock, zerolog.Nop())
@@ -150,8 +152,8 @@
 	_, cfg := s.startInstance("e1", s.http.Addr())
 	s.waitForStatus(cfg.Listen, "/unsafe/x", "k", http.StatusServiceUnavailable)
 	s.putConfiguration(3)
-	s.startUpstream("plain", 0, "127.0.0.1:0")
-	s.startUpstream("engine", 5, "127.0.0.1:0")
+	s.startUpstream("plain", 0, reserveAddress(t))
+	s.startUpstream("engine", 5, reserveAddress(t))
 	if got, want := s.waitForStatus(cfg.Listen, "/unsafe/x", "k", http.StatusOK), standinregistered.Answer("r1", "hi"); got != want {
 		t.Errorf("answer: got %q, want %q", got, want)
 	}
@@ -171,10 +173,10 @@
 func TestConfigurationThroughPeer(t *testing.T) {
 	s := newSite(t)
 	s.putConfiguration(3)
-	s.startUpstream("plain", 0, "127.0.0.1:0")
+	s.startUpstream("plain", 0, reserveAddress(t))
 	_, first := s.startInstance("e1", s.http.Addr())
 	s.waitForStatus(first.Listen, "/unsafe/x", "k", http.StatusOK)
-	_, second := s.startInstance("e2", freeAddress(t), first.PeerListen)
+	_, second := s.startInstance("e2", reserveAddress(t), first.PeerListen)
 	s.waitForStatus(second.Listen, "/unsafe/x", "k", http.StatusOK)
 	s.doc.Workspaces[0].Keys = []string{"k2"}
 	s.putConfiguration(5)
@@ -191,7 +193,7 @@
 func TestLeave(t *testing.T) {
 	s := newSite(t)
 	s.putConfiguration(3)
-	s.startUpstream("engine", 40, "127.0.0.1:0")
+	s.startUpstream("engine", 40, reserveAddress(t))
 	e, cfg := s.startInstance("e1", s.http.Addr())
 	s.waitForStatus(cfg.Listen, "/stream/x", "k", http.StatusOK)
 	type end struct {
@@ -225,7 +227,7 @@
 func TestRestartWithoutStore(t *testing.T) {
 	s := newSite(t)
 	s.putConfiguration(3)
-	u := s.startUpstream("plain", 0, "127.0.0.1:0")
+	u := s.startUpstream("plain", 0, reserveAddress(t))
 	addr := u.Addr()
 	_, cfg := s.startInstance("e1", s.http.Addr())
 	s.waitForStatus(cfg.Listen, "/unsafe/x", "k", http.StatusOK)
--- a/edge/restore_test.go
+++ b/edge/restore_test.go
@@ -25,7 +25,7 @@
 
 	s.doc.Workspaces[0].Keys = []string{"k2"}
 	s.putConfiguration(5)
-	s.startUpstream("engine", 1, "127.0.0.1:0") // is missing in the copy
+	s.startUpstream("engine", 1, reserveAddress(t)) // is missing in the copy
 	s.waitForStatus(first.Listen, "/stream/x", "k2", http.StatusOK)
 	leave()
 	s.waitForStatus(first.Listen, "/unsafe/x", "k2", http.StatusServiceUnavailable)
--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -67,7 +67,7 @@
 func (s *site) startServingUpstream(storeAddress string) (leave func()) {
 	s.t.Helper()
 	u := standinregistered.New(standinregistered.Settings{
-		Listen: "127.0.0.1:0", Store: storeAddress, Service: "plain", Domain: "a", Drain: waitLimit,
+		Listen: reserveAddress(s.t), Store: storeAddress, Service: "plain", Domain: "a", Drain: waitLimit,
 	}, s.clock)
 	if err := u.Start(); err != nil {
 		s.t.Fatal(err)
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -14,6 +12,7 @@
 	"crocuslug/directory"
 	"crocuslug/ident"
 	"crocuslug/keyvalue"
+	"crocuslug/loopback"
 	"crocuslug/nativewire"
 	"crocuslug/settings"
 	"crocuslug/store"
@@ -52,53 +51,38 @@
 
 // cluster is the set of all processes of a run.
 type cluster struct {
-	assignedAddresses map[string]bool // addresses assigned to programs, some of which do not listen yet
-	clock             clock
-	dir               string
-	recorder          *recorder
-	storeProcess      *process
-	storeAddress      string
-	client            *keyvalue.Client
-	store             store.Store
-	upstreams         []*upstream
-	instances         []*instance
-	document          directory.Document
-	revision          store.Version
+	reserved     []*loopback.Address // of programs, also of those that are down
+	clock        clock
+	dir          string
+	recorder     *recorder
+	storeProcess *process
+	storeAddress string
+	client       *keyvalue.Client
+	store        store.Store
+	upstreams    []*upstream
+	instances    []*instance
+	document     directory.Document
+	revision     store.Version
 }
 
-// Range of the listening ports of programs. It is below the kernel's range for
-// outgoing connections, since a program needs the same port again at each start.
-const (
-	minPort         = 12000
-	maxPort         = 30000
-	maxPortAttempts = 100
-)
-
-// assignAddress returns a loopback address that is free now and was not assigned before.
-func (cl *cluster) assignAddress() (string, error) {
-	var err error
-	for range maxPortAttempts {
-		addr := fmt.Sprintf("127.0.0.1:%d", minPort+rand.IntN(maxPort-minPort))
-		if cl.assignedAddresses[addr] {
-			continue
-		}
-		var l net.Listener
-		if l, err = net.Listen("tcp", addr); err == nil {
-			cl.assignedAddresses[addr] = true
-			return addr, l.Close()
-		}
+// reserveAddress returns a loopback address that nobody else gets until stop.
+func (cl *cluster) reserveAddress() (string, error) {
+	a, err := loopback.Reserve()
+	if err != nil {
+		return "", err
 	}
-	return "", err
+	cl.reserved = append(cl.reserved, a)
+	return a.String(), nil
 }
 
 // newCluster starts all programs from directory bin and waits until they serve.
 func newCluster(ctx context.Context, c clock, bin, dir string) (*cluster, error) {
-	cl := &cluster{assignedAddresses: make(map[string]bool), clock: c, dir: dir}
+	cl := &cluster{clock: c, dir: dir}
 	var err error
 	if cl.recorder, err = newRecorder(); err != nil {
 		return nil, err
 	}
-	storeAddr, err := cl.assignAddress()
+	storeAddr, err := cl.reserveAddress()
 	if err != nil {
 		return cl, err
 	}
@@ -170,7 +154,7 @@
 }
 
 func (cl *cluster) addUpstream(bin, storeAddr string, domain, n int) error {
-	addr, err := cl.assignAddress()
+	addr, err := cl.reserveAddress()
 	if err != nil {
 		return err
 	}
@@ -202,7 +186,7 @@
 	for d := range domainCount {
 		var addrs [3]string
 		for i := range addrs {
-			a, err := cl.assignAddress()
+			a, err := cl.reserveAddress()
 			if err != nil {
 				return err
 			}
@@ -290,4 +274,7 @@
 		cl.client.Close()
 	}
 	cl.recorder.close()
+	for _, a := range cl.reserved {
+		a.Release()
+	}
 }
