fleet: test which upstreams HasOther leaves out

No test failed when HasOther counted an upstream that is out of rotation, draining or replaced, so that a stream would leave its silent engine for one that cannot take it.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -38,6 +38,7 @@
 //	some ID ...                          each of these is among a hundred choices
 //	exclude-domain DOMAIN                for the choices that follow; - for none
 //	memory-lost ID yes|no                checks MemoryLost
+//	has-other yes|no ID ...              checks HasOther with these excluded
 //	none                                 checks that no choice is possible
 func TestScripts(t *testing.T) {
 	names, err := filepath.Glob("testdata/*.txt")
@@ -143,6 +144,14 @@
 			if got := f.MemoryLost(id, now); got != (w[2] == "yes") {
 				t.Errorf("line %d: %s: got %v", n+1, line, got)
 			}
+		case "has-other":
+			var exclude []ident.Upstream
+			for _, id := range w[2:] {
+				exclude = append(exclude, ident.Upstream(id))
+			}
+			if got, want := f.HasOther("s", exclude), w[1] == "yes"; got != want {
+				t.Errorf("line %d: %s: got %t, want %t", n+1, line, got, want)
+			}
 		case "none":
 			if got := choices(f, excludeDomain, now); len(got) > 0 {
 				t.Errorf("line %d: got %v, want no choice", n+1, got)
