--- a/edge/parts_test.go
+++ b/edge/parts_test.go
@@ -77,7 +77,7 @@
 	c.putConfiguration(3)
 	for _, domain := range engineDomains {
 		for range enginesPerDomain {
-			c.startEngine(freeAddress(t), domain, recorder.Listener.Addr().String())
+			c.startEngine(reserveAddress(t), domain, recorder.Listener.Addr().String())
 		}
 	}
 	t.Cleanup(c.stopEngines)
