edge: requests that the end of the grace period meets are refused

What callers saw: a request that waited for an upstream, or whose upstream had not answered, ended with a closed connection when its instance stopped.

Cause: at the end of the grace period the connections were closed; only the contexts of callers who had left ended.

Change: the contexts of the requests in progress end with a cause, and dispatch refuses them, as not run where nothing was sent, with 150 ms of the margin that is kept before the kill. An answer that has begun is cut as before.

TestLeaveAnswersAll failed before: both requests got nothing (i/o timeout of the caller), want 502.

--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -47,6 +47,10 @@
 			return reply, nil
 		case ctx.Err() != nil:
 			d.fleet.ReportEnd(u.ID, fleet.Abandoned, 0, end)
+			a.runs++
+			if refusal := d.refuseEnded(ctx, a); refusal != nil {
+				return or(failure, refusal)
+			}
 			d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Msg("caller left")
 			return nil, nil
 		}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -127,6 +127,22 @@
 	lastFailure string           // reason of the last failure
 }
 
+// ErrLeaving is the cause with which the context of a request ends if its instance ends before the
+// request is answered.
+var ErrLeaving = errors.New("the instance is leaving")
+
+// refuseEnded returns the error of a request whose context has ended because its deadline has passed
+// or its instance ends, and nil if the caller has disconnected.
+func (d *Dispatcher) refuseEnded(ctx context.Context, a *attempts) *result.Error {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, context.DeadlineExceeded):
+		return d.refuse(a, result.DeadlineInfeasible, "the remaining time is too short")
+	case errors.Is(cause, ErrLeaving):
+		return d.refuse(a, result.InstanceLeaving, "the instance ends before the request is answered")
+	}
+	return nil
+}
+
 // maxRank is the greatest value of work.Attempt.Rank, which is served last.
 const maxRank = 9
 
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -188,13 +188,13 @@
 }
 
 // contextEnded returns the result of a stream whose context has ended: an error if the
-// deadline has passed, and nil if the caller has disconnected.
+// deadline has passed or the instance ends, and nil if the caller has disconnected.
 func (d *Dispatcher) contextEnded(ctx context.Context, s *stream) *result.Error {
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		return d.refuse(&s.attempts, result.DeadlineInfeasible, "the remaining time is too short")
+	refusal := d.refuseEnded(ctx, &s.attempts)
+	if refusal == nil {
+		d.log.Info().Str("Request", string(s.w.ID)).Str("Upstream", string(s.upstream)).Uint64("LastPiece", s.lastPiece).Msg("caller left")
 	}
-	d.log.Info().Str("Request", string(s.w.ID)).Str("Upstream", string(s.upstream)).Uint64("LastPiece", s.lastPiece).Msg("caller left")
-	return nil
+	return refusal
 }
 
 // silenceDetector returns the detector of silent engines for a request, and an upper bound
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -255,6 +255,7 @@
 const (
 	closeDelay = 2600 * time.Millisecond // the load balancer checks every second and needs two failed checks
 	killMargin = 400 * time.Millisecond  // part of the grace period that is kept for Stop
+	endMargin  = 150 * time.Millisecond  // part of killMargin in which the requests in progress are refused
 )
 
 // streamStartShare is the part of the grace period after which a leaving instance starts no more
@@ -281,11 +282,23 @@
 	defer cancel()
 	e.timer.After(e.cfg.Grace.Std()-killMargin-e.timer.Now().Sub(began), func(time.Time) { cancel() })
 	if err := e.server.Wait(ctx); err != nil {
-		e.log.Warn().Int("Connections", e.server.Open()).Msg("grace period is over; closing the connections that are still open")
+		e.log.Warn().Int("Connections", e.server.Open()).Msg("grace period is over; refusing the requests in progress")
+		e.endRequests()
 	}
 	e.log.Info().Dur("TookMs", e.timer.Now().Sub(began)).Msg("left")
 }
 
+// endRequests refuses the requests in progress. Streams that have begun are cut.
+func (e *Edge) endRequests() {
+	e.server.EndRequests(dispatch.ErrLeaving)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	e.timer.After(endMargin, func(time.Time) { cancel() })
+	if err := e.server.Wait(ctx); err != nil {
+		e.log.Warn().Int("Connections", e.server.Open()).Msg("closing the connections that are still open")
+	}
+}
+
 // Stop ends the instance at once.
 func (e *Edge) Stop() {
 	for _, s := range e.subs {
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -222,6 +222,39 @@
 	}
 }
 
+// TestLeaveAnswersAll guards against requests that get neither an answer nor a refusal because the
+// grace period of their instance ends before their upstream answers.
+func TestLeaveAnswersAll(t *testing.T) {
+	s := newSite(t)
+	s.putConfiguration(3)
+	for service, pieces := range map[ident.Service]int{"engine": 1, "plain": 0} {
+		u := standinregistered.New(standinregistered.Settings{
+			Listen: "127.0.0.1:0", Store: s.http.Addr(), Service: service, Domain: "a", Pieces: pieces, Prefill: waitLimit,
+		}, s.clock)
+		if err := u.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(u.Kill)
+	}
+	s.waitForUpstreams(2)
+	e, cfg := s.startInstance("e1", s.http.Addr())
+	s.waitForStatus(cfg.Listen, "/none/x", "k", http.StatusNotFound)
+	statuses := make(chan string, 2)
+	for _, path := range []string{"/stream/x", "/unsafe/x"} {
+		go func() {
+			status, _, err := sendRequest(cfg.Listen, "r", path, "k")
+			statuses <- fmt.Sprint(status, " ", err)
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	e.Leave()
+	for range 2 {
+		if got, want := <-statuses, "502 <nil>"; got != want {
+			t.Errorf("request that its upstream does not answer during the stop: got %s, want %s", got, want)
+		}
+	}
+}
+
 // TestRestartWithoutStore restarts an upstream at its address under a new id while the store is
 // unreachable. The instance must find it.
 func TestRestartWithoutStore(t *testing.T) {
--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -26,8 +26,9 @@
 	ctx       context.Context   // of the request in progress
 	closing   bool              // the connection is closed after the answer in progress
 
-	mu   sync.Mutex
-	busy bool // a request is being read or answered
+	mu     sync.Mutex
+	busy   bool                    // a request is being read or answered
+	cancel context.CancelCauseFunc // ends ctx; nil while no request is answered
 }
 
 // Buffer sizes in bytes.
@@ -95,6 +96,22 @@
 	}
 }
 
+// setCancel sets the function that ends the context of the request in progress.
+func (c *connection) setCancel(cancel context.CancelCauseFunc) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancel = cancel
+}
+
+// endRequest ends the context of the request in progress, if there is one.
+func (c *connection) endRequest(cause error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cancel != nil {
+		c.cancel(cause)
+	}
+}
+
 // readRequest reads one complete request. If that fails it returns the status with which to
 // answer, or 0 if the caller has disconnected.
 func (c *connection) readRequest(limits directory.Limits) (*Call, int) {
@@ -204,9 +221,11 @@
 // handle runs the handler for a request and cancels its context if the caller disconnects
 // meanwhile. It returns whether the connection stays open.
 func (c *connection) handle(call *Call, limits directory.Limits) bool {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer c.setCancel(nil)
+	defer cancel(nil)
 	c.ctx = ctx
+	c.setCancel(cancel)
 	c.closing = call.Request.Close
 	done := make(chan struct{})
 	go func() {
@@ -217,7 +236,7 @@
 	}()
 	_, err := c.br.Peek(1)
 	if err != nil {
-		cancel()
+		cancel(nil)
 	}
 	<-done
 	return err == nil && call.complete && !c.closing
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -165,6 +165,16 @@
 	}
 }
 
+// EndRequests ends the contexts of the requests in progress with the given cause. Their connections
+// stay open, so that they can still be answered.
+func (s *Server) EndRequests(cause error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		c.endRequest(cause)
+	}
+}
+
 // Wait waits until all connections have ended. If ctx ends first, it returns the error of ctx.
 func (s *Server) Wait(ctx context.Context) error {
 	done := make(chan struct{})
