dispatch: bound the answer to a probe or a copy

Bytes without end in the answer to such a call could take 64 MiB, the bound of an answer to a caller. They have 64 KiB now, by Request.MaxBody, which TestMaxBody of exchange covers.

--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -64,6 +64,10 @@
 	return err
 }
 
+// maxCallAnswer bounds the answer to a call of this instance in bytes; reports and names of copies
+// are far smaller.
+const maxCallAnswer = 64 << 10
+
 // callUpstream makes a call that is not on behalf of a caller, and returns the status and
 // the body of the answer.
 func (d *Dispatcher) callUpstream(ctx context.Context, address, method, target string, body []byte, until time.Time) (int, []byte, error) {
@@ -80,6 +84,7 @@
 		Header:   h,
 		Body:     body,
 		AnswerBy: until,
+		MaxBody:  maxCallAnswer,
 	})
 	if err != nil {
 		return 0, nil, err
