--- a/exchange/endless_test.go
+++ b/exchange/endless_test.go
@@ -77,6 +77,17 @@
 	return u.Addr().String(), closed
 }
 
+// awaitClosed waits until one connection has been closed by its reader.
+func awaitClosed(t *testing.T, closed chan struct{}) {
+	t.Helper()
+	const limit = 30 * time.Second
+	select {
+	case <-closed:
+	case <-time.After(limit):
+		t.Fatalf("connection not closed within %v", limit)
+	}
+}
+
 // TestEndless guards against exchanges that go on as long as an upstream sends bytes.
 func TestEndless(t *testing.T) {
 	for _, f := range append(append([]flood(nil), headFloods...), bodyFloods...) {
@@ -95,7 +106,7 @@
 			}
 			c.Close()
 			for range exchanges {
-				<-closed
+				awaitClosed(t, closed)
 			}
 		})
 	}
@@ -134,7 +145,7 @@
 			close(stop)
 			c.Close()
 			for range together {
-				<-closed
+				awaitClosed(t, closed)
 			}
 			got := <-peak
 			t.Logf("heap: %d MiB", got>>20)
