Failing tests: calls that crash the upstreams that run them

Callers saw that a request to a plain service ended each upstream that ran it, again and again, and that requests beside it were refused meanwhile (BUDGET).

The stand-in of a plain service can crash on a body.

--- a/dispatch/evidence_test.go
+++ b/dispatch/evidence_test.go
@@ -106,6 +106,48 @@
 	}
 }
 
+// TestEvidenceOfCalls guards against calls whose end is neither evidence against their content nor
+// clears it. Whether the call may be repeated makes no difference.
+func TestEvidenceOfCalls(t *testing.T) {
+	const whole, failed = "HTTP/1.1 200 OK\r\nId: r1\r\nSigned: 1\r\nContent-Length: 2\r\n\r\n", "HTTP/1.1 500 Failed\r\nId: r1\r\nSigned: 1\r\nContent-Length: 2\r\n\r\n"
+	const notRun = "HTTP/1.1 503 Full\r\nId: r1\r\nNot-Run: 1\r\nContent-Length: 2\r\n\r\n"
+	tests := []struct {
+		name              string
+		engine            brittleEngine
+		evidence, cleared bool
+	}{
+		{"crash before the head", brittleEngine{crashes: true}, true, false},
+		{"crash within the body", brittleEngine{head: whole, body: []string{"a"}, crashes: true}, true, false},
+		{"crash after an answer of more than a second", brittleEngine{head: chunkedHead, body: []string{chunk("a"), chunk("b")}, pause: provenTime/2 + 100*time.Millisecond, crashes: true}, false, false},
+		{"connection lost, upstream alive", brittleEngine{}, false, false},
+		{"whole answer", brittleEngine{head: whole, body: []string{"ab"}}, false, true},
+		{"whole answer by its connection", brittleEngine{head: undelimitedHead, body: []string{"ab"}}, false, false},
+		{"failure answered", brittleEngine{head: failed, body: []string{"ab"}}, false, false},
+		{"refused as not run", brittleEngine{head: notRun, body: []string{"ab"}}, false, false},
+	}
+	for _, tc := range tests {
+		for _, kind := range []directory.Kind{directory.Safe, directory.Unsafe} {
+			t.Run(tc.name+", "+kind.String(), func(t *testing.T) {
+				t.Parallel()
+				d, clock := tc.engine.start(t)
+				now := clock.Now()
+				d.poison.EngineCrashed(poison.Engine{ID: "other"}, poison.Run{Content: 7}, now, now)
+				_, _ = d.Call(context.Background(), &work.Work{
+					ID: "r1", Route: &directory.Route{Kind: kind, MaxAttempts: 1}, Service: &directory.Service{Name: "s"}, Fingerprint: 7,
+					Deadline: now.Add(20 * time.Second), Method: http.MethodPost, Target: "/x", Header: http.Header{},
+				})
+				<-time.After(2 * (crashCheckDelay + probeTimeout)) // until all probes have ended
+				r := d.poison.Report(clock.Now())
+				_, cleared := r.Cleared[7]
+				evidence := slices.ContainsFunc(r.Crashes, func(c poison.Crash) bool { return c.Engine.ID == "a" && len(c.Runs) == 1 && c.Runs[0].Content == 7 })
+				if evidence != tc.evidence || cleared != tc.cleared {
+					t.Errorf("got evidence %t, cleared %t, want %t, %t", evidence, cleared, tc.evidence, tc.cleared)
+				}
+			})
+		}
+	}
+}
+
 // start starts the engine and a dispatcher that knows no other.
 func (e *brittleEngine) start(t *testing.T) (*Dispatcher, *timer.Service) {
 	t.Helper()
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -54,6 +54,7 @@
 	s.doc = directory.Document{
 		Routes: []directory.Route{
 			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: directory.Streaming, Resumable: true, MaxAttempts: 4, TargetGap: 2 * time.Second, Services: []directory.Share{{Service: "engine", Weight: 1}}},
+			{Name: "safe", Host: "h", Prefix: "/safe/", Kind: directory.Safe, MaxAttempts: 2, Services: []directory.Share{{Service: "plain", Weight: 1}}},
 			{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: directory.Unsafe, MaxAttempts: 1, Services: []directory.Share{{Service: "plain", Weight: 1}}},
 		},
 		Services:   []directory.Service{{Name: "engine", Memory: 100000, Backups: true}, {Name: "plain"}},
@@ -115,13 +116,23 @@
 
 // sendRequest sends one request and returns the status and the body of the answer.
 func sendRequest(address, id, path, key string) (int, string, error) {
+	return post(address, path, "hi", nativewire.RequestField, id, nativewire.KeyField, key)
+}
+
+// post sends a request with a body and header fields, each a name and its value, and returns the status
+// and the body of the answer.
+func post(address, path, body string, fields ...string) (int, string, error) {
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
 		return 0, "", err
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(waitLimit))
-	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: %s\r\nContent-Length: 2\r\n\r\nhi", path, nativewire.RequestField, id, nativewire.KeyField, key)
+	var head strings.Builder
+	for i := 0; i < len(fields); i += 2 {
+		fmt.Fprintf(&head, "%s: %s\r\n", fields[i], fields[i+1])
+	}
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\n%sContent-Length: %d\r\n\r\n%s", path, head.String(), len(body), body)
 	if err != nil {
 		return 0, "", err
 	}
@@ -129,8 +140,8 @@
 	if err != nil {
 		return 0, "", err
 	}
-	body, err := io.ReadAll(res.Body)
-	return res.StatusCode, string(body), err
+	answer, err := io.ReadAll(res.Body)
+	return res.StatusCode, string(answer), err
 }
 
 // waitForStatus repeats a request until it gets the wanted status, and returns the body.
--- a/edge/parts_test.go
+++ b/edge/parts_test.go
@@ -1,11 +1,8 @@
 package edge_test
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -33,6 +30,12 @@
 // crashing is a site whose engines crash on a part of prompts.
 type crashing struct {
 	*site
+	upstream  standinregistered.Settings // of each upstream that crashes
+	downTime  time.Duration              // least time for which it is down; it may be a second longer
+	instances int
+	// request sends one of several requests of a kind with a content.
+	request func(address, kind, content string, n int) (status int, err error)
+
 	listen []string // of the instances
 	seeds  []string
 	random *rand.Rand
@@ -63,12 +66,25 @@
 
 var engineDomains = []ident.Domain{"a", "b", "c", "d"}
 
+// newCrashing returns a site of engines that crash on badPart and start again after 1 to 2 s.
 func newCrashing(t *testing.T, instances int) *crashing {
 	t.Helper()
 	c := &crashing{
-		site: newSite(t), random: rand.New(rand.NewPCG(1, 2)), engines: make(map[string]*standinregistered.Server),
-		domains: make(map[string]ident.Domain), sends: make(map[string][]time.Time),
+		upstream: standinregistered.Settings{Service: "engine", CrashPart: badPart, Prefill: 100 * time.Millisecond, Interval: 30 * time.Millisecond, Pieces: 45},
+		downTime: time.Second, instances: instances,
+		request: func(address, kind, prompt string, n int) (int, error) {
+			return sendPrompt(address, fmt.Sprintf("%s-%d", kind, n), fmt.Sprintf("%s,own%d:100", prompt, n))
+		},
 	}
+	c.start(t, enginesPerDomain)
+	return c
+}
+
+// start starts the site with some upstreams in each failure domain.
+func (c *crashing) start(t *testing.T, upstreams int) {
+	t.Helper()
+	c.site, c.random = newSite(t), rand.New(rand.NewPCG(1, 2))
+	c.engines, c.domains, c.sends = make(map[string]*standinregistered.Server), make(map[string]ident.Domain), make(map[string][]time.Time)
 	recorder := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		kind, _, _ := strings.Cut(r.URL.Query().Get("id"), "-")
 		c.recordSend(kind)
@@ -76,20 +92,21 @@
 	t.Cleanup(recorder.Close)
 	c.putConfiguration(3)
 	for _, domain := range engineDomains {
-		for range enginesPerDomain {
+		for range upstreams {
 			c.startEngine(reserveAddress(t), domain, recorder.Listener.Addr().String())
 		}
 	}
 	t.Cleanup(c.stopEngines)
-	c.startUpstream("plain", 0, "127.0.0.1:0")
-	for i := range instances {
+	if c.upstream.Service != "plain" {
+		c.startUpstream("plain", 0, "127.0.0.1:0")
+	}
+	for i := range c.instances {
 		c.startPeer(fmt.Sprintf("e%d", i+1))
 	}
 	for _, addr := range c.listen {
 		c.waitForStatus(addr, "/unsafe/x", "k", http.StatusOK)
 	}
 	c.waitForPeers(c.listen)
-	return c
 }
 
 // startPeer starts one more instance.
@@ -100,25 +117,24 @@
 	return cfg
 }
 
-// startEngine starts an engine that crashes on badPart and starts again after 1 to 2 s.
+// startEngine starts an upstream that starts again after it has crashed.
 func (c *crashing) startEngine(address string, domain ident.Domain, recorder string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ended {
 		return
 	}
-	const minDown, downSpread = 1000, 1000 // ms
-	down := time.Duration(minDown+c.random.IntN(downSpread)) * time.Millisecond
-	u := standinregistered.New(standinregistered.Settings{
-		Listen: address, Store: c.http.Addr(), Recorder: recorder, Service: "engine", Domain: domain, CrashPart: badPart,
-		Prefill: 100 * time.Millisecond, Interval: 30 * time.Millisecond, Pieces: 45,
-		OnCrash: func() {
-			c.mu.Lock()
-			c.crashes = append(c.crashes, time.Now())
-			c.mu.Unlock()
-			time.AfterFunc(down, func() { c.startEngine(address, domain, recorder) }) // under a new id
-		},
-	}, c.clock)
+	const downSpread = 1000 // ms
+	down := c.downTime + time.Duration(c.random.IntN(downSpread))*time.Millisecond
+	cfg := c.upstream
+	cfg.Listen, cfg.Store, cfg.Recorder, cfg.Domain = address, c.http.Addr(), recorder, domain
+	cfg.OnCrash = func() {
+		c.mu.Lock()
+		c.crashes = append(c.crashes, time.Now())
+		c.mu.Unlock()
+		time.AfterFunc(down, func() { c.startEngine(address, domain, recorder) }) // under a new id
+	}
+	u := standinregistered.New(cfg, c.clock)
 	if err := u.Start(); err != nil { // the port has been taken meanwhile
 		time.AfterFunc(time.Millisecond, func() { c.startEngine("127.0.0.1:0", domain, recorder) })
 		return
@@ -149,11 +165,11 @@
 	return len(c.crashes)
 }
 
-// send sends a request of a kind with a prompt to an instance, from a caller of its own.
-func (c *crashing) send(kind, address, prompt string, n int) {
+// send sends a request of a kind with a content to an instance, from a caller of its own.
+func (c *crashing) send(kind, address, content string, n int) {
 	c.callers.Go(func() {
 		r := promptResult{kind: kind, sent: time.Now()}
-		r.status, _ = sendPrompt(address, fmt.Sprintf("%s-%d", kind, n), fmt.Sprintf("%s,own%d:100", prompt, n))
+		r.status, _ = c.request(address, kind, content, n)
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.results = append(c.results, r)
@@ -162,30 +178,16 @@
 
 // sendPrompt sends a stream request with a prompt and returns the status of the answer.
 func sendPrompt(address, id, parts string) (int, error) {
-	conn, err := net.Dial("tcp", address)
-	if err != nil {
-		return 0, err
-	}
-	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(waitLimit))
-	_, err = fmt.Fprintf(conn, "POST /stream/x HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: k\r\n%s: %s\r\n%s: 10s\r\nContent-Length: %d\r\n\r\n%s",
-		nativewire.RequestField, id, nativewire.KeyField, nativewire.PartsField, parts, nativewire.TimeoutField, len(id), id)
-	if err != nil {
-		return 0, err
-	}
-	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		return 0, err
-	}
-	_, err = io.Copy(io.Discard, res.Body)
-	return res.StatusCode, err
+	status, _, err := post(address, "/stream/x", id, nativewire.RequestField, id, nativewire.KeyField, "k", nativewire.PartsField, parts, nativewire.TimeoutField, "10s")
+	return status, err
 }
 
 // traffic sends requests of several kinds at any instance until a time.
 type traffic struct {
 	kind     string
-	prompts  []string      // all parts but the last
+	contents []string      // all parts of prompts but the last, or paths and bodies of calls
 	interval time.Duration // mean time between requests
+	atOnce   int           // requests sent to different instances at each time; 0 means 1
 }
 
 func (c *crashing) run(until time.Time, list ...traffic) {
@@ -197,11 +199,13 @@
 			}
 			c.mu.Lock()
 			wait := time.Duration((0.5 + c.random.Float64()) * float64(f.interval))
-			address, prompt := c.listen[c.random.IntN(len(c.listen))], f.prompts[c.random.IntN(len(f.prompts))]
+			first, content := c.random.IntN(len(c.listen)), f.contents[c.random.IntN(len(f.contents))]
 			c.mu.Unlock()
 			next[i] = time.Now().Add(wait)
-			n++
-			c.send(f.kind, address, prompt, c.serial(n))
+			for k := range max(1, f.atOnce) {
+				n++
+				c.send(f.kind, c.listen[(first+k)%len(c.listen)], content, c.serial(n))
+			}
 		}
 	}
 }
@@ -255,8 +259,8 @@
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			c := newCrashing(t, crashingInstances)
-			sound := traffic{"sound", tc.sound, 50 * time.Millisecond}
-			bad := traffic{"bad", tc.bad, 300 * time.Millisecond}
+			sound := traffic{kind: "sound", contents: tc.sound, interval: 50 * time.Millisecond}
+			bad := traffic{kind: "bad", contents: tc.bad, interval: 300 * time.Millisecond}
 			began := time.Now()
 			c.run(began.Add(2*time.Second), sound)
 			troubled := time.Now()
@@ -319,7 +323,7 @@
 func TestLostDomainBlamesNobody(t *testing.T) {
 	t.Parallel()
 	c := newCrashing(t, crashingInstances)
-	sound := traffic{"sound", []string{"common:200,x:300", "common:200,y:300"}, 30 * time.Millisecond}
+	sound := traffic{kind: "sound", contents: []string{"common:200,x:300", "common:200,y:300"}, interval: 30 * time.Millisecond}
 	began := time.Now()
 	c.run(began.Add(time.Second), sound)
 	for _, domain := range engineDomains[:3] {
--- a/standinregistered/server.go
+++ b/standinregistered/server.go
@@ -48,6 +48,8 @@
 	// CrashPart is a part of prompts. The server ends like a crashed process when it is about to
 	// write the first piece of an answer to a prompt that holds it. Empty means none.
 	CrashPart string
+	// CrashBody is a body on which a plain service crashes in the same way, when it is about to answer.
+	CrashBody string
 	OnCrash   func() // called after such an end, on another goroutine; nil means nothing
 }
 
@@ -70,6 +72,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	crashed sync.Once
+
 	mu             sync.Mutex
 	piecesWritten  map[string]int  // number of pieces written of each current run, by request id
 	receivedCopies map[string]bool // keys of copies received from other engines
@@ -220,6 +224,12 @@
 	body, _ := io.ReadAll(r.Body)
 	if s.cfg.Pieces == 0 {
 		s.wait(s.cfg.Prefill)
+		if s.cfg.CrashBody != "" && string(body) == s.cfg.CrashBody {
+			s.crash()
+		}
+		if s.ctx.Err() != nil {
+			panic(http.ErrAbortHandler) // the server has ended
+		}
 		_, _ = fmt.Fprint(w, Answer(id, string(body)))
 		return
 	}
@@ -261,11 +271,7 @@
 		panic(http.ErrAbortHandler) // the server has ended
 	}
 	if s.crashes(r) {
-		s.Kill()
-		if s.cfg.OnCrash != nil {
-			go s.cfg.OnCrash()
-		}
-		panic(http.ErrAbortHandler)
+		s.crash()
 	}
 	copyTo := r.Header.Get(nativewire.CopyToField)
 	for n := after + 1; n <= s.cfg.Pieces; n++ {
@@ -289,6 +295,17 @@
 	}
 }
 
+// crash ends the server like a crashed process, and the calling handler with it.
+func (s *Server) crash() {
+	s.crashed.Do(func() {
+		s.Kill()
+		if s.cfg.OnCrash != nil {
+			go s.cfg.OnCrash()
+		}
+	})
+	panic(http.ErrAbortHandler)
+}
+
 // crashes reports whether the server crashes as it begins to answer r.
 func (s *Server) crashes(r *http.Request) bool {
 	if s.cfg.CrashPart == "" || r.Context().Err() != nil {
