dispatch: each case of TestEvidenceOfCalls has an engine of its own

Cases of one name shared their engine, whose listener the second replaced: one of the two then waited 20 s for an answer.

--- a/dispatch/evidence_test.go
+++ b/dispatch/evidence_test.go
@@ -129,7 +129,8 @@
 		for _, kind := range []directory.Kind{directory.Safe, directory.Unsafe} {
 			t.Run(tc.name+", "+kind.String(), func(t *testing.T) {
 				t.Parallel()
-				d, clock := tc.engine.start(t)
+				engine := tc.engine
+				d, clock := engine.start(t)
 				now := clock.Now()
 				d.poison.EngineCrashed(poison.Engine{ID: "other"}, poison.Run{Content: 7}, now, now)
 				_, _ = d.Call(context.Background(), &work.Work{
