dispatch: the end of a call is evidence like that of a stream

Cause: a lost attempt was looked into, and a whole answer cleared its content, only where answers are passed on piece by piece. Calls asked whether their content is refused and never reported how they ended. Two loops had copies of the same steps, and one lacked them.

Evidence: the record has 15 lost runs of one content in ten seconds, and neither "engine crashed" nor "parts of prompts refused" at any of eight instances.

Change: both loops end an attempt through recordAnswer or recordFailure, which decide what it proves. A whole content is refused after three crashes, also at one moment: upstreams of a small service that come back together are all lost before the next moment counts. A content that was answered up to 30 s before a crash is not blamed for it. A lost run that is no evidence leaves a line.

Ruled out: losses that count as one (only two of the first four were less than 100 ms apart) and a late verdict (there was none).

--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -40,7 +40,7 @@
 		}
 		switch {
 		case !failed:
-			d.fleet.ReportEnd(u.ID, fleet.Served, end.Sub(now), end)
+			d.recordAnswer(a, u, reply.delimited && reply.Status < http.StatusBadRequest, end.Sub(now), end)
 			d.fleet.ReportAlive(u.ID, sent) // the upstream was alive after that time
 			d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Uint64("Revision", u.Revision.Revision()).Int("Attempt", a.sends).
 				Int("Status", reply.Status).Dur("TookMs", end.Sub(now)).Msg("answered")
@@ -48,19 +48,26 @@
 		case ctx.Err() != nil:
 			d.fleet.ReportEnd(u.ID, fleet.Abandoned, 0, end)
 			a.runs++
-			if refusal := d.refuseEnded(ctx, a); refusal != nil {
-				return or(failure, refusal)
-			}
-			d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Msg("caller left")
-			return nil, nil
+			return d.callEnded(ctx, a, u.ID, failure)
+		}
+		if !d.recordFailure(ctx, a, u, v, now, end) {
+			return d.callEnded(ctx, a, u.ID, failure)
 		}
-		d.recordFailure(a, u, v, now, end)
 		if refusal := d.checkRetry(a, end, v.unsent()); refusal != nil {
 			return or(failure, refusal)
 		}
 	}
 }
 
+// callEnded returns the results of a call whose context has ended.
+func (d *Dispatcher) callEnded(ctx context.Context, a *attempts, id ident.Upstream, failure *Reply) (*Reply, *result.Error) {
+	if refusal := d.refuseEnded(ctx, a); refusal != nil {
+		return or(failure, refusal)
+	}
+	d.log.Info().Str("Request", string(a.w.ID)).Str("Upstream", string(id)).Msg("caller left")
+	return nil, nil
+}
+
 // or returns the failure that an upstream answered with, if there is one, and the refusal
 // otherwise.
 func or(failure *Reply, refusal *result.Error) (*Reply, *result.Error) {
@@ -73,6 +80,7 @@
 // send makes one attempt and reads the whole answer.
 func (d *Dispatcher) send(ctx context.Context, a *attempts, u directory.Upstream, now time.Time) (*Reply, sendFailure, bool) {
 	w := a.w
+	a.answering = time.Time{}
 	ctx, cancel := d.withDeadline(ctx, w.Deadline)
 	defer cancel()
 	attempt := work.Attempt{Upstream: u, Remaining: w.Deadline.Sub(now), Rank: queueRank(w)}
@@ -88,6 +96,7 @@
 	if v, failed := d.classify(ctx, ans, err); failed {
 		return nil, v, true
 	}
+	a.answering = d.timer.Now()
 	body, err := ans.ReadBody()
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, timeLimitPassed, true
@@ -95,7 +104,7 @@
 	if err != nil {
 		return nil, sendFailure{outcome: fleet.Failed, mayHaveRun: true, cause: broken, reason: err.Error()}, true
 	}
-	return &Reply{Status: ans.Status, Header: ans.Header, Body: body}, sendFailure{}, false
+	return &Reply{Status: ans.Status, Header: ans.Header, Body: body, delimited: ans.Delimited()}, sendFailure{}, false
 }
 
 // extendCall returns until when a request waits for an upstream that has not answered within
--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -19,7 +19,7 @@
 	maxCrashes      = 3                      // engines that one request may crash
 	crashCheckDelay = 250 * time.Millisecond // by then the loss of a whole failure domain is recognized
 	minRunTime      = 100 * time.Millisecond // an engine that crashes on a request has run it for at least this long
-	// provenTime is the time after its first piece from when a run is not to blame for a crash.
+	// provenTime is the time after the begin of its answer from when a run is not to blame for a crash.
 	provenTime = time.Second
 )
 
@@ -49,7 +49,7 @@
 // against its prompt, unless it had already proven sound. It counts against the request if it
 // had really begun, if no other upstreams of the failure domain died as well, and if not
 // several failure domains failed at once (which an isolated instance observes).
-func (d *Dispatcher) recordCrash(s *stream, u directory.Upstream, v sendFailure, began, now time.Time) {
+func (d *Dispatcher) recordCrash(a *attempts, u directory.Upstream, v sendFailure, began, now time.Time) {
 	ended := v.cause == broken || v.cause == probeFailed || v.cause == unreachable || v.cause == incorrect
 	if !ended || d.protocol.ProbePath == "" {
 		return
@@ -57,9 +57,9 @@
 	crashed := make(chan bool, 1)
 	counts := v.cause == broken && now.Sub(began) >= minRunTime && !d.domainsFailed(u.Domain, now)
 	if counts {
-		s.crashChecks = append(s.crashChecks, crashed)
+		a.crashChecks = append(a.crashChecks, crashed)
 	}
-	w, proven := s.w, s.proven(now)
+	w, proven := a.w, a.proven(now)
 	go func() {
 		gone := d.refusesProbe(u, now)
 		d.timer.After(now.Add(crashCheckDelay).Sub(d.timer.Now()), func(later time.Time) {
@@ -67,6 +67,8 @@
 				gone = gone || d.refusesProbe(u, later)
 				if gone && !proven {
 					d.recordEvidence(w, u, now)
+				} else {
+					d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Bool("Gone", gone).Bool("Proven", proven).Msg("lost run is no evidence of a crash")
 				}
 				crashed <- gone && counts && d.diedAlone(w, u, later)
 			}()
@@ -76,8 +78,8 @@
 
 // proven reports whether the answer of the current attempt has been written for so long that
 // the request is not to blame if its engine crashes.
-func (s *stream) proven(now time.Time) bool {
-	return s.gotPiece && now.Sub(s.firstPieceAt) >= provenTime
+func (a *attempts) proven(now time.Time) bool {
+	return !a.answering.IsZero() && now.Sub(a.answering) >= provenTime
 }
 
 // refusesProbe reports whether the address of u refuses connections.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -125,6 +125,7 @@
 	declined    []ident.Upstream // upstreams that did not accept the request; tried again after a wait
 	lostDomain  ident.Domain     // failure domain of the last failed upstream; avoided if there are others
 	lastFailure string           // reason of the last failure
+	answering   time.Time        // when the answer to the current attempt began; zero before
 }
 
 // ErrLeaving is the cause with which the context of a request ends if its instance ends before the
@@ -324,8 +325,30 @@
 	return sendFailure{}, false
 }
 
-// recordFailure updates the state after a failed attempt and logs it.
-func (d *Dispatcher) recordFailure(a *attempts, u directory.Upstream, v sendFailure, began, now time.Time) {
+// recordAnswer updates the state after an attempt with a complete answer. The request is not to
+// blame for crashes if sound is true or the answer has been written for long enough.
+func (d *Dispatcher) recordAnswer(a *attempts, u directory.Upstream, sound bool, took time.Duration, now time.Time) {
+	d.fleet.ReportEnd(u.ID, fleet.Served, took, now)
+	if sound || a.proven(now) {
+		d.poison.Answered(runOf(a.w), now)
+	}
+}
+
+// recordFailure updates the state after a failed attempt and logs it. If the upstream may have
+// crashed on the request, it returns once it is known whether the request has crashed as many as
+// allowed, or false if ctx ends before.
+func (d *Dispatcher) recordFailure(ctx context.Context, a *attempts, u directory.Upstream, v sendFailure, began, now time.Time) bool {
+	d.countFailure(a, u, v, began, now)
+	if !v.mayHaveRun {
+		return true
+	}
+	d.recordCrash(a, u, v, began, now)
+	return d.awaitCrashChecks(ctx, a)
+}
+
+// countFailure updates the state of the request and of its upstream after a failed attempt and logs
+// it.
+func (d *Dispatcher) countFailure(a *attempts, u directory.Upstream, v sendFailure, began, now time.Time) {
 	d.fleet.ReportEnd(u.ID, v.outcome, 0, now)
 	d.meters.Count("Failed."+string(v.cause), 1)
 	a.lastFailure = v.reason
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -33,12 +33,11 @@
 	waiting   bool           // the stream waits or has waited for an upstream since the loss
 	whole     *Reply         // answer that is not a stream, to be returned whole
 
-	gotPiece     bool      // the current attempt has received a piece
-	cleared      bool      // its answer has cleared the parts of its prompt
-	delimited    bool      // its answer says where it ends
-	pausing      bool      // its engine is silent for longer than the limit, and the stream waits
-	firstPieceAt time.Time // when it received the first piece; set if gotPiece
-	lastPieceAt  time.Time // when it received the last piece; its start before that
+	gotPiece    bool      // the current attempt has received a piece
+	cleared     bool      // its answer has cleared the parts of its prompt
+	delimited   bool      // its answer says where it ends
+	pausing     bool      // its engine is silent for longer than the limit, and the stream waits
+	lastPieceAt time.Time // when it received the last piece; its start before that
 }
 
 // errCallerWrite marks a failure to write to the caller.
@@ -92,10 +91,7 @@
 		runCopy = s.copies.end(end, done)
 		switch {
 		case done:
-			d.fleet.ReportEnd(u.ID, fleet.Served, 0, end)
-			if s.whole == nil && (s.delimited || s.proven(end)) {
-				d.poison.Answered(runOf(w), end)
-			}
+			d.recordAnswer(&s.attempts, u, s.whole == nil && s.delimited, 0, end)
 			d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Int("Attempt", s.sends).
 				Uint64("LastPiece", s.lastPiece).Dur("TookMs", end.Sub(now)).Msg("stream ended")
 			return s.whole, s.started, nil
@@ -104,15 +100,11 @@
 			s.runs++
 			return nil, s.started, d.contextEnded(ctx, s)
 		}
-		d.recordFailure(&s.attempts, u, v, now, end)
 		if s.lostAt.IsZero() {
 			s.lostAt = end
 		}
-		if v.mayHaveRun {
-			d.recordCrash(s, u, v, now, end)
-			if !d.awaitCrashChecks(ctx, &s.attempts) {
-				return nil, s.started, d.contextEnded(ctx, s)
-			}
+		if !d.recordFailure(ctx, &s.attempts, u, v, now, end) {
+			return nil, s.started, d.contextEnded(ctx, s)
 		}
 		if !w.Route.Repeatable() && s.runs > 0 {
 			return nil, s.started, d.refuse(&s.attempts, result.UpstreamFailed, "the stream was interrupted and must not be resumed")
@@ -248,7 +240,7 @@
 		Uint64("After", s.lastPiece).Bool("FromCopy", from != nil).Str("CopyTo", attempt.CopyTo).Msg("stream sent")
 	r := d.exchangeRequest(w, &attempt)
 	p := d.newPatience(s, u.ID)
-	s.lastPieceAt, s.gotPiece, s.cleared, s.pausing = now, false, false, false
+	s.lastPieceAt, s.answering, s.gotPiece, s.cleared, s.pausing = now, time.Time{}, false, false, false
 	r.AnswerBy = now.Add(s.gaps.FirstTimeout())
 	r.Extend = func() time.Time { return d.extend(s, p) }
 	ctx, answered := d.withProbes(ctx, u, p)
@@ -330,7 +322,7 @@
 		if s.gotPiece {
 			s.gaps.ObserveGap(now.Sub(s.lastPieceAt))
 		} else {
-			s.firstPieceAt = now
+			s.answering = now
 			d.fleet.ReportStreamStart(id, now)
 		}
 		s.gotPiece, s.pausing, s.lastPieceAt, lastAlive = true, false, now, d.timer.Uptime()
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -12,6 +12,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+
+	delimited bool // the answer says where it ends
 }
 
 // Sink receives a stream for the caller.
--- a/poison/ban.go
+++ b/poison/ban.go
@@ -78,11 +78,11 @@
 		return candidate{}, false
 	}
 	contents := contentsWith(p, crashes)
-	apart, enough := momentLength, len(contents) >= minContents
-	if slices.Contains(contents, p) {
-		apart, enough = contentMoment, true
+	c := candidate{part: p, moments: moments(crashes), set: common(crashes)}
+	enough := len(contents) >= minContents
+	if slices.Contains(contents, p) { // a whole content
+		c.moments, enough = len(crashes), true
 	}
-	c := candidate{part: p, moments: moments(crashes, apart), set: common(crashes)}
 	return c, enough && c.moments >= minMoments && len(c.set) <= maxBanParts
 }
 
@@ -99,13 +99,13 @@
 	return out
 }
 
-// moments returns the number of moments of crashes. A crash less than apart after the last one that
-// was counted belongs to the same moment.
-func moments(crashes []evidence, apart time.Duration) int {
+// moments returns the number of moments of crashes. A crash less than momentLength after the last
+// one that was counted belongs to the same moment.
+func moments(crashes []evidence) int {
 	n := 0
 	var last time.Time
 	for _, e := range crashes {
-		if n == 0 || e.at.Sub(last) >= apart {
+		if n == 0 || e.at.Sub(last) >= momentLength {
 			n++
 			last = e.at
 		}
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -13,7 +13,9 @@
 // only a request that holds the whole set is refused. A crash in which some of them are missing
 // makes the set smaller, and so does an answer that clears some of them. The last part of a prompt
 // belongs to its request alone and is not reported. The whole content of a request counts as one
-// more part, so that a request that is sent again unchanged is refused by the same rules.
+// more part, so that a request that is sent again unchanged is refused by the same rules. For a
+// content, three crashes are enough, also at one moment: it may be sent to several instances at once,
+// and a sound content that is sent so often has mostly been answered shortly before.
 //
 // The runs of one crash are known to different instances, which exchange them in reports. A crash
 // counts after a time in which the reports arrive. Reports hold ages and remaining times, since the
@@ -68,10 +70,9 @@
 
 // Bounds of what counts as evidence.
 const (
-	minMoments    = 3                      // moments at which runs with a part are lost
+	minMoments    = 3                      // moments at which runs with a part are lost, or crashes for a whole content
 	minContents   = 2                      // contents of these runs; one is enough to blame a whole content
-	momentLength  = 250 * time.Millisecond // crashes within this time count once, as when a failure domain is lost
-	contentMoment = 100 * time.Millisecond // the same for a whole content, which mostly runs on one engine at a time
+	momentLength  = 250 * time.Millisecond // crashes within this time count once for a part, as when a failure domain is lost
 	settleTime    = time.Second            // from when a crash is known until it counts
 	clearLead     = 30 * time.Second       // an answer clears its parts of crashes up to this long after it
 	sameEngine    = 5 * time.Second        // reports of crashes of one incarnation within this time describe one crash
@@ -109,7 +110,7 @@
 type Change struct {
 	Parts   []Part
 	Banned  bool
-	Moments int // moments of crashes that led to the ban; 0 if another instance found it
+	Moments int // moments of crashes, or crashes for a whole content, that led to the ban; 0 if another instance found it
 }
 
 // New returns an empty Tracker.
