serviceproxy: refuse contents that crash the upstreams of a plain service

A request to a plain service that crashes each upstream was sent on as often as it came, actions too.

A lost call whose upstream then refuses connections counts against its content in suspect, which refuses it at all instances after three; an answer clears it. An answer up to 30 s before a loss excuses the content, since upstreams that are lost together would ban one that several instances are asked for all the time.

Test: serviceproxy TestCallThatCrashesUpstreams. With recordEnd taken out it says "restriction: got 0, want 1" (3 for repeatable requests).

--- a/daemon/actions.go
+++ b/daemon/actions.go
@@ -73,6 +73,7 @@
 		ChooseUpstream: d.ChooseServiceUpstream,
 		OnUnavailable:  func(u ident.Upstream) { d.loop.Post(func() { d.announceSignal(u) }) },
 		Retry:          d.DecideServiceRetry,
+		Suspects:       d.suspects,
 		Claim:          d.claimAction,
 		Settle:         d.settleAction,
 		Problem:        d.serviceProblem,
--- a/serviceproxy/action.go
+++ b/serviceproxy/action.go
@@ -85,6 +85,7 @@
 		return p.notRun(op, "the connection to the upstream was open too late to start the action")
 	}
 	err := p.send(r, up, conn, &r.ctx.Response)
+	p.recordEnd(r, up, began, err)
 	done(healthKind(&r.ctx.Response, err), p.timer.Now().Sub(began))
 	if err != nil {
 		op.State = claim.Unknown
--- a/serviceproxy/exchange.go
+++ b/serviceproxy/exchange.go
@@ -39,7 +39,9 @@
 		return result.RunNot, err
 	}
 	defer func() { _ = conn.Close() }()
+	sent := p.timer.Now()
 	err = p.send(r, up, conn, &r.ctx.Response)
+	p.recordEnd(r, up, sent, err)
 	done(healthKind(&r.ctx.Response, err), p.timer.Now().Sub(began))
 	if err != nil {
 		r.ctx.Response.Reset()
--- a/serviceproxy/proxy.go
+++ b/serviceproxy/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -16,6 +17,7 @@
 	"crocuslug/ident"
 	"crocuslug/result"
 	"crocuslug/retry"
+	"crocuslug/suspect"
 	"crocuslug/timer"
 	"crocuslug/unit"
 )
@@ -56,6 +58,8 @@
 	// Claim claims an action and Settle records its outcome, as claimwriter.Writer does.
 	Claim  func(ctx context.Context, r claimwriter.Request) (claim.Operation, claim.Decision)
 	Settle func(op claim.Operation)
+	// Suspects records contents that crash upstreams. nil means that no content is refused.
+	Suspects *suspect.Tracker
 	// Context returns the parent of the contexts of calls, which ends with the instance. nil means
 	// context.Background.
 	Context func() context.Context
@@ -70,6 +74,11 @@
 	cfg   Settings
 	ports Ports
 	timer *timer.Service
+
+	mu             sync.Mutex
+	answered       map[uint64]time.Time // when contents were last answered
+	formerAnswered map[uint64]time.Time // the same, of the time before answeredSince
+	answeredSince  time.Time
 }
 
 // New returns a proxy.
@@ -109,6 +118,7 @@
 	path      string        // decoded path at the service
 	timeout   time.Duration // limit of one call
 	deadline  time.Time     // latest start of a further attempt
+	content   uint64        // see contentOf
 }
 
 // Handle serves one request and writes its response.
@@ -132,6 +142,9 @@
 		return err
 	}
 	defer done()
+	if err := p.refuseContent(r, result.RunNot); err != nil {
+		return err
+	}
 	if r.rule.Once {
 		return p.runOnce(r)
 	}
@@ -167,6 +180,7 @@
 		r.timeout = p.cfg.CallTimeout.Std()
 	}
 	r.deadline = p.timer.Now().Add(r.timeout)
+	r.content = contentOf(r)
 	return r, nil
 }
 
@@ -227,6 +241,9 @@
 		noResponse := last == result.RunNot && isTimeout(err)
 		silent = silent || noResponse
 		if p.shouldRetry(r, attempts, run) {
+			if err := p.refuseContent(r, run); err != nil {
+				return err
+			}
 			continue
 		}
 		if !noResponse || !p.timer.Now().Before(r.deadline) {
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -1,4 +1,4 @@
-// Package suspect detects requests whose content makes engines fail.
+// Package suspect detects requests whose content makes upstreams fail.
 //
 // When an engine fails, every request that ran on it becomes a suspect. After one
 // failure, a request is kept off engines that run other suspects, so that a
@@ -132,7 +132,22 @@
 	if p := l.placements[u][fp]; p != nil {
 		ran = now.Sub(p.since)
 	}
-	if l.cfg.Disabled || !l.addFailure(now, failure{u, now, ran}, fp) {
+	l.recordFailure(now, failure{u, now, ran}, fp)
+}
+
+// Crashed records that upstream u crashed at a time while this instance had run content fp on it for
+// a duration. It is EngineFailed for requests that are not recorded by RequestPlaced.
+func (l *Tracker) Crashed(at time.Time, u ident.Upstream, fp uint64, ran time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.recordFailure(at, failure{u, at, ran}, fp)
+}
+
+// recordFailure counts a failure seen by this instance and adds it to the next report. l.mu must be
+// held.
+func (l *Tracker) recordFailure(now time.Time, f failure, fp uint64) {
+	u, ran := f.upstream, f.ran
+	if l.cfg.Disabled || !l.addFailure(now, f, fp) {
 		return
 	}
 	for i := range l.unsent.Failures {
