--- a/nativewire/nativewire.go
+++ b/nativewire/nativewire.go
@@ -37,6 +37,7 @@
 	CopyFromField  = "Crocuslug-From"      // copy from which the run continues
 	NotRunField    = "Crocuslug-Not-Run"   // set if the upstream did not run the request
 	SignatureField = "Crocuslug-Signature" // id of the upstream that answers
+	LimitField     = "Crocuslug-Limit"     // requests a second that the upstream takes from all instances together
 )
 
 // Store keys, and paths of instances and upstreams.
--- a/standinregistered/server.go
+++ b/standinregistered/server.go
@@ -79,6 +79,7 @@
 	receivedCopies map[string]bool // keys of copies received from other engines
 	lease          store.Lease
 	leaving        bool
+	limit          string // value of nativewire.LimitField in answers; empty means none
 }
 
 // New returns an upstream that is not started. Each call makes a new upstream id.
@@ -121,6 +122,16 @@
 	return nil
 }
 
+// SetLimit sets the limit that the answers of s name as text. It is not enforced. Empty means none.
+func (s *Server) SetLimit(text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = text
+}
+
+// ID returns the id of s.
+func (s *Server) ID() ident.Upstream { return s.id }
+
 // Addr returns the address that s listens on.
 func (s *Server) Addr() string { return s.addr }
 
@@ -214,6 +225,9 @@
 	s.mu.Lock()
 	hasCopy := s.receivedCopies[from]
 	delete(s.receivedCopies, from)
+	if s.limit != "" {
+		h.Set(nativewire.LimitField, s.limit)
+	}
 	s.mu.Unlock()
 	if from != "" && !hasCopy || !s.reportRun(r, id) {
 		h.Set(nativewire.NotRunField, "1")
