upstreamlimit: keep to the limits that upstreams name

Cause: nothing read the field. Evidence: in the record the sends to an upstream do not change when it names its limit, at any instance; one instance alone sent 15 in 4 s. So the limit of each instance alone and late news, the other hypotheses, could not matter yet; the design answers both.

Change: an answer's limit is read in dispatch, for streams and calls, and told in digests; the newest answer counts. For each upstream one instance, chosen by rendezvous hashing, issues permits from a token bucket, and the others ask it. An upstream without a permit is not chosen; a request that no other could take is refused at once with the time at which a permit is due (206, UpstreamLimit).

Why it works: all permits come from one bucket, so the sum does not depend on the number of instances or on who has the requests.

Seen on the way, and mended: with 40 instances the end of a limit was not noticed for 3 s, since permits expired before the next request of an instance; an upstream of which nobody has heard for a second now gets the next request.

--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -26,6 +26,10 @@
 		if w.Deadline.Sub(now) < d.cfg.MinRemaining {
 			return or(failure, d.refuse(a, result.DeadlineInfeasible, "the remaining time is too short"))
 		}
+		if refusal := d.ensurePermit(ctx, a, now); refusal != nil {
+			return or(failure, refusal)
+		}
+		now = d.timer.Now() // the request may have waited for a permit
 		u, refusal := d.pick(a, now)
 		if refusal != nil {
 			return or(failure, refusal)
@@ -89,7 +93,7 @@
 		r.AnswerBy = now.Add(time.Duration(d.cfg.AttemptShare * float64(w.Deadline.Sub(now))))
 		r.Extend = func() time.Time { return d.extendCall(a, u.ID) }
 	}
-	ans, err := d.client.Do(ctx, u.Address, r)
+	ans, err := d.do(ctx, a, u, r)
 	if err == nil {
 		defer ans.Close()
 	}
@@ -111,7 +115,7 @@
 // its share of the time, or zero if the request may be sent to another one.
 func (d *Dispatcher) extendCall(a *attempts, id ident.Upstream) time.Time {
 	service := a.w.Service.Name
-	if d.fleet.HasOther(service, append(a.excluded(), id)) && d.retryBudget(service).Available() {
+	if d.fleet.HasOther(service, append(d.unavailable(a, d.timer.Now()), id)) && d.retryBudget(service).Available() {
 		return time.Time{}
 	}
 	return d.timer.Now().Add(silenceCheckInterval)
--- a/dispatch/copy.go
+++ b/dispatch/copy.go
@@ -73,8 +73,9 @@
 // reserveHolder reserves capacity at a holder in another failure domain. k.mu must be held.
 func (k *copyManager) reserveHolder(now time.Time) bool {
 	k.release(now)
+	exclude := append(k.d.limits.Limited(k.w.Service.Name), k.run.ID)
 	request := fleet.PickRequest{
-		Service: k.w.Service.Name, ExcludeDomain: k.run.Domain, Exclude: append([]ident.Upstream{k.run.ID}, k.exclude...), MinFreeShare: holderMinFreeShare,
+		Service: k.w.Service.Name, ExcludeDomain: k.run.Domain, Exclude: append(exclude, k.exclude...), MinFreeShare: holderMinFreeShare,
 	}
 	u, kind := k.d.fleet.Pick(request, now)
 	if kind != routing.Send {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -24,6 +24,7 @@
 	"crocuslug/retry"
 	"crocuslug/routing"
 	"crocuslug/timer"
+	"crocuslug/upstreamlimit"
 	"crocuslug/work"
 )
 
@@ -39,10 +40,13 @@
 	log      zerolog.Logger
 	// poison records the crashes of engines and knows which requests cause them.
 	poison   *poison.Tracker
+	limits   *upstreamlimit.Limits
 	prompts  *prompts
 	meters   *meter.Meters
 	queueSeq atomic.Uint64 // number of the last queued stream, see waiterID
 
+	askPermits func(ctx context.Context, r upstreamlimit.Request) (upstreamlimit.Answer, error)
+
 	mu             sync.Mutex
 	budget         retry.Settings
 	budgets        map[ident.Service]*retry.Budget
@@ -56,11 +60,14 @@
 	Fleet    *fleet.Fleet
 	Client   *exchange.Client
 	Poison   *poison.Tracker
-	Meters   *meter.Meters
-	Budget   retry.Settings // settings of the retry budget of each service
-	Timer    *timer.Service
-	Random   func() uint64 // returns 64 random bits per call; safe for concurrent use
-	Log      zerolog.Logger
+	Limits   *upstreamlimit.Limits
+	// AskPermits asks the instance that issues them for permits.
+	AskPermits func(ctx context.Context, r upstreamlimit.Request) (upstreamlimit.Answer, error)
+	Meters     *meter.Meters
+	Budget     retry.Settings // settings of the retry budget of each service
+	Timer      *timer.Service
+	Random     func() uint64 // returns 64 random bits per call; safe for concurrent use
+	Log        zerolog.Logger
 }
 
 // New returns a Dispatcher.
@@ -71,6 +78,8 @@
 		fleet:          p.Fleet,
 		client:         p.Client,
 		poison:         p.Poison,
+		limits:         p.Limits,
+		askPermits:     p.AskPermits,
 		prompts:        newPrompts(),
 		meters:         p.Meters,
 		timer:          p.Timer,
@@ -168,7 +177,7 @@
 func (d *Dispatcher) pickRequest(a *attempts, now time.Time) fleet.PickRequest {
 	return fleet.PickRequest{
 		Service: a.w.Service.Name, Tokens: a.w.Tokens, Blocks: a.w.Blocks, Sizes: a.w.Sizes,
-		Exclude: a.excluded(), ExcludeDomain: a.lostDomain, RequireIdle: a.requireIdle, UnreadTokens: a.w.PromptTokens,
+		Exclude: d.unavailable(a, now), ExcludeDomain: a.lostDomain, RequireIdle: a.requireIdle, UnreadTokens: a.w.PromptTokens,
 	}
 }
 
@@ -187,25 +196,50 @@
 	}
 	request := d.pickRequest(a, now)
 	request.MaxBacklog = backlog
+	u, kind := d.pickWithPermit(request, a.lostDomain, now)
+	switch {
+	case kind == routing.Send:
+		return u, nil, false
+	case kind == routing.Wait && backlog > 0:
+		return directory.Upstream{}, nil, true
+	}
+	if usable, blocked := d.blocked(a, now); len(blocked) > 0 && len(blocked) == len(usable) {
+		return directory.Upstream{}, d.refuseAtLimit(a, blocked, now), false
+	}
+	n := d.fleet.Count(a.w.Service.Name)
+	detail := fmt.Sprintf("no upstream of service %q accepts the request: %d registered, %d leaving, %d out, %d replaced, %d excluded",
+		a.w.Service.Name, n.Registered, n.Leaving, n.Out, n.Replaced, len(request.Exclude))
+	return directory.Upstream{}, d.refuse(a, result.NoUpstream, detail), false
+}
+
+// pickWithPermit picks an upstream and uses a permit for it, if it has a limit. If another request has
+// used the last one meanwhile, it picks another upstream.
+func (d *Dispatcher) pickWithPermit(request fleet.PickRequest, avoid ident.Domain, now time.Time) (directory.Upstream, routing.Kind) {
+	if u, ok := d.pickStale(request, now); ok {
+		return u, routing.Send
+	}
+	for {
+		u, kind := d.pickOutside(request, avoid, now)
+		if kind != routing.Send || d.takePermit(u.ID, request.UnreadTokens, now) {
+			return u, kind
+		}
+		request.Exclude = append(request.Exclude, u.ID)
+	}
+}
+
+// pickOutside picks an upstream outside a failure domain, or in it if there is no other. If
+// request.MaxBacklog is 0, it picks a full one if there is no other.
+func (d *Dispatcher) pickOutside(request fleet.PickRequest, avoid ident.Domain, now time.Time) (directory.Upstream, routing.Kind) {
 	u, kind := d.fleet.Pick(request, now)
-	if kind != routing.Send && a.lostDomain != "" {
+	if kind != routing.Send && avoid != "" {
 		request.ExcludeDomain = ""
 		u, kind = d.fleet.Pick(request, now)
 	}
-	if kind == routing.Wait && backlog > 0 {
-		return directory.Upstream{}, nil, true
-	}
-	if kind == routing.Wait {
+	if kind == routing.Wait && request.MaxBacklog == 0 {
 		request.AllowFull = true
 		u, kind = d.fleet.Pick(request, now)
 	}
-	if kind != routing.Send {
-		n := d.fleet.Count(a.w.Service.Name)
-		detail := fmt.Sprintf("no upstream of service %q accepts the request: %d registered, %d leaving, %d out, %d replaced, %d excluded",
-			a.w.Service.Name, n.Registered, n.Leaving, n.Out, n.Replaced, len(a.excluded()))
-		return directory.Upstream{}, d.refuse(a, result.NoUpstream, detail), false
-	}
-	return u, nil, false
+	return u, kind
 }
 
 // refuse returns the final error of a request. It states that the request was not run only
--- a/dispatch/patience.go
+++ b/dispatch/patience.go
@@ -25,11 +25,14 @@
 	}
 	exclude := append(slices.Clone(s.exclude), id) // those that declined or were silent are tried again
 	return patience{
-		mayMove:  s.w.Route.Repeatable() && left > 0,
-		early:    left > 1,
-		longest:  d.cfg.MaxPause,
-		hasOther: func() bool { return d.fleet.HasOther(s.w.Service.Name, exclude) },
-		hasCopy:  s.copies.hasCopy,
+		mayMove: s.w.Route.Repeatable() && left > 0,
+		early:   left > 1,
+		longest: d.cfg.MaxPause,
+		hasOther: func() bool {
+			blocked := d.limits.Blocked(s.w.Service.Name, d.timer.Now())
+			return d.fleet.HasOther(s.w.Service.Name, append(blocked, exclude...))
+		},
+		hasCopy: s.copies.hasCopy,
 	}
 }
 
--- /dev/null
+++ b/dispatch/permits.go
@@ -0,0 +1,186 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"crocuslug/directory"
+	"crocuslug/exchange"
+	"crocuslug/fleet"
+	"crocuslug/ident"
+	"crocuslug/result"
+	"crocuslug/upstreamlimit"
+)
+
+// Bounds of the requests for permits, see package upstreamlimit.
+const (
+	permitTimeout = 150 * time.Millisecond // of one request for permits
+	maxPermitAsks = 3                      // requests for permits that one request of a caller makes
+	permitPoll    = 5 * time.Millisecond   // between two looks whether the permits asked for by another request have come
+	permitRetry   = 250 * time.Millisecond // wait after a request for permits that was not answered
+)
+
+// do sends a request to an upstream and records what the answer says about its limit.
+func (d *Dispatcher) do(ctx context.Context, a *attempts, u directory.Upstream, r *exchange.Request) (*exchange.Answer, error) {
+	sent := d.timer.Now()
+	ans, err := d.client.Do(ctx, u.Address, r)
+	if err == nil && !d.protocol.Replaced(ans.Status, ans.Header) {
+		d.readLimit(a.w.ID, u, ans.Header, sent)
+	}
+	return ans, err
+}
+
+// readLimit records the limit that the answer of u to a request names. An answer without the
+// signature of an upstream does not end a limit.
+func (d *Dispatcher) readLimit(request ident.Request, u directory.Upstream, h http.Header, sent time.Time) {
+	if d.protocol.Limit == nil {
+		return
+	}
+	now := d.timer.Now()
+	text := d.protocol.Limit(h)
+	if text == "" {
+		if !d.protocol.Signed(h) {
+			return
+		}
+		if c, changed := d.limits.NotNamed(u.ID, sent, now); changed {
+			d.logLimit(request, c)
+		}
+		return
+	}
+	rate, err := upstreamlimit.Parse(text)
+	if err != nil {
+		if d.limits.Rejected(u.ID, text) {
+			d.meters.Count("Limits.Rejected", 1)
+			d.log.Warn().Str("Request", string(request)).Str("Upstream", string(u.ID)).Err(err).Msg("limit named by the upstream ignored")
+		}
+		return
+	}
+	if c, changed := d.limits.Named(u.ID, rate, now); changed {
+		d.logLimit(request, c)
+	}
+}
+
+// logLimit logs a change of a limit that this instance learned by the answer to a request.
+func (d *Dispatcher) logLimit(request ident.Request, c upstreamlimit.Change) {
+	d.log.Info().Str("Request", string(request)).Str("Upstream", string(c.Upstream)).Float64("PerSecond", c.Rate).Float64("Former", c.Former).
+		Str("Source", "answer").Msg("limit of upstream changed")
+}
+
+// unavailable returns the upstreams that are not to be chosen for the next attempt: those excluded
+// for the request, and those with a limit for which this instance holds no permit.
+func (d *Dispatcher) unavailable(a *attempts, now time.Time) []ident.Upstream {
+	return append(a.excluded(), d.limits.Blocked(a.w.Service.Name, now)...)
+}
+
+// blocked returns the upstreams that could be chosen for the next attempt, and those of them that
+// their limits prevent from it.
+func (d *Dispatcher) blocked(a *attempts, now time.Time) (usable, blocked []ident.Upstream) {
+	blocked = d.limits.Blocked(a.w.Service.Name, now)
+	if len(blocked) == 0 {
+		return nil, nil
+	}
+	usable = d.fleet.Usable(a.w.Service.Name, a.excluded())
+	return usable, slices.DeleteFunc(blocked, func(id ident.Upstream) bool { return !slices.Contains(usable, id) })
+}
+
+// ensurePermit makes sure that an upstream can be chosen if limits are all that prevents it. If there
+// are other upstreams it asks for permits for later requests, and waits for the answer only if a limit
+// may have ended unnoticed. Else it waits for the answer, and refuses the request if none is issued.
+func (d *Dispatcher) ensurePermit(ctx context.Context, a *attempts, now time.Time) *result.Error {
+	usable, blocked := d.blocked(a, now)
+	if len(blocked) == 0 {
+		return nil
+	}
+	d.limits.CountRequest(a.w.Service.Name, now)
+	if len(blocked) < len(usable) {
+		d.log.Info().Str("Request", string(a.w.ID)).Str("Upstreams", joined(blocked)).Int("Others", len(usable)-len(blocked)).Msg("upstreams at their limits passed over")
+		if r, ok := d.limits.Ask(d.limits.Stale(blocked, now), now); ok {
+			d.ask(ctx, r)
+		} else if r, ok := d.limits.Ask(blocked, now); ok {
+			go d.ask(context.Background(), r)
+		}
+		return nil
+	}
+	asks := 0
+	for end := now.Add(permitTimeout); len(blocked) > 0 && len(blocked) == len(usable); usable, blocked = d.blocked(a, now) {
+		r, ok := d.limits.Ask(blocked, now)
+		switch {
+		case ok && asks < maxPermitAsks:
+			asks++
+			d.ask(ctx, r)
+		case !now.Before(end) || !d.limits.Asking(blocked) || !d.sleep(ctx, permitPoll):
+			return d.refuseAtLimit(a, blocked, now)
+		}
+		now = d.timer.Now()
+	}
+	return nil
+}
+
+// refuseAtLimit returns the error for a request that only upstreams at their limits could serve.
+func (d *Dispatcher) refuseAtLimit(a *attempts, blocked []ident.Upstream, now time.Time) *result.Error {
+	due := max(d.limits.Due(blocked, now), d.cfg.MinRetryAfter)
+	d.meters.Count("Limits.Refused", 1)
+	e := d.refuse(a, result.UpstreamLimit, "upstreams at the limits that they have named: "+joined(blocked))
+	if a.runs == 0 {
+		e = e.After(due + time.Duration(d.random()%uint64(due/4)))
+	}
+	return e
+}
+
+// joined returns ids as text.
+func joined(ids []ident.Upstream) string {
+	const most = 8 // named
+	names := make([]string, 0, most)
+	for _, id := range ids[:min(len(ids), most)] {
+		names = append(names, string(id))
+	}
+	if len(ids) > most {
+		names = append(names, fmt.Sprintf("%d more", len(ids)-most))
+	}
+	return strings.Join(names, ",")
+}
+
+// ask requests permits and returns how many were issued.
+func (d *Dispatcher) ask(ctx context.Context, r upstreamlimit.Request) int {
+	sent := d.timer.Now()
+	ctx, cancel := d.withDeadline(ctx, sent.Add(permitTimeout))
+	defer cancel()
+	answer, err := d.askPermits(ctx, r)
+	if err != nil {
+		answer = upstreamlimit.Answer{Wait: permitRetry}
+		d.log.Info().Str("Upstream", string(r.Limit.Upstream)).Err(err).Msg("request for permits not answered")
+	}
+	d.limits.Issued(r, answer, sent, d.timer.Now())
+	return answer.Issued
+}
+
+// pickStale picks an upstream whose limit may have ended unnoticed and for which a permit is held.
+func (d *Dispatcher) pickStale(request fleet.PickRequest, now time.Time) (directory.Upstream, bool) {
+	for _, id := range d.limits.Stale(d.limits.Limited(request.Service), now) {
+		if slices.Contains(request.Exclude, id) {
+			continue
+		}
+		if u, ok := d.fleet.Reserve(id, now); ok {
+			d.fleet.AddUnreadTokens(id, request.UnreadTokens, now)
+			if d.takePermit(id, request.UnreadTokens, now) {
+				return u, true
+			}
+		}
+	}
+	return directory.Upstream{}, false
+}
+
+// takePermit uses a permit for an upstream that was picked, if it has a limit. If there is none left, it
+// gives the place at the upstream back and returns false.
+func (d *Dispatcher) takePermit(id ident.Upstream, unread int, now time.Time) bool {
+	if d.limits.Take(id, now) {
+		return true
+	}
+	d.fleet.AddUnreadTokens(id, -unread, now)
+	d.fleet.ReportEnd(id, fleet.Abandoned, 0, now)
+	return false
+}
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -23,6 +23,7 @@
 	"crocuslug/poison"
 	"crocuslug/retry"
 	"crocuslug/timer"
+	"crocuslug/upstreamlimit"
 	"crocuslug/work"
 )
 
@@ -326,6 +327,7 @@
 		Fleet:    f,
 		Client:   c,
 		Poison:   poison.New(),
+		Limits:   upstreamlimit.New(),
 		Meters:   meter.New(clock),
 		Budget:   retry.Settings{Burst: 100, MaxAttempts: 8},
 		Timer:    clock,
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -144,7 +144,7 @@
 // be refused as not run, and its caller cannot resume it elsewhere either: all upstreams of the
 // service are unavailable, and crashed ones return within seconds.
 func (d *Dispatcher) shouldWait(s *stream, refusal *result.Error, now time.Time) bool {
-	if refusal == nil || refusal.Code != result.NoUpstream && refusal.Code != result.Overloaded || s.runs == 0 || s.runs >= d.cfg.MaxSends || now.Sub(s.lostAt) >= d.cfg.MaxResumeWait {
+	if refusal == nil || refusal.Code != result.NoUpstream && refusal.Code != result.Overloaded && refusal.Code != result.UpstreamLimit || s.runs == 0 || s.runs >= d.cfg.MaxSends || now.Sub(s.lostAt) >= d.cfg.MaxResumeWait {
 		return false
 	}
 	if !s.waiting {
@@ -206,10 +206,15 @@
 		return directory.Upstream{}, nil, refusal
 	}
 	if runCopy != nil && !d.fleet.MemoryLost(runCopy.Holder, now) {
-		if u, ok := d.fleet.Reserve(runCopy.Holder, now); ok && u.Address == runCopy.Address {
+		u, ok := d.fleet.Reserve(runCopy.Holder, now)
+		if ok && u.Address == runCopy.Address && d.takePermit(u.ID, 0, now) {
 			return u, runCopy, nil
 		}
 	}
+	if refusal := d.ensurePermit(ctx, &s.attempts, now); refusal != nil {
+		return directory.Upstream{}, nil, refusal
+	}
+	now = d.timer.Now() // the stream may have waited for a permit
 	if s.runs == 0 {
 		u, refusal := d.admit(ctx, s, now)
 		return u, nil, refusal
@@ -245,7 +250,7 @@
 	r.Extend = func() time.Time { return d.extend(s, p) }
 	ctx, answered := d.withProbes(ctx, u, p)
 	defer answered()
-	ans, err := d.client.Do(ctx, u.Address, r)
+	ans, err := d.do(ctx, &s.attempts, u, r)
 	if from == nil {
 		read := d.timer.Now()
 		d.fleet.AddUnreadTokens(u.ID, -w.PromptTokens, read) // added when the upstream was picked
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"crocuslug/admission"
@@ -40,8 +41,10 @@
 	q.Capacity = func(now time.Time) (admission.Priority, bool) { return admission.Batch, d.fleet.Ready(s, now) }
 	q.TryPlace = func(waiter *line.Waiter, now time.Time) bool {
 		queued := waiter.Request.(*queuedRequest)
-		u, kind := d.fleet.Pick(queued.request, now)
-		if kind != routing.Send {
+		request := queued.request
+		request.Exclude = append(slices.Clone(request.Exclude), d.limits.Blocked(s, now)...)
+		u, kind := d.fleet.Pick(request, now)
+		if kind != routing.Send || !d.takePermit(u.ID, request.UnreadTokens, now) {
 			return false
 		}
 		queued.upstream = u
@@ -101,6 +104,7 @@
 		return directory.Upstream{}, refusal
 	}
 	queued := &queuedRequest{request: d.pickRequest(&s.attempts, now)}
+	queued.request.Exclude = s.excluded() // permits may be issued meanwhile
 	queued.request.RequireIdle = true
 	waiter, refusal := q.Enqueue(admission.Item{
 		ID:        d.waiterID(w.ID),
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -30,6 +30,7 @@
 	"crocuslug/storeview"
 	"crocuslug/timer"
 	"crocuslug/unit"
+	"crocuslug/upstreamlimit"
 )
 
 // Edge is one instance.
@@ -48,18 +49,19 @@
 	tasks  background.Group
 	subs   []*timer.Subscription
 
-	client     *keyvalue.Client
-	store      store.Store
-	view       *storeview.View
-	registry   *registry.Registry
-	fleet      *fleet.Fleet
-	exchange   *exchange.Client
-	poison     *poison.Tracker
-	dispatcher *dispatch.Dispatcher
-	server     *ingress.Server
-	link       *peerlink.Link
-	admin      *fasthttp.Server // serves readiness and metrics
-	meters     *meter.Meters
+	client         *keyvalue.Client
+	store          store.Store
+	view           *storeview.View
+	registry       *registry.Registry
+	fleet          *fleet.Fleet
+	exchange       *exchange.Client
+	poison         *poison.Tracker
+	upstreamLimits *upstreamlimit.Limits
+	dispatcher     *dispatch.Dispatcher
+	server         *ingress.Server
+	link           *peerlink.Link
+	admin          *fasthttp.Server // serves readiness and metrics
+	meters         *meter.Meters
 
 	self       ident.Instance
 	current    atomic.Pointer[activeConfiguration] // nil until the first configuration arrives
@@ -75,6 +77,8 @@
 	toldVersion store.Version // store version in the last digests
 	farPeers    int           // number of peers in other failure domains
 	restarts    []restart     // restarts of upstreams that this instance found recently
+
+	silentIssuers map[ident.Instance]time.Time // when peers last failed to answer a request for permits
 }
 
 // activeConfiguration is the configuration in force, with the bytes that it was decoded from.
@@ -110,19 +114,22 @@
 func New(cfg settings.Edge, ports Ports, secret []byte, t *timer.Service, log zerolog.Logger) *Edge {
 	withDefaults(&cfg)
 	e := &Edge{
-		cfg:         cfg,
-		ports:       ports,
-		timer:       t,
-		log:         log.With().Str("Instance", cfg.Name).Str("Domain", string(cfg.Domain)).Logger(),
-		view:        storeview.New(storeview.Settings{MaxAge: maxAgeInWaits * watchWait(cfg.Drain.Std())}),
-		registry:    registry.New(registry.Settings{}),
-		exchange:    exchange.New(exchange.Settings{}, t),
-		poison:      poison.New(),
-		meters:      meter.New(t),
-		self:        ident.Instance(cfg.PeerListen),
-		digestRound: rand.IntN(maxDigestRound),
-		unreadable:  make(map[string]store.Version),
-		peers:       make(map[ident.Instance]*peer),
+		cfg:            cfg,
+		ports:          ports,
+		timer:          t,
+		log:            log.With().Str("Instance", cfg.Name).Str("Domain", string(cfg.Domain)).Logger(),
+		view:           storeview.New(storeview.Settings{MaxAge: maxAgeInWaits * watchWait(cfg.Drain.Std())}),
+		registry:       registry.New(registry.Settings{}),
+		exchange:       exchange.New(exchange.Settings{}, t),
+		poison:         poison.New(),
+		upstreamLimits: upstreamlimit.New(),
+		meters:         meter.New(t),
+		self:           ident.Instance(cfg.PeerListen),
+		digestRound:    rand.IntN(maxDigestRound),
+		unreadable:     make(map[string]store.Version),
+		peers:          make(map[ident.Instance]*peer),
+
+		silentIssuers: make(map[ident.Instance]time.Time),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	kv := ports.Store
@@ -147,11 +154,15 @@
 		Fleet:    e.fleet,
 		Client:   e.exchange,
 		Poison:   e.poison,
-		Meters:   e.meters,
-		Budget:   e.budget(),
-		Timer:    t,
-		Random:   rand.Uint64,
-		Log:      e.log,
+		Limits:   e.upstreamLimits,
+
+		AskPermits: e.askPermits,
+
+		Meters: e.meters,
+		Budget: e.budget(),
+		Timer:  t,
+		Random: rand.Uint64,
+		Log:    e.log,
 	})
 	e.server = ingress.New(ingress.Settings{Listen: cfg.Listen, MaxConnections: e.connections()}, ingress.Ports{
 		Handle:   e.handle,
@@ -220,6 +231,7 @@
 	e.every(expireInterval, func(now time.Time) {
 		e.exchange.Expire()
 		e.updateFleetInstances(now)
+		e.forgetSilentIssuers(now)
 	})
 	e.every(digestInterval, e.sendDigests)
 	e.log.Info().Str("Listen", e.cfg.Listen).Str("Peers", e.cfg.PeerListen).Str("Store", e.cfg.StoreAddress).Msg("started")
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -40,6 +40,15 @@
 	}
 	line("Upstream.Dials", e.exchange.Dials())
 	line("Parts.Refused", e.poison.Bans())
+	permits := e.upstreamLimits.Counts()
+	line("Permits.Used", permits.Used)
+	line("Permits.Expired", permits.Expired)
+	line("Permits.Issued", permits.Issued)
+	line("Permits.Denied", permits.Denied)
+	for _, s := range e.limitMetrics(now) {
+		line("Limit."+string(s.Upstream)+".PerSecond", s.Rate)
+		line("Limit."+string(s.Upstream)+".AgeMs", s.Age.Std().Milliseconds())
+	}
 	line("Connections.Open", e.server.Open())
 	line("Upstreams.Registered", len(e.registry.All()))
 	for _, name := range e.fleet.Services() {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -11,6 +11,7 @@
 	"crocuslug/poison"
 	"crocuslug/store"
 	"crocuslug/unit"
+	"crocuslug/upstreamlimit"
 	"crocuslug/work"
 )
 
@@ -83,6 +84,8 @@
 	// revisions of their entries.
 	Replaced map[ident.Upstream]store.Version `json:",omitempty"`
 	Poison   poison.Report                    `json:",omitzero"` // crashes of engines, and what is refused because of them
+	// Limits are what upstreams have said about the requests that they take.
+	Limits []upstreamlimit.Statement `json:",omitempty"`
 	// Restarts are those of upstreams that were found without the store.
 	Restarts []restart `json:",omitempty"`
 }
@@ -113,6 +116,7 @@
 		}
 		return e.changesSince(q), nil
 	})
+	e.link.Handle(permitsMethod, e.handlePermits)
 	now := e.timer.Now()
 	for _, s := range e.cfg.Seeds {
 		e.addPeer(presence{Instance: ident.Instance(s)}, now)
@@ -171,7 +175,7 @@
 	if cur := e.current.Load(); cur != nil {
 		d.Configuration = cur.Version
 	}
-	d.Poison = e.poison.Report(now)
+	d.Poison, d.Limits = e.poison.Report(now), e.upstreamLimits.Report(now)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	d.Seen, d.StoreAge = e.view.Seen(), unit.Duration(e.view.Age(e.timer.Uptime()))
@@ -307,6 +311,7 @@
 		e.fleet.NotePrompt(p.Upstream, p.Blocks, now)
 	}
 	e.poison.Merge(d.Poison, now)
+	e.mergeLimits(d.Limits, from, now)
 	e.applyRestarts(d.Restarts, from, now)
 	if behind {
 		e.tasks.Go(func() { e.catchUp(from) })
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -204,16 +204,24 @@
 // HasOther reports whether a service has an upstream in rotation that is not in exclude and
 // does not leave.
 func (f *Fleet) HasOther(service ident.Service, exclude []ident.Upstream) bool {
+	return len(f.Usable(service, exclude)) > 0
+}
+
+// Usable returns the upstreams of a service in rotation that are not in exclude and do not leave.
+func (f *Fleet) Usable(service ident.Service, exclude []ident.Upstream) []ident.Upstream {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	g, ok := f.services[service]
 	if !ok {
-		return false
+		return nil
+	}
+	var out []ident.Upstream
+	for _, u := range g.list {
+		if _, replaced := f.replaced[u.ID]; !replaced && !u.Draining && !g.tracker.Out(u.ID) && !slices.Contains(exclude, u.ID) {
+			out = append(out, u.ID)
+		}
 	}
-	return slices.ContainsFunc(g.list, func(u directory.Upstream) bool {
-		_, replaced := f.replaced[u.ID]
-		return !replaced && !u.Draining && !g.tracker.Out(u.ID) && !slices.Contains(exclude, u.ID)
-	})
+	return out
 }
 
 // Ready reports whether an upstream of the service can accept a waiting request now.
--- a/nativewire/nativewire.go
+++ b/nativewire/nativewire.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -86,6 +87,7 @@
 			Matches:     func(w *work.Work, h http.Header) bool { return h.Get(RequestField) == string(w.ID) },
 			NotRun:      func(_ int, h http.Header) bool { return h.Get(NotRunField) != "" },
 			Replaced:    func(status int, _ http.Header) bool { return status == http.StatusMisdirectedRequest },
+			Limit:       func(h http.Header) string { return strings.Join(h.Values(LimitField), ",") },
 			Signed:      func(h http.Header) bool { return h.Get(SignatureField) != "" },
 			ProbePath:   StatePath,
 			CopyRequest: encodeMove,
--- a/result/result.go
+++ b/result/result.go
@@ -31,6 +31,7 @@
 	DeadlineInfeasible   Code = 203
 	NoUpstream           Code = 204
 	InstanceLeaving      Code = 205
+	UpstreamLimit        Code = 206
 	GenerationLost       Code = 301
 	CannotContinue       Code = 302
 	RequestCrashes       Code = 303
@@ -90,6 +91,7 @@
 	DeadlineInfeasible:   {"DeadlineInfeasible", http.StatusServiceUnavailable, 5, "The request cannot start before its deadline."},
 	NoUpstream:           {"NoUpstream", http.StatusServiceUnavailable, 5, "No upstream in reach serves this."},
 	InstanceLeaving:      {"InstanceLeaving", http.StatusServiceUnavailable, 5, "This instance is leaving and takes no new work."},
+	UpstreamLimit:        {"UpstreamLimit", http.StatusServiceUnavailable, 5, "The upstreams that serve this are at the limits that they have named."},
 	GenerationLost:       {"GenerationLost", http.StatusGone, 6, "The generation is lost; discard what was delivered."},
 	CannotContinue:       {"CannotContinue", http.StatusGone, 6, "The engine cannot continue this answer; discard what was delivered."},
 	RequestCrashes:       {"RequestCrashes", http.StatusUnprocessableEntity, 6, "A request with this content, or a part of its prompt, makes engines fail and is refused."},
--- a/work/work.go
+++ b/work/work.go
@@ -102,6 +102,9 @@
 	CopyName func(status int, body []byte) (name string, ok bool)
 	// DropTarget returns the target of the call that deletes a copy created by CopyRequest.
 	DropTarget func(name string) (target string)
+	// Limit returns, as text, the requests a second that an answer says its upstream takes from all
+	// instances together, or "". It may be nil, and then no answer says so.
+	Limit func(h http.Header) string
 	// Signed reports whether an answer carries the signature of an upstream.
 	Signed func(h http.Header) bool
 }
