soak: content that crashes upstreams

A fault more, with the check of the users' rule: a request that crashes each plain service that runs it is sent again and again, while the other faults go on.

The soak's proxies accept connections for an upstream that has ended, and dispatch takes only a refused connection for a sign of its end; an engine that is alive may also reset connections. On the users' platform nothing stands between, so the proxies now refuse connections for an upstream that has crashed.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -180,9 +180,10 @@
 	cmd.Flag("prefill", "Time before the first piece or the answer.").Default("100ms").DurationVar(&cfg.Prefill)
 	cmd.Flag("interval", "Time between pieces.").Default("20ms").DurationVar(&cfg.Interval)
 	cmd.Flag("pieces", "Number of pieces of an answer; 0 for a plain service.").Default("0").IntVar(&cfg.Pieces)
+	cmd.Flag("crash-body", "Begin of the bodies on which a plain service exits.").StringVar(&cfg.CrashBody)
 	cmd.Flag("drain", "Time from the announcement of leaving to the end.").Default("2s").DurationVar(&cfg.Drain)
 	commands[cmd.FullCommand()] = func(t *timer.Service, listen string) (server, error) {
-		cfg.Listen = listen
+		cfg.Listen, cfg.OnCrash = listen, exit
 		s := standinregistered.New(cfg, t)
 		return server{s.Start, s.Addr, s.Stop}, nil
 	}
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -75,6 +75,15 @@
 	return a.String(), nil
 }
 
+// newProxy returns a proxy at a reserved address.
+func (cl *cluster) newProxy(target string) (*proxy, error) {
+	addr, err := cl.reserveAddress()
+	if err != nil {
+		return nil, err
+	}
+	return newProxy(cl.clock, addr, target)
+}
+
 // newCluster starts all programs from directory bin and waits until they serve.
 func newCluster(ctx context.Context, c clock, bin, dir string) (*cluster, error) {
 	cl := &cluster{clock: c, dir: dir}
@@ -158,7 +167,7 @@
 	if err != nil {
 		return err
 	}
-	p, err := newProxy(cl.clock, addr)
+	p, err := cl.newProxy(addr)
 	if err != nil {
 		return err
 	}
@@ -171,7 +180,7 @@
 		args = append(args, "--service", string(engineService), "--pieces", fmt.Sprint(pieceCount), "--interval", "30ms", "--prefill", "800ms")
 	} else {
 		name = fmt.Sprintf("plain-%d", domain)
-		args = append(args, "--service", string(plainService), "--prefill", "40ms")
+		args = append(args, "--service", string(plainService), "--prefill", "40ms", "--crash-body", crashBody)
 	}
 	proc, err := newProcess(cl.clock, cl.dir, name, filepath.Join(bin, "standin"), nil, args...)
 	if err != nil {
@@ -192,7 +201,7 @@
 			}
 			addrs[i] = a
 		}
-		p, err := newProxy(cl.clock, storeAddr)
+		p, err := cl.newProxy(storeAddr)
 		if err != nil {
 			return err
 		}
--- a/soak/process.go
+++ b/soak/process.go
@@ -73,6 +73,13 @@
 	}
 }
 
+// running reports whether the program runs.
+func (p *process) running() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.isRunning()
+}
+
 // setLeaving records that a restart of the program begins or has ended.
 func (p *process) setLeaving(leaving bool) {
 	p.mu.Lock()
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -29,21 +29,44 @@
 
 	mu    sync.Mutex
 	mode  mode
+	down  bool // the listener is closed
 	conns map[net.Conn]struct{}
 }
 
-func newProxy(c clock, target string) (*proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// newProxy returns a proxy that listens at a reserved address.
+func newProxy(c clock, address, target string) (*proxy, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	p := &proxy{clock: c, listener: l, target: target, conns: make(map[net.Conn]struct{})}
-	go p.accept()
+	go p.accept(l)
 	return p, nil
 }
 
 func (p *proxy) addr() string { return p.listener.Addr().String() }
 
+// setDown closes the listener, so that connections are refused as by a program that has ended, or
+// opens it again. It returns an error if the address cannot be listened at.
+func (p *proxy) setDown(down bool) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if down == p.down {
+		return nil
+	}
+	if down {
+		p.down = true
+		return p.listener.Close()
+	}
+	l, err := net.Listen("tcp", p.listener.Addr().String())
+	if err != nil {
+		return err
+	}
+	p.listener, p.down = l, false
+	go p.accept(l)
+	return nil
+}
+
 func (p *proxy) setMode(m mode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -72,9 +95,9 @@
 	_ = c.Close()
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -131,6 +154,8 @@
 }
 
 func (p *proxy) close() {
+	p.mu.Lock()
 	_ = p.listener.Close()
+	p.mu.Unlock()
 	p.reset()
 }
--- a/soak/routes.go
+++ b/soak/routes.go
@@ -76,8 +76,15 @@
 	s.countCheck("configuration in force, never back")
 }
 
-// requestOnce sends one request on a new connection. It reports false if there is no answer.
+// requestOnce sends one request without a body on a new connection. It reports false if there is no
+// answer.
 func (s *Soak) requestOnce(address, id, target string) (status int, ok bool) {
+	return s.requestOnceWith(address, id, target, "")
+}
+
+// requestOnceWith sends one request with a body on a new connection. It reports false if there is no
+// answer.
+func (s *Soak) requestOnceWith(address, id, target, body string) (status int, ok bool) {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return 0, false
@@ -85,7 +92,8 @@
 	defer conn.Close()
 	_ = conn.SetDeadline(s.clock.Now().Add(2 * time.Second))
 	text := "GET " + target + " HTTP/1.1\r\nHost: " + host + "\r\nConnection: close\r\n" +
-		nativewire.RequestField + ": " + id + "\r\n" + nativewire.KeyField + ": " + apiKey + "\r\n" + nativewire.TimeoutField + ": 1s\r\n\r\n"
+		nativewire.RequestField + ": " + id + "\r\n" + nativewire.KeyField + ": " + apiKey + "\r\n" + nativewire.TimeoutField + ": 1s\r\n" +
+		fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
 	if _, err := io.WriteString(conn, text); err != nil {
 		return 0, false
 	}
--- a/standinregistered/server.go
+++ b/standinregistered/server.go
@@ -48,7 +48,8 @@
 	// CrashPart is a part of prompts. The server ends like a crashed process when it is about to
 	// write the first piece of an answer to a prompt that holds it. Empty means none.
 	CrashPart string
-	// CrashBody is a body on which a plain service crashes in the same way, when it is about to answer.
+	// CrashBody begins the bodies on which a plain service crashes in the same way, when it is about to
+	// answer.
 	CrashBody string
 	OnCrash   func() // called after such an end, on another goroutine; nil means nothing
 }
@@ -238,7 +239,7 @@
 	body, _ := io.ReadAll(r.Body)
 	if s.cfg.Pieces == 0 {
 		s.wait(s.cfg.Prefill)
-		if s.cfg.CrashBody != "" && string(body) == s.cfg.CrashBody {
+		if s.cfg.CrashBody != "" && strings.HasPrefix(string(body), s.cfg.CrashBody) {
 			s.crash()
 		}
 		if s.ctx.Err() != nil {
