soak: upstreams that name limits

A fault more, with the check of the users' rule: an upstream of each service names a limit through the recorder for 9 s, and its arrivals are counted.

--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -88,7 +88,7 @@
 func newCluster(ctx context.Context, c clock, bin, dir string) (*cluster, error) {
 	cl := &cluster{clock: c, dir: dir}
 	var err error
-	if cl.recorder, err = newRecorder(); err != nil {
+	if cl.recorder, err = newRecorder(c); err != nil {
 		return nil, err
 	}
 	storeAddr, err := cl.reserveAddress()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -131,6 +131,7 @@
 	}},
 	instanceLeaves,
 	instanceReload,
+	{"upstreams name limits", true, func(ctx context.Context, s *Soak, r *rand.Rand) { s.nameLimits(ctx, r) }},
 	{"content crashes upstreams", false, func(ctx context.Context, s *Soak, r *rand.Rand) { s.crashUpstreams(ctx, r) }},
 	{"store silent for an instance", false, func(ctx context.Context, s *Soak, r *rand.Rand) {
 		s.setModeFor(ctx, s.randomInstance(r).store, silent, randomDuration(r, time.Second, 4*time.Second))
--- a/soak/upstreams.go
+++ b/soak/upstreams.go
@@ -4,19 +4,26 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
+
+	"crocuslug/ident"
 )
 
-// Bounds of the users' platform for requests that crash upstreams.
+// Bounds of the users' platform for upstreams that name a limit and for requests that crash upstreams.
 const (
-	settleTime     = 3 * time.Second // from the third crash until the bound holds
+	settleTime     = 3 * time.Second // from the first limit, or from the third crash, until the bound holds
+	limitWindow    = 4 * time.Second
+	limitFactor    = 1.5 // times what the limit allows in limitWindow
+	limitSlack     = 5   // requests
 	crashesKnown   = 3
 	maxCrashesMore = 3
 )
 
-// Times of this fault.
+// Lengths of these faults.
 const (
+	limitTime     = 9 * time.Second
 	crashTime     = 8 * time.Second
 	crashPoll     = 10 * time.Millisecond  // between two looks whether an upstream has crashed
 	crashDown     = time.Second            // until it starts again
@@ -24,6 +31,38 @@
 	crashBody     = "crash "               // begin of their ids and bodies
 )
 
+// nameLimits lets an upstream of each service name a limit for a while. It checks that the upstream
+// does not get more, unless an unplanned fault goes on or went on shortly before.
+func (s *Soak) nameLimits(ctx context.Context, r *rand.Rand) {
+	began := s.currentFaultState()
+	limits := make(map[string]float64)
+	for _, service := range []ident.Service{engineService, plainService} {
+		running := s.cluster.recorder.running(service, s.clock.Now().Add(-time.Second))
+		if len(running) == 0 {
+			continue
+		}
+		limit := fmt.Sprintf("%.1f", 0.5+3*r.Float64())
+		u := running[r.IntN(len(running))]
+		limits[u], _ = strconv.ParseFloat(limit, 64) // as formatted above
+		s.cluster.recorder.setLimit(u, limit)
+	}
+	named := s.clock.Now()
+	s.clock.pause(ctx, limitTime)
+	for u, limit := range limits {
+		most := s.cluster.recorder.most(u, named.Add(settleTime), limitWindow)
+		s.cluster.recorder.setLimit(u, "")
+		allowed := limitFactor*limit*limitWindow.Seconds() + limitSlack
+		s.mu.Lock()
+		if s.undisturbed(began) {
+			s.countCheck("limit kept to")
+			if float64(most) > allowed {
+				s.reportViolationLocked("%s: named a limit of %v a second and got %d requests in %v, want at most %.0f", u, limit, most, limitWindow, allowed)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
 // crashUpstreams sends a request that crashes each plain service that runs it, again and again. It
 // starts them again, and checks that they soon do not get it any more.
 func (s *Soak) crashUpstreams(ctx context.Context, r *rand.Rand) {
--- a/standinregistered/server.go
+++ b/standinregistered/server.go
@@ -230,7 +230,7 @@
 		h.Set(nativewire.LimitField, s.limit)
 	}
 	s.mu.Unlock()
-	if from != "" && !hasCopy || !s.reportRun(r, id) {
+	if from != "" && !hasCopy || !s.reportRun(h, r, id) {
 		h.Set(nativewire.NotRunField, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -257,8 +257,9 @@
 // Piece returns the event that an engine writes as piece n of the answer to id.
 func Piece(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n) }
 
-// reportRun reports a run to the recorder and returns whether it may begin.
-func (s *Server) reportRun(r *http.Request, id string) bool {
+// reportRun reports a run to the recorder and returns whether it may begin. If the recorder answers
+// with a limit, the answer to the run names it in its header h.
+func (s *Server) reportRun(h http.Header, r *http.Request, id string) bool {
 	if s.cfg.Recorder == "" {
 		return true
 	}
@@ -268,6 +269,9 @@
 		return false
 	}
 	_ = res.Body.Close()
+	if limit := res.Header.Get(nativewire.LimitField); limit != "" {
+		h.Set(nativewire.LimitField, limit)
+	}
 	return res.StatusCode == http.StatusOK
 }
 
