edge: TestNamedLimit with streams, and with instances that stop

A stream that starts needs a permit as a call does, and the instance that issues the permits may stop.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -35,6 +36,7 @@
 	http    *standinkeyvalue.Server
 	doc     directory.Document
 	version store.Version
+	stops   map[*edge.Edge]func() // stop each instance once
 }
 
 const waitLimit = 20 * time.Second // for events that must happen, also on a machine under heavy load
@@ -45,7 +47,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go clock.Run(ctx)
-	s := &site{t: t, clock: clock, store: standinkeyvalue.New(clock)}
+	s := &site{t: t, clock: clock, store: standinkeyvalue.New(clock), stops: make(map[*edge.Edge]func())}
 	s.http = standinkeyvalue.NewServer(s.store, "", nil)
 	if err := s.http.Start(); err != nil {
 		t.Fatal(err)
@@ -110,7 +112,8 @@
 	if err := e.Start(); err != nil {
 		s.t.Fatal(err)
 	}
-	s.t.Cleanup(e.Stop)
+	s.stops[e] = sync.OnceFunc(e.Stop)
+	s.t.Cleanup(s.stops[e])
 	return e, cfg
 }
 
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -10,6 +11,7 @@
 	"testing"
 	"time"
 
+	"crocuslug/edge"
 	"crocuslug/nativewire"
 	"crocuslug/standinregistered"
 )
@@ -22,9 +24,11 @@
 	limitSlack  = 5   // requests
 )
 
-// limited is a site of a plain service whose upstreams name limits.
+// limited is a site of one service whose upstreams name limits.
 type limited struct {
 	*site
+	paths     []string // of the requests, in turn
+	instances []*edge.Edge
 	upstreams []*standinregistered.Server
 	listen    []string // of the instances
 	callers   sync.WaitGroup
@@ -42,9 +46,9 @@
 	retryAfter time.Duration // 0 if none was given
 }
 
-func newLimited(t *testing.T, instances, upstreams int) *limited {
+func newLimited(t *testing.T, instances, upstreams int, cfg standinregistered.Settings, paths []string) *limited {
 	t.Helper()
-	l := &limited{site: newSite(t), sends: make(map[string][]time.Time)}
+	l := &limited{site: newSite(t), paths: paths, sends: make(map[string][]time.Time)}
 	recorder := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -54,10 +58,8 @@
 	t.Cleanup(recorder.Close)
 	l.putConfiguration(3)
 	for range upstreams {
-		u := standinregistered.New(standinregistered.Settings{
-			Listen: reserveAddress(t), Store: l.http.Addr(), Recorder: recorder.Listener.Addr().String(), Service: "plain",
-			Domain: "a", Prefill: 5 * time.Millisecond,
-		}, l.clock)
+		cfg.Listen, cfg.Store, cfg.Recorder, cfg.Domain = reserveAddress(t), l.http.Addr(), recorder.Listener.Addr().String(), "a"
+		u := standinregistered.New(cfg, l.clock)
 		if err := u.Start(); err != nil {
 			t.Fatal(err)
 		}
@@ -66,11 +68,11 @@
 	}
 	var seeds []string
 	for i := range instances {
-		_, cfg := l.startInstance(fmt.Sprintf("e%d", i+1), l.http.Addr(), seeds...)
-		l.listen, seeds = append(l.listen, cfg.Listen), append(seeds, cfg.PeerListen)
+		e, cfg := l.startInstance(fmt.Sprintf("e%d", i+1), l.http.Addr(), seeds...)
+		l.instances, l.listen, seeds = append(l.instances, e), append(l.listen, cfg.Listen), append(seeds, cfg.PeerListen)
 	}
 	for _, addr := range l.listen {
-		l.waitForStatus(addr, "/unsafe/x", "k", http.StatusOK)
+		l.waitForStatus(addr, paths[0], "k", http.StatusOK)
 	}
 	l.waitForPeers(l.listen)
 	return l
@@ -80,7 +82,7 @@
 func (l *limited) run(until time.Time, perSecond float64) {
 	random := rand.New(rand.NewPCG(1, 2))
 	for n := 0; time.Now().Before(until); n++ {
-		address, path := l.listen[random.IntN(len(l.listen))], []string{"/safe/x", "/unsafe/x"}[n%2]
+		address, path := l.listen[random.IntN(len(l.listen))], l.paths[n%len(l.paths)]
 		l.callers.Go(func() {
 			a := limitedAnswer{sent: time.Now()}
 			var h http.Header
@@ -98,6 +100,14 @@
 	l.callers.Wait()
 }
 
+// stop stops some instances, which get no more requests.
+func (l *limited) stop(n int) {
+	for _, e := range l.instances[:n] {
+		l.stops[e]()
+	}
+	l.instances, l.listen = l.instances[n:], l.listen[n:]
+}
+
 // post sends one request and returns the status and the header of the answer.
 func (l *limited) post(address, path, id string) (int, http.Header) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+address+path, nil)
@@ -113,7 +123,10 @@
 	if err != nil {
 		return 0, nil
 	}
-	_ = res.Body.Close()
+	defer res.Body.Close()
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		return 0, nil
+	}
 	return res.StatusCode, res.Header
 }
 
@@ -155,27 +168,38 @@
 // they have named, against requests that are refused though other upstreams are free, and against
 // limits that outlast what the upstream says.
 func TestNamedLimit(t *testing.T) {
+	plain, engine := standinregistered.Settings{Service: "plain", Prefill: 5 * time.Millisecond}, standinregistered.Settings{Service: "engine", Prefill: 5 * time.Millisecond, Pieces: 3}
+	calls, streams := []string{"/unsafe/x", "/safe/x"}, []string{"/stream/x"}
+	some, all := []string{"1.1", "2.8", "", ""}, []string{"2.5", "2.5", "2.5", "2.5"}
 	tests := []struct {
 		name      string
+		upstream  standinregistered.Settings
+		paths     []string
 		instances int
+		stopped   int      // instances that stop while the limits are in force
 		perSecond float64  // requests
 		limits    []string // of the upstreams, "" for none
 		served    float64  // least share of requests that are answered
 	}{
-		{"two of four upstreams", 8, 30, []string{"1.1", "2.8", "", ""}, 1},
-		{"many instances", 40, 40, []string{"1.1", "2.8", "", ""}, 1},
-		{"all upstreams", 8, 30, []string{"2.5", "2.5", "2.5", "2.5"}, 0.2},
-		{"all upstreams, many instances", 40, 30, []string{"2.5", "2.5", "2.5", "2.5"}, 0.2},
+		{"two of four upstreams", plain, calls, 8, 0, 30, some, 1},
+		{"streams", engine, streams, 8, 0, 30, some, 1},
+		{"instances that stop", plain, calls, 8, 4, 30, some, 1},
+		{"many instances", plain, calls, 40, 0, 40, some, 1},
+		{"all upstreams", plain, calls, 8, 0, 30, all, 0.2},
+		{"all upstreams, streams", engine, streams, 8, 0, 30, all, 0.2},
+		{"all upstreams, many instances", plain, calls, 40, 0, 30, all, 0.2},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			l := newLimited(t, tc.instances, len(tc.limits))
+			l := newLimited(t, tc.instances, len(tc.limits), tc.upstream, tc.paths)
 			l.run(time.Now().Add(2*time.Second), tc.perSecond)
 			for i, u := range l.upstreams {
 				u.SetLimit(tc.limits[i])
 			}
 			named := time.Now()
+			l.run(named.Add(stableTime+4*time.Second), tc.perSecond)
+			l.stop(tc.stopped)
 			l.run(named.Add(stableTime+8*time.Second), tc.perSecond)
 			for i, u := range l.upstreams {
 				limit, err := strconv.ParseFloat(tc.limits[i], 64)
