daemon: calls of operators have a back-off of their own

Operators saw 504 for a plan that was confirmed right after an outage of the platform's key-value service, which another instance had accepted meanwhile.

Cause: the client of the store backs off for up to 8 s between calls in an outage, and a confirmation within that time was refused without a call.

--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -61,6 +61,7 @@
 		d.bootstrapKeyHash = access.Hash(operatorKey)
 	}
 	d.revisions = revision.New(d.store, d.opt.Timer.Now, revision.Settings{})
+	d.changes = revision.New(d.operatorStore(), d.opt.Timer.Now, revision.Settings{})
 	d.buildRollout()
 	d.buildOperators()
 	doc := d.opt.InitialDocument
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -129,7 +129,8 @@
 	store                store.Store
 	platformCalls        func() keyvalue.Calls // counts the calls to the platform's key-value service
 	closers              []func()
-	revisions            *revision.Store
+	revisions            *revision.Store // for the rollout
+	changes              *revision.Store // the same, for operators
 	rollout              *rollout.Rollout
 	operator             *operatorapi.API
 	actions              *actions
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -48,10 +48,10 @@
 	})
 	d.operator = operatorapi.New(operatorapi.Ports{
 		Current: d.rollout.Current,
-		Newest:  d.revisions.NewestDocument,
+		Newest:  d.changes.NewestDocument,
 		Confirm: d.confirm,
-		At:      d.revisions.DocumentAt,
-		History: d.revisions.List,
+		At:      d.changes.DocumentAt,
+		History: d.changes.List,
 		Status:  d.status,
 		Usage:   d.usage,
 	}, operatorapi.Settings{BootstrapKeyHash: d.bootstrapKeyHash, MaxBodyBytes: operatorBodyBytes, Log: d.log, Tracer: d.opt.Tracer})
@@ -59,7 +59,7 @@
 
 // confirm stores a plan as the next revision and starts its rollout.
 func (d *Daemon) confirm(ctx context.Context, p plan.Plan, by string) (revision.Record, *result.Error) {
-	rec, err := d.revisions.Confirm(ctx, p, by)
+	rec, err := d.changes.Confirm(ctx, p, by)
 	if err == nil {
 		d.rollout.HandleConfirmed(rec)
 		go d.reclaim(rec)
@@ -71,7 +71,7 @@
 func (d *Daemon) reclaim(rec revision.Record) {
 	ctx, cancel := context.WithTimeout(d.ctx, reclaimTimeout)
 	defer cancel()
-	if err := d.revisions.Reclaim(ctx, rec); err != nil {
+	if err := d.changes.Reclaim(ctx, rec); err != nil {
 		d.log.Info().Err(err).Uint64("Revision", uint64(rec.Revision)).Msg("obsolete revisions could not be removed; the next change tries again")
 	}
 }
