edge: an instance that is slow to issue permits is not replaced at once

An instance that did not answer a request for permits within 150 ms was passed over at once. It went on issuing permits to others, so that two and more instances issued the whole limit each.

Now another instance takes its place only when its digests have stopped, or after 3 s without an answer, and hands back within a second. Permits last half a second and a bucket holds a quarter of a second's worth, so that a second in which two instances issue keeps to the bound.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -78,7 +78,7 @@
 	farPeers    int           // number of peers in other failure domains
 	restarts    []restart     // restarts of upstreams that this instance found recently
 
-	silentIssuers map[ident.Instance]time.Time // when peers last failed to answer a request for permits
+	silentIssuers map[ident.Instance]silentIssuer // peers that did not answer requests for permits
 }
 
 // activeConfiguration is the configuration in force, with the bytes that it was decoded from.
@@ -129,7 +129,7 @@
 		unreadable:     make(map[string]store.Version),
 		peers:          make(map[ident.Instance]*peer),
 
-		silentIssuers: make(map[ident.Instance]time.Time),
+		silentIssuers: make(map[ident.Instance]silentIssuer),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	kv := ports.Store
--- a/edge/permits.go
+++ b/edge/permits.go
@@ -15,12 +15,24 @@
 // permitsMethod asks the instance that issues the permits for an upstream for some of them.
 const permitsMethod = "Edge.Permits"
 
-// Bounds of the requests for permits.
+// Bounds of the requests for permits. An instance that does not answer may only be slow and issue
+// permits to others, so that another one takes its place only after a while.
 const (
-	maxPermits       = 1000            // in one answer
-	issuerRetryAfter = 3 * time.Second // time for which an instance that did not answer is not asked
+	maxPermits      = 1000            // in one answer
+	issuerPatience  = 3 * time.Second // time without an answer after which an instance is passed over
+	issuerRetryTime = time.Second     // time after which it is asked again
 )
 
+// silentIssuer is an instance that does not answer requests for permits.
+type silentIssuer struct {
+	since, last time.Time // first and last request that was not answered
+}
+
+// passedOver reports whether the instance is not asked.
+func (s silentIssuer) passedOver(now time.Time) bool {
+	return now.Sub(s.last) < issuerRetryTime && now.Sub(s.since) >= issuerPatience
+}
+
 // permitsAnswer is the answer to permitsMethod.
 type permitsAnswer struct {
 	Issued int
@@ -44,39 +56,38 @@
 	return e.upstreamLimits.Issue(r.Limit.Upstream, min(max(0, r.Count), maxPermits), now)
 }
 
-// askPermits asks the instance that issues the permits for an upstream. It asks the next one if that
-// does not answer.
+// askPermits asks the instance that issues the permits for an upstream.
 func (e *Edge) askPermits(ctx context.Context, r upstreamlimit.Request) (upstreamlimit.Answer, error) {
-	const tries = 2
-	var err error
-	for range tries {
-		issuer := e.issuerOf(r.Limit.Upstream)
-		if issuer == e.self {
-			return e.issuePermits(r, e.self), nil
-		}
-		var a permitsAnswer
-		if err = e.link.Call(ctx, issuer, permitsMethod, r, &a); err == nil {
-			return upstreamlimit.Answer{Issued: a.Issued, Wait: a.Wait.Std()}, nil
-		}
-		e.mu.Lock()
-		e.silentIssuers[issuer] = e.timer.Now()
-		e.mu.Unlock()
-		e.log.Info().Str("Peer", string(issuer)).Str("Upstream", string(r.Limit.Upstream)).Err(err).Msg("peer did not answer a request for permits")
+	issuer := e.issuerOf(r.Limit.Upstream)
+	if issuer == e.self {
+		return e.issuePermits(r, e.self), nil
 	}
+	var a permitsAnswer
+	err := e.link.Call(ctx, issuer, permitsMethod, r, &a)
+	now := e.timer.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err == nil {
+		delete(e.silentIssuers, issuer)
+		return upstreamlimit.Answer{Issued: a.Issued, Wait: a.Wait.Std()}, nil
+	}
+	s, ok := e.silentIssuers[issuer]
+	if !ok {
+		s.since = now
+	}
+	s.last = now
+	e.silentIssuers[issuer] = s
 	return upstreamlimit.Answer{}, err
 }
 
 // issuerOf returns the instance that issues the permits for an upstream: the first by rendezvous
-// hashing of those that live and have not failed to answer lately.
+// hashing of those that live and are not passed over.
 func (e *Edge) issuerOf(id ident.Upstream) ident.Instance {
 	now := e.timer.Now()
 	members := []ident.Instance{e.self}
 	e.mu.Lock()
 	for peer, p := range e.peers {
-		if silent, ok := e.silentIssuers[peer]; ok && now.Sub(silent) < issuerRetryAfter {
-			continue
-		}
-		if e.peerAlive(p, now) {
+		if e.peerAlive(p, now) && !e.silentIssuers[peer].passedOver(now) {
 			members = append(members, peer)
 		}
 	}
@@ -84,12 +95,12 @@
 	return rendezvous.Order(string(id), members)[0]
 }
 
-// forgetSilentIssuers removes those that may be asked again.
+// forgetSilentIssuers removes those that have not been asked lately.
 func (e *Edge) forgetSilentIssuers(now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for id, at := range e.silentIssuers {
-		if now.Sub(at) >= issuerRetryAfter {
+	for id, s := range e.silentIssuers {
+		if now.Sub(s.last) >= issuerPatience {
 			delete(e.silentIssuers, id)
 		}
 	}
--- a/upstreamlimit/limits.go
+++ b/upstreamlimit/limits.go
@@ -9,8 +9,8 @@
 // from a token bucket, and the others ask it. Any instance can so use the whole rate, however many
 // there are, and none has to know the demand of the others. A permit expires after a short time. In
 // any interval of t seconds the holders of permits send at most the rate times t plus permitLifetime
-// and burstTime, plus one. Where the choice of the issuing instance differs for a moment, each issues
-// at most that.
+// and burstTime, plus one. Where instances differ for a moment on which one issues them, each of these
+// issues at most that.
 //
 // A Limits only decides. It has no clock and no goroutine; whoever owns it sends the messages.
 package upstreamlimit
@@ -35,8 +35,8 @@
 const (
 	maxRate        = 1e6              // greatest rate that an upstream may name, in requests a second
 	minRate        = 0.1              // least rate at which permits are issued, so that the end of a limit is noticed
-	permitLifetime = time.Second      // from the request for a permit
-	burstTime      = time.Second / 2  // capacity of a bucket, as time at the full rate, beside one permit
+	permitLifetime = time.Second / 2  // from the request for a permit
+	burstTime      = time.Second / 4  // capacity of a bucket, as time at the full rate, beside one permit
 	maxWait        = 5 * time.Second  // greatest time until the next permit that is told
 	maxAskInterval = time.Second      // longest time for which an instance does not ask again
 	endTold        = 10 * time.Second // time for which the end of a limit is told
