explain: the limits because of which a request was moved or refused

A request that was not sent to an upstream because of its limit now has a line with the limits in force, and explain adds the changes of these limits. A request for permits that ends with its caller no longer counts against the instance that was asked.

--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -97,7 +97,7 @@
 	}
 	d.limits.CountRequest(a.w.Service.Name, now)
 	if len(blocked) < len(usable) {
-		d.log.Info().Str("Request", string(a.w.ID)).Str("Upstreams", joined(blocked)).Int("Others", len(usable)-len(blocked)).Msg("upstreams at their limits passed over")
+		d.log.Info().Str("Request", string(a.w.ID)).Str("Upstreams", d.limitsOf(blocked, now)).Int("Others", len(usable)-len(blocked)).Msg("upstreams at their limits passed over")
 		if r, ok := d.limits.Ask(d.limits.Stale(blocked, now), now); ok {
 			d.ask(ctx, r)
 		} else if r, ok := d.limits.Ask(blocked, now); ok {
@@ -124,24 +124,28 @@
 func (d *Dispatcher) refuseAtLimit(a *attempts, blocked []ident.Upstream, now time.Time) *result.Error {
 	due := max(d.limits.Due(blocked, now), d.cfg.MinRetryAfter)
 	d.meters.Count("Limits.Refused", 1)
-	e := d.refuse(a, result.UpstreamLimit, "upstreams at the limits that they have named: "+joined(blocked))
+	limits := d.limitsOf(blocked, now)
+	d.log.Info().Str("Request", string(a.w.ID)).Str("Upstreams", limits).Dur("DueMs", due).Msg("no upstream below its limit")
+	e := d.refuse(a, result.UpstreamLimit, "upstreams at the limits that they have named, in requests a second: "+limits)
 	if a.runs == 0 {
 		e = e.After(due + time.Duration(d.random()%uint64(due/4)))
 	}
 	return e
 }
 
-// joined returns ids as text.
-func joined(ids []ident.Upstream) string {
+// limitsOf returns upstreams with their limits as text, such as "u1@2.5,u2@1" for 2.5 and 1 requests a
+// second.
+func (d *Dispatcher) limitsOf(ids []ident.Upstream, now time.Time) string {
 	const most = 8 // named
-	names := make([]string, 0, most)
+	var out []string
 	for _, id := range ids[:min(len(ids), most)] {
-		names = append(names, string(id))
+		limit, _ := d.limits.Statement(id, now)
+		out = append(out, string(id)+"@"+strconv.FormatFloat(limit.Rate, 'g', -1, 64))
 	}
 	if len(ids) > most {
-		names = append(names, fmt.Sprintf("%d more", len(ids)-most))
+		out = append(out, strconv.Itoa(len(ids)-most)+" more")
 	}
-	return strings.Join(names, ",")
+	return strings.Join(out, ",")
 }
 
 // ask requests permits and returns how many were issued.
--- a/edge/permits.go
+++ b/edge/permits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"slices"
 	"time"
 
@@ -71,6 +72,9 @@
 		delete(e.silentIssuers, issuer)
 		return upstreamlimit.Answer{Issued: a.Issued, Wait: a.Wait.Std()}, nil
 	}
+	if errors.Is(context.Cause(ctx), context.Canceled) {
+		return upstreamlimit.Answer{}, err // the caller of the request has left
+	}
 	s, ok := e.silentIssuers[issuer]
 	if !ok {
 		s.since = now
--- a/explain/report.go
+++ b/explain/report.go
@@ -105,12 +105,17 @@
 
 // relevant returns the context lines of the instances that handled the request,
 // from contextMargin before its first line to contextMargin after its last one.
-// Lines on upstreams are included only if the request was sent to that upstream.
+// Lines on upstreams are included only if the request was sent to that upstream, or was not because of
+// its limit.
 func (s *Report) relevant() []line {
 	instances, upstreams := map[string]bool{}, map[string]bool{}
 	for _, l := range s.requestLines {
 		instances[l.instance()] = true
 		upstreams[l.fields["Upstream"]] = true
+		for limited := range strings.SplitSeq(l.fields["Upstreams"], ",") {
+			id, _, _ := strings.Cut(limited, "@") // the limit follows
+			upstreams[id] = true
+		}
 	}
 	from, until := s.requestLines[0].at.Add(-contextMargin), s.requestLines[len(s.requestLines)-1].at.Add(contextMargin)
 	var out []line
