upstreamlimit: bound the limits in one report

A digest would grow with the number of upstreams that name limits, to half a megabyte with 7,100 of them.

--- a/upstreamlimit/limits.go
+++ b/upstreamlimit/limits.go
@@ -16,6 +16,7 @@
 package upstreamlimit
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -41,6 +42,7 @@
 	maxAskInterval = time.Second      // longest time for which an instance does not ask again
 	endTold        = 10 * time.Second // time for which the end of a limit is told
 	demandTime     = time.Second / 4  // time over which the demand is measured, and for which permits are asked
+	maxTold        = 256              // statements in one report
 	staleAfter     = time.Second      // time after the last answer of an upstream from when its limit may have ended unnoticed
 	logShare       = 0.1              // least change of a rate that is reported, as a fraction
 )
@@ -190,7 +192,8 @@
 	return Change{Upstream: id, Former: former, Rate: rate, Age: max(0, now.Sub(at))}, true
 }
 
-// Report returns what the other instances are to be told.
+// Report returns what the other instances are to be told. Of many limits, those of which the newest
+// answers are known are told.
 func (l *Limits) Report(now time.Time) []Statement {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -200,6 +203,10 @@
 			out = append(out, l.statement(id, b, now))
 		}
 	}
+	if len(out) > maxTold {
+		slices.SortFunc(out, func(a, b Statement) int { return cmp.Compare(a.Age, b.Age) })
+		out = out[:maxTold]
+	}
 	return out
 }
 
--- a/upstreamlimit/size_test.go
+++ b/upstreamlimit/size_test.go
@@ -82,3 +82,29 @@
 		})
 	}
 }
+
+// TestReportBound guards against reports that grow with the number of limits. Those told must be the
+// newest.
+func TestReportBound(t *testing.T) {
+	l := New()
+	now := time.Unix(1000, 0)
+	var list []directory.Upstream
+	for i := range 3 * maxTold {
+		list = append(list, directory.Upstream{ID: ident.Upstream(fmt.Sprint("u", i)), Service: "s"})
+	}
+	l.SetUpstreams(list)
+	for i, u := range list {
+		l.Named(u.ID, 1, now.Add(time.Duration(i)*time.Millisecond))
+	}
+	now = now.Add(time.Second)
+	got := l.Report(now)
+	if len(got) != maxTold {
+		t.Errorf("statements: got %d, want %d", len(got), maxTold)
+	}
+	oldest := now.Sub(time.Unix(1000, 0).Add(2 * maxTold * time.Millisecond))
+	for _, s := range got {
+		if s.Age.Std() > oldest {
+			t.Errorf("statement of %s: got an age of %v, want at most %v", s.Upstream, s.Age.Std(), oldest)
+		}
+	}
+}
