dispatch: a call's prompt counts as read once it is answered

Callers would see: after a call with a prompt its engine counts as busy reading at this instance and its peers, for good; each such call adds to it, and streams are queued or refused though engines are idle.

Picking an upstream adds the prompt to its unread tokens for calls and streams; only the loop for streams took it off again.

Change: do, which both loops use to send, takes it off.

--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -93,7 +93,7 @@
 		r.AnswerBy = now.Add(time.Duration(d.cfg.AttemptShare * float64(w.Deadline.Sub(now))))
 		r.Extend = func() time.Time { return d.extendCall(a, u.ID) }
 	}
-	ans, err := d.do(ctx, a, u, r)
+	ans, err := d.do(ctx, a, u, r, true)
 	if err == nil {
 		defer ans.Close()
 	}
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -250,11 +250,9 @@
 	r.Extend = func() time.Time { return d.extend(s, p) }
 	ctx, answered := d.withProbes(ctx, u, p)
 	defer answered()
-	ans, err := d.do(ctx, &s.attempts, u, r)
+	ans, err := d.do(ctx, &s.attempts, u, r, from == nil)
 	if from == nil {
-		read := d.timer.Now()
-		d.fleet.AddUnreadTokens(u.ID, -w.PromptTokens, read) // added when the upstream was picked
-		d.queueOf(w.Service.Name).Grant(read)
+		d.queueOf(w.Service.Name).Grant(d.timer.Now())
 	}
 	answered()
 	if err == nil {
