--- a/upstreamlimit/size_test.go
+++ b/upstreamlimit/size_test.go
@@ -27,7 +27,7 @@
 		instances, busy int
 		rate, perSecond float64 // of the limit; requests of all busy instances
 	}{
-		{1, 1, 1.1, 20}, {8, 8, 1.1, 20}, {8, 1, 2.8, 20}, {85, 85, 1.1, 50}, {930, 930, 1.1, 60}, {930, 3, 1.1, 60}, {930, 930, 40, 400}, {930, 930, 0.2, 60},
+		{1, 1, 1.1, 20}, {2, 2, 1.1, 20}, {30, 30, 1.1, 30}, {300, 300, 2.8, 60}, {8, 8, 1.1, 20}, {8, 1, 2.8, 20}, {85, 85, 1.1, 50}, {930, 930, 1.1, 60}, {930, 3, 1.1, 60}, {930, 930, 40, 400}, {930, 930, 0.2, 60},
 	} {
 		t.Run(fmt.Sprintf("%d of %d instances, limit %v", tc.busy, tc.instances, tc.rate), func(t *testing.T) {
 			t.Parallel()
