edge: the software version of upstreams and the origin of resumed streams in logs and metrics

The logs could not tell which software version a stream began at, nor which request a caller resumes, so the hypotheses on streams at two versions could not be told apart. Nothing decides by them yet.

--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -241,8 +241,8 @@
 	w := s.w
 	attempt := work.Attempt{Upstream: u, Remaining: w.Deadline.Sub(now), LastPiece: s.lastPiece, Resumes: s.resumes, ResumeFrom: from, Rank: queueRank(w)}
 	attempt.CopyTo = s.copies.start(u, s.excluded(), now)
-	d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Uint64("Revision", u.Revision.Revision()).Str("UpstreamDomain", string(u.Domain)).Int("Attempt", s.sends).
-		Uint64("After", s.lastPiece).Bool("FromCopy", from != nil).Str("CopyTo", attempt.CopyTo).Msg("stream sent")
+	d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Uint64("Revision", u.Revision.Revision()).Str("UpstreamDomain", string(u.Domain)).Str("Build", string(u.Build)).Int("Attempt", s.sends).
+		Uint64("After", s.lastPiece).Str("Origin", string(w.Origin)).Bool("FromCopy", from != nil).Str("CopyTo", attempt.CopyTo).Msg("stream sent")
 	r := d.exchangeRequest(w, &attempt)
 	p := d.newPatience(s, u.ID)
 	s.lastPieceAt, s.answering, s.gotPiece, s.cleared, s.pausing = now, time.Time{}, false, false, false
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -61,6 +61,9 @@
 		line(prefix+"UnderWay", n.InFlight)
 		line(prefix+"Unread", n.UnreadTokens)
 		line(prefix+"Waiting", e.dispatcher.Waiting(name))
+		for build, count := range n.Builds {
+			line(prefix+"Builds."+string(build), count)
+		}
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/edge/requests.go
+++ b/edge/requests.go
@@ -127,6 +127,7 @@
 		Shared:       poison.Parts(desc.Model, desc.Parts),
 		LastPiece:    desc.LastPiece,
 		Resumes:      desc.Resumes,
+		Origin:       desc.Origin,
 		Priority:     priority,
 		Method:       c.Request.Method,
 		Target:       c.Request.RequestURI,
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -234,7 +234,7 @@
 
 // logRegistered logs the entry of an upstream that was written. source says by what it became known.
 func (e *Edge) logRegistered(u directory.Upstream, source string) {
-	e.log.Info().Str("Upstream", string(u.ID)).Str("Address", u.Address).Str("UpstreamDomain", string(u.Domain)).Str("Service", string(u.Service)).Bool("Draining", u.Draining).
+	e.log.Info().Str("Upstream", string(u.ID)).Str("Address", u.Address).Str("UpstreamDomain", string(u.Domain)).Str("Service", string(u.Service)).Str("Build", string(u.Build)).Bool("Draining", u.Draining).
 		Uint64("Revision", u.Revision.Revision()).Str("Source", source).Msg("upstream registered")
 }
 
--- a/fleet/counts.go
+++ b/fleet/counts.go
@@ -13,8 +13,9 @@
 // instance there.
 type Counts struct {
 	Registered, Leaving, Out, Replaced int
-	InFlight                           int // requests, including copies of runs
-	UnreadTokens                       int // prompt tokens not read yet
+	InFlight                           int                 // requests, including copies of runs
+	UnreadTokens                       int                 // prompt tokens not read yet
+	Builds                             map[ident.Build]int // registered upstreams that do not leave, by the version of their software
 }
 
 // Services returns the services that have or had upstreams, sorted by name.
@@ -28,7 +29,7 @@
 func (f *Fleet) Count(service ident.Service) Counts {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var c Counts
+	c := Counts{Builds: make(map[ident.Build]int)}
 	g, ok := f.services[service]
 	if !ok {
 		return c
@@ -36,6 +37,9 @@
 	for _, u := range g.list {
 		c.Registered++
 		_, replaced := f.replaced[u.ID]
+		if !u.Draining {
+			c.Builds[u.Build]++
+		}
 		switch {
 		case u.Draining:
 			c.Leaving++
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -46,6 +46,9 @@
 // Upstream names a model engine or a plain service instance.
 type Upstream string
 
+// Build names the version of the software that an upstream runs. Builds have no order.
+type Build string
+
 // Service names a service that upstreams serve.
 type Service string
 
--- a/nativewire/nativewire.go
+++ b/nativewire/nativewire.go
@@ -29,6 +29,7 @@
 	TimeoutField   = "Crocuslug-Patience"  // how long the caller waits, such as 600ms
 	KeyField       = "Crocuslug-Key"       // key of a workspace
 	AfterField     = "Crocuslug-After"     // number of the last piece that the caller has received
+	OriginField    = "Crocuslug-Origin"    // id of the attempt of the caller that brought the first piece
 	PromptField    = "Crocuslug-Prompt"    // tokens of the prompt
 	TokensField    = "Crocuslug-Tokens"    // tokens of prompt and answer together
 	PartsField     = "Crocuslug-Parts"     // parts of the prompt in order, each as NAME:TOKENS
@@ -100,7 +101,7 @@
 // describe returns what the header of a caller's request says about the request. Fields that
 // cannot be parsed are treated as absent.
 func describe(h http.Header) work.Description {
-	d := work.Description{ID: ident.Request(h.Get(RequestField)), Key: h.Get(KeyField)}
+	d := work.Description{ID: ident.Request(h.Get(RequestField)), Key: h.Get(KeyField), Origin: ident.Request(h.Get(OriginField))}
 	if t, err := time.ParseDuration(h.Get(TimeoutField)); err == nil {
 		d.MaxWait, d.HasMaxWait = t, true
 	}
--- a/work/work.go
+++ b/work/work.go
@@ -24,8 +24,9 @@
 	HasMaxWait   bool
 	LastPiece    uint64 // number of the last piece that the caller has
 	Resumes      bool
-	PromptTokens int // tokens of the prompt; 0 if the request is not for a model
-	Tokens       int // upper bound of prompt and answer together
+	Origin       ident.Request // attempt of the caller that brought the first piece; "" if not stated
+	PromptTokens int           // tokens of the prompt; 0 if the request is not for a model
+	Tokens       int           // upper bound of prompt and answer together
 	Model        string
 	Parts        []prefix.Part // parts of the prompt, in order; nil if the caller does not state them
 }
@@ -46,6 +47,7 @@
 	Shared       []poison.Part  // parts of the prompt that other requests may share
 	LastPiece    uint64         // number of the last piece that the caller has
 	Resumes      bool           // LastPiece was given
+	Origin       ident.Request  // attempt of the caller that brought the first piece; "" if not stated
 	Priority     int            // 0 is the most urgent
 
 	Method string
