--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -177,6 +177,7 @@
 	cmd.Flag("recorder", "Address of a recorder to which each run is reported.").StringVar(&cfg.Recorder)
 	cmd.Flag("service", "Name of its service.").Default("engine").StringVar((*string)(&cfg.Service))
 	cmd.Flag("domain", "Failure domain.").Default("a").StringVar((*string)(&cfg.Domain))
+	cmd.Flag("build", "Version of its software, which its pieces name.").StringVar((*string)(&cfg.Build))
 	cmd.Flag("prefill", "Time before the first piece or the answer.").Default("100ms").DurationVar(&cfg.Prefill)
 	cmd.Flag("interval", "Time between pieces.").Default("20ms").DurationVar(&cfg.Interval)
 	cmd.Flag("pieces", "Number of pieces of an answer; 0 for a plain service.").Default("0").IntVar(&cfg.Pieces)
--- a/standinregistered/server.go
+++ b/standinregistered/server.go
@@ -41,6 +41,7 @@
 	Recorder string // address that runs are reported to; empty means none
 	Service  ident.Service
 	Domain   ident.Domain
+	Build    ident.Build   // version of its software, which its pieces name; empty means none
 	Prefill  time.Duration // before the first piece of a run without a copy
 	Interval time.Duration // between pieces
 	Pieces   int           // of an answer; 0 means a plain service
@@ -192,7 +193,7 @@
 func (s *Server) writeEntry() {
 	s.mu.Lock()
 	u := directory.Upstream{
-		ID: s.id, Service: s.cfg.Service, Address: s.cfg.Public, Domain: s.cfg.Domain, Slots: 64, Draining: s.leaving,
+		ID: s.id, Service: s.cfg.Service, Address: s.cfg.Public, Domain: s.cfg.Domain, Build: s.cfg.Build, Slots: 64, Draining: s.leaving,
 	}
 	lease := s.lease
 	s.mu.Unlock()
@@ -257,6 +258,24 @@
 // Piece returns the event that an engine writes as piece n of the answer to id.
 func Piece(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n) }
 
+// PieceOf returns the event that an engine of a build writes as piece n of the answer to id.
+func PieceOf(build ident.Build, id string, n int) string {
+	if build == "" {
+		return Piece(id, n)
+	}
+	return fmt.Sprintf("id: %d\ndata: %s %d %s\n\n", n, id, n, build)
+}
+
+// BuildOf returns the build of the engine that wrote a piece, or "" if the piece names none.
+func BuildOf(piece []byte) ident.Build {
+	const fields = 4 // of the data line with a build: its name, the request, the number and the build
+	_, data, _ := strings.Cut(string(piece), "\n")
+	if words := strings.Fields(data); len(words) == fields {
+		return ident.Build(words[fields-1])
+	}
+	return ""
+}
+
 // reportRun reports a run to the recorder and returns whether it may begin. If the recorder answers
 // with a limit, the answer to the run names it in its header h.
 func (s *Server) reportRun(h http.Header, r *http.Request, id string) bool {
@@ -307,7 +326,7 @@
 		if n == after+1 && copyTo != "" {
 			go s.sendCopy(copyTo, copyTo+"/"+id)
 		}
-		if _, err := fmt.Fprint(w, Piece(id, n)); err != nil {
+		if _, err := fmt.Fprint(w, PieceOf(s.cfg.Build, id, n)); err != nil {
 			return
 		}
 		_ = http.NewResponseController(w).Flush() // the next write fails if this does
