dispatch: a stream goes on at the software version that began it

Callers saw answers that held pieces of two software versions, which do not fit together: a lost stream went on at any engine of its service, the copy of its run was kept by any, and a caller that took a stream up at another instance was sent to any engine.

Cause: nothing knew the version of an upstream, and what an instance knows of a stream ended with the instance.

The build of an upstream is read from its entry. The build of a stream is that of the engine which wrote its first piece; from then on all choices (attempts, copies, limits, patience) are among engines of that build, and a stream of a build that no upstream serves is refused or cut at once. What began before the second build was known began at the only one there was. Nothing else is assumed; a stream whose build is not known is refused. Services with one build tell and ask nothing. An upstream found without the store has no known build while its service has several.

--- /dev/null
+++ b/builds/builds.go
@@ -0,0 +1,356 @@
+// Package builds knows the software versions of upstreams, and at which of them the streams of
+// callers began.
+//
+// What two builds write does not fit together, so a stream that has brought a piece may go on only at
+// the build that wrote it. Within an answer its instance knows that build. A caller that takes a
+// stream up comes to any instance, while the one that served it may be gone. Each stream therefore
+// has some holders, instances that are told its build before its first piece is passed on and that
+// are asked when it is taken up.
+//
+// Only services with several builds need this. Instances tell holders of a stream from the time at
+// which they know of a second build. A holder that does not know a stream, although it has run since
+// before that time, states the only build that there was before: the stream began at that one. No
+// other build is ever assumed.
+package builds
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"crocuslug/directory"
+	"crocuslug/ident"
+	"crocuslug/unit"
+)
+
+// Settings configures a Tracker. Zero fields take the defaults.
+type Settings struct {
+	Life       time.Duration // longest time for which a stream may be taken up after it began; 0 means 2m
+	ReturnTime time.Duration // time for which a build whose upstreams disappeared without leaving may come back; 0 means 2s
+	Settle     time.Duration // time after its start from which an instance has heard of all recent builds; 0 means 2s
+	MaxRecords int           // streams of which a holder keeps the build; 0 means 100,000
+}
+
+// Defaults of Settings.
+const (
+	defaultLife       = 2 * time.Minute
+	defaultReturnTime = 2 * time.Second // crashed engines start again within this time
+	defaultSettle     = 2 * time.Second // several rounds of digests
+	defaultMaxRecords = 100_000
+)
+
+// Record says at which build a stream began.
+type Record struct {
+	Origin    ident.Request // attempt of the caller that brings the first piece
+	Service   ident.Service
+	Build     ident.Build
+	Remaining unit.Duration // time within which the caller may come back
+}
+
+// Statement is what a holder says of a stream.
+type Statement struct {
+	Known bool        // the holder was told the build of the stream
+	Build ident.Build // that build, or else the only one of the service before streams were told; "" if not known
+}
+
+// State says that a service has or had several builds, as one instance tells another.
+type State struct {
+	Service   ident.Service
+	Since     unit.Duration // time since the sender knows of a second build
+	LastKnown unit.Duration // time since it last knew of two
+}
+
+// Change is a change of the builds of a service, for the log.
+type Change struct {
+	Service ident.Service
+	Builds  []ident.Build // of its registered upstreams, sorted
+	Several bool          // streams are told to holders
+	Before  ident.Build   // the only build before; "" if not known
+}
+
+// Tracker knows the builds of all services on behalf of one instance. Its methods are safe for
+// concurrent use.
+type Tracker struct {
+	cfg Settings
+
+	mu       sync.Mutex
+	started  time.Time
+	services map[ident.Service]*service
+	records  map[ident.Request]record
+	order    []ident.Request // keys of records, the oldest first
+	changes  []Change
+}
+
+// record is a Record as a holder keeps it.
+type record struct {
+	service ident.Service
+	build   ident.Build
+	until   time.Time
+}
+
+// service is the state of one service.
+type service struct {
+	builds  []ident.Build // of its registered upstreams, sorted
+	present map[ident.Build]presence
+	only    ident.Build // the only build known, while several is false
+	since   time.Time   // when it became the only one
+
+	several   bool // streams are told to holders
+	began     time.Time
+	lastKnown time.Time   // when two builds were last known
+	before    ident.Build // the only build before began; "" if not known
+}
+
+// presence is whether upstreams of a build serve.
+type presence struct {
+	serving  bool      // an upstream that does not leave is registered
+	left     bool      // the last ones that were registered were leaving
+	vanished time.Time // when the last one that served disappeared without leaving
+}
+
+// New returns a Tracker that knows no upstreams yet.
+func New(cfg Settings, now time.Time) *Tracker {
+	unit.SetDefault(&cfg.Life, defaultLife)
+	unit.SetDefault(&cfg.ReturnTime, defaultReturnTime)
+	unit.SetDefault(&cfg.Settle, defaultSettle)
+	if cfg.MaxRecords <= 0 {
+		cfg.MaxRecords = defaultMaxRecords
+	}
+	return &Tracker{cfg: cfg, started: now, services: make(map[ident.Service]*service), records: make(map[ident.Request]record)}
+}
+
+// service returns the state of a service and creates it if needed. t.mu must be held.
+func (t *Tracker) service(name ident.Service) *service {
+	s, ok := t.services[name]
+	if !ok {
+		s = &service{present: make(map[ident.Build]presence)}
+		t.services[name] = s
+	}
+	return s
+}
+
+// SetUpstreams sets the registered upstreams, including those that leave.
+func (t *Tracker) SetUpstreams(list []directory.Upstream, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	serving := make(map[ident.Service]map[ident.Build]bool)
+	for _, u := range list {
+		if serving[u.Service] == nil {
+			serving[u.Service] = make(map[ident.Build]bool)
+		}
+		serving[u.Service][u.Build] = serving[u.Service][u.Build] || !u.Draining
+	}
+	for name := range t.services {
+		if serving[name] == nil {
+			serving[name] = nil
+		}
+	}
+	for name, builds := range serving {
+		t.setBuilds(name, builds, now)
+	}
+}
+
+// setBuilds sets the builds of the registered upstreams of a service, and whether any of each does
+// not leave. t.mu must be held.
+func (t *Tracker) setBuilds(name ident.Service, serving map[ident.Build]bool, now time.Time) {
+	s := t.service(name)
+	names := make([]ident.Build, 0, len(serving))
+	for b, serves := range serving {
+		names = append(names, b)
+		s.present[b] = presence{serving: serves, left: !serves}
+	}
+	for b, p := range s.present {
+		if _, registered := serving[b]; !registered && p.serving {
+			s.present[b] = presence{vanished: now}
+		}
+	}
+	slices.Sort(names)
+	changed := !slices.Equal(names, s.builds)
+	s.builds = names
+	switch {
+	case len(names) == 0:
+	case len(names) > 1 || !s.several && s.only != "" && names[0] != s.only:
+		s.enter(now)
+		s.lastKnown = now
+	case names[0] != s.only:
+		s.only, s.since = names[0], now
+	}
+	if changed && len(names) > 0 {
+		t.changes = append(t.changes, Change{name, names, s.several, s.before})
+	}
+}
+
+// enter begins the time in which streams are told to holders, since a second build became known at
+// began.
+func (s *service) enter(began time.Time) {
+	if s.several {
+		return
+	}
+	s.several, s.began, s.before = true, began, ""
+	if s.only != "" && !s.since.After(began) {
+		s.before = s.only
+	}
+	s.only = ""
+	if len(s.builds) == 1 {
+		s.only, s.since = s.builds[0], began
+	}
+}
+
+// update ends that time if no stream that began while there were two builds can still be taken up.
+func (s *service) update(life time.Duration, now time.Time) {
+	switch {
+	case len(s.builds) > 1:
+		s.lastKnown = now
+	case s.several && now.Sub(s.lastKnown) > life:
+		s.several, s.before = false, ""
+	}
+}
+
+// Several reports whether a service has several builds, or had within Settings.Life.
+func (t *Tracker) Several(name ident.Service, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.services[name]
+	if !ok {
+		return false
+	}
+	s.update(t.cfg.Life, now)
+	return s.several
+}
+
+// Named reports whether upstreams of a service name their builds.
+func (t *Tracker) Named(name ident.Service) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.services[name]
+	return ok && slices.ContainsFunc(s.builds, func(b ident.Build) bool { return b != "" })
+}
+
+// Settled reports whether this instance has run for long enough to know of all recent builds.
+func (t *Tracker) Settled(now time.Time) bool { return now.Sub(t.started) >= t.cfg.Settle }
+
+// Serving reports whether streams of a build may go on: an upstream of it is registered and does not
+// leave, or the last ones disappeared a moment ago and may come back.
+func (t *Tracker) Serving(name ident.Service, build ident.Build, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.services[name]
+	if !ok {
+		return false
+	}
+	p, ok := s.present[build]
+	return ok && !p.left && (p.serving || now.Sub(p.vanished) <= t.cfg.ReturnTime)
+}
+
+// Record keeps the build at which a stream began.
+func (t *Tracker) Record(r Record, now time.Time) {
+	if r.Origin == "" || r.Build == "" {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, ok := t.records[r.Origin]; !ok {
+		t.order = append(t.order, r.Origin)
+	}
+	t.records[r.Origin] = record{r.Service, r.Build, now.Add(min(max(0, r.Remaining.Std()), t.cfg.Life))}
+	for len(t.order) > 0 && (len(t.records) > t.cfg.MaxRecords || now.After(t.records[t.order[0]].until)) {
+		delete(t.records, t.order[0])
+		t.order = t.order[1:]
+	}
+}
+
+// Records returns the number of streams whose build is kept.
+func (t *Tracker) Records() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.records)
+}
+
+// Find returns what this instance knows of a stream.
+func (t *Tracker) Find(origin ident.Request, name ident.Service, now time.Time) Statement {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.records[origin]; ok && r.service == name {
+		return Statement{Known: true, Build: r.build}
+	}
+	s, ok := t.services[name]
+	if !ok {
+		return Statement{}
+	}
+	s.update(t.cfg.Life, now)
+	switch {
+	case !s.several && now.Sub(s.since) >= t.cfg.Settle:
+		return Statement{Build: s.only}
+	case s.several && now.Sub(s.began) <= t.cfg.Life:
+		return Statement{Build: s.before}
+	}
+	return Statement{}
+}
+
+// minAgreeing is the number of holders that must state the same build of a stream that none of them
+// was told of. A stream is told to at least three if there are as many.
+const minAgreeing = 2
+
+// Conclude returns the build of a stream from the statements of its holders, of which there are
+// holders at most. It returns false if they do not tell.
+func Conclude(statements []Statement, holders int) (ident.Build, bool) {
+	var build ident.Build
+	agreeing := 0
+	for _, s := range statements {
+		switch {
+		case s.Known:
+			return s.Build, true
+		case s.Build == "":
+		case agreeing > 0 && s.Build != build:
+			return "", false
+		default:
+			build = s.Build
+			agreeing++
+		}
+	}
+	return build, agreeing >= max(1, min(minAgreeing, holders))
+}
+
+// Report returns the services with several builds, for other instances.
+func (t *Tracker) Report(now time.Time) []State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []State
+	for name, s := range t.services {
+		s.update(t.cfg.Life, now)
+		if s.several {
+			out = append(out, State{name, unit.Duration(now.Sub(s.began)), unit.Duration(now.Sub(s.lastKnown))})
+		}
+	}
+	return out
+}
+
+// Merge adds what another instance knows of services with several builds.
+func (t *Tracker) Merge(list []State, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range list {
+		since, lastKnown := max(0, r.Since.Std()), max(0, r.LastKnown.Std())
+		if lastKnown > t.cfg.Life {
+			continue
+		}
+		s := t.service(r.Service)
+		if at := now.Add(-lastKnown); at.After(s.lastKnown) {
+			s.lastKnown = at
+		}
+		if s.several {
+			continue
+		}
+		s.enter(now.Add(-since))
+		t.changes = append(t.changes, Change{r.Service, s.builds, true, s.before})
+	}
+}
+
+// TakeChanges returns the changes since the last call.
+func (t *Tracker) TakeChanges() []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.changes
+	t.changes = nil
+	return c
+}
--- a/dispatch/copy.go
+++ b/dispatch/copy.go
@@ -75,7 +75,7 @@
 	k.release(now)
 	exclude := append(k.d.limits.Limited(k.w.Service.Name), k.run.ID)
 	request := fleet.PickRequest{
-		Service: k.w.Service.Name, ExcludeDomain: k.run.Domain, Exclude: append(exclude, k.exclude...), MinFreeShare: holderMinFreeShare,
+		Service: k.w.Service.Name, Build: k.d.buildFor(k.w.Service.Name, k.run.Build, now), ExcludeDomain: k.run.Domain, Exclude: append(exclude, k.exclude...), MinFreeShare: holderMinFreeShare,
 	}
 	u, kind := k.d.fleet.Pick(request, now)
 	if kind != routing.Send {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"crocuslug/builds"
 	"crocuslug/directory"
 	"crocuslug/exchange"
 	"crocuslug/fleet"
@@ -40,11 +41,14 @@
 	// poison records the crashes of engines and knows which requests cause them.
 	poison   *poison.Tracker
 	limits   *upstreamlimit.Limits
+	builds   *builds.Tracker
 	prompts  *prompts
 	meters   *meter.Meters
 	queueSeq atomic.Uint64 // number of the last queued stream, see waiterID
 
 	askPermits func(ctx context.Context, r upstreamlimit.Request) (upstreamlimit.Answer, error)
+	tellOrigin func(r builds.Record) (told <-chan struct{})
+	findOrigin func(ctx context.Context, w *work.Work) (build *ident.Build, found bool)
 
 	mu             sync.Mutex
 	budget         retry.Settings
@@ -62,6 +66,13 @@
 	Limits   *upstreamlimit.Limits
 	// AskPermits asks the instance that issues them for permits.
 	AskPermits func(ctx context.Context, r upstreamlimit.Request) (upstreamlimit.Answer, error)
+	Builds     *builds.Tracker
+	// TellOrigin tells other instances at which build a stream begins. The channel is closed once
+	// they know it, or after a short time.
+	TellOrigin func(r builds.Record) (told <-chan struct{})
+	// FindOrigin returns the build at which a stream began that its caller takes up, nil if the
+	// service has one build only, and false if it is not known.
+	FindOrigin func(ctx context.Context, w *work.Work) (build *ident.Build, found bool)
 	Meters     *meter.Meters
 	Budget     retry.Settings // settings of the retry budget of each service
 	Timer      *timer.Service
@@ -79,6 +90,9 @@
 		poison:         p.Poison,
 		limits:         p.Limits,
 		askPermits:     p.AskPermits,
+		builds:         p.Builds,
+		tellOrigin:     p.TellOrigin,
+		findOrigin:     p.FindOrigin,
 		prompts:        newPrompts(),
 		meters:         p.Meters,
 		timer:          p.Timer,
@@ -132,6 +146,7 @@
 	silent      []ident.Upstream // upstreams that were left because they were silent; tried again after a wait
 	declined    []ident.Upstream // upstreams that did not accept the request; tried again after a wait
 	lostDomain  ident.Domain     // failure domain of the last failed upstream; avoided if there are others
+	build       *ident.Build     // build at which the rest of the answer must be produced; nil if any will do
 	lastFailure string           // reason of the last failure
 	answering   time.Time        // when the answer to the current attempt began; zero before
 }
@@ -176,7 +191,7 @@
 func (d *Dispatcher) pickRequest(a *attempts, now time.Time) fleet.PickRequest {
 	return fleet.PickRequest{
 		Service: a.w.Service.Name, Tokens: a.w.Tokens, Blocks: a.w.Blocks, Sizes: a.w.Sizes,
-		Exclude: d.unavailable(a, now), ExcludeDomain: a.lostDomain, RequireIdle: a.requireIdle, UnreadTokens: a.w.PromptTokens,
+		Exclude: d.unavailable(a, now), Build: a.build, ExcludeDomain: a.lostDomain, RequireIdle: a.requireIdle, UnreadTokens: a.w.PromptTokens,
 	}
 }
 
@@ -205,6 +220,9 @@
 	if usable, blocked := d.blocked(a, now); len(blocked) > 0 && len(blocked) == len(usable) {
 		return directory.Upstream{}, d.refuseAtLimit(a, blocked, now), false
 	}
+	if refusal := d.checkBuild(a, now); refusal != nil {
+		return directory.Upstream{}, refusal, false
+	}
 	n := d.fleet.Count(a.w.Service.Name)
 	detail := fmt.Sprintf("no upstream of service %q accepts the request: %d registered, %d leaving, %d out, %d replaced, %d excluded",
 		a.w.Service.Name, n.Registered, n.Leaving, n.Out, n.Replaced, len(request.Exclude))
--- a/dispatch/patience.go
+++ b/dispatch/patience.go
@@ -30,7 +30,7 @@
 		longest: d.cfg.MaxPause,
 		hasOther: func() bool {
 			blocked := d.limits.Blocked(s.w.Service.Name, d.timer.Now())
-			return d.fleet.HasOther(s.w.Service.Name, append(blocked, exclude...))
+			return d.fleet.HasOther(s.w.Service.Name, s.build, append(blocked, exclude...))
 		},
 		hasCopy: s.copies.hasCopy,
 	}
--- a/dispatch/pause_test.go
+++ b/dispatch/pause_test.go
@@ -24,9 +24,9 @@
 func TestPausedDomain(t *testing.T) {
 	cluster := &cluster{}
 	for _, name := range []string{"a", "b"} {
-		cluster.add(t, name, "near", []string{"stream:1-2:whole"})
+		cluster.add(t, name, "near", "", []string{"stream:1-2:whole"})
 	}
-	cluster.add(t, "c", "far", []string{"stream:1-2:whole"})
+	cluster.add(t, "c", "far", "", []string{"stream:1-2:whole"})
 	for _, e := range cluster.engines[:2] {
 		e.still.Lock()
 		time.AfterFunc(pauseTime, e.still.Unlock)
--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -87,7 +87,7 @@
 	if len(blocked) == 0 {
 		return nil, nil
 	}
-	usable = d.fleet.Usable(a.w.Service.Name, a.excluded())
+	usable = d.fleet.Usable(a.w.Service.Name, a.build, a.excluded())
 	return usable, slices.DeleteFunc(blocked, func(id ident.Upstream) bool { return !slices.Contains(usable, id) })
 }
 
@@ -172,6 +172,9 @@
 		if slices.Contains(request.Exclude, id) {
 			continue
 		}
+		if u, ok := d.fleet.Upstream(id); !ok || request.Build != nil && (*request.Build == "" || *request.Build != u.Build) {
+			continue
+		}
 		if u, ok := d.fleet.Reserve(id, now); ok {
 			d.fleet.AddUnreadTokens(id, request.UnreadTokens, now)
 			if d.takePermit(id, request.UnreadTokens, now) {
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"crocuslug/builds"
 	"crocuslug/directory"
 	"crocuslug/exchange"
 	"crocuslug/fleet"
@@ -47,7 +48,9 @@
 	service  directory.Service
 	budget   retry.Settings
 	deadline time.Duration
-	memory   int64 // bound on answers in memory in bytes; 0 means the default
+	origin   *ident.Build // build of the stream that the caller takes up; nil if it takes none up, "" if it is not known
+	publish  func()       // passes list to the dispatcher
+	memory   int64        // bound on answers in memory in bytes; 0 means the default
 }
 
 // TestScripts runs the scripts in testdata/*.txt. The near failure domain is that of the
@@ -56,14 +59,15 @@
 //	route KIND [resumable] [attempts=N] [budget=RETRIES] [deadline=DURATION]
 //	                   the budget, if it is set, grows by other requests up to RETRIES
 //	memory BYTES           the bound on answers in memory
-//	engine NAME DOMAIN COMMAND ...
+//	engine NAME DOMAIN[/BUILD] COMMAND ...
+//	origin BUILD           the caller takes up a stream after piece 3 that began at a build; - if that is not known
 //	want RESULT        "200 BODY", "pieces 1-5", "cut 1-3", "refused NotRun" or "refused Unknown"
 //	request ENGINE ...     a request received by an engine, in order
 //
 // The commands of an engine are ok:BODY, late:BODY (after pauseTime), status:N, refuse,
 // replaced, drop, unsigned, still:N-M (the engine answers nobody for pauseTime, then streams),
 // and stream:N-M:END, where END is whole, drop, drop-late (after minRunTime), hang, pause-K
-// (silence for pauseTime, then the pieces up to K) or crash (after minRunTime the engine is
+// (silence for pauseTime, then the pieces up to K), leave (it registers as leaving) or crash (after minRunTime the engine is
 // gone); bare, see engine.bare; flood, see engine.flood; and long:BYTES for a stream of one
 // event of that size.
 func TestScripts(t *testing.T) { runScripts(t, "testdata/*.txt") }
@@ -77,6 +81,9 @@
 	retriesPerRequest    = 0.5
 )
 
+// takenUpAfter is the last piece that the caller has of a stream that it takes up.
+const takenUpAfter = 3
+
 // pauseTime is how long a sound engine pauses.
 const pauseTime = 1200 * time.Millisecond
 
@@ -113,7 +120,11 @@
 		case "memory":
 			wd.memory, _ = strconv.ParseInt(w[1], 10, 64)
 		case "engine":
-			wd.add(t, w[1], ident.Domain(w[2]), w[3:])
+			domain, build, _ := strings.Cut(w[2], "/")
+			wd.add(t, w[1], ident.Domain(domain), ident.Build(build), w[3:])
+		case "origin":
+			build := ident.Build(strings.TrimPrefix(w[1], "-"))
+			wd.origin = &build
 		case "want":
 			want = strings.Join(w[1:], " ")
 		case "request":
@@ -167,7 +178,7 @@
 	}
 }
 
-func (wd *cluster) add(t *testing.T, name string, domain ident.Domain, words []string) {
+func (wd *cluster) add(t *testing.T, name string, domain ident.Domain, build ident.Build, words []string) {
 	e := &engine{name: name, script: words, cluster: wd}
 	e.http = httptest.NewServer(http.HandlerFunc(e.serve))
 	t.Cleanup(func() {
@@ -180,10 +191,21 @@
 		Service: "s",
 		Address: e.http.Listener.Addr().String(),
 		Domain:  domain,
+		Build:   build,
 		Slots:   64,
 	})
 }
 
+// leave registers an engine as leaving.
+func (wd *cluster) leave(name string) {
+	wd.mu.Lock()
+	defer wd.mu.Unlock()
+	for i := range wd.list {
+		wd.list[i].Draining = wd.list[i].Draining || string(wd.list[i].ID) == name
+	}
+	wd.publish()
+}
+
 // nameOf returns the name of the engine at an address, or "-".
 func (wd *cluster) nameOf(address string) string {
 	for _, u := range wd.list {
@@ -259,6 +281,9 @@
 		<-time.After(pauseTime)
 		last, _ := strconv.Atoi(pause)
 		e.writePieces(w, to+1, last)
+	case "leave":
+		e.cluster.leave(e.name)
+		panic(http.ErrAbortHandler)
 	case "crash":
 		<-time.After(minRunTime)
 		_ = e.http.Listener.Close()
@@ -328,6 +353,7 @@
 		Client:   c,
 		Poison:   poison.New(),
 		Limits:   upstreamlimit.New(),
+		Builds:   builds.New(builds.Settings{}, clock.Now()),
 		Meters:   meter.New(clock),
 		Budget:   retry.Settings{Burst: 100, MaxAttempts: 8},
 		Timer:    clock,
@@ -344,11 +370,21 @@
 	go clock.Run(ctx)
 	random := func() uint64 { return 0 }
 	f := fleet.New(fleet.Settings{Domain: "near"}, random, zerolog.Nop())
-	f.SetUpstreams(wd.list, func(ident.Service) int { return wd.service.Memory }, clock.Now())
 	client := exchange.New(exchange.Settings{MaxBuffered: wd.memory}, clock)
 	defer client.Close()
 	dependencies := testDependencies(testProtocol(), f, client, clock, zerolog.Nop())
 	dependencies.Budget = wd.budget
+	wd.publish = func() {
+		f.SetUpstreams(wd.list, func(ident.Service) int { return wd.service.Memory }, clock.Now())
+		dependencies.Builds.SetUpstreams(wd.list, clock.Now())
+	}
+	wd.publish()
+	dependencies.TellOrigin = func(builds.Record) <-chan struct{} {
+		told := make(chan struct{})
+		close(told)
+		return told
+	}
+	dependencies.FindOrigin = func(context.Context, *work.Work) (*ident.Build, bool) { return wd.origin, *wd.origin != "" }
 	d := New(Settings{DefaultGap: 300 * time.Millisecond, MaxResumeWait: 3 * time.Second}, dependencies)
 	if wd.budget.RetryRatio > 0 {
 		clock.Every(otherRequestInterval, func(time.Time) { d.retryBudget(wd.service.Name).AddRequest() })
@@ -363,6 +399,9 @@
 		Host:     "h",
 		Header:   http.Header{},
 	}
+	if wd.origin != nil {
+		w.Resumes, w.LastPiece, w.Origin = true, takenUpAfter, "r0"
+	}
 	if wd.route.Kind != directory.Streaming {
 		reply, refusal := d.Call(ctx, w)
 		if refusal != nil {
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -33,6 +33,10 @@
 	waiting   bool           // the stream waits or has waited for an upstream since the loss
 	whole     *Reply         // answer that is not a stream, to be returned whole
 
+	sentTo     directory.Upstream // as registered when the current attempt was sent
+	keepsBuild bool               // a piece was delivered, so that build is final
+	told       <-chan struct{}    // closed when other instances know the build of the current attempt; nil if they need not
+
 	gotPiece    bool      // the current attempt has received a piece
 	cleared     bool      // its answer has cleared the parts of its prompt
 	delimited   bool      // its answer says where it ends
@@ -55,6 +59,9 @@
 	defer d.endWait(s)
 	ctx, cancel := d.withDeadline(ctx, w.Deadline)
 	defer cancel()
+	if refusal := d.findBuild(ctx, s); refusal != nil {
+		return nil, false, refusal
+	}
 	var runCopy *work.Copy // copy of the lost run
 	for {
 		now := d.timer.Now()
@@ -82,8 +89,9 @@
 			return nil, s.started, refusal
 		}
 		s.sends++
-		s.upstream = u.ID
+		s.upstream, s.sentTo = u.ID, u
 		d.countSend(s, from)
+		d.tellBuild(s, u)
 		forget := d.prompts.add(u.ID, w.Blocks)
 		v, done := d.attempt(ctx, s, u, from, now)
 		forget()
@@ -207,7 +215,7 @@
 	}
 	if runCopy != nil && !d.fleet.MemoryLost(runCopy.Holder, now) {
 		u, ok := d.fleet.Reserve(runCopy.Holder, now)
-		if ok && u.Address == runCopy.Address && d.takePermit(u.ID, 0, now) {
+		if ok && u.Address == runCopy.Address && (s.build == nil || *s.build == u.Build) && d.takePermit(u.ID, 0, now) {
 			return u, runCopy, nil
 		}
 	}
@@ -215,7 +223,7 @@
 		return directory.Upstream{}, nil, refusal
 	}
 	now = d.timer.Now() // the stream may have waited for a permit
-	if s.runs == 0 {
+	if s.runs == 0 && s.build == nil {
 		u, refusal := d.admit(ctx, s, now)
 		return u, nil, refusal
 	}
@@ -330,7 +338,7 @@
 		}
 		s.gotPiece, s.pausing, s.lastPieceAt, lastAlive = true, false, now, d.timer.Uptime()
 		limit = min(s.gaps.GapTimeout(), s.maxGap)
-		if v, ok := d.deliver(s, ans, p); !ok {
+		if v, ok := d.deliver(ctx, s, id, ans, p); !ok {
 			return v, false
 		}
 		if !s.cleared && s.proven(now) {
@@ -342,7 +350,7 @@
 }
 
 // deliver passes a piece to the caller, unless the caller already has it.
-func (d *Dispatcher) deliver(s *stream, ans *exchange.Answer, p pieces.Piece) (sendFailure, bool) {
+func (d *Dispatcher) deliver(ctx context.Context, s *stream, id ident.Upstream, ans *exchange.Answer, p pieces.Piece) (sendFailure, bool) {
 	if p.HasNumber {
 		if p.Number <= s.lastPiece && s.resumes {
 			return sendFailure{}, true
@@ -351,6 +359,9 @@
 			return sendFailure{outcome: fleet.Failed, mayHaveRun: true, cause: incorrect, reason: "a piece of the stream is missing"}, false
 		}
 	}
+	if !s.keepsBuild {
+		d.keepBuild(ctx, s, id)
+	}
 	if !s.started {
 		s.started = true
 		if err := s.sink.Begin(ans.Status, ans.Header); err != nil {
--- a/dispatch/stream_test.go
+++ b/dispatch/stream_test.go
@@ -64,7 +64,7 @@
 func TestAttemptReset(t *testing.T) {
 	t.Parallel()
 	wd := &cluster{}
-	wd.add(t, "a", "near", []string{"drop"})
+	wd.add(t, "a", "near", "", []string{"drop"})
 	d, w := newStreamTest(t, wd, Settings{})
 	s := &stream{attempts: attempts{w: w, sends: 2, runs: 1}, copies: newCopyManager(d, w), gotPiece: true, pausing: true}
 	s.gaps, s.maxGap = d.silenceDetector(w)
@@ -93,8 +93,8 @@
 	}
 	for _, tc := range tests {
 		wd := &cluster{}
-		wd.add(t, "a", "near", []string{tc.first})
-		wd.add(t, "b", "far", []string{"stream:1-3:whole"})
+		wd.add(t, "a", "near", "", []string{tc.first})
+		wd.add(t, "b", "far", "", []string{"stream:1-3:whole"})
 		d, w := newStreamTest(t, wd, Settings{DefaultGap: 100 * time.Millisecond, FirstPieceTimeout: tc.firstPieceTimeout, MaxPause: 200 * time.Millisecond})
 		w.Route.MaxAttempts = 2 // the second engine is not left, however slow it is
 		_, _, _ = d.Stream(context.Background(), w, (&receivedStream{}).sink())
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -12,6 +12,7 @@
 	"github.com/zeebo/errs"
 
 	"crocuslug/background"
+	"crocuslug/builds"
 	"crocuslug/directory"
 	"crocuslug/dispatch"
 	"crocuslug/exchange"
@@ -57,6 +58,7 @@
 	exchange       *exchange.Client
 	poison         *poison.Tracker
 	upstreamLimits *upstreamlimit.Limits
+	builds         *builds.Tracker
 	dispatcher     *dispatch.Dispatcher
 	server         *ingress.Server
 	link           *peerlink.Link
@@ -123,6 +125,7 @@
 		exchange:       exchange.New(exchange.Settings{}, t),
 		poison:         poison.New(),
 		upstreamLimits: upstreamlimit.New(),
+		builds:         builds.New(builds.Settings{}, t.Now()),
 		meters:         meter.New(t),
 		self:           ident.Instance(cfg.PeerListen),
 		digestRound:    rand.IntN(maxDigestRound),
@@ -157,6 +160,9 @@
 		Limits:   e.upstreamLimits,
 
 		AskPermits: e.askPermits,
+		Builds:     e.builds,
+		TellOrigin: e.tellOrigin,
+		FindOrigin: e.findOrigin,
 
 		Meters: e.meters,
 		Budget: e.budget(),
@@ -261,6 +267,7 @@
 	e.dispatcher.Tick(now)
 	e.poison.Tick(now)
 	e.logBans()
+	e.logBuilds()
 }
 
 // Times of a planned shutdown.
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -49,6 +49,7 @@
 		line("Limit."+string(s.Upstream)+".PerSecond", s.Rate)
 		line("Limit."+string(s.Upstream)+".AgeMs", s.Age.Std().Milliseconds())
 	}
+	line("Origins.Held", e.builds.Records())
 	line("Connections.Open", e.server.Open())
 	line("Upstreams.Registered", len(e.registry.All()))
 	for _, name := range e.fleet.Services() {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"crocuslug/builds"
 	"crocuslug/ident"
 	"crocuslug/peerlink"
 	"crocuslug/poison"
@@ -86,6 +87,8 @@
 	Poison   poison.Report                    `json:",omitzero"` // crashes of engines, and what is refused because of them
 	// Limits are what upstreams have said about the requests that they take.
 	Limits []upstreamlimit.Statement `json:",omitempty"`
+	// Builds are the services with several software versions of upstreams.
+	Builds []builds.State `json:",omitempty"`
 	// Restarts are those of upstreams that were found without the store.
 	Restarts []restart `json:",omitempty"`
 }
@@ -117,6 +120,8 @@
 		return e.changesSince(q), nil
 	})
 	e.link.Handle(permitsMethod, e.handlePermits)
+	e.link.Handle(tellOriginMethod, e.handleTellOrigin)
+	e.link.Handle(findOriginMethod, e.handleFindOrigin)
 	now := e.timer.Now()
 	for _, s := range e.cfg.Seeds {
 		e.addPeer(presence{Instance: ident.Instance(s)}, now)
@@ -175,7 +180,7 @@
 	if cur := e.current.Load(); cur != nil {
 		d.Configuration = cur.Version
 	}
-	d.Poison, d.Limits = e.poison.Report(now), e.upstreamLimits.Report(now)
+	d.Poison, d.Limits, d.Builds = e.poison.Report(now), e.upstreamLimits.Report(now), e.builds.Report(now)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	d.Seen, d.StoreAge = e.view.Seen(), unit.Duration(e.view.Age(e.timer.Uptime()))
@@ -312,6 +317,7 @@
 	}
 	e.poison.Merge(d.Poison, now)
 	e.mergeLimits(d.Limits, from, now)
+	e.builds.Merge(d.Builds, now)
 	e.applyRestarts(d.Restarts, from, now)
 	if behind {
 		e.tasks.Go(func() { e.catchUp(from) })
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -291,6 +291,7 @@
 // tokens.
 func (e *Edge) publish(now time.Time) {
 	d := e.current.Load()
+	e.builds.SetUpstreams(e.registry.All(), now)
 	e.upstreamLimits.SetUpstreams(e.registry.All())
 	e.fleet.SetUpstreams(e.registry.All(), func(s ident.Service) int {
 		if d == nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -187,7 +187,7 @@
 	}
 	g.recordSize(a.Tokens, f)
 	d := g.chooser.Choose(routing.Request{
-		Blocks: a.Blocks, Sizes: a.Sizes, PromptTokens: a.Tokens, Exclude: a.Exclude, ExcludeDomain: a.ExcludeDomain, Resumed: a.AllowFull,
+		Blocks: a.Blocks, Sizes: a.Sizes, PromptTokens: a.Tokens, Exclude: a.Exclude, ExcludeDomain: a.ExcludeDomain, Build: a.Build, Resumed: a.AllowFull,
 		RequireIdle: a.RequireIdle, MinFreeShare: a.MinFreeShare, MaxBacklog: a.MaxBacklog, RespectShares: len(f.instances) <= maxSharingInstances,
 	}, now)
 	if d.Kind != routing.Send {
@@ -202,13 +202,14 @@
 }
 
 // HasOther reports whether a service has an upstream in rotation that is not in exclude and
-// does not leave.
-func (f *Fleet) HasOther(service ident.Service, exclude []ident.Upstream) bool {
-	return len(f.Usable(service, exclude)) > 0
+// does not leave. If build is not nil, only upstreams of that build count.
+func (f *Fleet) HasOther(service ident.Service, build *ident.Build, exclude []ident.Upstream) bool {
+	return len(f.Usable(service, build, exclude)) > 0
 }
 
-// Usable returns the upstreams of a service in rotation that are not in exclude and do not leave.
-func (f *Fleet) Usable(service ident.Service, exclude []ident.Upstream) []ident.Upstream {
+// Usable returns the upstreams of a service in rotation that are not in exclude and do not leave. If
+// build is not nil, only upstreams of that build are returned.
+func (f *Fleet) Usable(service ident.Service, build *ident.Build, exclude []ident.Upstream) []ident.Upstream {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	g, ok := f.services[service]
@@ -217,6 +218,9 @@
 	}
 	var out []ident.Upstream
 	for _, u := range g.list {
+		if build != nil && (*build == "" || *build != u.Build) {
+			continue
+		}
 		if _, replaced := f.replaced[u.ID]; !replaced && !u.Draining && !g.tracker.Out(u.ID) && !slices.Contains(exclude, u.ID) {
 			out = append(out, u.ID)
 		}
@@ -224,6 +228,14 @@
 	return out
 }
 
+// Upstream returns an upstream as it is registered now.
+func (f *Fleet) Upstream(id ident.Upstream) (directory.Upstream, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u, ok := f.upstreams[id]
+	return u, ok
+}
+
 // Ready reports whether an upstream of the service can accept a waiting request now.
 func (f *Fleet) Ready(service ident.Service, now time.Time) bool {
 	f.mu.Lock()
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -149,7 +149,7 @@
 			for _, id := range w[2:] {
 				exclude = append(exclude, ident.Upstream(id))
 			}
-			if got, want := f.HasOther("s", exclude), w[1] == "yes"; got != want {
+			if got, want := f.HasOther("s", nil, exclude), w[1] == "yes"; got != want {
 				t.Errorf("line %d: %s: got %t, want %t", n+1, line, got, want)
 			}
 		case "none":
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -57,6 +57,7 @@
 			Domain:   u.Domain,
 			Leaving:  u.Draining,
 			Near:     u.Domain == f.cfg.Domain,
+			Build:    u.Build,
 			InShare:  inShare[u.ID],
 		})
 	}
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -61,6 +61,7 @@
 	Blocks  []prefix.Block   // blocks of the prompt
 	Sizes   []int            // tokens of each of Blocks
 	Exclude []ident.Upstream // upstreams not to be chosen
+	Build   *ident.Build     // if not nil, only upstreams of this build are chosen, and none if it is ""
 
 	ExcludeDomain ident.Domain // if set, no upstream of this failure domain is chosen
 	AllowFull     bool         // a full upstream may be chosen
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -302,11 +302,29 @@
 	}
 	u.ID = id
 	u.Born = 0
+	if r.severalBuilds(u.Service) {
+		u.Build = "" // the new process may be of any of them
+	}
 	r.drop(former, u.Revision, now)
 	r.upstreams[id] = u
 	return true
 }
 
+// severalBuilds reports whether the upstreams of a service have different builds. r.mu must be held.
+func (r *Registry) severalBuilds(service ident.Service) bool {
+	var build *ident.Build
+	for _, u := range r.upstreams {
+		if u.Service != service {
+			continue
+		}
+		if build != nil && *build != u.Build {
+			return true
+		}
+		build = &u.Build
+	}
+	return false
+}
+
 // ByAddress returns the upstream that registered last at an address. Its ID is empty if there
 // is none.
 func (r *Registry) ByAddress(address string) directory.Upstream {
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -141,3 +141,21 @@
 	}
 	return n
 }
+
+// TestRestartBuild guards against an upstream that was found without the store and counts as one of the
+// software version that its former process had, while its service has several.
+func TestRestartBuild(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, tc := range []struct{ other, want ident.Build }{{"v1", "v1"}, {"v2", ""}} {
+		r := New(Settings{})
+		r.Set(directory.Upstream{ID: "a", Service: "s", Address: "1:1", Build: "v1", Revision: 1})
+		r.Set(directory.Upstream{ID: "b", Service: "s", Address: "2:1", Build: tc.other, Revision: 2})
+		r.Set(directory.Upstream{ID: "c", Service: "t", Address: "3:1", Build: "v3", Revision: 3})
+		if !r.RecordRestart("a", "d", now) {
+			t.Fatal("RecordRestart: got false, want true")
+		}
+		if got := r.ByAddress("1:1"); got.ID != "d" || got.Build != tc.want {
+			t.Errorf("beside a build %q: got %s of build %q, want d of %q", tc.other, got.ID, got.Build, tc.want)
+		}
+	}
+}
--- a/result/result.go
+++ b/result/result.go
@@ -32,6 +32,8 @@
 	NoUpstream           Code = 204
 	InstanceLeaving      Code = 205
 	UpstreamLimit        Code = 206
+	BuildUnknown         Code = 207
+	BuildGone            Code = 208
 	GenerationLost       Code = 301
 	CannotContinue       Code = 302
 	RequestCrashes       Code = 303
@@ -91,6 +93,8 @@
 	DeadlineInfeasible:   {"DeadlineInfeasible", http.StatusServiceUnavailable, 5, "The request cannot start before its deadline."},
 	NoUpstream:           {"NoUpstream", http.StatusServiceUnavailable, 5, "No upstream in reach serves this."},
 	InstanceLeaving:      {"InstanceLeaving", http.StatusServiceUnavailable, 5, "This instance is leaving and takes no new work."},
+	BuildUnknown:         {"BuildUnknown", http.StatusServiceUnavailable, 5, "The software version that began the stream is not known here."},
+	BuildGone:            {"BuildGone", http.StatusServiceUnavailable, 5, "No upstream of the software version that began the stream is left."},
 	UpstreamLimit:        {"UpstreamLimit", http.StatusServiceUnavailable, 5, "The upstreams that serve this are at the limits that they have named."},
 	GenerationLost:       {"GenerationLost", http.StatusGone, 6, "The generation is lost; discard what was delivered."},
 	CannotContinue:       {"CannotContinue", http.StatusGone, 6, "The engine cannot continue this answer; discard what was delivered."},
--- a/routing/engine.go
+++ b/routing/engine.go
@@ -115,6 +115,9 @@
 	if r.ExcludeDomain != "" && r.ExcludeDomain == e.Domain {
 		return false
 	}
+	if r.Build != nil && (*r.Build == "" || *r.Build != e.Build) {
+		return false
+	}
 	return !contains(r.Exclude, e.Upstream)
 }
 
--- a/routing/types.go
+++ b/routing/types.go
@@ -95,6 +95,7 @@
 	Leaving  bool         // accepts no new work
 	Domain   ident.Domain // failure domain; needed only for Request.ExcludeDomain
 	Near     bool         // in this instance's subset, whose load is polled
+	Build    ident.Build  // version of its software; needed only for Request.Build
 	InShare  bool         // in this instance's share; needed only for Request.RequireIdle and Request.RespectShares
 }
 
@@ -124,6 +125,7 @@
 	Exclude       []ident.Upstream // upstreams not to be chosen, such as engines just lost
 	Only          ident.Upstream   // if set, no other upstream is chosen
 	ExcludeDomain ident.Domain     // if set, no upstream of this failure domain is chosen
+	Build         *ident.Build     // if not nil, only upstreams of this build are chosen, and none if it is ""
 	Resumed       bool             // continues an answer that was interrupted
 	// RequireIdle limits the choice to upstreams without unread prompt tokens that are in
 	// this instance's share or have been idle for a while. It is set for requests that
