soak: rollouts of engines beside killed instances; callers take streams up

Engines name their build in their pieces. Rollouts replace some engines by ones of another build, one after the other, while instances are killed; callers come back with the pieces that they have. Checked: no more than two streams with pieces of two builds, and streams go on while two engines of their build serve.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"crocuslug/ident"
 	"crocuslug/nativewire"
 	"crocuslug/pieces"
 	"crocuslug/standinregistered"
@@ -82,13 +83,17 @@
 	return true
 }
 
-// send writes a request and reads the header of its answer.
-func (c *caller) send(id, target string, limit time.Duration) (*http.Response, error) {
+// send writes a request with additional header fields, each a name and its value, and reads the header of its answer.
+func (c *caller) send(id, target string, limit time.Duration, fields ...string) (*http.Response, error) {
 	_ = c.conn.SetDeadline(c.soak.clock.Now().Add(answerTimeout))
 	text := http.MethodPost + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\n" +
 		nativewire.RequestField + ": " + id + "\r\n" + nativewire.KeyField + ": " + apiKey + "\r\n" +
 		nativewire.TimeoutField + ": " + limit.String() + "\r\n" + nativewire.PromptField + ": 100\r\n" + nativewire.TokensField + ": 200\r\n" +
-		fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(id), id)
+		fmt.Sprintf("Content-Length: %d\r\n", len(id))
+	for i := 0; i < len(fields); i += 2 {
+		text += fields[i] + ": " + fields[i+1] + "\r\n"
+	}
+	text += "\r\n" + id
 	_, err := io.WriteString(c.conn, text)
 	c.sentAt = c.soak.clock.Now()
 	if err != nil {
@@ -124,26 +129,60 @@
 	}
 }
 
-// sendStreaming sends a request with a streamed answer and checks each piece.
+// sendStreaming sends a request with a streamed answer, and takes the stream up again if it is cut.
 func (c *caller) sendStreaming(id string) {
+	held := &heldStream{origin: id, builds: make(map[ident.Build]bool)}
+	cut := c.tryStream(id, held)
+	c.soak.countBegun(held.last > 0)
+	for try := 2; try <= maxStreamTries && cut && held.last > 0 && !c.soak.isStopping(); try++ {
+		c.soak.clock.sleep(shortDelay)
+		if c.conn == nil && !c.connect() {
+			continue
+		}
+		counts, before := c.soak.cluster.serves(held.build), held.last
+		cut = c.tryStream(fmt.Sprintf("%s-%d", id, try), held)
+		c.soak.recordTakenUp(held, counts, held.last > before)
+	}
+}
+
+// maxStreamTries is the number of requests that a caller makes for one stream.
+const maxStreamTries = 4
+
+// heldStream is a stream as its caller holds it, over several requests.
+type heldStream struct {
+	origin string // id of the request that brought the first piece
+	last   int    // number of the last piece
+	build  ident.Build
+	builds map[ident.Build]bool // of the engines that wrote its pieces
+	mixed  bool                 // counted as a stream of two builds
+}
+
+// tryStream makes one request for a stream and checks each piece. It reports whether the stream was
+// cut, or refused after it had begun, so that it may be taken up.
+func (c *caller) tryStream(id string, held *heldStream) (cut bool) {
 	state := c.soak.currentFaultState()
-	res, err := c.send(id, "/stream/x", streamTimeout)
+	var fields []string
+	if held.last > 0 {
+		fields = []string{nativewire.AfterField, fmt.Sprint(held.last), nativewire.OriginField, held.origin}
+	}
+	res, err := c.send(id, "/stream/x", streamTimeout, fields...)
 	c.soak.countRequest(id, false)
 	if err != nil {
 		c.soak.recordCut(c.instance, id, c.sentAt, state)
 		c.closeConnection()
-		return
+		return true
 	}
 	if res.StatusCode != http.StatusOK {
 		_, _ = io.Copy(io.Discard, res.Body)
-		c.soak.recordAnswer(id, res.StatusCode, false, c.sentAt, streamTimeout, state)
+		if held.last == 0 {
+			c.soak.recordAnswer(id, res.StatusCode, false, c.sentAt, streamTimeout, state)
+		}
 		if res.Close {
 			c.closeConnection()
 		}
-		return
+		return held.last > 0
 	}
 	r := pieces.New(res.Body)
-	n := 0
 	for {
 		_ = c.conn.SetDeadline(c.soak.clock.Now().Add(answerTimeout))
 		p, err := r.Next()
@@ -153,20 +192,24 @@
 		if err != nil {
 			c.soak.recordCut(c.instance, id, c.sentAt, state)
 			c.closeConnection()
-			return
+			return true
 		}
-		n++
-		if want := standinregistered.Piece(id, n); string(p.Raw) != want {
-			c.soak.reportViolation("%s: piece %d: got %q, want %q", id, n, p.Raw, want)
+		held.last++
+		held.build = standinregistered.BuildOf(p.Raw)
+		held.builds[held.build] = true
+		if want := standinregistered.PieceOf(held.build, id, held.last); string(p.Raw) != want {
+			c.soak.reportViolation("%s: piece %d: got %q, want %q", id, held.last, p.Raw, want)
 			c.closeConnection()
-			return
+			return false
 		}
 	}
-	if n != pieceCount {
-		c.soak.reportViolation("%s: stream ended as complete after %d pieces, want %d", id, n, pieceCount)
+	if held.last != pieceCount {
+		c.soak.reportViolation("%s: stream ended as complete after %d pieces, want %d", id, held.last, pieceCount)
 	}
+	c.soak.recordBuilds(held)
 	c.soak.recordAnswer(id, http.StatusOK, false, c.sentAt, streamTimeout, state)
 	if res.Close {
 		c.closeConnection()
 	}
+	return false
 }
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"crocuslug/directory"
@@ -40,6 +41,7 @@
 type upstream struct {
 	*process
 	proxy *proxy
+	build atomic.Value // ident.Build of the software of an engine; nothing for a plain service
 }
 
 // instance is an edge process that reaches the store through its own proxy.
@@ -177,7 +179,7 @@
 	}
 	name := fmt.Sprintf("engine-%d-%d", domain, n)
 	if n < enginesPerDomain {
-		args = append(args, "--service", string(engineService), "--pieces", fmt.Sprint(pieceCount), "--interval", "30ms", "--prefill", "800ms")
+		args = append(args, "--service", string(engineService), "--pieces", fmt.Sprint(pieceCount), "--interval", "30ms", "--prefill", "800ms", "--build", string(firstBuild))
 	} else {
 		name = fmt.Sprintf("plain-%d", domain)
 		args = append(args, "--service", string(plainService), "--prefill", "40ms", "--crash-body", crashBody)
@@ -186,7 +188,11 @@
 	if err != nil {
 		return err
 	}
-	cl.upstreams = append(cl.upstreams, &upstream{proc, p})
+	u := &upstream{process: proc, proxy: p}
+	if n < enginesPerDomain {
+		u.build.Store(firstBuild)
+	}
+	cl.upstreams = append(cl.upstreams, u)
 	return proc.start()
 }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -79,7 +79,7 @@
 	}
 }
 
-// Planned work that also overlaps pauses of sound upstreams.
+// Planned work that also overlaps pauses of sound upstreams or kills of instances.
 var (
 	upstreamLeaves = fault{"upstream leaves", true, func(ctx context.Context, s *Soak, r *rand.Rand) {
 		s.restart(ctx, s.randomUpstream(r).process, syscall.SIGTERM, randomDuration(r, 100*time.Millisecond, time.Second))
@@ -87,7 +87,8 @@
 	instanceLeaves = fault{"instance leaves", true, func(ctx context.Context, s *Soak, r *rand.Rand) {
 		s.restart(ctx, s.randomInstance(r).process, syscall.SIGTERM, randomDuration(r, 100*time.Millisecond, time.Second))
 	}}
-	instanceReload = fault{"instance reads its settings again", true, func(_ context.Context, s *Soak, r *rand.Rand) {
+	enginesRolledOut = fault{"engines rolled out", false, func(ctx context.Context, s *Soak, r *rand.Rand) { s.rollOut(ctx, r) }}
+	instanceReload   = fault{"instance reads its settings again", true, func(_ context.Context, s *Soak, r *rand.Rand) {
 		s.randomInstance(r).signal(syscall.SIGHUP)
 	}}
 )
@@ -131,6 +132,7 @@
 	}},
 	instanceLeaves,
 	instanceReload,
+	enginesRolledOut,
 	{"upstreams name limits", true, func(ctx context.Context, s *Soak, r *rand.Rand) { s.nameLimits(ctx, r) }},
 	{"content crashes upstreams", false, func(ctx context.Context, s *Soak, r *rand.Rand) { s.crashUpstreams(ctx, r) }},
 	{"store silent for an instance", false, func(ctx context.Context, s *Soak, r *rand.Rand) {
@@ -174,6 +176,10 @@
 	}
 	end := s.clock.Now().Add(s.cfg.FaultPeriod)
 	var running sync.WaitGroup
+	if !s.cfg.NoFault && s.clock.Now().Before(end) {
+		rollouts := rand.New(rand.NewPCG(s.cfg.Seed, rolloutStream))
+		running.Go(func() { s.rollOutBesideKills(ctx, rollouts) })
+	}
 	for n := 0; s.clock.Now().Before(end) && ctx.Err() == nil; n++ {
 		f := faults[r.IntN(len(faults))]
 		alone := n%plannedAlonePeriod == plannedAlonePeriod-1
@@ -209,9 +215,12 @@
 	running.Wait()
 }
 
-// pauseStream is the stream of the random source of pauses. Streams 0 and up to the number of
-// callers belong to the faults and the callers.
-const pauseStream = 1 << 32
+// Streams of the random source of pauses and rollouts. Streams 0 and up to the number of callers
+// belong to the faults and the callers.
+const (
+	pauseStream   = 1 << 32
+	rolloutStream = 1 << 33
+)
 
 // countFault counts planned work or a pause.
 func (s *Soak) countFault(name string) {
--- a/soak/process.go
+++ b/soak/process.go
@@ -59,6 +59,17 @@
 	return nil
 }
 
+// replaceArg sets the value that follows a flag in the arguments of the next start.
+func (p *process) replaceArg(flag, value string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, a := range p.args[:len(p.args)-1] {
+		if a == flag {
+			p.args[i+1] = value
+		}
+	}
+}
+
 // isRunning reports whether the program runs. Two overlapping faults may both restart
 // the process, in which case the second finds it running. The caller holds p.mu.
 func (p *process) isRunning() bool {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -32,6 +32,11 @@
 	Cut        int            // connections that ended before a complete answer
 	Faults     map[string]int // number of faults by name
 	Checked    map[string]int // number of checks by promise
+	Begun      int            // new streams that brought a piece, of FirstTries
+	FirstTries int            // new streams
+	Kept       int            // streams that went on when they were taken up, of TakenUp
+	TakenUp    int            // streams that were taken up while two engines of their build served
+	Mixed      int            // streams with pieces of two builds
 	Reasons    map[string]int // cut streams, refusals and failed attempts in the instances' logs, by reason
 	Violations []string
 }
@@ -133,6 +138,7 @@
 	stopBackground()
 	running.Wait()
 	s.checkRuns()
+	s.checkBuilds()
 	reasons := s.countInstanceReasons()
 	s.mu.Lock()
 	defer s.mu.Unlock()
