edge: failing test of instances that are cut off from all upstreams

The links of four or seven of eight instances to all upstreams become silent, are reset, or only refuse new connections. Connections to upstreams are opened by a function field, which the test replaces; nothing else changes.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,6 +40,9 @@
 	// DroppedLogLines returns the number of log lines that were dropped. If it is nil, that metric
 	// is not written. Set it before Start.
 	DroppedLogLines func() uint64
+	// DialUpstream opens a connection to the upstream at an address. New sets it; it may be replaced
+	// before Start.
+	DialUpstream func(ctx context.Context, address string) (net.Conn, error)
 
 	cfg   settings.Edge
 	ports Ports
@@ -135,6 +139,8 @@
 		silentIssuers: make(map[ident.Instance]silentIssuer),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.DialUpstream = e.exchange.Dial
+	e.exchange.Dial = func(ctx context.Context, address string) (net.Conn, error) { return e.DialUpstream(ctx, address) }
 	kv := ports.Store
 	kv.BackOff, kv.MaxBackOff, kv.Seed = storeBackOff, storeMaxBackOff, randomSeed()
 	kv.WatchWait, kv.WatchAttempts = watchWait(cfg.Drain.Std()), 1
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -101,14 +101,24 @@
 	return a.String()
 }
 
-// startInstance starts an instance that uses the store at storeAddress.
+// startInstance starts an instance in failure domain a that uses the store at storeAddress.
 func (s *site) startInstance(name, storeAddress string, seeds ...string) (*edge.Edge, settings.Edge) {
+	s.t.Helper()
+	return s.startInstanceIn("a", name, storeAddress, nil, seeds...)
+}
+
+// startInstanceIn starts an instance in a failure domain. It opens its connections to upstreams through
+// links, if that is not nil.
+func (s *site) startInstanceIn(domain ident.Domain, name, storeAddress string, links *upstreamLinks, seeds ...string) (*edge.Edge, settings.Edge) {
 	s.t.Helper()
 	cfg := settings.Edge{
-		Name: name, Domain: "a", Listen: reserveAddress(s.t), ReadyListen: reserveAddress(s.t), PeerListen: reserveAddress(s.t), StoreAddress: storeAddress,
+		Name: name, Domain: domain, Listen: reserveAddress(s.t), ReadyListen: reserveAddress(s.t), PeerListen: reserveAddress(s.t), StoreAddress: storeAddress,
 		Seeds: seeds, Grace: unit.Duration(3 * time.Second), ReuseAfter: unit.Duration(waitLimit),
 	}
 	e := edge.New(cfg, nativewire.Ports(storeAddress), []byte("secret"), s.clock, zerolog.Nop())
+	if links != nil {
+		links.dial, e.DialUpstream = e.DialUpstream, links.open
+	}
 	if err := e.Start(); err != nil {
 		s.t.Fatal(err)
 	}
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -16,6 +16,9 @@
 // Client makes exchanges and keeps idle connections for reuse. Its methods may be called from any
 // goroutine.
 type Client struct {
+	// Dial opens a connection to the upstream at an address. It may be replaced before the first use.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+
 	cfg   Settings
 	timer *timer.Service
 	dials atomic.Uint64
@@ -29,7 +32,7 @@
 // New returns a client that takes the time from t.
 func New(cfg Settings, t *timer.Service) *Client {
 	cfg = cfg.withDefaults()
-	return &Client{cfg: cfg, timer: t, buffers: newBuffers(cfg.MaxBuffered), idle: make(map[string][]*conn)}
+	return &Client{Dial: newDialer(cfg).dial, cfg: cfg, timer: t, buffers: newBuffers(cfg.MaxBuffered), idle: make(map[string][]*conn)}
 }
 
 // Dials returns the number of connections that the client has tried to open.
@@ -138,12 +141,7 @@
 		cn.abort()
 	}
 	c.dials.Add(1)
-	d := net.Dialer{
-		Timeout:         c.cfg.DialTimeout,
-		KeepAliveConfig: keepAlive,
-		Control:         setAckTimeout(c.cfg.AckTimeout),
-	}
-	nc, err := d.DialContext(ctx, "tcp", address)
+	nc, err := c.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -37,6 +38,17 @@
 	}
 }
 
+// dialer opens connections to upstreams.
+type dialer struct{ net.Dialer }
+
+func newDialer(cfg Settings) dialer {
+	return dialer{net.Dialer{Timeout: cfg.DialTimeout, KeepAliveConfig: keepAlive, Control: setAckTimeout(cfg.AckTimeout)}}
+}
+
+func (d dialer) dial(ctx context.Context, address string) (net.Conn, error) {
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // conn is one connection to an upstream.
 type conn struct {
 	net.Conn
