edge: an instance that is cut off from upstreams opens connections through one that reaches them

Callers of instances that had lost their links to all upstreams were served 0 of 38 and 3 of 41 requests, the others 280 of 284: an instance had one way to an upstream, its own connections. It also took its cut for the death of sound upstreams: these went out of rotation with back-offs, other instances were told, and a lost run counted against its content.

Package reach decides from connections that cannot be opened, and from what a few other instances say of just these upstreams, whether this instance is cut off or the upstreams are gone. Package relay passes the bytes of one connection on, so that attempts, limits, budgets, deadlines, builds and at-most-once stay where they were decided. Findings in doubt are not told and are no evidence; those of a cut are forgotten. Questions grow rarer while nobody reaches the upstreams, and direct trials end the cut.

TestOutageMakesNoStorm: no cut, no relayed connection, 20 questions of an instance at most in 6 s.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -18,6 +18,7 @@
 const (
 	maxCrashes      = 3                      // engines that one request may crash
 	crashCheckDelay = 250 * time.Millisecond // by then the loss of a whole failure domain is recognized
+	maxDoubt        = time.Second            // by then other instances have said whether this one is cut off
 	minRunTime      = 100 * time.Millisecond // an engine that crashes on a request has run it for at least this long
 	// provenTime is the time after the begin of its answer from when a run is not to blame for a crash.
 	provenTime = time.Second
@@ -60,19 +61,26 @@
 		a.crashChecks = append(a.crashChecks, crashed)
 	}
 	w, proven := a.w, a.proven(now)
+	var check func(later time.Time)
+	gone := false
+	check = func(later time.Time) {
+		gone = gone || d.refusesProbe(u, later)
+		cut, doubtful := d.cutOff(u.Domain)
+		if gone && doubtful && !cut && later.Sub(now) < maxDoubt {
+			d.timer.After(crashCheckDelay, func(later time.Time) { go check(later) })
+			return
+		}
+		gone = gone && !cut
+		if gone && !proven {
+			d.recordEvidence(w, u, now)
+		} else {
+			d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Bool("Gone", gone).Bool("Proven", proven).Bool("CutOff", cut).Msg("lost run is no evidence of a crash")
+		}
+		crashed <- gone && counts && d.diedAlone(w, u, later)
+	}
 	go func() {
-		gone := d.refusesProbe(u, now)
-		d.timer.After(now.Add(crashCheckDelay).Sub(d.timer.Now()), func(later time.Time) {
-			go func() {
-				gone = gone || d.refusesProbe(u, later)
-				if gone && !proven {
-					d.recordEvidence(w, u, now)
-				} else {
-					d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(u.ID)).Bool("Gone", gone).Bool("Proven", proven).Msg("lost run is no evidence of a crash")
-				}
-				crashed <- gone && counts && d.diedAlone(w, u, later)
-			}()
-		})
+		gone = d.refusesProbe(u, now)
+		d.timer.After(now.Add(crashCheckDelay).Sub(d.timer.Now()), func(later time.Time) { go check(later) })
 	}()
 }
 
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -49,6 +49,7 @@
 	askPermits func(ctx context.Context, r upstreamlimit.Request) (upstreamlimit.Answer, error)
 	tellOrigin func(r builds.Record) (told <-chan struct{})
 	findOrigin func(ctx context.Context, w *work.Work) (build *ident.Build, found bool)
+	cutOff     func(domain ident.Domain) (cut, doubtful bool)
 
 	mu             sync.Mutex
 	budget         retry.Settings
@@ -73,11 +74,14 @@
 	// FindOrigin returns the build at which a stream began that its caller takes up, nil if the
 	// service has one build only, and false if it is not known.
 	FindOrigin func(ctx context.Context, w *work.Work) (build *ident.Build, found bool)
-	Meters     *meter.Meters
-	Budget     retry.Settings // settings of the retry budget of each service
-	Timer      *timer.Service
-	Random     func() uint64 // returns 64 random bits per call; safe for concurrent use
-	Log        zerolog.Logger
+	// CutOff reports whether this instance is cut off from the upstreams of a failure domain, and
+	// whether it may be.
+	CutOff func(domain ident.Domain) (cut, doubtful bool)
+	Meters *meter.Meters
+	Budget retry.Settings // settings of the retry budget of each service
+	Timer  *timer.Service
+	Random func() uint64 // returns 64 random bits per call; safe for concurrent use
+	Log    zerolog.Logger
 }
 
 // New returns a Dispatcher.
@@ -93,6 +97,7 @@
 		builds:         p.Builds,
 		tellOrigin:     p.TellOrigin,
 		findOrigin:     p.FindOrigin,
+		cutOff:         p.CutOff,
 		prompts:        newPrompts(),
 		meters:         p.Meters,
 		timer:          p.Timer,
--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -32,6 +32,10 @@
 	if readsPrompt {
 		d.fleet.AddUnreadTokens(u.ID, -a.w.PromptTokens, d.timer.Now())
 	}
+	if err == nil && ans.Helper != "" {
+		d.meters.Count("Sent.Relayed", 1)
+		d.log.Info().Str("Request", string(a.w.ID)).Str("Upstream", string(u.ID)).Str("Peer", string(ans.Helper)).Int("Attempt", a.sends).Msg("sent through another instance")
+	}
 	if err == nil && !d.protocol.Replaced(ans.Status, ans.Header) {
 		d.readLimit(a.w.ID, u, ans.Header, sent)
 	}
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -354,6 +354,7 @@
 		Poison:   poison.New(),
 		Limits:   upstreamlimit.New(),
 		Builds:   builds.New(builds.Settings{}, clock.Now()),
+		CutOff:   func(ident.Domain) (bool, bool) { return false, false },
 		Meters:   meter.New(clock),
 		Budget:   retry.Settings{Burst: 100, MaxAttempts: 8},
 		Timer:    clock,
--- a/edge/cut_test.go
+++ b/edge/cut_test.go
@@ -1,14 +1,18 @@
 package edge_test
 
 import (
+	"bufio"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"crocuslug/edge"
 	"crocuslug/nativewire"
 	"crocuslug/standinregistered"
 )
@@ -34,6 +38,7 @@
 	*site
 	links  []*upstreamLinks // of the instances
 	listen []string
+	ready  []string // addresses of readiness checks and metrics
 	random *rand.Rand
 	next   int // number of the next request
 
@@ -81,6 +86,7 @@
 		l := &upstreamLinks{}
 		_, cfg := c.startInstanceIn(engineDomains[i%2], fmt.Sprintf("e%d", i+1), c.http.Addr(), l, seeds...)
 		c.links, c.listen, seeds = append(c.links, l), append(c.listen, cfg.Listen), append(seeds, cfg.PeerListen)
+		c.ready = append(c.ready, cfg.ReadyListen)
 	}
 	for _, addr := range c.listen {
 		c.waitForStatus(addr, "/unsafe/x", "k", http.StatusOK)
@@ -192,6 +198,57 @@
 				t.Errorf("first tries after the cut: got %d of %d served, want all", served, sent)
 			}
 			c.checkRuns()
+			for i := range cutInstances {
+				if got := c.metric(i, "EngineCrashes"); got != 0 {
+					t.Errorf("instance %d: got %d crashes of upstreams counted, want none", i+1, got)
+				}
+			}
 		})
 	}
 }
+
+// metric returns a metric of an instance, or 0 if it is not written.
+func (c *cutting) metric(instance int, name string) int {
+	c.t.Helper()
+	res, err := http.Get("http://" + c.ready[instance] + edge.MetricsPath)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer res.Body.Close()
+	for sc := bufio.NewScanner(res.Body); sc.Scan(); {
+		if w := strings.Fields(sc.Text()); len(w) == 2 && w[0] == name {
+			n, err := strconv.Atoi(w[1])
+			if err != nil {
+				c.t.Fatal(err)
+			}
+			return n
+		}
+	}
+	return 0
+}
+
+// Bound of the questions that one instance asks in a real outage: in outageTime about ten for each of
+// two failure domains, at growing intervals.
+const (
+	outageTime   = 6 * time.Second
+	maxQuestions = 20
+)
+
+// TestOutageMakesNoStorm guards against instances that take the loss of all upstreams for a cut of their
+// own and load each other with it.
+func TestOutageMakesNoStorm(t *testing.T) {
+	c := newCutting(t)
+	c.run(time.Second)
+	for _, stop := range c.stop {
+		stop()
+	}
+	c.run(outageTime)
+	c.callers.Wait()
+	for i := range cutInstances {
+		asked, cuts, used := c.metric(i, "Reach.Asked"), c.metric(i, "Reach.Cuts"), c.metric(i, "Relays.Used")
+		if asked > maxQuestions || cuts > 0 || used > 0 {
+			t.Errorf("instance %d: got %d questions, %d cuts and %d relayed connections, want at most %d, none and none", i+1, asked, cuts, used, maxQuestions)
+		}
+	}
+	c.checkRuns()
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -25,7 +25,9 @@
 	"crocuslug/meter"
 	"crocuslug/peerlink"
 	"crocuslug/poison"
+	"crocuslug/reach"
 	"crocuslug/registry"
+	"crocuslug/relay"
 	"crocuslug/retry"
 	"crocuslug/settings"
 	"crocuslug/store"
@@ -63,6 +65,8 @@
 	poison         *poison.Tracker
 	upstreamLimits *upstreamlimit.Limits
 	builds         *builds.Tracker
+	reach          *reach.Tracker
+	relays         *relay.Server
 	dispatcher     *dispatch.Dispatcher
 	server         *ingress.Server
 	link           *peerlink.Link
@@ -73,7 +77,8 @@
 	current    atomic.Pointer[activeConfiguration] // nil until the first configuration arrives
 	fetching   atomic.Bool                         // a configuration is being fetched because a peer has a newer one
 	leaving    atomic.Bool
-	leaveBegan atomic.Int64 // when Leave was called, in Unix nanoseconds of the timer
+	addresses  atomic.Pointer[map[string]directory.Upstream] // registered upstreams by address; nil at first
+	leaveBegan atomic.Int64                                  // when Leave was called, in Unix nanoseconds of the timer
 
 	mu          sync.Mutex
 	lastLoadSum time.Time                // when the loads that peers report were last added up
@@ -85,6 +90,8 @@
 	restarts    []restart     // restarts of upstreams that this instance found recently
 
 	silentIssuers map[ident.Instance]silentIssuer // peers that did not answer requests for permits
+	checksSince   time.Time                       // begin of the second in which checks were counted
+	checks        int                             // connections opened to answer questions in that second
 }
 
 // activeConfiguration is the configuration in force, with the bytes that it was decoded from.
@@ -130,6 +137,7 @@
 		poison:         poison.New(),
 		upstreamLimits: upstreamlimit.New(),
 		builds:         builds.New(builds.Settings{}, t.Now()),
+		reach:          reach.New(reach.Settings{}),
 		meters:         meter.New(t),
 		self:           ident.Instance(cfg.PeerListen),
 		digestRound:    rand.IntN(maxDigestRound),
@@ -140,7 +148,8 @@
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.DialUpstream = e.exchange.Dial
-	e.exchange.Dial = func(ctx context.Context, address string) (net.Conn, error) { return e.DialUpstream(ctx, address) }
+	e.exchange.Dial = e.connectUpstream
+	e.relays = relay.New(relay.Settings{Listen: e.relayListen(), MaxOpen: e.cfg.Descriptors / relayShare}, t, e.log)
 	kv := ports.Store
 	kv.BackOff, kv.MaxBackOff, kv.Seed = storeBackOff, storeMaxBackOff, randomSeed()
 	kv.WatchWait, kv.WatchAttempts = watchWait(cfg.Drain.Std()), 1
@@ -157,7 +166,7 @@
 		Domain: cfg.Domain,
 		Health: health.Settings{BackOff: unit.Duration(healthBackOff), MaxBackOff: unit.Duration(maxHealthBackOff)},
 	}, rand.Uint64, e.log)
-	e.fleet.OnLost = e.scheduleRestartProbes
+	e.fleet.OnLost = e.upstreamLost
 	e.dispatcher = dispatch.New(dispatch.Settings{}, dispatch.Dependencies{
 		Protocol: ports.UpstreamPorts,
 		Fleet:    e.fleet,
@@ -169,6 +178,7 @@
 		Builds:     e.builds,
 		TellOrigin: e.tellOrigin,
 		FindOrigin: e.findOrigin,
+		CutOff:     e.doubt,
 
 		Meters: e.meters,
 		Budget: e.budget(),
@@ -231,6 +241,9 @@
 	if err := e.link.Start(); err != nil {
 		return errs.Wrap(err)
 	}
+	if err := e.relays.Start(); err != nil {
+		return errs.Wrap(err)
+	}
 	if err := e.startAdmin(); err != nil {
 		return errs.Wrap(err)
 	}
@@ -246,6 +259,8 @@
 		e.forgetSilentIssuers(now)
 	})
 	e.every(digestInterval, e.sendDigests)
+	e.every(tickInterval, e.tryDirectly)
+	e.every(helperInterval, e.findHelpers)
 	e.log.Info().Str("Listen", e.cfg.Listen).Str("Peers", e.cfg.PeerListen).Str("Store", e.cfg.StoreAddress).Msg("started")
 	return nil
 }
@@ -338,6 +353,7 @@
 	e.meters.Stop()
 	e.client.Close()
 	e.link.Stop()
+	e.relays.Stop()
 	e.exchange.Close()
 	e.tasks.Wait()
 	e.log.Info().Msg("stopped")
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -50,6 +50,9 @@
 		line("Limit."+string(s.Upstream)+".AgeMs", s.Age.Std().Milliseconds())
 	}
 	line("Origins.Held", e.builds.Records())
+	cut, _ := e.reach.CutDomains()
+	line("Reach.CutDomains", len(cut))
+	line("Relays.Open", e.relays.Open())
 	line("Connections.Open", e.server.Open())
 	line("Upstreams.Registered", len(e.registry.All()))
 	for _, name := range e.fleet.Services() {
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -101,11 +101,16 @@
 		e.tasks.Go(func() { answers <- e.askOrigin(ctx, id, findOriginRequest{w.Origin, service}) })
 	}
 	var statements []builds.Statement
+collect:
 	for range holders {
-		s := <-answers
-		statements = append(statements, s)
-		if s.Known {
-			break
+		select {
+		case s := <-answers:
+			statements = append(statements, s)
+			if s.Known {
+				break collect
+			}
+		case <-ctx.Done():
+			break collect
 		}
 	}
 	e.meters.Count("Origins.Asked", 1)
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -122,6 +122,8 @@
 	e.link.Handle(permitsMethod, e.handlePermits)
 	e.link.Handle(tellOriginMethod, e.handleTellOrigin)
 	e.link.Handle(findOriginMethod, e.handleFindOrigin)
+	e.link.Handle(reachMethod, e.handleReach)
+	e.link.Handle(relayMethod, e.handleRelay)
 	now := e.timer.Now()
 	for _, s := range e.cfg.Seeds {
 		e.addPeer(presence{Instance: ident.Instance(s)}, now)
@@ -176,7 +178,7 @@
 
 // newDigest returns the state of this instance for its peers, without prompts.
 func (e *Edge) newDigest(now time.Time) digest {
-	d := digest{Domain: e.cfg.Domain, InFlight: e.fleet.InFlight(), Lost: e.fleet.FoundDead(now), Replaced: e.fleet.FoundReplaced(now)}
+	d := digest{Domain: e.cfg.Domain, InFlight: e.fleet.InFlight(), Lost: e.surelyDead(now), Replaced: e.fleet.FoundReplaced(now)}
 	if cur := e.current.Load(); cur != nil {
 		d.Configuration = cur.Version
 	}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -291,9 +291,16 @@
 // tokens.
 func (e *Edge) publish(now time.Time) {
 	d := e.current.Load()
-	e.builds.SetUpstreams(e.registry.All(), now)
-	e.upstreamLimits.SetUpstreams(e.registry.All())
-	e.fleet.SetUpstreams(e.registry.All(), func(s ident.Service) int {
+	list := e.registry.All()
+	addresses := make(map[string]directory.Upstream, len(list))
+	for _, u := range list {
+		addresses[u.Address] = u
+	}
+	e.addresses.Store(&addresses)
+	e.builds.SetUpstreams(list, now)
+	e.reach.SetUpstreams(list)
+	e.upstreamLimits.SetUpstreams(list)
+	e.fleet.SetUpstreams(list, func(s ident.Service) int {
 		if d == nil {
 			return 0
 		}
--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -6,13 +6,16 @@
 	"slices"
 	"strings"
 	"time"
+
+	"crocuslug/ident"
 )
 
 // Answer is the answer of an upstream. Its header was read; its body is read from the connection.
 type Answer struct {
 	Status int
 	Header http.Header
-	Length int64 // of the body in bytes; -1 if the body ends by its chunks or with the connection
+	Length int64          // of the body in bytes; -1 if the body ends by its chunks or with the connection
+	Helper ident.Instance // instance that passed the exchange on; "" if the connection was direct
 
 	res      *http.Response
 	cn       *conn
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -70,6 +70,7 @@
 		Status:  res.StatusCode,
 		Header:  res.Header,
 		Length:  res.ContentLength,
+		Helper:  cn.helper(),
 		res:     res,
 		cn:      cn,
 		client:  c,
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -17,6 +17,9 @@
 
 	"github.com/zeebo/errs"
 	"golang.org/x/sys/unix"
+
+	"crocuslug/ident"
+	"crocuslug/relay"
 )
 
 // keepAlive makes the kernel detect within about two seconds that a peer no longer answers. One
@@ -108,6 +111,14 @@
 	}
 }
 
+// helper returns the instance that passes the connection on, or "" if it is direct.
+func (cn *conn) helper() ident.Instance {
+	if c, ok := cn.Conn.(*relay.Conn); ok {
+		return c.Helper
+	}
+	return ""
+}
+
 func (cn *conn) write(r *Request) error {
 	if err := writeHead(cn.bw, r); err != nil {
 		return err
--- a/explain/report.go
+++ b/explain/report.go
@@ -33,6 +33,7 @@
 var instanceEvents = []string{
 	"configuration in force", "store lost", "store regained", "leaving", "started", "failure domain hit; its upstreams are avoided",
 	"caught up from a peer", "parts of prompts refused: engines crash with them", "parts of prompts refused no more", "settings reloaded", "software versions of service changed",
+	"cut off from upstreams; using other instances", "upstreams reached again",
 }
 
 // upstreamEvents are events that may affect the requests sent to their upstream.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -379,6 +379,15 @@
 	}
 }
 
+// AliveWithin reports whether an upstream was known to be alive within a time before the given uptime of
+// this machine.
+func (f *Fleet) AliveWithin(id ident.Upstream, within, uptime time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at, ok := f.lastAlive[id]
+	return ok && uptime-at <= within
+}
+
 // Tick ends back-offs and applies the changes of health that are due. It must be called
 // several times a second.
 func (f *Fleet) Tick(now time.Time) {
--- a/fleet/losses.go
+++ b/fleet/losses.go
@@ -132,3 +132,28 @@
 	f.replaced[id] = u.Revision
 	f.services[u.Service].updateCandidates(f)
 }
+
+// Forgive forgets what this instance has found out about the upstreams of a failure domain while it was
+// cut off from them.
+func (f *Fleet) Forgive(domain ident.Domain, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, g := range f.services {
+		var names, others []ident.Upstream
+		for _, u := range g.list {
+			names = append(names, u.ID)
+			if u.Domain != domain {
+				others = append(others, u.ID)
+				continue
+			}
+			delete(g.trials, u.ID)
+			delete(g.backingOff, u.ID)
+			delete(f.foundDead, u.ID)
+			delete(f.lostAt, u.ID)
+			g.chooser.SetOut(u.ID, false)
+		}
+		f.applyHealth(g, g.tracker.SetUpstreams(others, now), now) // the state of the rest is reset
+		f.applyHealth(g, g.tracker.SetUpstreams(names, now), now)
+	}
+	delete(f.domainFailedAt, domain)
+}
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -17,6 +17,7 @@
 	Listen       string        // IP:port for callers
 	ReadyListen  string        // IP:port of the load balancer's readiness check and of the metrics
 	PeerListen   string        // IP:port for other instances
+	RelayListen  string        `json:",omitempty"` // IP:port at which other instances claim connections to upstreams; any port of PeerListen's IP if empty
 	Seeds        []string      `json:",omitempty"` // IP:port of some other instances, which may be down
 	StoreAddress string        // IP:port of the platform's key-value service
 	StoreReads   float64       `json:",omitempty"` // reads per second of all instances together; default if 0
@@ -58,6 +59,9 @@
 			addProblem(a.path, "want an address of the form IP:port")
 		}
 	}
+	if _, _, err := net.SplitHostPort(cfg.RelayListen); err != nil && cfg.RelayListen != "" {
+		addProblem("RelayListen", "want an address of the form IP:port")
+	}
 	for _, n := range []struct {
 		path string
 		v    float64
