reach: a question says of each upstream since when it fails

In an outage one of eight instances took itself for cut off (once in two runs of TestOutageMakesNoStorm): a question named two upstreams and the time since the first of them failed, and another instance had heard of the second one after that and before it died too. Each upstream has its own time now. Four runs of the test since: no cut.

The test had shown the same fault before in another form, when questions had no time at all.

--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -13,19 +12,9 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-
-	"crocuslug/builds"
 	"crocuslug/directory"
-	"crocuslug/exchange"
-	"crocuslug/fleet"
 	"crocuslug/ident"
-	"crocuslug/meter"
-	"crocuslug/poison"
 	"crocuslug/retry"
-	"crocuslug/timer"
-	"crocuslug/upstreamlimit"
-	"crocuslug/work"
 )
 
 // engine is an upstream that executes one command of its script per request. The last
@@ -320,107 +309,3 @@
 	}
 	return s
 }
-
-func testProtocol() work.Protocol {
-	return work.Protocol{
-		Header: func(w *work.Work, leg *work.Attempt) http.Header {
-			h := http.Header{"Id": {string(w.ID)}}
-			if leg.Resumes {
-				h.Set("After", strconv.FormatUint(leg.LastPiece, 10))
-			}
-			if leg.CopyTo != "" {
-				h.Set("Copy-To", leg.CopyTo)
-			}
-			if leg.ResumeFrom != nil {
-				h.Set("From-Copy", leg.ResumeFrom.Owner+"/"+leg.ResumeFrom.Name)
-			}
-			return h
-		},
-		Matches:  func(w *work.Work, h http.Header) bool { return h.Get("Id") == string(w.ID) },
-		NotRun:   func(_ int, h http.Header) bool { return h.Get("Not-Run") != "" },
-		Replaced: func(status int, _ http.Header) bool { return status == http.StatusMisdirectedRequest },
-		Signed:   func(h http.Header) bool { return h.Get("Signed") != "" },
-
-		ProbePath: "/probe",
-	}
-}
-
-// testDependencies returns the dependencies of a dispatcher whose choices are not random.
-func testDependencies(p work.Protocol, f *fleet.Fleet, c *exchange.Client, clock *timer.Service, log zerolog.Logger) Dependencies {
-	return Dependencies{
-		Protocol: p,
-		Fleet:    f,
-		Client:   c,
-		Poison:   poison.New(),
-		Limits:   upstreamlimit.New(),
-		Builds:   builds.New(builds.Settings{}, clock.Now()),
-		CutOff:   func(ident.Domain) (bool, bool) { return false, false },
-		Meters:   meter.New(clock),
-		Budget:   retry.Settings{Burst: 100, MaxAttempts: 8},
-		Timer:    clock,
-		Random:   func() uint64 { return 0 },
-		Log:      log,
-	}
-}
-
-// run sends one request and returns a description of its result.
-func (wd *cluster) run(t *testing.T) string {
-	clock := timer.New()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go clock.Run(ctx)
-	random := func() uint64 { return 0 }
-	f := fleet.New(fleet.Settings{Domain: "near"}, random, zerolog.Nop())
-	client := exchange.New(exchange.Settings{MaxBuffered: wd.memory}, clock)
-	defer client.Close()
-	dependencies := testDependencies(testProtocol(), f, client, clock, zerolog.Nop())
-	dependencies.Budget = wd.budget
-	wd.publish = func() {
-		f.SetUpstreams(wd.list, func(ident.Service) int { return wd.service.Memory }, clock.Now())
-		dependencies.Builds.SetUpstreams(wd.list, clock.Now())
-	}
-	wd.publish()
-	dependencies.TellOrigin = func(builds.Record) <-chan struct{} {
-		told := make(chan struct{})
-		close(told)
-		return told
-	}
-	dependencies.FindOrigin = func(context.Context, *work.Work) (*ident.Build, bool) { return wd.origin, *wd.origin != "" }
-	d := New(Settings{DefaultGap: 300 * time.Millisecond, MaxResumeWait: 3 * time.Second}, dependencies)
-	if wd.budget.RetryRatio > 0 {
-		clock.Every(otherRequestInterval, func(time.Time) { d.retryBudget(wd.service.Name).AddRequest() })
-	}
-	w := &work.Work{
-		ID:       "r1",
-		Route:    &wd.route,
-		Service:  &wd.service,
-		Deadline: clock.Now().Add(wd.deadline),
-		Method:   http.MethodPost,
-		Target:   "/x",
-		Host:     "h",
-		Header:   http.Header{},
-	}
-	if wd.origin != nil {
-		w.Resumes, w.LastPiece, w.Origin = true, takenUpAfter, "r0"
-	}
-	if wd.route.Kind != directory.Streaming {
-		reply, refusal := d.Call(ctx, w)
-		if refusal != nil {
-			return "refused " + string(refusal.Run)
-		}
-		return strings.TrimSpace(fmt.Sprintf("%d %s", reply.Status, reply.Body))
-	}
-	got := &receivedStream{}
-	reply, begun, refusal := d.Stream(ctx, w, got.sink())
-	switch {
-	case reply != nil:
-		return strings.TrimSpace(fmt.Sprintf("%d %s", reply.Status, reply.Body))
-	case refusal != nil && begun:
-		return "cut " + got.span()
-	case refusal != nil:
-		return "refused " + string(refusal.Run)
-	case !got.ended:
-		return "open " + got.span()
-	}
-	return "pieces " + got.span()
-}
--- a/edge/cut_test.go
+++ b/edge/cut_test.go
@@ -251,6 +251,7 @@
 	c.callers.Wait()
 	for i := range cutInstances {
 		asked, cuts, used := c.metric(i, "Reach.Asked"), c.metric(i, "Reach.Cuts"), c.metric(i, "Relays.Used")
+		t.Logf("instance %d: %d questions", i+1, asked)
 		if asked > maxQuestions || cuts > 0 || used > 0 {
 			t.Errorf("instance %d: got %d questions, %d cuts and %d relayed connections, want at most %d, none and none", i+1, asked, cuts, used, maxQuestions)
 		}
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -60,17 +60,27 @@
 // domain is the state of the upstreams of one failure domain.
 type domain struct {
 	upstreams []ident.Upstream
-	failed    []ident.Upstream // to which no connection could be opened since one last could be; at most maxAsked
-	failedAt  time.Time        // when the first of failed failed
-	askAt     time.Time        // earliest time of the next question
-	askWait   time.Duration    // time between that question and the one after it
-	asks      int              // questions since a connection could last be opened
+	failed    []failure     // upstreams to which no connection could be opened since one last could be; at most maxAsked
+	askAt     time.Time     // earliest time of the next question
+	askWait   time.Duration // time between that question and the one after it
+	asks      int           // questions since a connection could last be opened
 	cut       bool
 	since     time.Time // when it was cut off
 	trialAt   time.Time // time of the next direct trial
 	trials    int       // direct trials in a row that succeeded
 }
 
+// failure is an upstream to which no connection could be opened, and when that was first so.
+type failure struct {
+	id ident.Upstream
+	at time.Time
+}
+
+// fails reports whether an upstream is one of those to which no connection could be opened.
+func (d *domain) fails(id ident.Upstream) bool {
+	return slices.ContainsFunc(d.failed, func(f failure) bool { return f.id == id })
+}
+
 // helper is an instance that reaches upstreams.
 type helper struct {
 	at   time.Time // when it said so
@@ -106,7 +116,7 @@
 		d.upstreams = append(d.upstreams, u.ID)
 	}
 	for _, d := range t.domains {
-		d.failed = slices.DeleteFunc(d.failed, func(id ident.Upstream) bool { return !known[id] })
+		d.failed = slices.DeleteFunc(d.failed, func(f failure) bool { return !known[f.id] })
 	}
 	for id := range t.reached {
 		if !known[id] {
@@ -133,11 +143,8 @@
 	d := t.domain(name)
 	if !ok {
 		d.trials = 0
-		if len(d.failed) == 0 {
-			d.failedAt = now
-		}
-		if !slices.Contains(d.failed, id) && len(d.failed) < maxAsked {
-			d.failed = append(d.failed, id)
+		if !d.fails(id) && len(d.failed) < maxAsked {
+			d.failed = append(d.failed, failure{id, now})
 		}
 		return false
 	}
@@ -189,7 +196,7 @@
 	if n := len(d.upstreams); n > 0 {
 		first := int(random() % uint64(n))
 		for i := range n {
-			if id := d.upstreams[(first+i)%n]; !slices.Contains(d.failed, id) {
+			if id := d.upstreams[(first+i)%n]; !d.fails(id) {
 				return false, true, id
 			}
 		}
@@ -207,9 +214,14 @@
 
 // Question asks another instance whether it reaches upstreams.
 type Question struct {
-	Upstreams []ident.Upstream
-	// Within is the age of what tells that it does: the time since they first failed here.
-	Within unit.Duration
+	Upstreams []Failed
+}
+
+// Failed is an upstream to which the instance that asks can open no connection.
+type Failed struct {
+	Upstream ident.Upstream
+	// For is the time since it failed first, so that only what is newer tells that others reach it.
+	For unit.Duration
 }
 
 // Ask returns the question about the upstreams of a failure domain to ask other instances now, if there
@@ -225,7 +237,10 @@
 	d.asks++
 	d.askWait = min(max(2*d.askWait, t.cfg.AskInterval), t.cfg.MaxAskInterval)
 	d.askAt = now.Add(d.askWait)
-	return Question{slices.Clone(d.failed), unit.Duration(now.Sub(d.failedAt))}, d.asks - 1
+	for _, f := range d.failed {
+		q.Upstreams = append(q.Upstreams, Failed{f.id, unit.Duration(now.Sub(f.at))})
+	}
+	return q, d.asks - 1
 }
 
 // Answer is what another instance says to a question.
@@ -236,17 +251,17 @@
 
 // Answered records the answer of another instance to a question about some upstreams of a failure
 // domain. It returns the failure domains from which this instance counts as cut off because of it.
-func (t *Tracker) Answered(from ident.Instance, near bool, name ident.Domain, asked []ident.Upstream, a Answer, now time.Time) []ident.Domain {
+func (t *Tracker) Answered(from ident.Instance, near bool, name ident.Domain, q Question, a Answer, now time.Time) []ident.Domain {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	reached := 0
-	for _, id := range asked {
-		if slices.Contains(a.Reached, id) {
+	for _, f := range q.Upstreams {
+		if slices.Contains(a.Reached, f.Upstream) {
 			reached++
 		}
 	}
 	const most = 2 // it reaches one of so many or more, since some may be gone
-	if reached == 0 || most*reached < len(asked) {
+	if reached == 0 || most*reached < len(q.Upstreams) {
 		delete(t.helpers, from)
 		return nil
 	}
--- a/reach/script_test.go
+++ b/reach/script_test.go
@@ -19,7 +19,7 @@
 //	at MS
 //	upstreams DOMAIN/ID ...            sets the registered upstreams
 //	dialed DOMAIN/ID ok|failed|ended   an attempt to open a connection; ended if it ends a cut
-//	ask DOMAIN ID,... BEFORE WITHIN_MS | ask DOMAIN -    checks the question that is due
+//	ask DOMAIN ID@FOR_MS,... BEFORE | ask DOMAIN -    checks the question that is due
 //	answer PEER near|far OPEN DOMAIN ASKED,... REACHED,... CUT,...
 //	                                   the answer of another instance, and the failure domains cut off because of it
 //	cut DOMAIN ... | cut -             checks from which failure domains the instance is cut off
@@ -71,11 +71,19 @@
 		case "ask":
 			got, want = "-", strings.Join(w[2:], " ")
 			if q, before := tr.Ask(ident.Domain(w[1]), now); len(q.Upstreams) > 0 {
-				got = fmt.Sprint(join(q.Upstreams), " ", before, " ", q.Within.Std().Milliseconds())
+				var failed []string
+				for _, f := range q.Upstreams {
+					failed = append(failed, fmt.Sprint(f.Upstream, "@", f.For.Std().Milliseconds()))
+				}
+				got = fmt.Sprint(join(failed), " ", before)
 			}
 		case "answer":
 			open, _ := strconv.Atoi(w[3])
-			cut := tr.Answered(ident.Instance(w[1]), w[2] == "near", ident.Domain(w[4]), split(w[5]), Answer{split(w[6]), open}, now)
+			var q Question
+			for _, id := range split(w[5]) {
+				q.Upstreams = append(q.Upstreams, Failed{Upstream: id})
+			}
+			cut := tr.Answered(ident.Instance(w[1]), w[2] == "near", ident.Domain(w[4]), q, Answer{split(w[6]), open}, now)
 			slices.Sort(cut)
 			got, want = join(cut), w[7]
 		case "cut":
