edge: a holder that leaves hands over at which builds streams began

A leaving instance tells what it knows to those that are holders without it. TestStreamKeepsBuild/instances leave one by one wants 95% to go on.

--- a/builds/builds.go
+++ b/builds/builds.go
@@ -259,6 +259,19 @@
 	}
 }
 
+// Held returns the streams whose build is kept, as Record takes them.
+func (t *Tracker) Held(now time.Time) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Record, 0, len(t.records))
+	for origin, r := range t.records {
+		if now.Before(r.until) {
+			out = append(out, Record{origin, r.service, r.build, unit.Duration(r.until.Sub(now))})
+		}
+	}
+	return out
+}
+
 // Records returns the number of streams whose build is kept.
 func (t *Tracker) Records() int {
 	t.mu.Lock()
--- a/edge/builds_test.go
+++ b/edge/builds_test.go
@@ -20,10 +20,11 @@
 
 // Targets of the users' platform for streams of a service whose engines have several builds.
 const (
-	maxMixed     = 2               // streams with pieces of two builds
-	minKeptShare = 0.5             // of the share of new streams that begin, for streams that are taken up
-	minTakenUp   = 12              // streams that must be taken up for that share to count
-	toldAtOnce   = 2 * time.Second // until a stream that cannot go on is refused or ends
+	maxMixed       = 2               // streams with pieces of two builds
+	minKeptShare   = 0.5             // of the share of new streams that begin, for streams that are taken up
+	minKeptPlanned = 0.95            // of streams that are taken up after planned work on instances
+	minTakenUp     = 12              // streams that must be taken up for that share to count
+	toldAtOnce     = 2 * time.Second // until a stream that cannot go on is refused or ends
 )
 
 // Sizes of the site and its streams.
@@ -255,6 +256,17 @@
 		b.takeUp(list, 2)
 		b.check(list, minKeptShare)
 	})
+	t.Run("instances leave one by one", func(t *testing.T) {
+		t.Parallel()
+		b := newBuilding(t, "v1", "v2")
+		list := began(b.begin(midway, nil), "")
+		for range buildInstances - 1 {
+			b.instances[0].Leave()
+			b.stop(1)
+		}
+		b.takeUp(list, 2)
+		b.check(list, minKeptPlanned)
+	})
 	t.Run("second try without a piece", func(t *testing.T) {
 		t.Parallel()
 		b := newBuilding(t, "v1", "v2")
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -316,6 +316,7 @@
 	e.leaving.Store(true)
 	e.server.Leave()
 	e.log.Info().Int("Connections", e.server.Open()).Msg("leaving")
+	e.tasks.Go(e.handOverOrigins)
 	e.sleep(min(closeDelay, e.cfg.Grace.Std()/2))
 	e.server.Close()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -15,8 +16,9 @@
 
 // Methods by which instances tell and ask each other at which build a stream began.
 const (
-	tellOriginMethod = "Edge.TellOrigin"
-	findOriginMethod = "Edge.FindOrigin"
+	tellOriginMethod  = "Edge.TellOrigin"
+	findOriginMethod  = "Edge.FindOrigin"
+	holdOriginsMethod = "Edge.HoldOrigins" // hands over what a leaving holder knows
 )
 
 // Holders of a stream, see package builds. More are asked than were told, because the instances that
@@ -28,6 +30,8 @@
 	maxHoldersAsked   = 3
 	tellOriginTimeout = 100 * time.Millisecond // for which the first piece of a stream waits at most
 	findOriginTimeout = 250 * time.Millisecond
+	handOverTimeout   = time.Second
+	maxHandedOver     = 500 // streams in one message
 )
 
 // findOriginRequest asks for the build at which a stream began.
@@ -46,6 +50,47 @@
 	return nil, nil
 }
 
+// handleHoldOrigins answers holdOriginsMethod.
+func (e *Edge) handleHoldOrigins(_ context.Context, _ ident.Instance, params json.RawMessage) (any, error) {
+	var list []builds.Record
+	if err := json.Unmarshal(params, &list); err != nil {
+		return nil, err
+	}
+	now := e.timer.Now()
+	for _, r := range list {
+		e.builds.Record(r, now)
+	}
+	return nil, nil
+}
+
+// handOverOrigins tells the streams of which this instance is a holder to those that are holders without
+// it. It returns when they know them, or after handOverTimeout.
+func (e *Edge) handOverOrigins() {
+	held := e.builds.Held(e.timer.Now())
+	byHolder := make(map[ident.Instance][]builds.Record)
+	for _, r := range held {
+		for _, id := range e.holdersOf(r.Origin, false, holdersTold, maxHoldersTold) {
+			byHolder[id] = append(byHolder[id], r)
+		}
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, handOverTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	for id, list := range byHolder {
+		for part := range slices.Chunk(list, maxHandedOver) {
+			calls.Go(func() {
+				if err := e.link.Call(ctx, id, holdOriginsMethod, part, nil); err != nil {
+					e.log.Info().Str("Peer", string(id)).Int("Streams", len(part)).Err(err).Msg("streams not handed over to another holder")
+				}
+			})
+		}
+	}
+	calls.Wait()
+	if len(held) > 0 {
+		e.log.Info().Int("Streams", len(held)).Int("Peers", len(byHolder)).Msg("streams handed over to other holders")
+	}
+}
+
 // handleFindOrigin answers findOriginMethod.
 func (e *Edge) handleFindOrigin(_ context.Context, _ ident.Instance, params json.RawMessage) (any, error) {
 	var q findOriginRequest
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -122,6 +122,7 @@
 	e.link.Handle(permitsMethod, e.handlePermits)
 	e.link.Handle(tellOriginMethod, e.handleTellOrigin)
 	e.link.Handle(findOriginMethod, e.handleFindOrigin)
+	e.link.Handle(holdOriginsMethod, e.handleHoldOrigins)
 	e.link.Handle(reachMethod, e.handleReach)
 	e.link.Handle(relayMethod, e.handleRelay)
 	now := e.timer.Now()
