edge: answers to reach questions without a race; time limits for busy machines

The race detector found that a question's answer was extended by two goroutines at once. They have 500 ms now, and 250 ms to try an upstream.

--- a/edge/reach.go
+++ b/edge/reach.go
@@ -23,9 +23,9 @@
 
 // Bounds of what an instance does to find out from which upstreams it is cut off, see package reach.
 const (
-	reachTimeout     = 200 * time.Millisecond // of a question whether an instance reaches upstreams
+	reachTimeout     = 500 * time.Millisecond // of a question whether an instance reaches upstreams
 	directTimeout    = 400 * time.Millisecond // of opening a connection to try an upstream directly
-	checkTimeout     = 120 * time.Millisecond // of opening a connection to an upstream to answer a question
+	checkTimeout     = 250 * time.Millisecond // of opening a connection to an upstream to answer a question
 	reachedLately    = time.Second            // age of what tells that an upstream is reached
 	helperInterval   = time.Second            // between two searches for instances that help
 	askedNear        = 1                      // instances of the own failure domain that are asked at first
@@ -209,7 +209,12 @@
 	}
 	now := e.timer.Now()
 	a := reach.Answer{Open: e.relays.Open()}
-	var mu sync.Mutex
+	var mu sync.Mutex // guards a.Reached
+	reached := func(id ident.Upstream) {
+		mu.Lock()
+		defer mu.Unlock()
+		a.Reached = append(a.Reached, id)
+	}
 	var checks sync.WaitGroup
 	for _, f := range q.Upstreams[:min(len(q.Upstreams), maxNamed)] {
 		id, within := f.Upstream, min(f.For.Std(), reachedLately)
@@ -217,13 +222,11 @@
 		switch {
 		case !ok || e.reach.Cut(u.Domain):
 		case e.reach.Reached(id, within, now) || e.fleet.AliveWithin(id, within, e.timer.Uptime()):
-			a.Reached = append(a.Reached, id)
+			reached(id)
 		case e.mayCheck(now):
 			checks.Go(func() {
 				if e.checkDirectly(u, checkTimeout) {
-					mu.Lock()
-					defer mu.Unlock()
-					a.Reached = append(a.Reached, id)
+					reached(id)
 				}
 			})
 		}
--- a/edge/relays.go
+++ b/edge/relays.go
@@ -20,7 +20,7 @@
 
 // Bounds of connections through other instances, see package relay.
 const (
-	relayTimeout = 400 * time.Millisecond // of opening a connection through one instance
+	relayTimeout = 600 * time.Millisecond // of opening a connection through one instance
 	maxTried     = 3                      // instances through which one connection is tried
 	relayShare   = 8                      // one of so many file descriptors may be a relayed connection
 )
