dispatch: holders are told the build that wrote the first piece, and no other

Holders were told when a request was sent. If that attempt failed before its first piece and the next one began at another build, a holder that missed the second message named the first build. Now they are told once, when the first piece has come, which waits for their answers.

Records last for as long as streams may be taken up, not for the time of the request, so that a holder does not state the build from before of a stream that it has forgotten; one that had to drop records early says nothing.

--- a/builds/builds.go
+++ b/builds/builds.go
@@ -41,10 +41,10 @@
 
 // Record says at which build a stream began.
 type Record struct {
-	Origin    ident.Request // attempt of the caller that brings the first piece
-	Service   ident.Service
-	Build     ident.Build
-	Remaining unit.Duration // time within which the caller may come back
+	Origin  ident.Request // attempt of the caller that brings the first piece
+	Service ident.Service
+	Build   ident.Build
+	Age     unit.Duration `json:",omitempty"` // time since the first piece
 }
 
 // Statement is what a holder says of a stream.
@@ -77,7 +77,8 @@
 	started  time.Time
 	services map[ident.Service]*service
 	records  map[ident.Request]record
-	order    []ident.Request // keys of records, the oldest first
+	order    []ident.Request // keys of records, in the order in which they came
+	forgot   time.Time       // when a record yielded last though its stream may be taken up; zero if none did
 	changes  []Change
 }
 
@@ -85,7 +86,7 @@
 type record struct {
 	service ident.Service
 	build   ident.Build
-	until   time.Time
+	at      time.Time // of the first piece
 }
 
 // service is the state of one service.
@@ -252,8 +253,15 @@
 	if _, ok := t.records[r.Origin]; !ok {
 		t.order = append(t.order, r.Origin)
 	}
-	t.records[r.Origin] = record{r.Service, r.Build, now.Add(min(max(0, r.Remaining.Std()), t.cfg.Life))}
-	for len(t.order) > 0 && (len(t.records) > t.cfg.MaxRecords || now.After(t.records[t.order[0]].until)) {
+	t.records[r.Origin] = record{r.Service, r.Build, now.Add(-max(0, r.Age.Std()))}
+	for len(t.order) > 0 {
+		old := now.Sub(t.records[t.order[0]].at) > t.cfg.Life
+		if !old && len(t.records) <= t.cfg.MaxRecords {
+			break
+		}
+		if !old {
+			t.forgot = now
+		}
 		delete(t.records, t.order[0])
 		t.order = t.order[1:]
 	}
@@ -265,8 +273,8 @@
 	defer t.mu.Unlock()
 	out := make([]Record, 0, len(t.records))
 	for origin, r := range t.records {
-		if now.Before(r.until) {
-			out = append(out, Record{origin, r.service, r.build, unit.Duration(r.until.Sub(now))})
+		if age := now.Sub(r.at); age <= t.cfg.Life {
+			out = append(out, Record{origin, r.service, r.build, unit.Duration(age)})
 		}
 	}
 	return out
@@ -287,7 +295,7 @@
 		return Statement{Known: true, Build: r.build}
 	}
 	s, ok := t.services[name]
-	if !ok {
+	if !ok || !t.forgot.IsZero() && now.Sub(t.forgot) <= t.cfg.Life {
 		return Statement{}
 	}
 	s.update(t.cfg.Life, now)
--- a/builds/script_test.go
+++ b/builds/script_test.go
@@ -19,7 +19,7 @@
 //
 //	at MS
 //	upstreams [BUILD ...]            sets the registered upstreams; BUILD! is one that leaves, - one without a build
-//	record ORIGIN BUILD MS           keeps the build of a stream that may be taken up for MS
+//	record ORIGIN BUILD AGE_MS       keeps the build of a stream
 //	peer SINCE_MS LAST_MS            another instance says that there are or were several builds
 //	find ORIGIN known|before BUILD   checks what it says of a stream
 //	find ORIGIN nothing
--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -83,7 +83,10 @@
 		dependencies.Builds.SetUpstreams(wd.list, clock.Now())
 	}
 	wd.publish()
-	dependencies.TellOrigin = func(builds.Record) <-chan struct{} {
+	dependencies.TellOrigin = func(r builds.Record) <-chan struct{} {
+		wd.mu.Lock()
+		defer wd.mu.Unlock()
+		wd.told = append(wd.told, string(r.Build))
 		told := make(chan struct{})
 		close(told)
 		return told
--- a/dispatch/origin.go
+++ b/dispatch/origin.go
@@ -5,10 +5,8 @@
 	"time"
 
 	"crocuslug/builds"
-	"crocuslug/directory"
 	"crocuslug/ident"
 	"crocuslug/result"
-	"crocuslug/unit"
 	"crocuslug/work"
 )
 
@@ -61,20 +59,10 @@
 	return w.ID
 }
 
-// tellBuild tells other instances the build of the upstream that may begin the stream, if the service
-// has several. It does not wait until they know it.
-func (d *Dispatcher) tellBuild(s *stream, u directory.Upstream) {
-	s.told = nil
-	if s.keepsBuild || u.Build == "" || !s.w.Route.Resumable || !d.builds.Several(s.w.Service.Name, d.timer.Now()) {
-		return
-	}
-	remaining := unit.Duration(s.w.Deadline.Sub(d.timer.Now()))
-	s.told = d.tellOrigin(builds.Record{Origin: originOf(s.w), Service: s.w.Service.Name, Build: u.Build, Remaining: remaining})
-	d.meters.Count("Origins.Told", 1)
-}
-
-// keepBuild fixes the build of a stream that has received its first piece, and waits until other
-// instances know it.
+// keepBuild fixes the build of a stream that has received its first piece. If the service has several, it
+// waits until other instances know the build. They are told no earlier: an attempt may fail before its
+// first piece and the next one begin at another build, and a holder that missed the correction would
+// name the wrong one.
 func (d *Dispatcher) keepBuild(ctx context.Context, s *stream, id ident.Upstream) {
 	build := s.sentTo.Build
 	// A connection does not outlast the process that accepted it, so that an upstream that has
@@ -82,14 +70,15 @@
 	if u, ok := d.fleet.Upstream(id); ok && u.Born != s.sentTo.Born {
 		build = u.Build
 	}
-	s.build, s.keepsBuild = d.buildFor(s.w.Service.Name, build, d.timer.Now()), true
-	if s.told == nil {
+	now, service := d.timer.Now(), s.w.Service.Name
+	s.build, s.keepsBuild = d.buildFor(service, build, now), true
+	if build == "" || !s.w.Route.Resumable || !d.builds.Several(service, now) {
 		return
 	}
-	began := d.timer.Now()
+	d.meters.Count("Origins.Told", 1)
 	select {
-	case <-s.told:
+	case <-d.tellOrigin(builds.Record{Origin: originOf(s.w), Service: service, Build: build}):
 	case <-ctx.Done():
 	}
-	d.meters.Observe("OriginToldUs", d.timer.Now().Sub(began))
+	d.meters.Observe("OriginToldUs", d.timer.Now().Sub(now))
 }
--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -176,7 +176,7 @@
 		if slices.Contains(request.Exclude, id) {
 			continue
 		}
-		if u, ok := d.fleet.Upstream(id); !ok || request.Build != nil && (*request.Build == "" || *request.Build != u.Build) {
+		if u, ok := d.fleet.Upstream(id); !ok || !u.Build.Continues(request.Build) {
 			continue
 		}
 		if u, ok := d.fleet.Reserve(id, now); ok {
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -37,6 +37,7 @@
 	service  directory.Service
 	budget   retry.Settings
 	deadline time.Duration
+	told     []string     // builds that were told to other instances
 	origin   *ident.Build // build of the stream that the caller takes up; nil if it takes none up, "" if it is not known
 	publish  func()       // passes list to the dispatcher
 	memory   int64        // bound on answers in memory in bytes; 0 means the default
@@ -49,6 +50,7 @@
 //	                   the budget, if it is set, grows by other requests up to RETRIES
 //	memory BYTES           the bound on answers in memory
 //	engine NAME DOMAIN[/BUILD] COMMAND ...
+//	told BUILD ...         the builds told to other instances, in order; - for none
 //	origin BUILD           the caller takes up a stream after piece 3 that began at a build; - if that is not known
 //	want RESULT        "200 BODY", "pieces 1-5", "cut 1-3", "refused NotRun" or "refused Unknown"
 //	request ENGINE ...     a request received by an engine, in order
@@ -98,6 +100,7 @@
 	wd := &cluster{service: directory.Service{Name: "s", Memory: 55000, Backups: true}, budget: retry.Settings{Burst: 100, MaxAttempts: 8}, deadline: 20 * time.Second}
 	var want string
 	var wantSeen []string
+	wantTold := "any"
 	for n, line := range strings.Split(string(text), "\n") {
 		w := strings.Fields(line)
 		if len(w) == 0 || w[0] == "#" {
@@ -111,6 +114,8 @@
 		case "engine":
 			domain, build, _ := strings.Cut(w[2], "/")
 			wd.add(t, w[1], ident.Domain(domain), ident.Build(build), w[3:])
+		case "told":
+			wantTold = strings.TrimPrefix(strings.Join(w[1:], " "), "-")
 		case "origin":
 			build := ident.Build(strings.TrimPrefix(w[1], "-"))
 			wd.origin = &build
@@ -127,6 +132,9 @@
 	}
 	wd.mu.Lock()
 	defer wd.mu.Unlock()
+	if got := strings.Join(wd.told, " "); got != wantTold && wantTold != "any" {
+		t.Errorf("told to other instances: got %q, want %q", got, wantTold)
+	}
 	if got, want := strings.Join(wd.received, "\n"), strings.Join(wantSeen, "\n"); got != want {
 		t.Errorf("requests: got:\n%s\nwant:\n%s", got, want)
 	}
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -35,7 +35,6 @@
 
 	sentTo     directory.Upstream // as registered when the current attempt was sent
 	keepsBuild bool               // a piece was delivered, so that build is final
-	told       <-chan struct{}    // closed when other instances know the build of the current attempt; nil if they need not
 
 	gotPiece    bool      // the current attempt has received a piece
 	cleared     bool      // its answer has cleared the parts of its prompt
@@ -91,7 +90,6 @@
 		s.sends++
 		s.upstream, s.sentTo = u.ID, u
 		d.countSend(s, from)
-		d.tellBuild(s, u)
 		forget := d.prompts.add(u.ID, w.Blocks)
 		v, done := d.attempt(ctx, s, u, from, now)
 		forget()
@@ -215,7 +213,7 @@
 	}
 	if runCopy != nil && !d.fleet.MemoryLost(runCopy.Holder, now) {
 		u, ok := d.fleet.Reserve(runCopy.Holder, now)
-		if ok && u.Address == runCopy.Address && (s.build == nil || *s.build == u.Build) && d.takePermit(u.ID, 0, now) {
+		if ok && u.Address == runCopy.Address && u.Build.Continues(s.build) && d.takePermit(u.ID, 0, now) {
 			return u, runCopy, nil
 		}
 	}
--- a/edge/reach.go
+++ b/edge/reach.go
@@ -24,6 +24,7 @@
 // Bounds of what an instance does to find out from which upstreams it is cut off, see package reach.
 const (
 	reachTimeout     = 500 * time.Millisecond // of a question whether an instance reaches upstreams
+	reachPatience    = 150 * time.Millisecond // for which a request waits for the answer
 	directTimeout    = 400 * time.Millisecond // of opening a connection to try an upstream directly
 	checkTimeout     = 250 * time.Millisecond // of opening a connection to an upstream to answer a question
 	reachedLately    = time.Second            // age of what tells that an upstream is reached
@@ -110,8 +111,8 @@
 	return e.reach.Cut(domain)
 }
 
-// ask asks some instances whether they reach upstreams, and more of them after questions in vain. It returns after the first one that does, or
-// when all have answered.
+// ask asks some instances whether they reach upstreams, and more of them after questions in vain. It
+// returns after the first one that does, when all have answered, or after reachPatience.
 func (e *Edge) ask(ctx context.Context, domain ident.Domain, q reach.Question, before int) {
 	e.meters.Count("Reach.Asked", 1)
 	var all sync.WaitGroup
@@ -140,9 +141,13 @@
 		all.Wait()
 		close(done)
 	})
+	over := make(chan struct{})
+	sub := e.timer.After(reachPatience, func(time.Time) { close(over) })
+	defer sub.Stop()
 	select {
 	case <-found:
 	case <-done:
+	case <-over:
 	case <-ctx.Done():
 	case <-e.ctx.Done():
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -218,7 +218,7 @@
 	}
 	var out []ident.Upstream
 	for _, u := range g.list {
-		if build != nil && (*build == "" || *build != u.Build) {
+		if !u.Build.Continues(build) {
 			continue
 		}
 		if _, replaced := f.replaced[u.ID]; !replaced && !u.Draining && !g.tracker.Out(u.ID) && !slices.Contains(exclude, u.ID) {
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -49,6 +49,12 @@
 // Build names the version of the software that an upstream runs. Builds have no order.
 type Build string
 
+// Continues reports whether an upstream of build b may go on with what was begun at a build: any may if
+// that is nil, and none if it is "", which means that it is not known.
+func (b Build) Continues(begun *Build) bool {
+	return begun == nil || *begun != "" && *begun == b
+}
+
 // Service names a service that upstreams serve.
 type Service string
 
--- a/routing/engine.go
+++ b/routing/engine.go
@@ -115,10 +115,7 @@
 	if r.ExcludeDomain != "" && r.ExcludeDomain == e.Domain {
 		return false
 	}
-	if r.Build != nil && (*r.Build == "" || *r.Build != e.Build) {
-		return false
-	}
-	return !contains(r.Exclude, e.Upstream)
+	return e.Build.Continues(r.Build) && !contains(r.Exclude, e.Upstream)
 }
 
 // idleAfter is the time without unread prompts after which an upstream counts as idle. By then,
