--- a/builds/builds.go
+++ b/builds/builds.go
@@ -93,8 +93,8 @@
 type service struct {
 	builds  []ident.Build // of its registered upstreams, sorted
 	present map[ident.Build]presence
-	only    ident.Build // the only build known, while several is false
-	since   time.Time   // when it became the only one
+	only    ident.Build // the only build of its registered upstreams; "" if there are several
+	since   time.Time   // when only became that
 
 	several   bool // streams are told to holders
 	began     time.Time
@@ -173,6 +173,9 @@
 	case len(names) > 1 || !s.several && s.only != "" && names[0] != s.only:
 		s.enter(now)
 		s.lastKnown = now
+		if len(names) > 1 {
+			s.only = ""
+		}
 	case names[0] != s.only:
 		s.only, s.since = names[0], now
 	}
