edge: a stream that is taken up keeps the only build of its service

Both were taken up just before their instance knew of a second build: the stream was not restricted, waited in the queue or had its upstream chosen a moment later, and went to an engine of the new build. It is restricted to the only build now, which costs nothing while there is one. Streams of a service with one build wait in its queue as before.

--- a/builds/builds.go
+++ b/builds/builds.go
@@ -230,6 +230,16 @@
 	return ok && slices.ContainsFunc(s.builds, func(b ident.Build) bool { return b != "" })
 }
 
+// Only returns the build of the registered upstreams of a service, or "" if they have several or none.
+func (t *Tracker) Only(name ident.Service) ident.Build {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.services[name]; ok {
+		return s.only
+	}
+	return ""
+}
+
 // Settled reports whether this instance has run for long enough to know of all recent builds.
 func (t *Tracker) Settled(now time.Time) bool { return now.Sub(t.started) >= t.cfg.Settle }
 
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -72,7 +72,7 @@
 	// they know it, or after a short time.
 	TellOrigin func(r builds.Record) (told <-chan struct{})
 	// FindOrigin returns the build at which a stream began that its caller takes up, nil if the
-	// service has one build only, and false if it is not known.
+	// upstreams of the service name none, and false if it is not known.
 	FindOrigin func(ctx context.Context, w *work.Work) (build *ident.Build, found bool)
 	// CutOff reports whether this instance is cut off from the upstreams of a failure domain, and
 	// whether it may be.
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -221,7 +221,7 @@
 		return directory.Upstream{}, nil, refusal
 	}
 	now = d.timer.Now() // the stream may have waited for a permit
-	if s.runs == 0 && s.build == nil {
+	if s.runs == 0 && (s.build == nil || !d.builds.Several(s.w.Service.Name, now)) {
 		u, refusal := d.admit(ctx, s, now)
 		return u, nil, refusal
 	}
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -126,14 +126,18 @@
 	return told
 }
 
-// findOrigin returns the build at which a stream began that its caller takes up. It returns nil if the
-// service has had one build only lately, and false if the holders of the stream do not tell.
+// findOrigin returns the build at which a stream began that its caller takes up, nil if the upstreams of
+// the service name none, and false if the holders of the stream do not tell.
 func (e *Edge) findOrigin(ctx context.Context, w *work.Work) (*ident.Build, bool) {
 	now := e.timer.Now()
 	service := w.Service.Name
-	if !e.builds.Named(service) || !e.builds.Several(service, now) && e.knowsBuilds(now) {
+	if !e.builds.Named(service) {
 		return nil, true
 	}
+	if !e.builds.Several(service, now) && e.knowsBuilds(now) {
+		only := e.builds.Only(service) // others may register before an upstream is chosen
+		return &only, only != ""
+	}
 	if own := e.builds.Find(w.Origin, service, now); own.Known || w.Origin == "" {
 		e.logOrigin(w, own.Build, own.Known, 0, 0, now)
 		return &own.Build, own.Known
