--- a/soak/builds.go
+++ b/soak/builds.go
@@ -21,6 +21,7 @@
 	minKeptShare    = 0.5 // of the share of new streams that begin, for streams that are taken up
 	enginesServing  = 2   // of the build of a stream that is taken up
 	engineStartTime = 2 * time.Second
+	inTouchTime     = 3 * time.Second // since the last start, signal or pause of an instance, for it to count
 )
 
 // Times of a rollout.
@@ -34,11 +35,11 @@
 func (s *Soak) rollOut(ctx context.Context, r *rand.Rand) {
 	var engines []*upstream
 	for _, u := range s.cluster.upstreams {
-		if u.build.Load() != nil {
+		if u.build() != "" {
 			engines = append(engines, u)
 		}
 	}
-	build := engines[r.IntN(len(engines))].build.Load().(ident.Build)
+	build := engines[r.IntN(len(engines))].build()
 	if r.IntN(2) == 0 {
 		build = ident.Build(fmt.Sprintf("v%d", 2+r.IntN(1000)))
 	}
@@ -47,9 +48,8 @@
 	for _, i := range order {
 		u := engines[i]
 		running.Go(func() {
-			u.replaceArg("--build", string(build))
+			u.replaceArg(buildFlag, string(build))
 			s.restart(ctx, u.process, syscall.SIGTERM, 0)
-			u.build.Store(build)
 		})
 		s.clock.pause(ctx, randomDuration(r, minRolloutGap, maxRolloutGap))
 	}
@@ -78,12 +78,18 @@
 	}
 }
 
+// inTouch reports whether an instance has been undisturbed for so long that streams taken up there count.
+func (s *Soak) inTouch(in *instance) bool {
+	_, changed := in.incarnation()
+	return s.clock.since(changed) > inTouchTime
+}
+
 // serves reports whether enough engines of a build serve that a stream of it must go on.
 func (cl *cluster) serves(build ident.Build) bool {
 	n := 0
 	for _, u := range cl.upstreams {
 		_, started := u.incarnation()
-		if u.build.Load() == build && u.running() && !u.isLeaving() && cl.clock.since(started) > engineStartTime {
+		if u.build() == build && u.running() && !u.isLeaving() && cl.clock.since(started) > engineStartTime {
 			n++
 		}
 	}
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -139,7 +139,7 @@
 		if c.conn == nil && !c.connect() {
 			continue
 		}
-		counts, before := c.soak.cluster.serves(held.build), held.last
+		counts, before := c.soak.inTouch(c.instance) && c.soak.cluster.serves(held.build), held.last
 		cut = c.tryStream(fmt.Sprintf("%s-%d", id, try), held)
 		c.soak.recordTakenUp(held, counts, held.last > before)
 	}
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"sync/atomic"
 	"time"
 
 	"crocuslug/directory"
@@ -41,9 +40,14 @@
 type upstream struct {
 	*process
 	proxy *proxy
-	build atomic.Value // ident.Build of the software of an engine; nothing for a plain service
 }
 
+// buildFlag is the flag of engines that names their build.
+const buildFlag = "--build"
+
+// build returns the build that an engine was last started with, or "" for a plain service.
+func (u *upstream) build() ident.Build { return ident.Build(u.argOf(buildFlag)) }
+
 // instance is an edge process that reaches the store through its own proxy.
 type instance struct {
 	*process
@@ -179,7 +183,7 @@
 	}
 	name := fmt.Sprintf("engine-%d-%d", domain, n)
 	if n < enginesPerDomain {
-		args = append(args, "--service", string(engineService), "--pieces", fmt.Sprint(pieceCount), "--interval", "30ms", "--prefill", "800ms", "--build", string(firstBuild))
+		args = append(args, "--service", string(engineService), "--pieces", fmt.Sprint(pieceCount), "--interval", "30ms", "--prefill", "800ms", buildFlag, string(firstBuild))
 	} else {
 		name = fmt.Sprintf("plain-%d", domain)
 		args = append(args, "--service", string(plainService), "--prefill", "40ms", "--crash-body", crashBody)
@@ -188,11 +192,7 @@
 	if err != nil {
 		return err
 	}
-	u := &upstream{process: proc, proxy: p}
-	if n < enginesPerDomain {
-		u.build.Store(firstBuild)
-	}
-	cl.upstreams = append(cl.upstreams, u)
+	cl.upstreams = append(cl.upstreams, &upstream{proc, p})
 	return proc.start()
 }
 
--- a/soak/process.go
+++ b/soak/process.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -15,13 +16,14 @@
 	clock clock
 	name  string
 	path  string
-	args  []string
+	args  []string // of the next start
 	env   []string
 	log   *os.File
 
 	mu         sync.Mutex
 	cmd        *exec.Cmd
 	starts     int
+	startArgs  []string      // arguments of the last start
 	lastChange time.Time     // last start or signal
 	stopped    bool          // never start the program again
 	leaving    int           // number of restarts in progress
@@ -48,7 +50,7 @@
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", p.name, err)
 	}
-	p.cmd, p.lastChange = cmd, p.clock.Now()
+	p.cmd, p.lastChange, p.startArgs = cmd, p.clock.Now(), slices.Clone(p.args)
 	p.starts++
 	done := make(chan struct{})
 	p.exited = done
@@ -70,6 +72,16 @@
 	}
 }
 
+// argOf returns the value that followed a flag at the last start, or "" if there was none.
+func (p *process) argOf(flag string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i := slices.Index(p.startArgs, flag); i >= 0 && i+1 < len(p.startArgs) {
+		return p.startArgs[i+1]
+	}
+	return ""
+}
+
 // isRunning reports whether the program runs. Two overlapping faults may both restart
 // the process, in which case the second finds it running. The caller holds p.mu.
 func (p *process) isRunning() bool {
