--- a/soak/builds.go
+++ b/soak/builds.go
@@ -72,7 +72,9 @@
 		})
 		for range s.cluster.instances {
 			s.clock.pause(ctx, randomDuration(r, time.Second, 2*time.Second))
-			s.restart(ctx, s.randomInstance(r).process, syscall.SIGKILL, randomDuration(r, 100*time.Millisecond, time.Second))
+			s.beginFault(instanceKilled)
+			instanceKilled.run(ctx, s, r)
+			s.endFault(instanceKilled)
 		}
 		running.Wait()
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -79,7 +79,7 @@
 	}
 }
 
-// Planned work that also overlaps pauses of sound upstreams or kills of instances.
+// Faults that also overlap each other or pauses of sound upstreams.
 var (
 	upstreamLeaves = fault{"upstream leaves", true, func(ctx context.Context, s *Soak, r *rand.Rand) {
 		s.restart(ctx, s.randomUpstream(r).process, syscall.SIGTERM, randomDuration(r, 100*time.Millisecond, time.Second))
@@ -87,6 +87,9 @@
 	instanceLeaves = fault{"instance leaves", true, func(ctx context.Context, s *Soak, r *rand.Rand) {
 		s.restart(ctx, s.randomInstance(r).process, syscall.SIGTERM, randomDuration(r, 100*time.Millisecond, time.Second))
 	}}
+	instanceKilled = fault{"instance killed", false, func(ctx context.Context, s *Soak, r *rand.Rand) {
+		s.restart(ctx, s.randomInstance(r).process, syscall.SIGKILL, randomDuration(r, 100*time.Millisecond, time.Second))
+	}}
 	enginesRolledOut = fault{"engines rolled out", false, func(ctx context.Context, s *Soak, r *rand.Rand) { s.rollOut(ctx, r) }}
 	instanceReload   = fault{"instance reads its settings again", true, func(_ context.Context, s *Soak, r *rand.Rand) {
 		s.randomInstance(r).signal(syscall.SIGHUP)
@@ -124,9 +127,7 @@
 	{"way to an upstream slow", false, func(ctx context.Context, s *Soak, r *rand.Rand) {
 		s.setModeFor(ctx, s.randomUpstream(r).proxy, slow, randomDuration(r, 500*time.Millisecond, 2*time.Second))
 	}},
-	{"instance killed", false, func(ctx context.Context, s *Soak, r *rand.Rand) {
-		s.restart(ctx, s.randomInstance(r).process, syscall.SIGKILL, randomDuration(r, 100*time.Millisecond, time.Second))
-	}},
+	instanceKilled,
 	{"instance frozen", false, func(ctx context.Context, s *Soak, r *rand.Rand) {
 		s.freeze(ctx, s.randomInstance(r).process, randomDuration(r, 200*time.Millisecond, 1500*time.Millisecond))
 	}},
