edge: streams that are taken up wait until the builds of their service are known

Most callers try again only once more.

Cause: an instance that has heard no peer yet cannot exclude a second build and took not knowing yet for not known. Ruled out: several builds (all engines v1), the store (read before the first refusal), lost holders (none was asked, since these callers name no origin).

Proof: edge TestStreamsTakenUpWhileInstancesStart failed before (got false, want v1).

--- a/edge/origins.go
+++ b/edge/origins.go
@@ -31,7 +31,9 @@
 	tellOriginTimeout = 100 * time.Millisecond // for which the first piece of a stream waits at most
 	findOriginTimeout = 250 * time.Millisecond
 	handOverTimeout   = time.Second
-	maxHandedOver     = 500 // streams in one message
+
+	buildsCheckInterval = 25 * time.Millisecond // between two checks whether the builds of a service are known
+	maxHandedOver       = 500                   // streams in one message
 )
 
 // findOriginRequest asks for the build at which a stream began.
@@ -129,11 +131,12 @@
 // findOrigin returns the build at which a stream began that its caller takes up, nil if the upstreams of
 // the service name none, and false if the holders of the stream do not tell.
 func (e *Edge) findOrigin(ctx context.Context, w *work.Work) (*ident.Build, bool) {
-	now := e.timer.Now()
 	service := w.Service.Name
 	if !e.builds.Named(service) {
 		return nil, true
 	}
+	e.waitForBuilds(ctx, service)
+	now := e.timer.Now()
 	if !e.builds.Several(service, now) && e.knowsBuilds(now) {
 		only := e.builds.Only(service) // others may register before an upstream is chosen
 		return &only, only != ""
@@ -208,6 +211,21 @@
 	return fresh
 }
 
+// waitForBuilds returns once this instance would know of a second build of a service or knows of one,
+// but no later than it has settled. After all instances have started again at once, their callers take
+// their streams up before any instance has heard another one, and most callers try again only once.
+func (e *Edge) waitForBuilds(ctx context.Context, service ident.Service) {
+	began := e.timer.Now()
+	now := began
+	for ctx.Err() == nil && !e.builds.Several(service, now) && !e.knowsBuilds(now) && !e.builds.Settled(now) {
+		e.sleep(buildsCheckInterval)
+		now = e.timer.Now()
+	}
+	if now.After(began) {
+		e.meters.Observe("BuildsAwaitedUs", now.Sub(began))
+	}
+}
+
 // holdersOf returns the holders of a stream: the first n instances by rendezvous hashing of its
 // origin, at most perDomain of each failure domain if there are several. With asked, they are chosen
 // among this instance and all that may live; an instance that has just started has heard of few. Else
