edge: answers under another id prove an upstream gone, and instances tell that on

Cause: an instance probed the address of a lost upstream only while its new id may be adopted, and threw away an answer that came later. What one instance found out by a refused request it told 8 others in 250 ms, and they told nobody, so that 90 instances each found it out anew.

Change: two later probes; an answer under another id marks the upstream as replaced. Instances pass on for a second what they learn, restarts as well.

--- a/edge/peers.go
+++ b/edge/peers.go
@@ -313,7 +313,7 @@
 		e.fleet.ReportPeerLoss(id, now)
 	}
 	for id, revision := range d.Replaced {
-		e.fleet.ReportPeerReplaced(id, revision)
+		e.fleet.ReportPeerReplaced(id, revision, now)
 	}
 	for _, p := range d.Prompts {
 		e.fleet.NotePrompt(p.Upstream, p.Blocks, now)
--- a/edge/restart.go
+++ b/edge/restart.go
@@ -15,14 +15,19 @@
 // again. The platform gives the address of an upstream to no other service for
 // settings.Edge.ReuseAfter after its end, so within that time whichever upstream answers at the
 // address belongs to the same service.
+//
+// Later probes cannot tell which upstream that is, but an answer under another id still proves that the
+// former one is gone. Without it each instance would learn that by requests that are turned away, all
+// at once when a failure domain is lost and its streams need the other upstreams.
+var restartProbeShares = []float64{0.62, 0.68, 1.1, 2.2} // of ReuseAfter, counted from the last contact with the upstream
+
 const (
-	firstProbeShare     = 0.62 // of ReuseAfter, counted from the last contact with the upstream
-	secondProbeShare    = 0.68
 	restartProbeTimeout = 150 * time.Millisecond
 	// reuseMargin is the longest transit of data on a stream that is not given up as silent. An
 	// answer must arrive this long before the end of ReuseAfter.
 	reuseMargin       = 600 * time.Millisecond
-	restartReportTime = 3 * time.Second // time for which digests report a restart
+	restartReportTime = 3 * time.Second // time for which digests report a restart that was found here
+	restartRelayTime  = time.Second     // and one that was learned from another instance
 )
 
 // restart says that an upstream has started again under a new id.
@@ -44,7 +49,7 @@
 		e.tasks.Go(func() { e.probeRestart(u, lastContact+reuse-reuseMargin) })
 		return
 	}
-	for _, share := range []float64{firstProbeShare, secondProbeShare} {
+	for _, share := range restartProbeShares {
 		at := lastContact + time.Duration(share*float64(reuse))
 		if at <= up {
 			continue
@@ -56,8 +61,8 @@
 }
 
 // probeRestart asks the address of a lost upstream which upstream answers there, and registers it
-// under its new id. It does nothing if the store has named a newer upstream at that address, or if
-// the answer comes after limit, an uptime.
+// under its new id. If the answer comes after limit, an uptime, the former upstream is only recorded as
+// replaced. It does nothing if the store has named a newer upstream at that address.
 func (e *Edge) probeRestart(u directory.Upstream, limit time.Duration) {
 	if e.registry.ByAddress(u.Address).ID != u.ID {
 		return
@@ -81,7 +86,12 @@
 		return
 	}
 	now := e.timer.Now()
-	if e.timer.Uptime() >= limit || !e.registry.RecordRestart(u.ID, id, now) {
+	if e.timer.Uptime() >= limit {
+		e.fleet.ReportReplaced(u.ID, u.Revision, now)
+		e.log.Info().Str("Upstream", string(u.ID)).Str("Address", u.Address).Str("Now", string(id)).Msg("probe found an upstream replaced")
+		return
+	}
+	if !e.registry.RecordRestart(u.ID, id, now) {
 		return
 	}
 	e.mu.Lock()
@@ -111,6 +121,9 @@
 	for _, r := range list {
 		if e.registry.RecordRestart(r.Former, r.New, now) {
 			changed = true
+			e.mu.Lock()
+			e.restarts = append(e.restarts, restart{r.Former, r.New, now.Add(restartRelayTime)})
+			e.mu.Unlock()
 			e.log.Info().Str("Upstream", string(r.New)).Str("Former", string(r.Former)).Str("Peer", string(from)).Msg("peer reported a restarted upstream")
 		}
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -46,7 +46,7 @@
 	domainFailedAt map[ident.Domain]time.Time       // when failure domains last lost several upstreams at once
 	lastAlive      map[ident.Upstream]time.Duration // uptime of this machine when each upstream was last known to be alive
 	replaced       map[ident.Upstream]store.Version // registry revisions of upstreams whose address another upstream has taken
-	foundReplaced  map[ident.Upstream]time.Time     // when this instance found some of them
+	foundReplaced  map[ident.Upstream]time.Time     // when some of them were found; FoundReplaced returns them for replacedReportTime
 }
 
 // New returns a Fleet without upstreams. The function random returns 64 random bits
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -105,7 +105,7 @@
 		case "stream-start":
 			f.ReportStreamStart(id, now)
 		case "peer-replaced":
-			f.ReportPeerReplaced(ident.Upstream(w[1]), store.Version(number(t, w[2])))
+			f.ReportPeerReplaced(ident.Upstream(w[1]), store.Version(number(t, w[2])), now)
 		case "replaced":
 			got := slices.Sorted(maps.Keys(f.FoundReplaced(now)))
 			var want []ident.Upstream
--- a/fleet/losses.go
+++ b/fleet/losses.go
@@ -97,11 +97,16 @@
 	f.recordDeath(u, now)
 }
 
-// replacedReportTime is the time for which FoundReplaced returns an upstream.
-const replacedReportTime = 3 * time.Second
+// Times for which FoundReplaced returns an upstream. An instance tells a few others at a time, so that
+// those who were told tell it too for a while: the time until all know grows with the logarithm of
+// their number.
+const (
+	replacedReportTime = 3 * time.Second // found here
+	replacedRelayTime  = time.Second     // learned from another instance
+)
 
-// FoundReplaced returns the upstreams that this instance has recently found replaced, with the
-// revisions of their entries.
+// FoundReplaced returns the upstreams that were recently found replaced, here or by another instance,
+// with the revisions of their entries.
 func (f *Fleet) FoundReplaced(now time.Time) map[ident.Upstream]store.Version {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -122,7 +127,7 @@
 
 // ReportPeerReplaced records that another instance has found an upstream replaced, whose entry had
 // a revision. It gets no more requests here either, since each of them would be refused.
-func (f *Fleet) ReportPeerReplaced(id ident.Upstream, revision store.Version) {
+func (f *Fleet) ReportPeerReplaced(id ident.Upstream, revision store.Version, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	u, ok := f.upstreams[id]
@@ -130,9 +135,21 @@
 		return
 	}
 	f.replaced[id] = u.Revision
+	f.foundReplaced[id] = now.Add(replacedRelayTime - replacedReportTime)
 	f.services[u.Service].updateCandidates(f)
 }
 
+// ReportReplaced records that this instance has found an upstream replaced whose entry has a revision,
+// other than by a request.
+func (f *Fleet) ReportReplaced(id ident.Upstream, revision store.Version, now time.Time) {
+	f.ReportPeerReplaced(id, revision, now)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, ok := f.replaced[id]; ok {
+		f.foundReplaced[id] = now
+	}
+}
+
 // Forgive forgets what this instance has found out about the upstreams of a failure domain while it was
 // cut off from them.
 func (f *Fleet) Forgive(domain ident.Domain, now time.Time) {
