edge: the retry slack of all instances is divided by their number

Cause: 16 instances were assumed to share the slack, however many there are.

Change: the live instances known share it, 16 at least as before; one retry is left to each. With 295 that is 295 at once, above the 150 but for bursts in which no instance has used its own within the time in which the budget refills.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -122,6 +122,23 @@
 	return b
 }
 
+// SetRetryBurst replaces the burst of the retry budgets of all services.
+func (d *Dispatcher) SetRetryBurst(burst float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budget.Burst = burst
+	for _, b := range d.budgets {
+		b.SetBurst(burst)
+	}
+}
+
+// RetryBurst returns the burst of the retry budgets.
+func (d *Dispatcher) RetryBurst() float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budget.Burst
+}
+
 // countWaiting adds n to the number of interrupted streams that wait for an upstream of s.
 func (d *Dispatcher) countWaiting(s ident.Service, n int) {
 	d.mu.Lock()
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -209,19 +209,24 @@
 	maxHealthBackOff = 8 * time.Second
 )
 
-// Part of the retry budget of all instances that one instance uses. It does not
-// depend on the number of instances, which a new instance does not know yet.
+// Part of the retry budget of all instances that one instance uses.
 const (
 	budgetShare    = 0.5 // of the ratio of retries to requests
-	slackInstances = 16  // number of instances assumed to share the retry slack
+	slackInstances = 16  // least number of instances assumed to share the retry slack; a new instance knows few
 )
 
+// retryBurst returns the part of the retry slack that one of n instances may use. It is at least one
+// retry, without which there would be none at all.
+func (e *Edge) retryBurst(n int) float64 {
+	return max(1, e.cfg.RetrySlack/float64(max(slackInstances, n)))
+}
+
 // budget returns the settings of the retry budget of this instance.
 func (e *Edge) budget() retry.Settings {
 	const attempts = 8 // the bound of the route is lower
 	return retry.Settings{
 		RetryRatio:  budgetShare * e.cfg.RetryShare,
-		Burst:       max(1, e.cfg.RetrySlack/slackInstances),
+		Burst:       e.retryBurst(1),
 		MaxAttempts: attempts,
 	}
 }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -246,8 +246,12 @@
 func (e *Edge) updateFleetInstances(now time.Time) {
 	near := []ident.Instance{e.self}
 	domains := []ident.Domain{e.cfg.Domain}
+	live := 1
 	e.mu.Lock()
 	for id, p := range e.peers {
+		if e.peerAlive(p, now) {
+			live++
+		}
 		switch {
 		case p.domain == e.cfg.Domain && e.peerAlive(p, now):
 			near = append(near, id)
@@ -256,6 +260,7 @@
 		}
 	}
 	e.mu.Unlock()
+	e.dispatcher.SetRetryBurst(e.retryBurst(live))
 	e.fleet.SetInstances(domains, near)
 	e.view.SetPeers(e.cfg.Domain, e.self, near)
 }
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -76,6 +76,14 @@
 	return &Budget{cfg: cfg, random: random, tokens: cfg.Burst}
 }
 
+// SetBurst replaces Settings.Burst. It must be positive.
+func (b *Budget) SetBurst(burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cfg.Burst = burst
+	b.tokens = min(b.tokens, burst)
+}
+
 // AddRequest counts the first attempt of a request, which increases the budget.
 func (b *Budget) AddRequest() {
 	b.mu.Lock()
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -87,3 +87,18 @@
 		t.Error("hedge: got true with HedgeDelay 0, want false")
 	}
 }
+
+// TestSetBurst guards against retries that a smaller burst does not allow any more.
+func TestSetBurst(t *testing.T) {
+	b := New(Settings{Burst: 9, MaxAttempts: 3}, rand.New(rand.NewPCG(1, 1)).Uint64)
+	b.SetBurst(2)
+	retries := 0
+	for range 9 {
+		if v, _ := b.Decide(Attempt{Number: 1, Run: result.RunNot, Remaining: time.Minute}); v == Retry {
+			retries++
+		}
+	}
+	if retries != 2 {
+		t.Errorf("retries: got %d, want 2", retries)
+	}
+}
