edge: one watcher of the store a failure domain, leases of two minutes

Cause: two watchers in each domain called once in 1.25 s whatever the time in which a change must be known, and each instance renewed a lease of 12 s each 4 s although nothing but the list of peers depends on it. Ruled out: reads at the start (4 an instance).

Change: one watcher a domain (two if there is one domain); waits and pauses follow from the time in which a leaving upstream must get no more work; leases of two minutes, renewed each 40 s and checked soon after a restore.

Proof: edge TestStoreCallsOfQuietFleet: 0.83 calls a second and instance before (96 reads, 54 writes in 10 s), 0.13 now (24 and 0), at most 0.15 asked. TestChangesSeenAfterLostWatcher passed before and now.

--- a/edge/announce.go
+++ b/edge/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"crocuslug/store"
@@ -11,11 +12,15 @@
 // project uses it.
 const instancesPrefix = "crocuslug/instances/"
 
-// Times for the store entry of this instance.
+// Times for the store entry of this instance. Others learn from digests whether it lives, and from the
+// entry only where it is, so the lease may be long.
 const (
-	leaseDuration = 12 * time.Second
-	renewInterval = 4 * time.Second // a third of the lease, so that one failed renewal does no harm
+	leaseDuration = 2 * time.Minute
+	renewInterval = 40 * time.Second // a third of the lease, so that one failed renewal does no harm
 	retryInterval = time.Second
+	// maxRestoreDelay is the longest time until the entry is checked after the store was restored from
+	// an older copy, which may lack it. It is random, since all instances notice at the same time.
+	maxRestoreDelay = 4 * time.Second
 )
 
 // announce keeps the entry of this instance in the store, through which other instances find it.
@@ -28,7 +33,20 @@
 			e.log.Info().Err(err).Msg("could not register this instance in the store; trying again")
 			wait = retryInterval
 		}
-		e.sleep(wait)
+		e.waitForRestore(wait)
+	}
+}
+
+// waitForRestore waits for d, or until shortly after the store was restored from an older copy.
+func (e *Edge) waitForRestore(d time.Duration) {
+	over := make(chan struct{})
+	sub := e.timer.After(d, func(time.Time) { close(over) })
+	defer sub.Stop()
+	select {
+	case <-over:
+	case <-e.restored:
+		e.sleep(rand.N(maxRestoreDelay))
+	case <-e.ctx.Done():
 	}
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -78,6 +78,7 @@
 	fetching   atomic.Bool                         // a configuration is being fetched because a peer has a newer one
 	leaving    atomic.Bool
 	addresses  atomic.Pointer[map[string]directory.Upstream] // registered upstreams by address; nil at first
+	restored   chan struct{}                                 // receives when the store was restored from an older copy
 	leaveBegan atomic.Int64                                  // when Leave was called, in Unix nanoseconds of the timer
 
 	mu          sync.Mutex
@@ -143,6 +144,7 @@
 		digestRound:    rand.IntN(maxDigestRound),
 		unreadable:     make(map[string]store.Version),
 		peers:          make(map[ident.Instance]*peer),
+		restored:       make(chan struct{}, 1),
 
 		silentIssuers: make(map[ident.Instance]silentIssuer),
 	}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -246,11 +246,12 @@
 func (e *Edge) updateFleetInstances(now time.Time) {
 	near := []ident.Instance{e.self}
 	domains := []ident.Domain{e.cfg.Domain}
-	live := 1
+	live, liveDomains := 1, map[ident.Domain]bool{e.cfg.Domain: true}
 	e.mu.Lock()
 	for id, p := range e.peers {
 		if e.peerAlive(p, now) {
 			live++
+			liveDomains[p.domain] = true
 		}
 		switch {
 		case p.domain == e.cfg.Domain && e.peerAlive(p, now):
@@ -262,7 +263,7 @@
 	e.mu.Unlock()
 	e.dispatcher.SetRetryBurst(e.retryBurst(live))
 	e.fleet.SetInstances(domains, near)
-	e.view.SetPeers(e.cfg.Domain, e.self, near)
+	e.view.SetPeers(e.cfg.Domain, e.self, near, len(liveDomains))
 }
 
 // peerAlive reports whether the last digest of a peer is as recent as expected from a live peer.
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -77,6 +77,10 @@
 	if seen := e.view.Seen(); seen > 0 && at.Era() > seen.Era() {
 		e.log.Warn().Uint64("Era", at.Era()).Uint64("FormerEra", seen.Era()).Uint64("Revision", at.Revision()).Uint64("Seen", seen.Revision()).
 			Msg("store was restored from an older copy")
+		select {
+		case e.restored <- struct{}{}:
+		default: // noticed already
+		}
 	}
 }
 
@@ -93,7 +97,7 @@
 // react to leaving upstreams.
 const (
 	minWatchWait   = 250 * time.Millisecond
-	maxWatchWait   = time.Second
+	maxWatchWait   = 2 * time.Second
 	watchWaitShare = 0.5 // of settings.Edge.Drain
 )
 
@@ -114,13 +118,14 @@
 const (
 	minWatchPause         = 250 * time.Millisecond
 	watchPausePerInstance = 15 * time.Millisecond
-	maxWatchPauseShare    = 0.4 // of settings.Edge.Drain, the time to react to leaving upstreams
+	watcherPauseShare     = 0.125 // of settings.Edge.Drain, the time to react to leaving upstreams
+	maxWatchPauseShare    = 0.4   // of settings.Edge.Drain
 )
 
 // watchPause returns the pause between two watches of this instance.
 func (e *Edge) watchPause() time.Duration {
 	if e.view.Watcher() {
-		return minWatchPause
+		return max(minWatchPause, time.Duration(watcherPauseShare*float64(e.cfg.Drain)))
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/storeview/view.go
+++ b/storeview/view.go
@@ -6,9 +6,10 @@
 // confirmed: by an answer of the store, or by a peer that reports the same version together with
 // the age of its own confirmation.
 //
-// In each failure domain a few instances, the watchers, watch the store with short waits. The
-// others ask a peer for changes as soon as one reports a higher version. An instance whose
-// knowledge has not been confirmed for MaxAge watches the store itself, whoever else does.
+// In each failure domain one instance, the watcher, watches the store with short waits; with few
+// failure domains there are more, so that the loss of one leaves another. The others ask a peer for
+// changes as soon as one reports a higher version. An instance whose knowledge has not been
+// confirmed for MaxAge watches the store itself, whoever else does.
 package storeview
 
 import (
@@ -24,7 +25,7 @@
 
 // Settings configures a View. Zero fields take the defaults.
 type Settings struct {
-	Watchers        int           // watchers in a failure domain; 0 means 2
+	Watchers        int           // least number of watchers in all failure domains; 0 means 2
 	MaxAge          time.Duration // age of the knowledge from which an instance watches the store itself; 0 means 2s
 	CatchUpDelay    time.Duration // lag behind a peer after which a watcher asks for changes; 0 means 750ms
 	CatchUpInterval time.Duration // least time between two requests for changes; 0 means 150ms
@@ -67,11 +68,13 @@
 	return &View{cfg: cfg, watcher: true}
 }
 
-// SetPeers sets the live instances of the failure domain, self included. It reports whether self
-// has become a watcher or ceased to be one.
-func (v *View) SetPeers(domain ident.Domain, self ident.Instance, live []ident.Instance) bool {
+// SetPeers sets the live instances of the failure domain, self included, and the number of failure
+// domains with live instances. It reports whether self has become a watcher or ceased to be one.
+func (v *View) SetPeers(domain ident.Domain, self ident.Instance, live []ident.Instance, domains int) bool {
 	order := rendezvous.Order(string(domain), live)
-	watcher := slices.Contains(order[:min(v.cfg.Watchers, len(order))], self)
+	domains = max(1, domains)
+	watchers := (v.cfg.Watchers + domains - 1) / domains
+	watcher := slices.Contains(order[:min(watchers, len(order))], self)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	changed := v.watcher != watcher
