edge: instances that start together share the upstreams from the start

Cause: shares of upstreams counted instances that had sent a digest. For the first second each instance was alone by that count, took all upstreams of its domain for its own share, and sent to them at once.

Change: instances that the store lists and that may not have been heard yet have their share, and shares are set as soon as the store has been read.

--- a/edge/origins.go
+++ b/edge/origins.go
@@ -236,8 +236,7 @@
 	several := false
 	e.mu.Lock()
 	for id, p := range e.peers {
-		unheard := p.lastDigest.IsZero() && now.Sub(p.added) <= peerExpiry
-		if e.peerAlive(p, now) || asked && unheard {
+		if e.peerAlive(p, now) || asked && e.unheard(p, now) {
 			domains[id] = p.domain
 			several = several || p.domain != e.cfg.Domain
 		}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -242,30 +242,42 @@
 
 // updateFleetInstances sets the failure domains that have instances, and the live instances of the
 // own domain, in the fleet. A domain without recent digests stays listed and keeps its share of
-// the upstreams. The fleet treats upstreams in that share that no instance uses as idle.
+// the upstreams. The fleet treats upstreams in that share that no instance uses as idle. Instances
+// that are listed and may not have been heard yet have their share too: those that start at the
+// same time would each take all upstreams of the domain for their own.
 func (e *Edge) updateFleetInstances(now time.Time) {
 	near := []ident.Instance{e.self}
+	sharing := []ident.Instance{e.self}
 	domains := []ident.Domain{e.cfg.Domain}
 	live, liveDomains := 1, map[ident.Domain]bool{e.cfg.Domain: true}
 	e.mu.Lock()
 	for id, p := range e.peers {
-		if e.peerAlive(p, now) {
+		alive := e.peerAlive(p, now)
+		if alive {
 			live++
 			liveDomains[p.domain] = true
 		}
 		switch {
-		case p.domain == e.cfg.Domain && e.peerAlive(p, now):
-			near = append(near, id)
+		case p.domain == e.cfg.Domain && alive:
+			near, sharing = append(near, id), append(sharing, id)
+		case p.domain == e.cfg.Domain && e.unheard(p, now):
+			sharing = append(sharing, id)
 		case p.domain != "" && !slices.Contains(domains, p.domain):
 			domains = append(domains, p.domain)
 		}
 	}
 	e.mu.Unlock()
 	e.dispatcher.SetRetryBurst(e.retryBurst(live))
-	e.fleet.SetInstances(domains, near)
+	e.fleet.SetInstances(domains, sharing)
 	e.view.SetPeers(e.cfg.Domain, e.self, near, len(liveDomains))
 }
 
+// unheard reports whether a peer became known so recently that it may live although it has sent no
+// digest yet. The caller holds e.mu.
+func (e *Edge) unheard(p *peer, now time.Time) bool {
+	return p.lastDigest.IsZero() && now.Sub(p.added) <= peerExpiry
+}
+
 // peerAlive reports whether the last digest of a peer is as recent as expected from a live peer.
 // The caller holds e.mu.
 func (e *Edge) peerAlive(p *peer, now time.Time) bool {
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -176,6 +176,7 @@
 		}
 	}
 	e.forgetPeers(instances)
+	e.updateFleetInstances(now)
 	e.logRemovals(e.registry.ReplaceAll(list, at, now), at, "scan")
 	e.view.Confirm(at, began)
 	e.publish(now)
