dispatch: holders are told of streams in progress when a second build is known

Cause: holders were told of a stream when its first piece came, and only if its service had several builds then. What began earlier rested on two instances that had known the service since, and a rollout ends instances one after the other.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -53,6 +53,7 @@
 
 	mu             sync.Mutex
 	budget         retry.Settings
+	untold         untold
 	budgets        map[ident.Service]*retry.Budget
 	waitingResumes map[ident.Service]int // interrupted streams that wait for an upstream
 	queues         map[ident.Service]*line.Queue
@@ -106,6 +107,7 @@
 		budget:         p.Budget,
 		budgets:        make(map[ident.Service]*retry.Budget),
 		waitingResumes: make(map[ident.Service]int),
+		untold:         untold{records: make(map[*stream]builds.Record)},
 		queues:         make(map[ident.Service]*line.Queue),
 	}
 }
--- a/dispatch/origin.go
+++ b/dispatch/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"crocuslug/builds"
@@ -72,13 +73,71 @@
 	}
 	now, service := d.timer.Now(), s.w.Service.Name
 	s.build, s.keepsBuild = d.buildFor(service, build, now), true
-	if build == "" || !s.w.Route.Resumable || !d.builds.Several(service, now) {
+	if build == "" || !s.w.Route.Resumable {
+		return
+	}
+	record := builds.Record{Origin: originOf(s.w), Service: service, Build: build}
+	if !d.builds.Several(service, now) {
+		d.untold.add(s, record)
 		return
 	}
 	d.meters.Count("Origins.Told", 1)
 	select {
-	case <-d.tellOrigin(builds.Record{Origin: originOf(s.w), Service: service, Build: build}):
+	case <-d.tellOrigin(record):
 	case <-ctx.Done():
 	}
 	d.meters.Observe("OriginToldUs", d.timer.Now().Sub(now))
 }
+
+// untold holds the streams in progress whose holders were not told, because their service had one
+// build when they began.
+type untold struct {
+	mu      sync.Mutex
+	records map[*stream]builds.Record
+}
+
+func (u *untold) add(s *stream, r builds.Record) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.records[s] = r
+}
+
+func (u *untold) remove(s *stream) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.records, s)
+}
+
+// take removes and returns up to n records of services for which several is true.
+func (u *untold) take(n int, several func(ident.Service) bool) []builds.Record {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var out []builds.Record
+	for s, r := range u.records {
+		if len(out) == n {
+			break
+		}
+		if several(r.Service) {
+			out = append(out, r)
+			delete(u.records, s)
+		}
+	}
+	return out
+}
+
+// maxToldPerTick is the number of streams in progress whose holders are told in one Tick after a second
+// build has become known. An instance has some hundreds of them.
+const maxToldPerTick = 50
+
+// tellUntold tells holders of the streams that began before their service got a second build. The
+// instances that could state the only build of that time may end one after the other in a rollout.
+func (d *Dispatcher) tellUntold(now time.Time) {
+	list := d.untold.take(maxToldPerTick, func(s ident.Service) bool { return d.builds.Several(s, now) })
+	for _, r := range list {
+		d.tellOrigin(r)
+	}
+	if len(list) > 0 {
+		d.meters.Count("Origins.ToldLater", len(list))
+		d.log.Info().Int("Streams", len(list)).Msg("holders told of streams that began before the second software version")
+	}
+}
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -58,7 +58,8 @@
 // The commands of an engine are ok:BODY, late:BODY (after pauseTime), status:N, refuse,
 // replaced, drop, unsigned, still:N-M (the engine answers nobody for pauseTime, then streams),
 // and stream:N-M:END, where END is whole, drop, drop-late (after minRunTime), hang, pause-K
-// (silence for pauseTime, then the pieces up to K), leave (it registers as leaving) or crash (after minRunTime the engine is
+// (silence for pauseTime, then the pieces up to K), rollout-BUILD (after minRunTime an engine of that build
+// registers; one more piece after pauseTime), leave (it registers as leaving) or crash (after minRunTime the engine is
 // gone); bare, see engine.bare; flood, see engine.flood; and long:BYTES for a stream of one
 // event of that size.
 func TestScripts(t *testing.T) { runScripts(t, "testdata/*.txt") }
@@ -203,6 +204,14 @@
 	wd.publish()
 }
 
+// rollOut registers another engine of the service with a build.
+func (wd *cluster) rollOut(build string) {
+	wd.mu.Lock()
+	defer wd.mu.Unlock()
+	wd.list = append(wd.list, directory.Upstream{ID: "new", Service: "s", Address: "127.0.0.1:1", Domain: "far", Build: ident.Build(build), Slots: 64})
+	wd.publish()
+}
+
 // nameOf returns the name of the engine at an address, or "-".
 func (wd *cluster) nameOf(address string) string {
 	for _, u := range wd.list {
@@ -278,6 +287,11 @@
 		<-time.After(pauseTime)
 		last, _ := strconv.Atoi(pause)
 		e.writePieces(w, to+1, last)
+	case "rollout":
+		<-time.After(minRunTime) // the pieces have arrived
+		e.cluster.rollOut(pause)
+		<-time.After(pauseTime)
+		e.writePieces(w, to+1, to+1)
 	case "leave":
 		e.cluster.leave(e.name)
 		panic(http.ErrAbortHandler)
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -56,6 +56,7 @@
 	s := &stream{attempts: attempts{w: w}, sink: sink, lastPiece: w.LastPiece, resumes: w.Resumes, copies: newCopyManager(d, w)}
 	s.gaps, s.maxGap = d.silenceDetector(w)
 	defer d.endWait(s)
+	defer d.untold.remove(s)
 	ctx, cancel := d.withDeadline(ctx, w.Deadline)
 	defer cancel()
 	if refusal := d.findBuild(ctx, s); refusal != nil {
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -62,9 +62,11 @@
 	maxQueueRetryAfter = 8 * time.Second // a third of the usual deadline, the longest time that callers wait
 )
 
-// Tick refuses the queued streams that have waited too long and places others if possible.
+// Tick refuses the queued streams that have waited too long and places others if possible, and tells
+// holders of streams that began before a second build.
 // It must be called several times a second.
 func (d *Dispatcher) Tick(now time.Time) {
+	d.tellUntold(now)
 	d.mu.Lock()
 	queues := make([]*line.Queue, 0, len(d.queues))
 	for _, l := range d.queues {
