--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -93,17 +93,16 @@
 // further one delays all of them, and beyond some number all are late: the engine is busy,
 // but no caller is served in time. Therefore a stream waits here in order of arrival while
 // all engines have enough prompts to read, and is refused at once if it could not start in
-// time.
+// time. A stream that is late anyway waits behind those that are not, for an engine without prompts to
+// read, and may wait for longer.
 func (d *Dispatcher) admit(ctx context.Context, s *stream, now time.Time) (directory.Upstream, *result.Error) {
 	w := s.w
 	q := d.queueOf(w.Service.Name)
 	priority, wait := priorityOf(w.Priority), d.maxQueueWait(w, now)
-	late := d.tooLate(s, now)
-	if late {
+	if s.requireIdle = d.tooLate(s, now); s.requireIdle {
 		priority, wait = admission.Batch, time.Duration(lateWaitShare*float64(w.Deadline.Sub(now)))
 		d.meters.Count("StreamsLate", 1)
 	}
-	s.requireIdle = late
 	if q.Admission.WaitingDownTo(priority) == 0 {
 		u, refusal, busy := d.pickWithin(&s.attempts, d.cfg.MaxBacklog, now)
 		if !busy {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -201,19 +201,6 @@
 	return f.upstreams[d.Upstream], routing.Send
 }
 
-// Cached reports whether an upstream that may serve a request probably has its whole prompt cached.
-func (f *Fleet) Cached(a PickRequest, now time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	g, ok := f.services[a.Service]
-	return ok && len(a.Blocks) > 0 && g.chooser.Cached(routing.Request{Blocks: a.Blocks, Exclude: a.Exclude, ExcludeDomain: a.ExcludeDomain, Build: a.Build}, now)
-}
-
-// ReadingTime returns how long an engine with nothing else to do reads a prompt.
-func (f *Fleet) ReadingTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / f.cfg.Routing.PrefillRate * float64(time.Second))
-}
-
 // HasOther reports whether a service has an upstream in rotation that is not in exclude and
 // does not leave. If build is not nil, only upstreams of that build count.
 func (f *Fleet) HasOther(service ident.Service, build *ident.Build, exclude []ident.Upstream) bool {
