edge: the wait for builds ends with the instance

Cause: sleep returns at once when the instance ends, so that a wait for builds would have run without a pause until the instance had settled, two seconds after its start. Found by reading; the time is at most those two seconds.

--- a/edge/origins.go
+++ b/edge/origins.go
@@ -217,7 +217,7 @@
 func (e *Edge) waitForBuilds(ctx context.Context, service ident.Service) {
 	began := e.timer.Now()
 	now := began
-	for ctx.Err() == nil && !e.builds.Several(service, now) && !e.knowsBuilds(now) && !e.builds.Settled(now) {
+	for ctx.Err() == nil && e.ctx.Err() == nil && !e.builds.Several(service, now) && !e.knowsBuilds(now) && !e.builds.Settled(now) {
 		e.sleep(buildsCheckInterval)
 		now = e.timer.Now()
 	}
