--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -53,6 +53,7 @@
 
 	mu             sync.Mutex
 	budget         retry.Settings
+	untold         untold
 	budgets        map[ident.Service]*retry.Budget
 	waitingResumes map[ident.Service]int // interrupted streams that wait for an upstream
 	queues         map[ident.Service]*line.Queue
@@ -106,6 +107,7 @@
 		budget:         p.Budget,
 		budgets:        make(map[ident.Service]*retry.Budget),
 		waitingResumes: make(map[ident.Service]int),
+		untold:         untold{records: make(map[*stream]builds.Record)},
 		queues:         make(map[ident.Service]*line.Queue),
 	}
 }
@@ -122,6 +124,23 @@
 	return b
 }
 
+// SetRetryBurst replaces the burst of the retry budgets of all services.
+func (d *Dispatcher) SetRetryBurst(burst float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budget.Burst = burst
+	for _, b := range d.budgets {
+		b.SetBurst(burst)
+	}
+}
+
+// RetryBurst returns the burst of the retry budgets.
+func (d *Dispatcher) RetryBurst() float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budget.Burst
+}
+
 // countWaiting adds n to the number of interrupted streams that wait for an upstream of s.
 func (d *Dispatcher) countWaiting(s ident.Service, n int) {
 	d.mu.Lock()
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -62,9 +62,11 @@
 	maxQueueRetryAfter = 8 * time.Second // a third of the usual deadline, the longest time that callers wait
 )
 
-// Tick refuses the queued streams that have waited too long and places others if possible.
+// Tick refuses the queued streams that have waited too long and places others if possible, and tells
+// holders of streams that began before a second build.
 // It must be called several times a second.
 func (d *Dispatcher) Tick(now time.Time) {
+	d.tellUntold(now)
 	d.mu.Lock()
 	queues := make([]*line.Queue, 0, len(d.queues))
 	for _, l := range d.queues {
@@ -91,13 +93,20 @@
 // further one delays all of them, and beyond some number all are late: the engine is busy,
 // but no caller is served in time. Therefore a stream waits here in order of arrival while
 // all engines have enough prompts to read, and is refused at once if it could not start in
-// time.
+// time. A stream that is late anyway waits behind those that are not, for an engine without prompts to
+// read, and may wait for longer.
 func (d *Dispatcher) admit(ctx context.Context, s *stream, now time.Time) (directory.Upstream, *result.Error) {
 	w := s.w
 	q := d.queueOf(w.Service.Name)
-	if n, _ := q.Admission.Len(); n == 0 {
+	priority, wait := priorityOf(w.Priority), d.maxQueueWait(w, now)
+	if s.requireIdle = d.tooLate(s, now); s.requireIdle {
+		priority, wait = admission.Batch, time.Duration(lateWaitShare*float64(w.Deadline.Sub(now)))
+		d.meters.Count("StreamsLate", 1)
+	}
+	if q.Admission.WaitingDownTo(priority) == 0 {
 		u, refusal, busy := d.pickWithin(&s.attempts, d.cfg.MaxBacklog, now)
 		if !busy {
+			s.requireIdle = false
 			return u, refusal
 		}
 	} else if refusal := d.checkContent(&s.attempts, now); refusal != nil {
@@ -106,12 +115,13 @@
 	queued := &queuedRequest{request: d.pickRequest(&s.attempts, now)}
 	queued.request.Exclude = s.excluded() // permits may be issued meanwhile
 	queued.request.RequireIdle = true
+	s.requireIdle = false
 	waiter, refusal := q.Enqueue(admission.Item{
 		ID:        d.waiterID(w.ID),
 		Workspace: w.Workspace,
-		Priority:  priorityOf(w.Priority),
+		Priority:  priority,
 		Cost:      float64(max(1, w.Tokens)),
-		Deadline:  now.Add(d.maxQueueWait(w, now)),
+		Deadline:  now.Add(wait),
 	}, queued, now)
 	if refusal != nil {
 		return directory.Upstream{}, d.queueRefusal(s, refusal)
@@ -139,6 +149,23 @@
 	return ident.Generation(fmt.Sprintf("%s-%d", id, d.queueSeq.Add(1)))
 }
 
+// lateWaitShare is the part of its remaining time for which a stream that is late anyway may wait in
+// the queue. It needs the rest for its prompt and its pieces.
+const lateWaitShare = 0.4
+
+// tooLate reports whether a stream that its caller takes up cannot be on time any more, because an
+// engine has to read its prompt again and that takes longer than the longest pause between pieces. Its
+// caller waits anyway, while a new stream would be late behind it: when all instances have started
+// again at once, the streams taken up would make all new ones late for many seconds.
+func (d *Dispatcher) tooLate(s *stream, now time.Time) bool {
+	w := s.w
+	if !w.Resumes || w.LastPiece == 0 || w.Route.TargetGap <= 0 {
+		return false
+	}
+	request := d.pickRequest(&s.attempts, now)
+	return d.fleet.ReadingTime(w.PromptTokens) > w.Route.TargetGap && !d.fleet.Cached(request, now)
+}
+
 // maxQueueWait returns how long a new stream may wait in the queue. A stream that would be
 // answered late after a longer wait is refused, so that capacity goes to streams that can
 // still be answered in time.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -78,6 +78,7 @@
 	fetching   atomic.Bool                         // a configuration is being fetched because a peer has a newer one
 	leaving    atomic.Bool
 	addresses  atomic.Pointer[map[string]directory.Upstream] // registered upstreams by address; nil at first
+	restored   chan struct{}                                 // receives when the store was restored from an older copy
 	leaveBegan atomic.Int64                                  // when Leave was called, in Unix nanoseconds of the timer
 
 	mu          sync.Mutex
@@ -143,6 +144,7 @@
 		digestRound:    rand.IntN(maxDigestRound),
 		unreadable:     make(map[string]store.Version),
 		peers:          make(map[ident.Instance]*peer),
+		restored:       make(chan struct{}, 1),
 
 		silentIssuers: make(map[ident.Instance]silentIssuer),
 	}
@@ -209,19 +211,24 @@
 	maxHealthBackOff = 8 * time.Second
 )
 
-// Part of the retry budget of all instances that one instance uses. It does not
-// depend on the number of instances, which a new instance does not know yet.
+// Part of the retry budget of all instances that one instance uses.
 const (
 	budgetShare    = 0.5 // of the ratio of retries to requests
-	slackInstances = 16  // number of instances assumed to share the retry slack
+	slackInstances = 16  // least number of instances assumed to share the retry slack; a new instance knows few
 )
 
+// retryBurst returns the part of the retry slack that one of n instances may use. It is at least one
+// retry, without which there would be none at all.
+func (e *Edge) retryBurst(n int) float64 {
+	return max(1, e.cfg.RetrySlack/float64(max(slackInstances, n)))
+}
+
 // budget returns the settings of the retry budget of this instance.
 func (e *Edge) budget() retry.Settings {
 	const attempts = 8 // the bound of the route is lower
 	return retry.Settings{
 		RetryRatio:  budgetShare * e.cfg.RetryShare,
-		Burst:       max(1, e.cfg.RetrySlack/slackInstances),
+		Burst:       e.retryBurst(1),
 		MaxAttempts: attempts,
 	}
 }
