edge, dispatch, storeview: failing tests of upstreams that leave

What an upstream says of its leaving in answers is not read: TestLeavingNamedInAnswers (56, 56 and 58 requests later than 2 s after their instance passed on such an answer), TestLeavingToldToPeers (45). A request that waits for a connection while the word comes is sent: two scripts of dispatch. Knowledge of the store is older than it says: TestAgeAmongPeers, in virtual time without a network, 69 instances begin to watch after 3.1 s with digests of 10 ms and 8 s with 40 ms, where 2 s are wanted. The way through the store takes longer than there is: TestLeavingSeenAfterSilentWatches, 2.3 of 2 s and 4.1 of 4 s.

Stand-ins of upstreams can say in their answers that they leave.

--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -76,6 +77,13 @@
 	f := fleet.New(fleet.Settings{Domain: "near"}, random, zerolog.Nop())
 	client := exchange.New(exchange.Settings{MaxBuffered: wd.memory}, clock)
 	defer client.Close()
+	dial := client.Dial
+	client.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		if name := wd.nameOf(address); name == wd.departs {
+			wd.leave(name)
+		}
+		return dial(ctx, address)
+	}
 	dependencies := testDependencies(testProtocol(), f, client, clock, zerolog.Nop())
 	dependencies.Budget = wd.budget
 	wd.publish = func() {
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -41,6 +41,7 @@
 	origin   *ident.Build // build of the stream that the caller takes up; nil if it takes none up, "" if it is not known
 	publish  func()       // passes list to the dispatcher
 	memory   int64        // bound on answers in memory in bytes; 0 means the default
+	departs  string       // engine that registers as leaving while a connection to it is opened; "" for none
 }
 
 // TestScripts runs the scripts in testdata/*.txt. The near failure domain is that of the
@@ -50,6 +51,7 @@
 //	                   the budget, if it is set, grows by other requests up to RETRIES
 //	memory BYTES           the bound on answers in memory
 //	engine NAME DOMAIN[/BUILD] COMMAND ...
+//	connecting NAME        the engine registers as leaving while a connection to it is opened
 //	told BUILD ...         the builds told to other instances, in order; - for none
 //	origin BUILD           the caller takes up a stream after piece 3 that began at a build; - if that is not known
 //	want RESULT        "200 BODY", "pieces 1-5", "cut 1-3", "refused NotRun" or "refused Unknown"
@@ -115,6 +117,8 @@
 		case "engine":
 			domain, build, _ := strings.Cut(w[2], "/")
 			wd.add(t, w[1], ident.Domain(domain), ident.Build(build), w[3:])
+		case "connecting":
+			wd.departs = w[1]
 		case "told":
 			wantTold = strings.TrimPrefix(strings.Join(w[1:], " "), "-")
 		case "origin":
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -33,9 +33,17 @@
 	listen    []string // of the instances
 	callers   sync.WaitGroup
 
-	mu      sync.Mutex
-	sends   map[string][]time.Time // arrivals at upstreams, by upstream id
-	answers []limitedAnswer
+	mu       sync.Mutex
+	sends    map[string][]time.Time // arrivals at upstreams, by upstream id
+	arrivals []arrival
+	answers  []limitedAnswer
+}
+
+// arrival is a request that reached an upstream.
+type arrival struct {
+	upstream string
+	request  string
+	at       time.Time
 }
 
 // limitedAnswer is how one request ended.
@@ -54,6 +62,7 @@
 		defer l.mu.Unlock()
 		id := r.URL.Query().Get("upstream")
 		l.sends[id] = append(l.sends[id], time.Now())
+		l.arrivals = append(l.arrivals, arrival{id, r.URL.Query().Get("id"), time.Now()})
 	}))
 	t.Cleanup(recorder.Close)
 	l.putConfiguration(3)
--- a/standinregistered/server.go
+++ b/standinregistered/server.go
@@ -46,6 +46,7 @@
 	Interval time.Duration // between pieces
 	Pieces   int           // of an answer; 0 means a plain service
 	Drain    time.Duration // between the announcement that it is leaving and its end
+	Announce bool          // its answers say when it is leaving, too
 	// CrashPart is a part of prompts. The server ends like a crashed process when it is about to
 	// write the first piece of an answer to a prompt that holds it. Empty means none.
 	CrashPart string
@@ -80,7 +81,8 @@
 	piecesWritten  map[string]int  // number of pieces written of each current run, by request id
 	receivedCopies map[string]bool // keys of copies received from other engines
 	lease          store.Lease
-	leaving        bool
+	leaving        bool   // its entry says that it is leaving
+	saysLeaving    bool   // its answers say so
 	limit          string // value of nativewire.LimitField in answers; empty means none
 }
 
@@ -131,6 +133,14 @@
 	s.limit = text
 }
 
+// SayLeaving makes the answers of s say that it is leaving, while its entry in the store does not. It
+// serves on.
+func (s *Server) SayLeaving() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.saysLeaving = true
+}
+
 // ID returns the id of s.
 func (s *Server) ID() ident.Upstream { return s.id }
 
@@ -142,8 +152,9 @@
 func (s *Server) Stop() {
 	s.mu.Lock()
 	s.leaving = true
+	s.saysLeaving = s.saysLeaving || s.cfg.Announce
 	s.mu.Unlock()
-	s.writeEntry()
+	s.WriteEntry()
 	s.wait(s.cfg.Drain)
 	s.cancel()
 	if lease := s.currentLease(); lease != 0 {
@@ -181,16 +192,16 @@
 				s.mu.Lock()
 				s.lease = l
 				s.mu.Unlock()
-				s.writeEntry()
+				s.WriteEntry()
 			}
 		}
 		s.wait(renewInterval)
 	}
 }
 
-// writeEntry writes the entry of the upstream to the store. If the write fails, the
+// WriteEntry writes the entry of the upstream to the store. If the write fails, the
 // next renewal grants a new lease and writes the entry again.
-func (s *Server) writeEntry() {
+func (s *Server) WriteEntry() {
 	s.mu.Lock()
 	u := directory.Upstream{
 		ID: s.id, Service: s.cfg.Service, Address: s.cfg.Public, Domain: s.cfg.Domain, Build: s.cfg.Build, Slots: 64, Draining: s.leaving,
@@ -230,6 +241,9 @@
 	if s.limit != "" {
 		h.Set(nativewire.LimitField, s.limit)
 	}
+	if s.saysLeaving {
+		h.Set(nativewire.LeavingField, "1")
+	}
 	s.mu.Unlock()
 	if from != "" && !hasCopy || !s.reportRun(h, r, id) {
 		h.Set(nativewire.NotRunField, "1")
