--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -38,6 +38,7 @@
 	version store.Version
 	stops   map[*edge.Edge]func() // stop each instance once
 	drain   time.Duration         // time in which instances react to leaving upstreams; 0 means the default
+	slack   float64               // retries of all instances together beyond a share of the requests
 }
 
 const waitLimit = 20 * time.Second // for events that must happen, also on a machine under heavy load
@@ -115,6 +116,7 @@
 	cfg := settings.Edge{
 		Name: name, Domain: domain, Listen: reserveAddress(s.t), ReadyListen: reserveAddress(s.t), PeerListen: reserveAddress(s.t), StoreAddress: storeAddress,
 		Seeds: seeds, Grace: unit.Duration(3 * time.Second), ReuseAfter: unit.Duration(waitLimit), Drain: unit.Duration(s.drain),
+		RetrySlack: s.slack,
 	}
 	e := edge.New(cfg, nativewire.Ports(storeAddress), []byte("secret"), s.clock, zerolog.Nop())
 	if links != nil {
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -56,7 +56,13 @@
 
 func newLimited(t *testing.T, instances, upstreams int, cfg standinregistered.Settings, paths []string) *limited {
 	t.Helper()
-	l := &limited{site: newSite(t), paths: paths, sends: make(map[string][]time.Time)}
+	return newLimitedAt(newSite(t), instances, upstreams, cfg, paths)
+}
+
+func newLimitedAt(s *site, instances, upstreams int, cfg standinregistered.Settings, paths []string) *limited {
+	t := s.t
+	t.Helper()
+	l := &limited{site: s, paths: paths, sends: make(map[string][]time.Time)}
 	recorder := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		l.mu.Lock()
 		defer l.mu.Unlock()
--- a/nativewire/nativewire.go
+++ b/nativewire/nativewire.go
@@ -40,6 +40,7 @@
 	NotRunField    = "Crocuslug-Not-Run"   // set if the upstream did not run the request
 	SignatureField = "Crocuslug-Signature" // id of the upstream that answers
 	LimitField     = "Crocuslug-Limit"     // requests a second that the upstream takes from all instances together
+	RestField      = "Retry-After"         // seconds for which an upstream that answers 503 wants nothing from the instance
 	LeavingField   = "Crocuslug-Leaving"   // set if the upstream that answers is leaving
 )
 
--- a/standinregistered/server.go
+++ b/standinregistered/server.go
@@ -83,6 +83,7 @@
 	lease          store.Lease
 	leaving        bool   // its entry says that it is leaving
 	saysLeaving    bool   // its answers say so
+	rest           string // value of nativewire.RestField with which requests are turned away; empty means that they are served
 	limit          string // value of nativewire.LimitField in answers; empty means none
 }
 
@@ -133,6 +134,13 @@
 	s.limit = text
 }
 
+// SetRest makes s turn all requests away and ask for a rest, as text, or serve them if it is empty.
+func (s *Server) SetRest(text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rest = text
+}
+
 // SayLeaving makes the answers of s say that it is leaving, while its entry in the store does not. It
 // serves on.
 func (s *Server) SayLeaving() {
@@ -244,7 +252,15 @@
 	if s.saysLeaving {
 		h.Set(nativewire.LeavingField, "1")
 	}
+	rest := s.rest
 	s.mu.Unlock()
+	if rest != "" {
+		s.report(turnedAwayPath, r, id)
+		h.Set(nativewire.RestField, rest)
+		h.Set(nativewire.NotRunField, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if from != "" && !hasCopy || !s.reportRun(h, r, id) {
 		h.Set(nativewire.NotRunField, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -290,18 +306,36 @@
 	return ""
 }
 
+// Paths of the recorder.
+const (
+	runPath        = "/run"
+	turnedAwayPath = "/turned-away"
+)
+
+// report reports a request to a path of the recorder and returns its answer without the body, or nil.
+func (s *Server) report(path string, r *http.Request, id string) *http.Response {
+	if s.cfg.Recorder == "" {
+		return nil
+	}
+	q := url.Values{"id": {id}, "upstream": {string(s.id)}, "path": {r.URL.Path}}
+	res, err := http.Post("http://"+s.cfg.Recorder+path+"?"+q.Encode(), "text/plain", nil)
+	if err != nil {
+		return nil
+	}
+	_ = res.Body.Close()
+	return res
+}
+
 // reportRun reports a run to the recorder and returns whether it may begin. If the recorder answers
 // with a limit, the answer to the run names it in its header h.
 func (s *Server) reportRun(h http.Header, r *http.Request, id string) bool {
 	if s.cfg.Recorder == "" {
 		return true
 	}
-	q := url.Values{"id": {id}, "upstream": {string(s.id)}, "path": {r.URL.Path}}
-	res, err := http.Post("http://"+s.cfg.Recorder+"/run?"+q.Encode(), "text/plain", nil)
-	if err != nil {
+	res := s.report(runPath, r, id)
+	if res == nil {
 		return false
 	}
-	_ = res.Body.Close()
 	if limit := res.Header.Get(nativewire.LimitField); limit != "" {
 		h.Set(nativewire.LimitField, limit)
 	}
