edge: one call after the other passes the list of upstreams to the fleet

What callers saw: a request at an upstream that had said more than three seconds before that it leaves, at an instance that knew it (DRAIN, most likely; the record has no log of the instance).

Cause: the watch, changes of peers, restarts and the end of outages each read the list of registered upstreams and pass it to the fleet, from goroutines of their own. A list that was read before a change could be passed on after the one with the change, and stayed until the next change of any entry.

Change: a lock is held from reading the list until the fleet, and what else is derived from it, have it. Sets of live instances are passed on in the same way without an order, but anew each second.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -81,6 +81,8 @@
 	restored   chan struct{}                                 // receives when the store was restored from an older copy
 	leaveBegan atomic.Int64                                  // when Leave was called, in Unix nanoseconds of the timer
 
+	publishing sync.Mutex // held from reading the registered upstreams until the fleet has them
+
 	mu          sync.Mutex
 	lastLoadSum time.Time                // when the loads that peers report were last added up
 	unreadable  map[string]store.Version // versions of upstream entries that could not be decoded, by store key
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -294,8 +294,10 @@
 }
 
 // publish passes the registered upstreams to the fleet, with the memory of their service in
-// tokens.
+// tokens. One call follows the other, so that a list never replaces one that was made after it.
 func (e *Edge) publish(now time.Time) {
+	e.publishing.Lock()
+	defer e.publishing.Unlock()
 	d := e.current.Load()
 	list := e.registry.All()
 	addresses := make(map[string]directory.Upstream, len(list))
