edge: what upstreams say in their answers of their leaving is read

What callers saw: requests at an upstream that had said in its answers that it leaves, from instances that had passed such answers on, for as long as the store's entry did not say so (DRAIN).

Cause: nothing read the field; the entry in the store was the only source.

The registry takes the word for a run of an upstream, named by its time of start, from an answer, a digest or an entry, and only another run takes it back: entries, lists and changes of peers of the same run that say otherwise are older. An instance that passes connections on says whether it knows the upstream as leaving.

Digests of older builds have no such field, and older builds ignore it.

--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -59,6 +59,7 @@
 		Limits:   upstreamlimit.New(),
 		Builds:   builds.New(builds.Settings{}, clock.Now()),
 		CutOff:   func(ident.Domain) (bool, bool) { return false, false },
+		Leaves:   func(directory.Upstream, ident.Request) {},
 		Meters:   meter.New(clock),
 		Budget:   retry.Settings{Burst: 100, MaxAttempts: 8},
 		Timer:    clock,
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -50,6 +50,7 @@
 	tellOrigin func(r builds.Record) (told <-chan struct{})
 	findOrigin func(ctx context.Context, w *work.Work) (build *ident.Build, found bool)
 	cutOff     func(domain ident.Domain) (cut, doubtful bool)
+	leaves     func(u directory.Upstream, request ident.Request)
 
 	mu             sync.Mutex
 	budget         retry.Settings
@@ -78,6 +79,9 @@
 	// CutOff reports whether this instance is cut off from the upstreams of a failure domain, and
 	// whether it may be.
 	CutOff func(domain ident.Domain) (cut, doubtful bool)
+	// Leaves records that u, as it was registered when the request was sent, has answered that it is
+	// leaving.
+	Leaves func(u directory.Upstream, request ident.Request)
 	Meters *meter.Meters
 	Budget retry.Settings // settings of the retry budget of each service
 	Timer  *timer.Service
@@ -99,6 +103,7 @@
 		tellOrigin:     p.TellOrigin,
 		findOrigin:     p.FindOrigin,
 		cutOff:         p.CutOff,
+		leaves:         p.Leaves,
 		prompts:        newPrompts(),
 		meters:         p.Meters,
 		timer:          p.Timer,
--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -24,8 +24,9 @@
 	permitRetry   = 250 * time.Millisecond // wait after a request for permits that was not answered
 )
 
-// do sends a request to an upstream and records what the answer says about its limit. With readsPrompt
-// the prompt counts as read from then on; it was added to the unread tokens when u was picked.
+// do sends a request to an upstream and records what the answer says about its limit and its leaving.
+// With readsPrompt the prompt counts as read from then on; it was added to the unread tokens when u was
+// picked.
 func (d *Dispatcher) do(ctx context.Context, a *attempts, u directory.Upstream, r *exchange.Request, readsPrompt bool) (*exchange.Answer, error) {
 	sent := d.timer.Now()
 	ans, err := d.client.Do(ctx, u.Address, r)
@@ -38,6 +39,9 @@
 	}
 	if err == nil && !d.protocol.Replaced(ans.Status, ans.Header) {
 		d.readLimit(a.w.ID, u, ans.Header, sent)
+		if d.protocol.Leaving != nil && d.protocol.Leaving(ans.Header) {
+			d.leaves(u, a.w.ID)
+		}
 	}
 	return ans, err
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -183,6 +183,7 @@
 		TellOrigin: e.tellOrigin,
 		FindOrigin: e.findOrigin,
 		CutOff:     e.doubt,
+		Leaves:     e.recordLeaving,
 
 		Meters: e.meters,
 		Budget: e.budget(),
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -10,6 +10,7 @@
 	"crocuslug/ident"
 	"crocuslug/peerlink"
 	"crocuslug/poison"
+	"crocuslug/registry"
 	"crocuslug/store"
 	"crocuslug/unit"
 	"crocuslug/upstreamlimit"
@@ -89,6 +90,8 @@
 	Limits []upstreamlimit.Statement `json:",omitempty"`
 	// Builds are the services with several software versions of upstreams.
 	Builds []builds.State `json:",omitempty"`
+	// Departures are upstreams that have said in answers to the sender that they are leaving.
+	Departures []registry.Departure `json:",omitempty"`
 	// Restarts are those of upstreams that were found without the store.
 	Restarts []restart `json:",omitempty"`
 }
@@ -184,6 +187,7 @@
 		d.Configuration = cur.Version
 	}
 	d.Poison, d.Limits, d.Builds = e.poison.Report(now), e.upstreamLimits.Report(now), e.builds.Report(now)
+	d.Departures = e.registry.Departures(now.Add(-departureReportTime))
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	d.Seen, d.StoreAge = e.view.Seen(), unit.Duration(e.view.Age(e.timer.Uptime()))
@@ -339,6 +343,7 @@
 	e.poison.Merge(d.Poison, now)
 	e.mergeLimits(d.Limits, from, now)
 	e.builds.Merge(d.Builds, now)
+	e.mergeDepartures(d.Departures, from, now)
 	e.applyRestarts(d.Restarts, from, now)
 	if behind {
 		e.tasks.Go(func() { e.catchUp(from) })
--- a/edge/relays.go
+++ b/edge/relays.go
@@ -11,6 +11,7 @@
 
 	"crocuslug/directory"
 	"crocuslug/ident"
+	"crocuslug/registry"
 	"crocuslug/relay"
 	"crocuslug/result"
 )
@@ -33,6 +34,8 @@
 // relayOffer offers the connection.
 type relayOffer struct {
 	Refused bool   `json:",omitempty"` // the upstream cannot be reached from the helper either
+	Leaving bool   `json:",omitempty"` // the upstream is leaving, as the helper knows
+	Born    int64  `json:",omitempty"` // directory.Upstream.Born, as the helper knows
 	Address string // where to claim the connection
 	Token   string
 	Open    int // connections that the helper passes on
@@ -79,7 +82,7 @@
 	}
 	e.meters.Count("Relays.Offered", 1)
 	e.log.Info().Str("Peer", string(from)).Str("Upstream", string(u.ID)).Int("Open", e.relays.Open()).Msg("connection passed on for another instance")
-	return relayOffer{Address: e.relays.Addr(), Token: token, Open: e.relays.Open()}, nil
+	return relayOffer{Address: e.relays.Addr(), Token: token, Open: e.relays.Open(), Leaving: u.Draining, Born: u.Born}, nil
 }
 
 // notRelayed is the class of errors of connections that could not be opened through other instances.
@@ -114,6 +117,9 @@
 		return nil, notRelayed.Wrap(err)
 	}
 	e.reach.Helped(id, true, offer.Open, e.timer.Now())
+	if offer.Leaving {
+		e.mergeDepartures([]registry.Departure{{Upstream: u.ID, Born: offer.Born}}, id, e.timer.Now())
+	}
 	if offer.Refused {
 		return nil, notRelayed.New("no connection from instance %s either", id)
 	}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -11,6 +11,10 @@
 // list was read. The removals are therefore remembered with their revisions, so that older
 // knowledge does not undo them.
 //
+// Upstreams also say in their answers that they are leaving, which may be known before the entry says
+// so. Only another run of the upstream takes that back: an entry of the same run that says otherwise is
+// older than the answer.
+//
 // The store may also come back from an older copy, which shows a new era in its versions. What the
 // copy says of upstreams that were known to leave or to be gone is not believed until they write
 // again.
@@ -38,6 +42,9 @@
 // that reading all entries takes.
 const removalMemory = time.Minute
 
+// maxDepartures bounds the number of upstreams that Departures returns.
+const maxDepartures = 256
+
 // Registry is the list of registered upstreams as last read. Its methods are safe for
 // concurrent use.
 type Registry struct {
@@ -46,11 +53,12 @@
 	upstreams   map[ident.Upstream]directory.Upstream
 	lapsed      map[ident.Upstream]lapse   // entries removed during an outage
 	removed     map[ident.Upstream]removal // entries removed within removalMemory
-	unavailable bool                       // the store cannot be read
-	outageEnd   time.Time                  // end of the last outage
-	copied      store.Version              // first version known of the present era; 0 in the first era known
-	era         uint64                     // of the store
-	eraKnown    bool                       // era is set
+	leaving     map[ident.Upstream]departure
+	unavailable bool          // the store cannot be read
+	outageEnd   time.Time     // end of the last outage
+	copied      store.Version // first version known of the present era; 0 in the first era known
+	era         uint64        // of the store
+	eraKnown    bool          // era is set
 }
 
 // lapse is the removal of an entry that may have expired because of an outage.
@@ -66,6 +74,13 @@
 	when time.Time
 }
 
+// departure is the run of an upstream that has said that it is leaving.
+type departure struct {
+	born    int64     // directory.Upstream.Born
+	found   time.Time // when an answer to this instance said so first; zero if none did
+	byEntry bool      // the entry says so too
+}
+
 // New returns an empty Registry.
 func New(cfg Settings) *Registry {
 	if cfg.GracePeriod <= 0 {
@@ -76,6 +91,7 @@
 		upstreams: make(map[ident.Upstream]directory.Upstream),
 		lapsed:    make(map[ident.Upstream]lapse),
 		removed:   make(map[ident.Upstream]removal),
+		leaving:   make(map[ident.Upstream]departure),
 	}
 }
 
@@ -125,6 +141,7 @@
 	if old, ok := r.removed[u.ID]; ok && (old.at >= u.Revision || r.fromCopy(u, old.at, old.born)) {
 		return
 	}
+	u.Draining = r.noteDeparture(u)
 	if l, ok := r.lapsed[u.ID]; ok && l.at >= u.Revision {
 		if u.Draining { // it had left when its entry disappeared
 			r.upstreams[u.ID] = u
@@ -136,6 +153,57 @@
 	delete(r.removed, u.ID)
 }
 
+// noteDeparture records what the entry of an upstream says about its leaving, and reports whether this
+// run of the upstream is known to leave. r.mu must be held.
+func (r *Registry) noteDeparture(u directory.Upstream) bool {
+	d, ok := r.leaving[u.ID]
+	if ok && d.born != u.Born {
+		delete(r.leaving, u.ID) // another run
+		d, ok = departure{}, false
+	}
+	if u.Draining && (ok || u.Born != 0) {
+		d.born, d.byEntry = u.Born, true
+		r.leaving[u.ID] = d
+	}
+	return u.Draining || ok
+}
+
+// RecordLeaving records that a run of an upstream has said in an answer that it is leaving. found is
+// when this instance received the answer, or zero if another one did. It returns false if that was known,
+// or if this run of the upstream is not registered.
+func (r *Registry) RecordLeaving(id ident.Upstream, born int64, found time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	u, ok := r.upstreams[id]
+	if !ok || u.Born != born || u.Draining {
+		return false
+	}
+	u.Draining = true
+	r.upstreams[id] = u
+	r.leaving[id] = departure{born: born, found: found}
+	return true
+}
+
+// Departure is a run of an upstream that has said in an answer that it is leaving.
+type Departure struct {
+	Upstream ident.Upstream
+	Born     int64 `json:",omitempty"` // directory.Upstream.Born
+}
+
+// Departures returns the registered upstreams of which this instance has learned by an answer since a
+// time that they are leaving, and whose entries do not say so.
+func (r *Registry) Departures(since time.Time) []Departure {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Departure
+	for id, d := range r.leaving {
+		if _, ok := r.upstreams[id]; ok && !d.byEntry && d.found.After(since) && len(out) < maxDepartures {
+			out = append(out, Departure{id, d.born})
+		}
+	}
+	return out
+}
+
 // fromCopy reports whether an entry may be that of an older copy from which the store was restored,
 // while a newer one of the same run of the upstream was known at revision known, from before.
 // r.mu must be held.
@@ -202,6 +270,9 @@
 	}
 	delete(r.upstreams, id)
 	delete(r.lapsed, id)
+	if born == 0 {
+		delete(r.leaving, id) // its runs cannot be told apart
+	}
 	r.removed[id] = removal{max(at, former.at), born, now}
 }
 
@@ -362,6 +433,9 @@
 	for id, old := range r.removed {
 		if now.Sub(old.when) > removalMemory {
 			delete(r.removed, id)
+			if _, registered := r.upstreams[id]; !registered {
+				delete(r.leaving, id)
+			}
 		}
 	}
 	return out
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -18,7 +18,9 @@
 //
 //	at MS                       sets the time
 //	store-down | store-up       sets whether the store is unavailable
-//	set ID ADDRESS REVISION [draining]
+//	set ID ADDRESS REVISION [draining] [born=N]
+//	answer ID BORN yes|no      an answer says that it is leaving; whether that is news
+//	departures [ID ...]        checks the upstreams that Departures returns
 //	leaving ID REVISION        the upstream reports that it is leaving
 //	remove ID REVISION
 //	replace REVISION [ID ...]   the contents of the store; entries keep their address
@@ -62,9 +64,29 @@
 		case "store-down", "store-up":
 			r.SetStoreUnavailable(w[0] == "store-down", now)
 		case "set":
-			u := directory.Upstream{ID: ident.Upstream(w[1]), Address: w[2], Revision: version(t, w[3]), Draining: len(w) > 4}
+			u := directory.Upstream{ID: ident.Upstream(w[1]), Address: w[2], Revision: version(t, w[3])}
+			for _, option := range w[4:] {
+				if born, ok := strings.CutPrefix(option, "born="); ok {
+					u.Born = int64(number(t, born))
+				} else {
+					u.Draining = option == "draining"
+				}
+			}
 			known[u.ID] = u
 			r.Set(u)
+		case "answer":
+			if got := r.RecordLeaving(ident.Upstream(w[1]), int64(number(t, w[2])), now); got != (w[3] == "yes") {
+				t.Errorf("line %d: RecordLeaving: got %v, want %s", n+1, got, w[3])
+			}
+		case "departures":
+			var got []string
+			for _, d := range r.Departures(start) {
+				got = append(got, string(d.Upstream))
+			}
+			slices.Sort(got)
+			if !slices.Equal(got, w[1:]) {
+				t.Errorf("line %d: Departures: got %v, want %v", n+1, got, w[1:])
+			}
 		case "leaving":
 			u := known[ident.Upstream(w[1])]
 			u.Draining, u.Revision = true, version(t, w[2])
--- a/work/work.go
+++ b/work/work.go
@@ -107,6 +107,9 @@
 	// Limit returns, as text, the requests a second that an answer says its upstream takes from all
 	// instances together, or "". It may be nil, and then no answer says so.
 	Limit func(h http.Header) string
+	// Leaving reports whether an answer states that its upstream is leaving. It may be nil, and then no
+	// answer states it.
+	Leaving func(h http.Header) bool
 	// Signed reports whether an answer carries the signature of an upstream.
 	Signed func(h http.Header) bool
 }
