dispatch: an upstream that left is found out before a request is written to it

What callers saw: nothing yet; a request that waited for a connection, up to 600 ms through another instance, was sent to an upstream that had meanwhile said that it leaves.

Cause: whether an upstream may be used was decided when it was chosen only.

Change: exchange calls Request.Check once there is a connection and before anything is written. Such a request has not been sent, so that it goes to another upstream, also if it may run once only, and without use of the retry budget. It counts as Failed.Withdrawn, and the upstream is not to blame.

Evidence: scripts stream-leaves-while-connecting and unsafe-leaves-while-connecting failed before (sent to the engine that left).

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -311,7 +311,9 @@
 }
 
 // unsent reports whether nothing of the request can have reached an upstream.
-func (v sendFailure) unsent() bool { return v.outcome == fleet.Dead && !v.mayHaveRun }
+func (v sendFailure) unsent() bool {
+	return (v.outcome == fleet.Dead || v.cause == withdrawn) && !v.mayHaveRun
+}
 
 // checkRetry returns nil if a request may be sent again after a failed attempt, and the final
 // error otherwise. The retry budget bounds the load on upstreams beyond first requests.
--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"strconv"
@@ -29,6 +30,7 @@
 // picked.
 func (d *Dispatcher) do(ctx context.Context, a *attempts, u directory.Upstream, r *exchange.Request, readsPrompt bool) (*exchange.Answer, error) {
 	sent := d.timer.Now()
+	r.Check = func() error { return d.checkStaying(u) }
 	ans, err := d.client.Do(ctx, u.Address, r)
 	if readsPrompt {
 		d.fleet.AddUnreadTokens(u.ID, -a.w.PromptTokens, d.timer.Now())
@@ -46,6 +48,18 @@
 	return ans, err
 }
 
+// errLeft is the error of a request that was not sent because its upstream left while the request waited
+// for a connection.
+var errLeft = errors.New("the upstream is leaving or gone since it was chosen")
+
+// checkStaying returns errLeft if u is leaving or no longer registered.
+func (d *Dispatcher) checkStaying(u directory.Upstream) error {
+	if now, ok := d.fleet.Upstream(u.ID); !ok || now.Draining {
+		return errLeft
+	}
+	return nil
+}
+
 // readLimit records the limit that the answer of u to a request names. An answer without the
 // signature of an upstream does not end a limit.
 func (d *Dispatcher) readLimit(request ident.Request, u directory.Upstream, h http.Header, sent time.Time) {
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -47,6 +47,12 @@
 	if err != nil {
 		return nil, NotSent.Wrap(err)
 	}
+	if r.Check != nil {
+		if err := r.Check(); err != nil {
+			cn.abort()
+			return nil, NotSent.Wrap(err)
+		}
+	}
 	stop := context.AfterFunc(ctx, cn.abort)
 	cn.setReadDeadline(r.AnswerBy)
 	cn.extend = r.Extend
--- a/exchange/types.go
+++ b/exchange/types.go
@@ -23,6 +23,9 @@
 	// returns the time until which to wait on, or zero to give up. It is called from the goroutine
 	// that reads the answer and may be nil, which means to give up.
 	Extend func() time.Time
+	// Check, if it is not nil, is called once there is a connection, before anything is written to it. If
+	// it returns an error, nothing is sent, and Do returns that error with class NotSent.
+	Check func() error
 	// MaxBody is the size of a complete body in bytes; 0 means Settings.MaxBody.
 	MaxBody int64
 	// Fresh asks for a new connection, or one that was in use within Settings.FreshTime.
