storeview: reports of peers count once for each answer of the store

What callers saw: nothing that is known; while no watch of any instance is answered, a leaving upstream and a new configuration are learned later than instances mean to (DRAIN, CONFIG).

Cause: an instance that does not watch the store takes a peer's report, a version with an age, as confirmation of its own knowledge, and passes that on. A report is older on arrival than it says, so each step makes the knowledge younger by the time of the message, and instances that hear of no answer of the store confirm each other.

Change: a report names the answer of the store that it goes back to, by the run of the instance that got it and a number. It counts once for that answer, and of several reports of one answer the oldest holds. Reports that name none, from older builds, confirm nothing; instances beside such peers watch the store themselves.

Evidence: TestAgeAmongPeers, virtual time, no network, limit 2 s, failed before. Calls of a quiet fleet to the store stay within their bound (TestStoreCallsOfQuietFleet).

--- a/edge/catchup.go
+++ b/edge/catchup.go
@@ -8,6 +8,7 @@
 	"crocuslug/ident"
 	"crocuslug/registry"
 	"crocuslug/store"
+	"crocuslug/storeview"
 	"crocuslug/unit"
 )
 
@@ -28,7 +29,7 @@
 // changes holds what an instance that is behind lacks.
 type changes struct {
 	Seen          store.Version
-	StoreAge      unit.Duration   `json:",omitempty"` // as in digest
+	confirmation                  // as in digest
 	InForce       uint64          // version of the configuration in force
 	Configuration json.RawMessage `json:",omitempty"` // set if it is newer than the version in the request, unless that omits it
 	registry.Changes
@@ -36,6 +37,21 @@
 	Peers []presence `json:",omitempty"`
 }
 
+// confirmation is a storeview.Confirmation in a message.
+type confirmation struct {
+	StoreAge    unit.Duration `json:",omitempty"`
+	StoreSource uint64        `json:",omitempty"`
+	StoreAnswer uint64        `json:",omitempty"`
+}
+
+func encodeConfirmation(c storeview.Confirmation) confirmation {
+	return confirmation{unit.Duration(c.Age), c.Source, c.Number}
+}
+
+func (c confirmation) decode() storeview.Confirmation {
+	return storeview.Confirmation{Age: c.StoreAge.Std(), Answer: storeview.Answer{Source: c.StoreSource, Number: c.StoreAnswer}}
+}
+
 // configurationVersion returns the version of the configuration in force, or 0 if there is none.
 func (e *Edge) configurationVersion() uint64 {
 	if cur := e.current.Load(); cur != nil {
@@ -70,11 +86,7 @@
 		}
 	}
 	e.logRemovals(e.registry.Merge(c.Changes, c.Seen, now), c.Seen, "peer "+string(from))
-	if c.StoreAge > 0 {
-		e.view.Confirm(c.Seen, began-c.StoreAge.Std())
-	} else {
-		e.view.Advance(c.Seen)
-	}
+	e.view.ConfirmThrough(c.Seen, c.decode(), began, e.timer.Uptime())
 	e.publish(now)
 	e.meters.Count("Store.CaughtUp", 1)
 	e.log.Info().Str("Peer", string(from)).Uint64("From", q.Seen.Revision()).Uint64("To", c.Seen.Revision()).Dur("StoreAgeMs", c.StoreAge.Std()).
@@ -126,7 +138,7 @@
 // changesSince returns the changes for a peer that is behind.
 func (e *Edge) changesSince(q changesRequest) changes {
 	// The version is read before the entries, which must not be older.
-	c := changes{Seen: e.view.Seen(), StoreAge: unit.Duration(e.view.Age(e.timer.Uptime()))}
+	c := changes{Seen: e.view.Seen(), confirmation: encodeConfirmation(e.view.Confirmation(e.timer.Uptime()))}
 	c.Changes = e.registry.Since(q.Seen)
 	if cur := e.current.Load(); cur != nil {
 		c.InForce = cur.Version
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -134,7 +134,7 @@
 		ports:          ports,
 		timer:          t,
 		log:            log.With().Str("Instance", cfg.Name).Str("Domain", string(cfg.Domain)).Logger(),
-		view:           storeview.New(storeview.Settings{MaxAge: maxAgeInWaits * watchWait(cfg.Drain.Std())}),
+		view:           storeview.New(storeview.Settings{MaxAge: maxAgeInWaits * watchWait(cfg.Drain.Std())}, max(1, randomSeed())),
 		registry:       registry.New(registry.Settings{}),
 		exchange:       exchange.New(exchange.Settings{}, t),
 		poison:         poison.New(),
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -12,7 +12,6 @@
 	"crocuslug/poison"
 	"crocuslug/registry"
 	"crocuslug/store"
-	"crocuslug/unit"
 	"crocuslug/upstreamlimit"
 	"crocuslug/work"
 )
@@ -75,7 +74,7 @@
 type digest struct {
 	Domain        ident.Domain
 	Seen          store.Version                // store version up to which the sender knows all changes
-	StoreAge      unit.Duration                `json:",omitempty"` // age of that knowledge; see storeview.View.Age
+	confirmation                               // of that knowledge
 	Configuration uint64                       // version in force; 0 if none
 	InFlight      map[ident.Upstream]work.Load // the load of the sender on each upstream
 	// Prompts are those of its streams. They are sent only within the failure domain, because its
@@ -190,7 +189,7 @@
 	d.Departures = e.registry.Departures(now.Add(-departureReportTime))
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	d.Seen, d.StoreAge = e.view.Seen(), unit.Duration(e.view.Age(e.timer.Uptime()))
+	d.Seen, d.confirmation = e.view.Seen(), encodeConfirmation(e.view.Confirmation(e.timer.Uptime()))
 	d.Restarts = e.recentRestarts(now)
 	return d
 }
@@ -326,7 +325,7 @@
 	p.inFlight = d.InFlight
 	loads := e.sumPeerLoads(now)
 	e.mu.Unlock()
-	behind := e.view.Report(d.Seen, d.StoreAge.Std(), e.timer.Uptime())
+	behind := e.view.Report(d.Seen, d.decode(), e.timer.Uptime())
 	behind = behind || e.lacksConfiguration(d)
 	if loads != nil {
 		e.fleet.ReportPeerLoads(loads, now)
--- a/storeview/gossip_test.go
+++ b/storeview/gossip_test.go
@@ -13,7 +13,7 @@
 type message struct {
 	to      int
 	arrives time.Duration
-	age     time.Duration
+	says    Confirmation
 }
 
 // oldestUnnoticed returns how long after the last answer of the store to any of n instances the first and the
@@ -26,7 +26,7 @@
 	phases := make([]time.Duration, n)
 	watched := make([]time.Duration, n)
 	for i := range views {
-		views[i] = New(Settings{})
+		views[i] = New(Settings{}, uint64(i)+1)
 		views[i].SetPeers("d", "self", []ident.Instance{"self", "other", "third", "fourth"}, 4)
 		views[i].watcher = false
 		views[i].Confirm(1, 0)
@@ -38,7 +38,7 @@
 			if m.arrives > now {
 				return false
 			}
-			views[m.to].Report(1, m.age, now)
+			views[m.to].Report(1, m.says, now)
 			return true
 		})
 		for i, v := range views {
@@ -50,7 +50,7 @@
 			}
 			for range digests {
 				takes := transit/2 + time.Duration(random.Int64N(int64(transit)))
-				under = append(under, message{random.IntN(n), now + takes, v.Age(now)})
+				under = append(under, message{random.IntN(n), now + takes, v.Confirmation(now)})
 			}
 		}
 	}
--- a/storeview/view_test.go
+++ b/storeview/view_test.go
@@ -18,7 +18,9 @@
 //	peers SELF [ID ...]        sets the live instances of the failure domain, SELF included
 //	confirm VERSION [AT_MS]    an answer of the store, or of a peer's that was current at AT_MS
 //	failing yes|no             the outcome of the last call to the store
-//	report VERSION AGE_MS yes|no    a digest; whether to ask the peer for changes
+//	report VERSION AGE_MS yes|no [SOURCE NUMBER]    a digest; whether to ask the peer for changes. The
+//	                           knowledge of the peer goes back to an answer of the store, to a new one
+//	                           unless it is named
 //	want NAME VALUE            checks Seen, Age in ms, ShouldWatch, Watcher or Unavailable
 func TestScripts(t *testing.T) {
 	names, err := filepath.Glob("testdata/*.txt")
@@ -35,7 +37,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	v := New(Settings{})
+	v := New(Settings{}, 1)
 	var now time.Duration
 	for n, line := range strings.Split(string(text), "\n") {
 		w := strings.Fields(line)
@@ -60,7 +62,11 @@
 		case "failing":
 			v.SetFailing(w[1] == "yes")
 		case "report":
-			if got := v.Report(version(t, w[1]), milliseconds(t, w[2]), now); got != (w[3] == "yes") {
+			c := Confirmation{milliseconds(t, w[2]), Answer{2, uint64(n + 1)}}
+			if len(w) > 4 {
+				c.Answer = Answer{uint64(version(t, w[4])), uint64(version(t, w[5]))}
+			}
+			if got := v.Report(version(t, w[1]), c, now); got != (w[3] == "yes") {
 				t.Errorf("line %d: ask: got %v, want %s", n+1, got, w[3])
 			}
 		case "want":
@@ -121,7 +127,7 @@
 		for _, members := range [][]ident.Instance{live, live[:n-1]} {
 			got := 0
 			for _, self := range members {
-				v := New(Settings{})
+				v := New(Settings{}, 1)
 				v.SetPeers("d", self, members, domains)
 				if v.Watcher() {
 					got++
