keyvalue, edge: a watch without an answer is sent once more before it is given up

What callers saw: requests at a leaving upstream later than instances have to react, where the watches of all watchers were lost (DRAIN).

Cause: a watch was given up half the time limit of a call after its wait, a second whatever the time to react: with a time of 2 s that sum alone is over it. Knowledge counted as current for two waits, which is the whole time to react, so that an instance alone began to look when it should have known.

Change: a watch that has no answer an eighth of the time to react after its wait, 250 ms at least, is sent once more on a new connection, and the first answer of either counts. The store counts as lost from then on, as it did when the watch was given up, so that peers are asked at once. A store that answers late makes the next margin as long as it was. Knowledge is too old after 0.85 of the time to react.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -134,7 +134,7 @@
 		ports:          ports,
 		timer:          t,
 		log:            log.With().Str("Instance", cfg.Name).Str("Domain", string(cfg.Domain)).Logger(),
-		view:           storeview.New(storeview.Settings{MaxAge: maxAgeInWaits * watchWait(cfg.Drain.Std())}, max(1, randomSeed())),
+		view:           storeview.New(storeview.Settings{MaxAge: time.Duration(maxAgeShare * float64(cfg.Drain))}, max(1, randomSeed())),
 		registry:       registry.New(registry.Settings{}),
 		exchange:       exchange.New(exchange.Settings{}, t),
 		poison:         poison.New(),
@@ -156,7 +156,7 @@
 	e.relays = relay.New(relay.Settings{Listen: e.relayListen(), MaxOpen: e.cfg.Descriptors / relayShare}, t, e.log)
 	kv := ports.Store
 	kv.BackOff, kv.MaxBackOff, kv.Seed = storeBackOff, storeMaxBackOff, randomSeed()
-	kv.WatchWait, kv.WatchAttempts = watchWait(cfg.Drain.Std()), 1
+	kv.WatchWait, kv.WatchMargin, kv.WatchAttempts = watchWait(cfg.Drain.Std()), watchMargin(cfg.Drain.Std()), 1
 	if cfg.StoreReads > 0 {
 		kv.ReadsPerSecond = max(minStoreRate, cfg.StoreReads/storeInstances)
 	}
@@ -164,6 +164,7 @@
 		kv.WritesPerSecond = max(minStoreRate, cfg.StoreWrites/storeInstances)
 	}
 	e.client = keyvalue.New(kv, t)
+	e.client.OnOverdueWatch = func() { e.recordStoreLost(errOverdueWatch) }
 	e.store = e.client.Store()
 	e.fleet = fleet.New(fleet.Settings{
 		Self:   e.self,
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -31,6 +31,7 @@
 	line("Store.Unavailable", calls.Unavailable)
 	line("Store.Unknown", calls.Unknown)
 	line("Store.SilentWatches", calls.SilentWatches)
+	line("Store.OverdueWatches", calls.OverdueWatches)
 	line("Store.Seen", e.view.Seen().Revision())
 	line("Store.Era", e.view.Seen().Era())
 	line("Store.AgeMs", e.view.Age(e.timer.Uptime()).Milliseconds())
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"crocuslug/directory"
 	"crocuslug/ident"
 	"crocuslug/registry"
@@ -92,18 +94,29 @@
 	}
 }
 
-// Bounds of the time that the store is asked to wait in a watch. A watch that the store never answers
-// is given up after that wait and half of the time limit of a call. The wait is a share of the time to
-// react to leaving upstreams.
+// Bounds of the time that the store is asked to wait in a watch, and of the time after that after which
+// a watch without an answer is sent once more. Both are shares of the time to react to leaving upstreams,
+// so that a change is known in time although a watch is never answered.
 const (
-	minWatchWait   = 250 * time.Millisecond
-	maxWatchWait   = 2 * time.Second
-	watchWaitShare = 0.5 // of settings.Edge.Drain
+	minWatchWait     = 250 * time.Millisecond
+	maxWatchWait     = 2 * time.Second
+	watchWaitShare   = 0.5 // of settings.Edge.Drain
+	minWatchMargin   = 250 * time.Millisecond
+	watchMarginShare = 0.125 // of settings.Edge.Drain
 )
 
-// maxAgeInWaits is the age of the knowledge of the store, in waits of a watch, from which an instance
-// watches the store itself. Knowledge that came through peers is older than that of a watcher.
-const maxAgeInWaits = 2
+// maxAgeShare is the age of the knowledge of the store, as a share of settings.Edge.Drain, from which an
+// instance watches the store itself. It exceeds the age of the knowledge of a watcher, which is a wait, a
+// pause and a call, by what digests take; the rest is for the call.
+const maxAgeShare = 0.85
+
+// errOverdueWatch is the reason for which the store counts as lost while a watch has no answer.
+var errOverdueWatch = errs.New("watch has no answer")
+
+// watchMargin returns the time after the wait of a watch after which it is sent once more.
+func watchMargin(drain time.Duration) time.Duration {
+	return max(minWatchMargin, time.Duration(watchMarginShare*float64(drain)))
+}
 
 // watchWait returns the wait of a watch for a time to react to leaving upstreams.
 func watchWait(drain time.Duration) time.Duration {
--- a/keyvalue/client.go
+++ b/keyvalue/client.go
@@ -24,6 +24,7 @@
 	Address         string        // host:port of the service
 	Timeout         time.Duration // limit of a call other than a watch; 0 means 2 s
 	WatchWait       time.Duration // time that the service is asked to wait in a watch; 0 means 10 s
+	WatchMargin     time.Duration // time after WatchWait after which a watch without an answer is sent once more while it is waited for; 0 means never
 	WatchAttempts   int           // connections on which a watch without an answer is tried; 0 means 2
 	ReadsPerSecond  float64       // budget of reads and watches; 0 means 20
 	WritesPerSecond float64       // budget of writes; 0 means 10
@@ -67,19 +68,24 @@
 
 // Calls counts the calls of a client by kind and outcome.
 type Calls struct {
-	Reads         uint64 // sent to the service, without watches
-	Writes        uint64 // sent to the service
-	Watches       uint64 // sent to the service
-	Joined        uint64 // reads answered by a call that another read made
-	OverBudget    uint64 // calls refused by the client because of the budget
-	BackedOff     uint64 // calls refused by the client during a back-off
-	Unavailable   uint64 // calls that failed and were not applied
-	Unknown       uint64 // writes whose outcome is unknown
-	SilentWatches uint64 // watches without an answer within their time limit
+	Reads          uint64 // sent to the service, without watches
+	Writes         uint64 // sent to the service
+	Watches        uint64 // sent to the service
+	Joined         uint64 // reads answered by a call that another read made
+	OverBudget     uint64 // calls refused by the client because of the budget
+	BackedOff      uint64 // calls refused by the client during a back-off
+	Unavailable    uint64 // calls that failed and were not applied
+	Unknown        uint64 // writes whose outcome is unknown
+	SilentWatches  uint64 // watches without an answer within their time limit
+	OverdueWatches uint64 // watches that were sent once more because they had no answer
 }
 
 // Client calls the service. Its methods may be called from any goroutine.
 type Client struct {
+	// OnOverdueWatch is called when a watch is sent once more because it has no answer. It may be nil. Set
+	// it before the first use.
+	OnOverdueWatch func()
+
 	cfg       Settings
 	timer     *timer.Service
 	http      *fasthttp.HostClient
@@ -93,6 +99,7 @@
 	breaker     *breaker
 	calls       Calls
 	watchSilent bool                   // the last watch got no answer within its time limit
+	watchLate   bool                   // the last watch was answered after it had been sent once more
 	era         uint64                 // the latest era of the service that an answer has shown
 	leases      map[store.Lease]uint64 // eras in which leases were granted
 }
--- a/keyvalue/client_test.go
+++ b/keyvalue/client_test.go
@@ -225,6 +225,41 @@
 	}
 }
 
+// TestOverdueWatchIsSentAgain guards against a watch without an answer that is given up only at its time
+// limit, which has to allow for a slow service.
+func TestOverdueWatchIsSentAgain(t *testing.T) {
+	cfg := Settings{WatchWait: 500 * time.Millisecond, WatchMargin: 100 * time.Millisecond, Timeout: time.Minute, WatchAttempts: 1}
+	r := newFixture(t, cfg)
+	ctx := context.Background()
+	overdue := 0
+	if _, err := r.c.Get(ctx, "other"); !store.Absent.Has(err) { // leaves an idle connection
+		t.Fatal(err)
+	}
+	r.c.OnOverdueWatch = func() { overdue++ }
+	done := make(chan int, 1)
+	go func() {
+		entries, _, err := r.c.Watch(ctx, "k", 0)
+		if err != nil {
+			t.Errorf("watch: got %v, want none", err)
+		}
+		done <- len(entries)
+	}()
+	for r.store.Calls().WaitingNow == 0 {
+		runtime.Gosched()
+	}
+	r.srv.Silence()
+	if _, err := r.store.Put(ctx, "k1", []byte("v"), 0, 0); err != nil {
+		t.Fatal(err)
+	}
+	r.clock.Advance(cfg.WatchWait + cfg.WatchMargin)
+	if got := <-done; got != 1 {
+		t.Errorf("watch: got %d entries, want 1", got)
+	}
+	if got, want := r.c.Calls().OverdueWatches, uint64(1); got != want || overdue != 1 {
+		t.Errorf("overdue watches: got %d counted and %d reported, want 1", got, overdue)
+	}
+}
+
 func TestWatchResumesAfterOutage(t *testing.T) {
 	r := newFixture(t, Settings{})
 	ctx := context.Background()
--- a/keyvalue/operation.go
+++ b/keyvalue/operation.go
@@ -181,7 +181,7 @@
 	var err error
 	for range c.cfg.WatchAttempts {
 		q.timeout = c.watchTimeout()
-		r, err = c.do(ctx, q, nil)
+		r, err = c.awaitWatch(ctx, q)
 		if ctx.Err() != nil {
 			break
 		}
@@ -206,6 +206,71 @@
 	return page.Entries, page.Version, nil
 }
 
+// awaitWatch makes a watch. If it has no answer WatchMargin after WatchWait, it is sent once more on
+// another connection, and the first answer of either counts: a connection on which an answer was lost
+// brings nothing any more, while a slow service answers late.
+func (c *Client) awaitWatch(ctx context.Context, q call) (reply, error) {
+	if c.cfg.WatchMargin <= 0 {
+		return c.do(ctx, q, nil)
+	}
+	type outcome struct {
+		reply reply
+		err   error
+		first bool
+	}
+	const most = 2 // under way
+	outcomes := make(chan outcome, most)
+	send := func(first bool) {
+		go func() {
+			r, err := c.do(ctx, q, nil)
+			outcomes <- outcome{r, err, first}
+		}()
+	}
+	overdue := make(chan struct{})
+	sub := c.timer.After(c.cfg.WatchWait+c.watchMargin(), func(time.Time) { close(overdue) })
+	defer sub.Stop()
+	send(true)
+	underWay := 1
+	for {
+		select {
+		case o := <-outcomes:
+			underWay--
+			if o.err != nil && !store.Trimmed.Has(o.err) && underWay > 0 {
+				continue
+			}
+			c.recordLate(o.first && overdue == nil)
+			return o.reply, o.err
+		case <-overdue:
+			overdue = nil
+			c.increment(&c.calls.OverdueWatches)
+			c.http.CloseIdleConnections() // they may have become silent as well
+			if c.OnOverdueWatch != nil {
+				c.OnOverdueWatch()
+			}
+			send(false)
+			underWay++
+		}
+	}
+}
+
+// watchMargin returns the time after WatchWait after which a watch is sent once more: WatchMargin, or half
+// of Timeout if the last watch was answered after that, because the service may be slow.
+func (c *Client) watchMargin() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.watchLate {
+		return max(c.cfg.WatchMargin, c.cfg.Timeout/2)
+	}
+	return c.cfg.WatchMargin
+}
+
+// recordLate records whether a watch was answered after it had been sent once more.
+func (c *Client) recordLate(late bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.watchLate = late
+}
+
 // watchTimeout returns the time limit of a watch: WatchWait and half of Timeout, or all of it if the
 // last watch got no answer, because the service may be slow.
 func (c *Client) watchTimeout() time.Duration {
