cooldown: the rest that an upstream asks an instance for is kept

Cause: nothing read Retry-After of an answer 503. The request counts as not run, so that the upstream stayed in rotation; it answers at once and has nothing in flight, so that it looked like the one with least load.

Change: package cooldown holds the rests that upstreams have asked this instance for. An upstream that rests is not chosen for calls, streams, streams that go on, copies of runs or queued streams, and a request that waited for its connection is not written. Of requests that are nobody's, one probe is sent in a rest, and no calls about copies. After the rest, which ends up to a tenth later at random, one request at a time is sent until one is answered. If all upstreams that could serve a request rest, it is refused at once with the time at which the first rest ends (209, UpstreamRest); a stream that was interrupted waits for it. An instance passes no connections on to an upstream that has asked it for a rest, and is told of a rest in an answer that it passed on. Values that are no time are ignored, those above a minute are cut to it; both are logged once. A new run of the upstream has none.

--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -26,10 +26,11 @@
 		if w.Deadline.Sub(now) < d.cfg.MinRemaining {
 			return or(failure, d.refuse(a, result.DeadlineInfeasible, "the remaining time is too short"))
 		}
-		if refusal := d.ensurePermit(ctx, a, now); refusal != nil {
+		d.awaitTrial(ctx, a, now)
+		if refusal := d.ensurePermit(ctx, a, d.timer.Now()); refusal != nil {
 			return or(failure, refusal)
 		}
-		now = d.timer.Now() // the request may have waited for a permit
+		now = d.timer.Now() // the request may have waited
 		u, refusal := d.pick(a, now)
 		if refusal != nil {
 			return or(failure, refusal)
--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"crocuslug/builds"
+	"crocuslug/cooldown"
 	"crocuslug/directory"
 	"crocuslug/exchange"
 	"crocuslug/fleet"
@@ -44,6 +45,7 @@
 		NotRun:   func(_ int, h http.Header) bool { return h.Get("Not-Run") != "" },
 		Replaced: func(status int, _ http.Header) bool { return status == http.StatusMisdirectedRequest },
 		Signed:   func(h http.Header) bool { return h.Get("Signed") != "" },
+		Rest:     func(h http.Header) string { return h.Get("Rest") },
 
 		ProbePath: "/probe",
 	}
@@ -57,6 +59,7 @@
 		Client:   c,
 		Poison:   poison.New(),
 		Limits:   upstreamlimit.New(),
+		Rests:    cooldown.New(func() uint64 { return 0 }),
 		Builds:   builds.New(builds.Settings{}, clock.Now()),
 		CutOff:   func(ident.Domain) (bool, bool) { return false, false },
 		Leaves:   func(directory.Upstream, ident.Request) {},
@@ -90,6 +93,7 @@
 	wd.publish = func() {
 		f.SetUpstreams(wd.list, func(ident.Service) int { return wd.service.Memory }, clock.Now())
 		dependencies.Builds.SetUpstreams(wd.list, clock.Now())
+		dependencies.Rests.SetUpstreams(wd.list)
 	}
 	wd.publish()
 	dependencies.TellOrigin = func(r builds.Record) <-chan struct{} {
--- a/dispatch/copy.go
+++ b/dispatch/copy.go
@@ -74,6 +74,7 @@
 func (k *copyManager) reserveHolder(now time.Time) bool {
 	k.release(now)
 	exclude := append(k.d.limits.Limited(k.w.Service.Name), k.run.ID)
+	exclude = append(exclude, k.d.rests.Closed(k.w.Service.Name, now)...)
 	request := fleet.PickRequest{
 		Service: k.w.Service.Name, Build: k.d.buildFor(k.w.Service.Name, k.run.Build, now), ExcludeDomain: k.run.Domain, Exclude: append(exclude, k.exclude...), MinFreeShare: holderMinFreeShare,
 	}
@@ -110,7 +111,7 @@
 	c := k.copy
 	k.copy = nil
 	if c != nil && k.copiedByCall && done {
-		go k.drop(k.run.Address, c.Name)
+		go k.drop(k.run, c.Name)
 	}
 	return c
 }
@@ -137,11 +138,11 @@
 		return
 	}
 	k.copying = true
-	go k.copyRun(ctx, k.attempt, k.run.Address, k.holder, now)
+	go k.copyRun(ctx, k.attempt, k.run, k.holder, now)
 }
 
 // copyRun has the run copied to a holder and records the result.
-func (k *copyManager) copyRun(ctx context.Context, attempt int, run string, to directory.Upstream, now time.Time) {
+func (k *copyManager) copyRun(ctx context.Context, attempt int, run, to directory.Upstream, now time.Time) {
 	name, err := k.requestCopy(ctx, run, to.Address, now)
 	end := k.d.timer.Now()
 	k.mu.Lock()
@@ -162,13 +163,16 @@
 	}
 	k.copiedByCall = true
 	k.freshUntil = end.Add(copyRefreshInterval)
-	k.copy = &work.Copy{Holder: to.ID, Address: to.Address, Owner: run, Name: name}
+	k.copy = &work.Copy{Holder: to.ID, Address: to.Address, Owner: run.Address, Name: name}
 }
 
 // requestCopy makes the call that copies the run and returns the name of the copy.
-func (k *copyManager) requestCopy(ctx context.Context, run, to string, now time.Time) (string, error) {
+func (k *copyManager) requestCopy(ctx context.Context, run directory.Upstream, to string, now time.Time) (string, error) {
+	if k.d.rests.Left(run.ID, now) > 0 {
+		return "", errResting
+	}
 	target, body := k.d.protocol.CopyRequest(work.Move{Run: k.w.ID, To: to})
-	status, answer, err := k.d.callUpstream(ctx, run, http.MethodPost, target, body, now.Add(copyTimeout))
+	status, answer, err := k.d.callUpstream(ctx, run.Address, http.MethodPost, target, body, now.Add(copyTimeout))
 	if err != nil {
 		return "", err
 	}
@@ -180,9 +184,12 @@
 }
 
 // drop deletes a copy that was made by a call.
-func (k *copyManager) drop(run, name string) {
-	ctx := context.Background()
-	status, _, err := k.d.callUpstream(ctx, run, http.MethodDelete, k.d.protocol.DropTarget(name), nil, k.d.timer.Now().Add(copyTimeout))
+func (k *copyManager) drop(run directory.Upstream, name string) {
+	now := k.d.timer.Now()
+	if k.d.rests.Left(run.ID, now) > 0 {
+		return // the copy expires
+	}
+	status, _, err := k.d.callUpstream(context.Background(), run.Address, http.MethodDelete, k.d.protocol.DropTarget(name), nil, now.Add(copyTimeout))
 	if err != nil || status >= http.StatusMultipleChoices {
 		k.d.log.Debug().Str("Request", string(k.w.ID)).Int("Status", status).Err(err).Msg("deleting the copy failed; it will expire")
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"crocuslug/builds"
+	"crocuslug/cooldown"
 	"crocuslug/directory"
 	"crocuslug/exchange"
 	"crocuslug/fleet"
@@ -41,6 +42,7 @@
 	// poison records the crashes of engines and knows which requests cause them.
 	poison   *poison.Tracker
 	limits   *upstreamlimit.Limits
+	rests    *cooldown.Tracker
 	builds   *builds.Tracker
 	prompts  *prompts
 	meters   *meter.Meters
@@ -51,6 +53,7 @@
 	findOrigin func(ctx context.Context, w *work.Work) (build *ident.Build, found bool)
 	cutOff     func(domain ident.Domain) (cut, doubtful bool)
 	leaves     func(u directory.Upstream, request ident.Request)
+	tellRest   func(helper ident.Instance, u directory.Upstream, rest time.Duration)
 
 	mu             sync.Mutex
 	budget         retry.Settings
@@ -67,6 +70,7 @@
 	Client   *exchange.Client
 	Poison   *poison.Tracker
 	Limits   *upstreamlimit.Limits
+	Rests    *cooldown.Tracker
 	// AskPermits asks the instance that issues them for permits.
 	AskPermits func(ctx context.Context, r upstreamlimit.Request) (upstreamlimit.Answer, error)
 	Builds     *builds.Tracker
@@ -82,11 +86,13 @@
 	// Leaves records that u, as it was registered when the request was sent, has answered that it is
 	// leaving.
 	Leaves func(u directory.Upstream, request ident.Request)
-	Meters *meter.Meters
-	Budget retry.Settings // settings of the retry budget of each service
-	Timer  *timer.Service
-	Random func() uint64 // returns 64 random bits per call; safe for concurrent use
-	Log    zerolog.Logger
+	// TellRest tells an instance that passed a request on that u has asked it for a rest.
+	TellRest func(helper ident.Instance, u directory.Upstream, rest time.Duration)
+	Meters   *meter.Meters
+	Budget   retry.Settings // settings of the retry budget of each service
+	Timer    *timer.Service
+	Random   func() uint64 // returns 64 random bits per call; safe for concurrent use
+	Log      zerolog.Logger
 }
 
 // New returns a Dispatcher.
@@ -98,12 +104,14 @@
 		client:         p.Client,
 		poison:         p.Poison,
 		limits:         p.Limits,
+		rests:          p.Rests,
 		askPermits:     p.AskPermits,
 		builds:         p.Builds,
 		tellOrigin:     p.TellOrigin,
 		findOrigin:     p.FindOrigin,
 		cutOff:         p.CutOff,
 		leaves:         p.Leaves,
+		tellRest:       p.TellRest,
 		prompts:        newPrompts(),
 		meters:         p.Meters,
 		timer:          p.Timer,
@@ -237,6 +245,9 @@
 	if refusal := d.checkContent(a, now); refusal != nil {
 		return directory.Upstream{}, refusal, false
 	}
+	if refusal := d.checkRests(a, now); refusal != nil {
+		return directory.Upstream{}, refusal, false
+	}
 	request := d.pickRequest(a, now)
 	request.MaxBacklog = backlog
 	u, kind := d.pickWithPermit(request, a.lostDomain, now)
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -29,7 +29,7 @@
 	unreachable cause = "Unreachable" // no connection to the silent engine could be made for a probe
 	timedOut    cause = "TimedOut"    // no answer within the time limit
 	notSent     cause = "NotSent"     // no connection was made
-	withdrawn   cause = "Withdrawn"   // not sent, because the upstream left meanwhile
+	withdrawn   cause = "Withdrawn"   // not sent, because of what the upstream said meanwhile
 	broken      cause = "Broken"      // the connection ended before the answer
 	silent      cause = "Silent"      // no piece within the longest pause
 	replaced    cause = "Replaced"    // another upstream now has the address
@@ -54,8 +54,8 @@
 		return sendFailure{outcome: fleet.Failed, mayHaveRun: !exchange.NotSent.Has(err), cause: timedOut, reason: "no answer within its time limit"}, true
 	case exchange.Broken.Has(err) && errors.Is(err, os.ErrDeadlineExceeded):
 		return timeLimitPassed, true
-	case errors.Is(err, errLeft):
-		return sendFailure{outcome: fleet.Abandoned, cause: withdrawn, reason: errLeft.Error()}, true
+	case errors.Is(err, errLeft) || errors.Is(err, errResting):
+		return sendFailure{outcome: fleet.Abandoned, cause: withdrawn, reason: err.Error()}, true
 	case exchange.NotSent.Has(err):
 		return sendFailure{outcome: fleet.Dead, cause: notSent, reason: err.Error()}, true
 	case err != nil:
--- a/dispatch/patience.go
+++ b/dispatch/patience.go
@@ -29,8 +29,8 @@
 		early:   left > 1,
 		longest: d.cfg.MaxPause,
 		hasOther: func() bool {
-			blocked := d.limits.Blocked(s.w.Service.Name, d.timer.Now())
-			return d.fleet.HasOther(s.w.Service.Name, s.build, append(blocked, exclude...))
+			closed := d.closed(s.w.Service.Name, d.timer.Now())
+			return d.fleet.HasOther(s.w.Service.Name, s.build, append(closed, exclude...))
 		},
 		hasCopy: s.copies.hasCopy,
 	}
--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"slices"
 	"strconv"
@@ -10,7 +9,6 @@
 	"time"
 
 	"crocuslug/directory"
-	"crocuslug/exchange"
 	"crocuslug/fleet"
 	"crocuslug/ident"
 	"crocuslug/result"
@@ -25,41 +23,6 @@
 	permitRetry   = 250 * time.Millisecond // wait after a request for permits that was not answered
 )
 
-// do sends a request to an upstream and records what the answer says about its limit and its leaving.
-// With readsPrompt the prompt counts as read from then on; it was added to the unread tokens when u was
-// picked.
-func (d *Dispatcher) do(ctx context.Context, a *attempts, u directory.Upstream, r *exchange.Request, readsPrompt bool) (*exchange.Answer, error) {
-	sent := d.timer.Now()
-	r.Check = func() error { return d.checkStaying(u) }
-	ans, err := d.client.Do(ctx, u.Address, r)
-	if readsPrompt {
-		d.fleet.AddUnreadTokens(u.ID, -a.w.PromptTokens, d.timer.Now())
-	}
-	if err == nil && ans.Helper != "" {
-		d.meters.Count("Sent.Relayed", 1)
-		d.log.Info().Str("Request", string(a.w.ID)).Str("Upstream", string(u.ID)).Str("Peer", string(ans.Helper)).Int("Attempt", a.sends).Msg("sent through another instance")
-	}
-	if err == nil && !d.protocol.Replaced(ans.Status, ans.Header) {
-		d.readLimit(a.w.ID, u, ans.Header, sent)
-		if d.protocol.Leaving != nil && d.protocol.Leaving(ans.Header) {
-			d.leaves(u, a.w.ID)
-		}
-	}
-	return ans, err
-}
-
-// errLeft is the error of a request that was not sent because its upstream left while the request waited
-// for a connection.
-var errLeft = errors.New("the upstream is leaving or gone since it was chosen")
-
-// checkStaying returns errLeft if u is leaving or no longer registered.
-func (d *Dispatcher) checkStaying(u directory.Upstream) error {
-	if now, ok := d.fleet.Upstream(u.ID); !ok || now.Draining {
-		return errLeft
-	}
-	return nil
-}
-
 // readLimit records the limit that the answer of u to a request names. An answer without the
 // signature of an upstream does not end a limit.
 func (d *Dispatcher) readLimit(request ident.Request, u directory.Upstream, h http.Header, sent time.Time) {
@@ -97,9 +60,9 @@
 }
 
 // unavailable returns the upstreams that are not to be chosen for the next attempt: those excluded
-// for the request, and those with a limit for which this instance holds no permit.
+// for the request, and those that get no requests of this instance now.
 func (d *Dispatcher) unavailable(a *attempts, now time.Time) []ident.Upstream {
-	return append(a.excluded(), d.limits.Blocked(a.w.Service.Name, now)...)
+	return append(a.excluded(), d.closed(a.w.Service.Name, now)...)
 }
 
 // blocked returns the upstreams that could be chosen for the next attempt, and those of them that
@@ -109,7 +72,7 @@
 	if len(blocked) == 0 {
 		return nil, nil
 	}
-	usable = d.fleet.Usable(a.w.Service.Name, a.build, a.excluded())
+	usable = d.fleet.Usable(a.w.Service.Name, a.build, append(a.excluded(), d.rests.Closed(a.w.Service.Name, now)...))
 	return usable, slices.DeleteFunc(blocked, func(id ident.Upstream) bool { return !slices.Contains(usable, id) })
 }
 
@@ -162,14 +125,13 @@
 // limitsOf returns upstreams with their limits as text, such as "u1@2.5,u2@1" for 2.5 and 1 requests a
 // second.
 func (d *Dispatcher) limitsOf(ids []ident.Upstream, now time.Time) string {
-	const most = 8 // named
 	var out []string
-	for _, id := range ids[:min(len(ids), most)] {
+	for _, id := range ids[:min(len(ids), maxNamed)] {
 		limit, _ := d.limits.Statement(id, now)
 		out = append(out, string(id)+"@"+strconv.FormatFloat(limit.Rate, 'g', -1, 64))
 	}
-	if len(ids) > most {
-		out = append(out, strconv.Itoa(len(ids)-most)+" more")
+	if len(ids) > maxNamed {
+		out = append(out, strconv.Itoa(len(ids)-maxNamed)+" more")
 	}
 	return strings.Join(out, ",")
 }
@@ -207,10 +169,10 @@
 	return directory.Upstream{}, false
 }
 
-// takePermit uses a permit for an upstream that was picked, if it has a limit. If there is none left, it
-// gives the place at the upstream back and returns false.
+// takePermit uses a permit for an upstream that was picked, if it has a limit. If there is none left, or
+// the upstream has asked for a rest, it gives the place at the upstream back and returns false.
 func (d *Dispatcher) takePermit(id ident.Upstream, unread int, now time.Time) bool {
-	if d.limits.Take(id, now) {
+	if d.rests.Take(id, now) && d.limits.Take(id, now) {
 		return true
 	}
 	d.fleet.AddUnreadTokens(id, -unread, now)
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -38,6 +38,8 @@
 		go func() {
 			switch err := d.probe(waiting, u, now); {
 			case waiting.Err() != nil:
+			case errors.Is(err, errResting):
+				// Nothing is known about the engine.
 			case err == nil:
 				answered.Store(max(answered.Load(), now.UnixNano()))
 			case !p.beforeStart(time.Duration(now.UnixNano() - answered.Load())):
@@ -54,8 +56,11 @@
 	}
 }
 
-// probe returns nil if u answers a probe.
+// probe returns nil if u answers a probe, and errResting if none may be sent.
 func (d *Dispatcher) probe(ctx context.Context, u directory.Upstream, now time.Time) error {
+	if !d.rests.TakeProbe(u.ID, now) {
+		return errResting
+	}
 	sent := d.timer.Uptime()
 	_, _, err := d.callUpstream(ctx, u.Address, http.MethodGet, d.protocol.ProbePath, nil, now.Add(probeTimeout))
 	if err == nil {
--- a/dispatch/probe_test.go
+++ b/dispatch/probe_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"crocuslug/cooldown"
 	"crocuslug/directory"
 	"crocuslug/exchange"
 	"crocuslug/fleet"
@@ -42,6 +43,7 @@
 	t       *testing.T
 	engine  *probedEngine
 	clock   *timer.Service
+	rests   *cooldown.Tracker
 	attempt context.Context
 	stop    context.CancelFunc
 }
@@ -62,7 +64,8 @@
 	t.Cleanup(cancel)
 	attempt, stop := d.withProbes(ctx, u, p)
 	t.Cleanup(stop)
-	return &probeTest{t, e, clock, attempt, stop}
+	d.rests.SetUpstreams([]directory.Upstream{u})
+	return &probeTest{t, e, clock, d.rests, attempt, stop}
 }
 
 // probe lets the next probe be sent and waits until it has arrived.
@@ -128,3 +131,25 @@
 	case <-time.After(settleTime):
 	}
 }
+
+// TestProbesInRest guards against probes that break the rest of an engine, and against a stream that leaves
+// its engine because none may be sent.
+func TestProbesInRest(t *testing.T) {
+	t.Parallel()
+	const inRest = 6 // intervals
+	p := newProbeTest(t, patience{mayMove: true, early: true, hasOther: func() bool { return true }})
+	p.engine.answers.Store(true)
+	p.rests.Asked("a", 0, inRest*probeInterval+probeInterval/2, p.clock.Now())
+	p.probe()
+	for range inRest - 1 {
+		p.clock.Advance(probeInterval)
+		time.Sleep(settleTime)
+	}
+	if got := len(p.engine.received); got > 0 {
+		t.Errorf("probes within the rest: got %d more after the first, want none", got)
+	}
+	if p.attempt.Err() != nil {
+		t.Errorf("attempt at a resting engine: got %v, want none", context.Cause(p.attempt))
+	}
+	p.probe()
+}
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -57,7 +57,7 @@
 //	want RESULT        "200 BODY", "pieces 1-5", "cut 1-3", "refused NotRun" or "refused Unknown"
 //	request ENGINE ...     a request received by an engine, in order
 //
-// The commands of an engine are ok:BODY, late:BODY (after pauseTime), status:N, refuse,
+// The commands of an engine are ok:BODY, late:BODY (after pauseTime), status:N, refuse, rest:SECONDS,
 // replaced, drop, unsigned, still:N-M (the engine answers nobody for pauseTime, then streams),
 // and stream:N-M:END, where END is whole, drop, drop-late (after minRunTime), hang, pause-K
 // (silence for pauseTime, then the pieces up to K), rollout-BUILD (after minRunTime an engine of that build
@@ -258,6 +258,10 @@
 	case "refuse":
 		w.Header().Set("Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
+	case "rest":
+		w.Header().Set("Not-Run", "1")
+		w.Header().Set("Rest", rest)
+		w.WriteHeader(http.StatusServiceUnavailable)
 	case "replaced":
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	case "drop":
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -151,7 +151,7 @@
 // be refused as not run, and its caller cannot resume it elsewhere either: all upstreams of the
 // service are unavailable, and crashed ones return within seconds.
 func (d *Dispatcher) shouldWait(s *stream, refusal *result.Error, now time.Time) bool {
-	if refusal == nil || refusal.Code != result.NoUpstream && refusal.Code != result.Overloaded && refusal.Code != result.UpstreamLimit || s.runs == 0 || s.runs >= d.cfg.MaxSends || now.Sub(s.lostAt) >= d.cfg.MaxResumeWait {
+	if refusal == nil || !passes(refusal.Code) || s.runs == 0 || s.runs >= d.cfg.MaxSends || now.Sub(s.lostAt) >= d.cfg.MaxResumeWait {
 		return false
 	}
 	if !s.waiting {
@@ -165,6 +165,11 @@
 	return true
 }
 
+// passes reports whether the reason of a refusal may soon be gone.
+func passes(c result.Code) bool {
+	return c == result.NoUpstream || c == result.Overloaded || c == result.UpstreamLimit || c == result.UpstreamRest
+}
+
 // endWait marks a stream as not waiting any more.
 func (d *Dispatcher) endWait(s *stream) {
 	if s.waiting {
@@ -218,10 +223,11 @@
 			return u, runCopy, nil
 		}
 	}
-	if refusal := d.ensurePermit(ctx, &s.attempts, now); refusal != nil {
+	d.awaitTrial(ctx, &s.attempts, now)
+	if refusal := d.ensurePermit(ctx, &s.attempts, d.timer.Now()); refusal != nil {
 		return directory.Upstream{}, nil, refusal
 	}
-	now = d.timer.Now() // the stream may have waited for a permit
+	now = d.timer.Now() // the stream may have waited
 	if s.runs == 0 && (s.build == nil || !d.builds.Several(s.w.Service.Name, now)) {
 		u, refusal := d.admit(ctx, s, now)
 		return u, nil, refusal
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -42,7 +42,7 @@
 	q.TryPlace = func(waiter *line.Waiter, now time.Time) bool {
 		queued := waiter.Request.(*queuedRequest)
 		request := queued.request
-		request.Exclude = append(slices.Clone(request.Exclude), d.limits.Blocked(s, now)...)
+		request.Exclude = append(slices.Clone(request.Exclude), d.closed(s, now)...)
 		u, kind := d.fleet.Pick(request, now)
 		if kind != routing.Send || !d.takePermit(u.ID, request.UnreadTokens, now) {
 			return false
@@ -111,9 +111,11 @@
 		}
 	} else if refusal := d.checkContent(&s.attempts, now); refusal != nil {
 		return directory.Upstream{}, refusal
+	} else if refusal := d.checkRests(&s.attempts, now); refusal != nil {
+		return directory.Upstream{}, refusal
 	}
 	queued := &queuedRequest{request: d.pickRequest(&s.attempts, now)}
-	queued.request.Exclude = s.excluded() // permits may be issued meanwhile
+	queued.request.Exclude = s.excluded() // permits may be issued, and rests may end meanwhile
 	queued.request.RequireIdle = true
 	s.requireIdle = false
 	waiter, refusal := q.Enqueue(admission.Item{
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -14,6 +14,7 @@
 
 	"crocuslug/background"
 	"crocuslug/builds"
+	"crocuslug/cooldown"
 	"crocuslug/directory"
 	"crocuslug/dispatch"
 	"crocuslug/exchange"
@@ -64,6 +65,7 @@
 	exchange       *exchange.Client
 	poison         *poison.Tracker
 	upstreamLimits *upstreamlimit.Limits
+	rests          *cooldown.Tracker
 	builds         *builds.Tracker
 	reach          *reach.Tracker
 	relays         *relay.Server
@@ -139,6 +141,7 @@
 		exchange:       exchange.New(exchange.Settings{}, t),
 		poison:         poison.New(),
 		upstreamLimits: upstreamlimit.New(),
+		rests:          cooldown.New(rand.Uint64),
 		builds:         builds.New(builds.Settings{}, t.Now()),
 		reach:          reach.New(reach.Settings{}),
 		meters:         meter.New(t),
@@ -178,6 +181,7 @@
 		Client:   e.exchange,
 		Poison:   e.poison,
 		Limits:   e.upstreamLimits,
+		Rests:    e.rests,
 
 		AskPermits: e.askPermits,
 		Builds:     e.builds,
@@ -185,6 +189,7 @@
 		FindOrigin: e.findOrigin,
 		CutOff:     e.doubt,
 		Leaves:     e.recordLeaving,
+		TellRest:   e.tellRest,
 
 		Meters: e.meters,
 		Budget: e.budget(),
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"time"
 
 	"crocuslug/work"
@@ -50,6 +52,10 @@
 		line("Limit."+string(s.Upstream)+".PerSecond", s.Rate)
 		line("Limit."+string(s.Upstream)+".AgeMs", s.Age.Std().Milliseconds())
 	}
+	resting := e.rests.InForce(now)
+	for _, id := range slices.Sorted(maps.Keys(resting)) {
+		line("Rest."+string(id)+".LeftMs", resting[id].Milliseconds())
+	}
 	line("Origins.Held", e.builds.Records())
 	cut, _ := e.reach.CutDomains()
 	line("Reach.CutDomains", len(cut))
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -127,6 +127,7 @@
 	e.link.Handle(holdOriginsMethod, e.handleHoldOrigins)
 	e.link.Handle(reachMethod, e.handleReach)
 	e.link.Handle(relayMethod, e.handleRelay)
+	e.link.Handle(restMethod, e.handleRest)
 	now := e.timer.Now()
 	for _, s := range e.cfg.Seeds {
 		e.addPeer(presence{Instance: ident.Instance(s)}, now)
--- a/edge/relays.go
+++ b/edge/relays.go
@@ -66,6 +66,8 @@
 		return nil, result.Newf(result.NotFound, "upstream %s is not registered here", q.Upstream)
 	case e.reach.Cut(u.Domain) || e.leaving.Load():
 		return nil, result.New(result.PeerUnavailable, "this instance cannot pass connections on")
+	case e.rests.Left(u.ID, e.timer.Now()) > 0:
+		return nil, result.New(result.UpstreamRest, "the upstream has asked this instance for a rest")
 	case e.relays.Full():
 		e.meters.Count("Relays.Full", 1)
 		return nil, result.New(result.Overloaded, "too many connections are passed on")
--- a/edge/restart.go
+++ b/edge/restart.go
@@ -62,9 +62,10 @@
 
 // probeRestart asks the address of a lost upstream which upstream answers there, and registers it
 // under its new id. If the answer comes after limit, an uptime, the former upstream is only recorded as
-// replaced. It does nothing if the store has named a newer upstream at that address.
+// replaced. It does nothing if the store has named a newer upstream at that address, or if the upstream has
+// asked for a rest.
 func (e *Edge) probeRestart(u directory.Upstream, limit time.Duration) {
-	if e.registry.ByAddress(u.Address).ID != u.ID {
+	if e.registry.ByAddress(u.Address).ID != u.ID || !e.rests.TakeProbe(u.ID, e.timer.Now()) {
 		return
 	}
 	path := e.ports.UpstreamPorts.ProbePath
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -321,6 +321,7 @@
 	e.builds.SetUpstreams(list, now)
 	e.reach.SetUpstreams(list)
 	e.upstreamLimits.SetUpstreams(list)
+	e.rests.SetUpstreams(list)
 	e.fleet.SetUpstreams(list, func(s ident.Service) int {
 		if d == nil {
 			return 0
--- a/nativewire/nativewire.go
+++ b/nativewire/nativewire.go
@@ -91,6 +91,7 @@
 			NotRun:      func(_ int, h http.Header) bool { return h.Get(NotRunField) != "" },
 			Replaced:    func(status int, _ http.Header) bool { return status == http.StatusMisdirectedRequest },
 			Limit:       func(h http.Header) string { return strings.Join(h.Values(LimitField), ",") },
+			Rest:        func(h http.Header) string { return strings.Join(h.Values(RestField), ",") },
 			Leaving:     func(h http.Header) bool { return h.Get(LeavingField) != "" },
 			Signed:      func(h http.Header) bool { return h.Get(SignatureField) != "" },
 			ProbePath:   StatePath,
--- a/result/result.go
+++ b/result/result.go
@@ -34,6 +34,7 @@
 	UpstreamLimit        Code = 206
 	BuildUnknown         Code = 207
 	BuildGone            Code = 208
+	UpstreamRest         Code = 209
 	GenerationLost       Code = 301
 	CannotContinue       Code = 302
 	RequestCrashes       Code = 303
@@ -96,6 +97,7 @@
 	BuildUnknown:         {"BuildUnknown", http.StatusServiceUnavailable, 5, "The software version that began the stream is not known here."},
 	BuildGone:            {"BuildGone", http.StatusServiceUnavailable, 5, "No upstream of the software version that began the stream is left."},
 	UpstreamLimit:        {"UpstreamLimit", http.StatusServiceUnavailable, 5, "The upstreams that serve this are at the limits that they have named."},
+	UpstreamRest:         {"UpstreamRest", http.StatusServiceUnavailable, 5, "The upstreams that serve this have asked for a rest."},
 	GenerationLost:       {"GenerationLost", http.StatusGone, 6, "The generation is lost; discard what was delivered."},
 	CannotContinue:       {"CannotContinue", http.StatusGone, 6, "The engine cannot continue this answer; discard what was delivered."},
 	RequestCrashes:       {"RequestCrashes", http.StatusUnprocessableEntity, 6, "A request with this content, or a part of its prompt, makes engines fail and is refused."},
--- a/work/work.go
+++ b/work/work.go
@@ -107,6 +107,9 @@
 	// Limit returns, as text, the requests a second that an answer says its upstream takes from all
 	// instances together, or "". It may be nil, and then no answer says so.
 	Limit func(h http.Header) string
+	// Rest returns, as text, the seconds for which an upstream that answers with status 503 wants no
+	// requests from this instance, or "". It may be nil, and then no answer says so.
+	Rest func(h http.Header) string
 	// Leaving reports whether an answer states that its upstream is leaving. It may be nil, and then no
 	// answer states it.
 	Leaving func(h http.Header) bool
