soak: upstreams ask for rests, and say in their answers that they leave

Two faults, which overlap with the others: for nine seconds an upstream of each service turns all requests away and asks for rests of one to four seconds, and at most two requests of each instance, beside its first, may reach it in one of them; and an upstream of each service says in its answers that it is leaving while its entry does not, and may run nothing later than 3.5 s after that. Both are checked while no unplanned fault goes on or went on shortly before.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -135,6 +135,8 @@
 	instanceReload,
 	enginesRolledOut,
 	{"upstreams name limits", true, func(ctx context.Context, s *Soak, r *rand.Rand) { s.nameLimits(ctx, r) }},
+	{"upstreams ask for rests", true, func(ctx context.Context, s *Soak, r *rand.Rand) { s.askForRests(ctx, r) }},
+	{"upstreams say that they leave", true, func(ctx context.Context, s *Soak, r *rand.Rand) { s.sayLeaving(ctx, r) }},
 	{"content crashes upstreams", false, func(ctx context.Context, s *Soak, r *rand.Rand) { s.crashUpstreams(ctx, r) }},
 	{"store silent for an instance", false, func(ctx context.Context, s *Soak, r *rand.Rand) {
 		s.setModeFor(ctx, s.randomInstance(r).store, silent, randomDuration(r, time.Second, 4*time.Second))
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -12,8 +12,8 @@
 	"crocuslug/nativewire"
 )
 
-// recorder counts the runs of requests. Upstreams report each run to it before they begin, and name
-// the limit that it answers with.
+// recorder counts the runs of requests. Upstreams report each run to it before they begin, and say of
+// themselves what it answers with.
 type recorder struct {
 	listener net.Listener
 	clock    clock
@@ -21,7 +21,14 @@
 	mu       sync.Mutex
 	runs     map[string]int
 	arrivals map[string][]time.Time // by upstream id
-	limits   map[string]string      // by upstream id
+	turned   map[string][]time.Time // arrivals that were turned away, by upstream id
+	address  map[string]string      // registered addresses by upstream id
+	says     map[string]statement   // by upstream id
+}
+
+// statement is what an upstream says of itself in its answers. Empty fields mean nothing.
+type statement struct {
+	limit, rest, leaving string
 }
 
 func newRecorder(c clock) (*recorder, error) {
@@ -29,18 +36,26 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &recorder{listener: l, clock: c, runs: make(map[string]int), arrivals: make(map[string][]time.Time), limits: make(map[string]string)}
+	r := &recorder{listener: l, clock: c, runs: make(map[string]int), arrivals: make(map[string][]time.Time), turned: make(map[string][]time.Time), address: make(map[string]string), says: make(map[string]statement)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run", func(w http.ResponseWriter, req *http.Request) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		q := req.URL.Query()
 		u := q.Get("upstream")
+		r.address[u] = q.Get("address")
+		says := r.says[u]
+		for field, value := range map[string]string{nativewire.LimitField: says.limit, nativewire.RestField: says.rest, nativewire.LeavingField: says.leaving} {
+			if value != "" {
+				w.Header().Set(field, value)
+			}
+		}
+		if says.rest != "" {
+			r.turned[u] = append(r.turned[u], r.clock.Now())
+			return
+		}
 		r.runs[q.Get("id")]++
 		r.arrivals[u] = append(r.arrivals[u], r.clock.Now())
-		if limit := r.limits[u]; limit != "" {
-			w.Header().Set(nativewire.LimitField, limit)
-		}
 	})
 	go func() { _ = http.Serve(l, mux) }() // returns after close
 	return r, nil
@@ -54,11 +69,49 @@
 	return r.runs[id]
 }
 
-// setLimit sets the limit that an upstream names from now on. Empty means none.
-func (r *recorder) setLimit(upstream, limit string) {
+// setStatement sets what an upstream says of itself from now on.
+func (r *recorder) setStatement(upstream string, says statement) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.says[upstream] = says
+}
+
+// mostTurnedAway returns the largest number of requests that an upstream turned away between two times
+// after one that it turned away.
+func (r *recorder) mostTurnedAway(upstream string, from, to time.Duration) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	most := 0
+	for _, at := range r.turned[upstream] {
+		n := 0
+		for _, other := range r.turned[upstream] {
+			if since := other.Sub(at); since > from && since < to {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// after returns the number of runs of an upstream that began after a time.
+func (r *recorder) after(upstream string, from time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, at := range r.arrivals[upstream] {
+		if at.After(from) {
+			n++
+		}
+	}
+	return n
+}
+
+// addressOf returns the address that an upstream registers.
+func (r *recorder) addressOf(upstream string) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.limits[upstream] = limit
+	return r.address[upstream]
 }
 
 // running returns the upstreams of a service that have run a request since a time, sorted.
--- a/soak/upstreams.go
+++ b/soak/upstreams.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"crocuslug/ident"
@@ -19,11 +20,18 @@
 	limitSlack     = 5   // requests
 	crashesKnown   = 3
 	maxCrashesMore = 3
+	restStart      = 500 * time.Millisecond // from an answer that asks for a rest until the bound holds
+	maxInRest      = 2
+	drainTime      = 2 * time.Second
+	toldTime       = 1500 * time.Millisecond // until all instances know what one was told, with some to spare
 )
 
 // Lengths of these faults.
 const (
 	limitTime     = 9 * time.Second
+	restsTime     = 9 * time.Second
+	maxRest       = 4 * time.Second
+	leavingTime   = 6 * time.Second
 	crashTime     = 8 * time.Second
 	crashPoll     = 10 * time.Millisecond  // between two looks whether an upstream has crashed
 	crashDown     = time.Second            // until it starts again
@@ -44,13 +52,13 @@
 		limit := fmt.Sprintf("%.1f", 0.5+3*r.Float64())
 		u := running[r.IntN(len(running))]
 		limits[u], _ = strconv.ParseFloat(limit, 64) // as formatted above
-		s.cluster.recorder.setLimit(u, limit)
+		s.cluster.recorder.setStatement(u, statement{limit: limit})
 	}
 	named := s.clock.Now()
 	s.clock.pause(ctx, limitTime)
 	for u, limit := range limits {
 		most := s.cluster.recorder.most(u, named.Add(settleTime), limitWindow)
-		s.cluster.recorder.setLimit(u, "")
+		s.cluster.recorder.setStatement(u, statement{})
 		allowed := limitFactor*limit*limitWindow.Seconds() + limitSlack
 		s.mu.Lock()
 		if s.undisturbed(began) {
@@ -63,6 +71,76 @@
 	}
 }
 
+// askForRests lets an upstream of each service turn all requests away and ask for a rest, for a while. It
+// checks that the instances keep the rests, unless an unplanned fault goes on or went on shortly before.
+func (s *Soak) askForRests(ctx context.Context, r *rand.Rand) {
+	began := s.currentFaultState()
+	rest := time.Second + time.Duration(r.IntN(int(maxRest-time.Second)))
+	asked := s.runningOfEach(r)
+	for _, u := range asked {
+		s.cluster.recorder.setStatement(u, statement{rest: strconv.FormatFloat(rest.Seconds(), 'f', 3, 64)})
+	}
+	s.clock.pause(ctx, restsTime)
+	for _, u := range asked {
+		most := s.cluster.recorder.mostTurnedAway(u, restStart, rest)
+		s.cluster.recorder.setStatement(u, statement{})
+		s.mu.Lock()
+		if s.undisturbed(began) {
+			s.countCheck("rest kept")
+			// Each instance learns of the rest by a request of its own, and may send two more.
+			if allowed := len(s.cluster.instances) * (1 + maxInRest); most > allowed {
+				s.reportViolationLocked("%s: asked for rests of %v and got %d requests in one of them, want at most %d", u, rest, most, allowed)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// sayLeaving lets an upstream of each service say in its answers that it is leaving, while its entry in the
+// store does not say so. It checks that it soon gets no more requests, unless an unplanned fault goes on or
+// went on shortly before, and stops it and starts it again.
+func (s *Soak) sayLeaving(ctx context.Context, r *rand.Rand) {
+	began := s.currentFaultState()
+	leaving := s.runningOfEach(r)
+	for _, u := range leaving {
+		s.cluster.recorder.setStatement(u, statement{leaving: "1"})
+	}
+	said := s.clock.Now()
+	s.clock.pause(ctx, leavingTime)
+	var restarts sync.WaitGroup
+	for _, u := range leaving {
+		n := s.cluster.recorder.after(u, said.Add(drainTime+toldTime))
+		s.mu.Lock()
+		if s.undisturbed(began) {
+			s.countCheck("leaving upstream left alone")
+			if n > 0 {
+				s.reportViolationLocked("%s: said in its answers that it is leaving and ran %d requests later than %v after that, want none", u, n, drainTime+toldTime)
+			}
+		}
+		s.mu.Unlock()
+		address := s.cluster.recorder.addressOf(u)
+		for _, p := range s.cluster.upstreams {
+			if p.proxy.addr() == address {
+				restarts.Go(func() {
+					s.restart(ctx, p.process, syscall.SIGTERM, randomDuration(r, 100*time.Millisecond, time.Second))
+				})
+			}
+		}
+	}
+	restarts.Wait()
+}
+
+// runningOfEach returns an upstream of each service that has run a request in the last second.
+func (s *Soak) runningOfEach(r *rand.Rand) []string {
+	var out []string
+	for _, service := range []ident.Service{engineService, plainService} {
+		if running := s.cluster.recorder.running(service, s.clock.Now().Add(-time.Second)); len(running) > 0 {
+			out = append(out, running[r.IntN(len(running))])
+		}
+	}
+	return out
+}
+
 // crashUpstreams sends a request that crashes each plain service that runs it, again and again. It
 // starts them again, and checks that they soon do not get it any more.
 func (s *Soak) crashUpstreams(ctx context.Context, r *rand.Rand) {
--- a/standinregistered/server.go
+++ b/standinregistered/server.go
@@ -261,7 +261,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if from != "" && !hasCopy || !s.reportRun(h, r, id) {
+	if from != "" && !hasCopy || !s.reportRun(h, r, id) || h.Get(nativewire.RestField) != "" {
 		h.Set(nativewire.NotRunField, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -317,7 +317,7 @@
 	if s.cfg.Recorder == "" {
 		return nil
 	}
-	q := url.Values{"id": {id}, "upstream": {string(s.id)}, "path": {r.URL.Path}}
+	q := url.Values{"id": {id}, "upstream": {string(s.id)}, "address": {s.cfg.Public}, "path": {r.URL.Path}}
 	res, err := http.Post("http://"+s.cfg.Recorder+path+"?"+q.Encode(), "text/plain", nil)
 	if err != nil {
 		return nil
@@ -326,8 +326,8 @@
 	return res
 }
 
-// reportRun reports a run to the recorder and returns whether it may begin. If the recorder answers
-// with a limit, the answer to the run names it in its header h.
+// reportRun reports a run to the recorder and returns whether it may begin. What the recorder's answer
+// says of the upstream, its limit, a rest or that it is leaving, the answer to the run says in its header h.
 func (s *Server) reportRun(h http.Header, r *http.Request, id string) bool {
 	if s.cfg.Recorder == "" {
 		return true
@@ -336,8 +336,10 @@
 	if res == nil {
 		return false
 	}
-	if limit := res.Header.Get(nativewire.LimitField); limit != "" {
-		h.Set(nativewire.LimitField, limit)
+	for _, field := range []string{nativewire.LimitField, nativewire.RestField, nativewire.LeavingField} {
+		if value := res.Header.Get(field); value != "" {
+			h.Set(field, value)
+		}
 	}
 	return res.StatusCode == http.StatusOK
 }
