--- a/edge/builds_test.go
+++ b/edge/builds_test.go
@@ -33,6 +33,7 @@
 	enginesPerBuild = 4
 	buildPieces     = 40
 	streamsAtOnce   = 60
+	midway          = buildPieces / 3
 )
 
 // building is a site whose engines have several builds.
@@ -213,7 +214,6 @@
 // TestStreamKeepsBuild guards against streams that go on at another software version than the one that
 // began them, and against streams that do not go on though engines of their version serve.
 func TestStreamKeepsBuild(t *testing.T) {
-	const midway = buildPieces / 3
 	t.Run("engines end", func(t *testing.T) {
 		t.Parallel()
 		b := newBuilding(t, "v1", "v2")
