edge: the store names services with several software versions

Cause: that a service has or had several builds, and at which of them each stream began, is known to instances and their peers only. When all are lost while the engines of the first build leave, those that start see one build, at which everything may go on.

Change: while a service has several builds, an instance that watches the store keeps an entry there that names the service, under a lease that outlasts the last stream of two builds. Instances that start read it with all other entries, and count the service as one with several: streams whose build nobody tells are refused as before, with the time to come back, new ones are served. Older builds ignore the entry.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -94,6 +94,8 @@
 	farPeers    int           // number of peers in other failure domains
 	restarts    []restart     // restarts of upstreams that this instance found recently
 
+	recordedBuilds map[ident.Service]bool // services that the store names as having several builds
+
 	silentIssuers map[ident.Instance]silentIssuer // peers that did not answer requests for permits
 	checksSince   time.Time                       // begin of the second in which checks were counted
 	checks        int                             // connections opened to answer questions in that second
@@ -150,6 +152,7 @@
 		unreadable:     make(map[string]store.Version),
 		peers:          make(map[ident.Instance]*peer),
 		restored:       make(chan struct{}, 1),
+		recordedBuilds: make(map[ident.Service]bool),
 
 		silentIssuers: make(map[ident.Instance]silentIssuer),
 	}
@@ -268,6 +271,7 @@
 	}
 	e.tasks.Go(e.watch)
 	e.tasks.Go(e.announce)
+	e.tasks.Go(e.keepBuildRecords)
 	e.every(tickInterval, e.tick)
 	e.every(expireInterval, func(now time.Time) {
 		e.exchange.Expire()
@@ -386,18 +390,3 @@
 	case <-e.ctx.Done():
 	}
 }
-
-// Reload applies settings that were read again: it adds their seeds to the peers. Addresses change
-// only at the next start. An err that is not nil says why the settings could not be read; those in
-// force stay.
-func (e *Edge) Reload(cfg settings.Edge, err error) {
-	if err != nil {
-		e.log.Error().Err(err).Msg("settings could not be read; keeping those in force")
-		return
-	}
-	now := e.timer.Now()
-	for _, s := range cfg.Seeds {
-		e.addPeer(presence{Instance: ident.Instance(s)}, now)
-	}
-	e.log.Info().Int("Seeds", len(cfg.Seeds)).Msg("settings reloaded")
-}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -174,6 +174,7 @@
 	e.recordEra(at)
 	var list []directory.Upstream
 	instances := make(map[ident.Instance]bool)
+	e.forgetBuildRecords()
 	for _, entry := range entries {
 		switch {
 		case entry.Key == e.ports.ConfigurationKey:
@@ -182,6 +183,8 @@
 			if u, ok := e.decodeUpstream(entry); ok {
 				list = append(list, u)
 			}
+		case strings.HasPrefix(entry.Key, buildsPrefix):
+			e.applyBuildRecord(entry, now)
 		case strings.HasPrefix(entry.Key, instancesPrefix):
 			if id := e.addInstance(entry, now); id != "" {
 				instances[id] = true
@@ -213,6 +216,8 @@
 		case strings.HasPrefix(entry.Key, e.ports.UpstreamsPrefix):
 			e.applyUpstreamChange(entry, now)
 			changed = true
+		case strings.HasPrefix(entry.Key, buildsPrefix):
+			e.applyBuildRecord(entry, now)
 		case strings.HasPrefix(entry.Key, instancesPrefix):
 			if !entry.Deleted {
 				e.addInstance(entry, now)
