--- a/storeview/gossip_test.go
+++ b/storeview/gossip_test.go
@@ -16,10 +16,10 @@
 	says    Confirmation
 }
 
-// oldestUnnoticed returns how long after the last answer of the store to any of n instances the first and the
+// untilWatched returns how long after the last answer of the store to any of n instances the first and the
 // last of them watch the store themselves. Each instance sends digests to others chosen at random every
 // interval, and each digest takes between half and one and a half of transit.
-func oldestUnnoticed(n, digests int, interval, transit time.Duration, seed uint64) (first, last time.Duration) {
+func untilWatched(n, digests int, interval, transit time.Duration, seed uint64) (first, last time.Duration) {
 	const step = time.Millisecond
 	random := rand.New(rand.NewPCG(seed, 1))
 	views := make([]*View, n)
@@ -62,7 +62,7 @@
 func TestAgeAmongPeers(t *testing.T) {
 	for _, transit := range []time.Duration{2 * time.Millisecond, 10 * time.Millisecond, 40 * time.Millisecond} {
 		for _, n := range []int{3, 18, 69} {
-			first, last := oldestUnnoticed(n, 8, 250*time.Millisecond, transit, 1)
+			first, last := untilWatched(n, 8, 250*time.Millisecond, transit, 1)
 			t.Logf("transit %v, %d instances: watch after %v to %v", transit, n, first, last)
 			if limit := defaultMaxAge + 4*transit + 250*time.Millisecond; last > limit {
 				t.Errorf("transit %v, %d instances: watch the store after %v, want at most %v", transit, n, last, limit)
