--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -16,15 +16,20 @@
 // added to the unread tokens when u was picked.
 func (d *Dispatcher) do(ctx context.Context, a *attempts, u directory.Upstream, r *exchange.Request, readsPrompt bool) (*exchange.Answer, error) {
 	sent := d.timer.Now()
-	r.Check = func() error { return d.checkOpen(u) }
+	r.Check = func(p exchange.Path) error {
+		if err := d.checkOpen(u); err != nil {
+			return err
+		}
+		if p.Helper != "" {
+			d.meters.Count("Sent.Relayed", 1)
+			d.log.Info().Str("Request", string(a.w.ID)).Str("Upstream", string(u.ID)).Str("Peer", string(p.Helper)).Str("Connection", p.Local).Int("Attempt", a.sends).Msg("sent through another instance")
+		}
+		return nil
+	}
 	ans, err := d.client.Do(ctx, u.Address, r)
 	if readsPrompt {
 		d.fleet.AddUnreadTokens(u.ID, -a.w.PromptTokens, d.timer.Now())
 	}
-	if err == nil && ans.Helper != "" {
-		d.meters.Count("Sent.Relayed", 1)
-		d.log.Info().Str("Request", string(a.w.ID)).Str("Upstream", string(u.ID)).Str("Peer", string(ans.Helper)).Int("Attempt", a.sends).Msg("sent through another instance")
-	}
 	if err == nil && !d.protocol.Replaced(ans.Status, ans.Header) {
 		d.readLimit(a.w.ID, u, ans.Header, sent)
 		if d.protocol.Leaving != nil && d.protocol.Leaving(ans.Header) {
--- a/edge/relays.go
+++ b/edge/relays.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		return relayOffer{Refused: true, Open: e.relays.Open()}, nil
 	}
-	token, ok := e.relays.Offer(c)
+	token, ok := e.relays.Offer(c, u.ID, from)
 	if !ok {
 		return nil, result.New(result.Overloaded, "too many connections are passed on")
 	}
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -48,7 +48,7 @@
 		return nil, NotSent.Wrap(err)
 	}
 	if r.Check != nil {
-		if err := r.Check(); err != nil {
+		if err := r.Check(cn.path()); err != nil {
 			cn.abort()
 			return nil, NotSent.Wrap(err)
 		}
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -119,6 +119,11 @@
 	return ""
 }
 
+// path returns how the connection reaches the upstream.
+func (cn *conn) path() Path {
+	return Path{Helper: cn.helper(), Local: cn.LocalAddr().String()}
+}
+
 func (cn *conn) write(r *Request) error {
 	if err := writeHead(cn.bw, r); err != nil {
 		return err
--- a/exchange/types.go
+++ b/exchange/types.go
@@ -6,6 +6,7 @@
 
 	"github.com/zeebo/errs"
 
+	"crocuslug/ident"
 	"crocuslug/unit"
 )
 
@@ -25,7 +26,7 @@
 	Extend func() time.Time
 	// Check, if it is not nil, is called once there is a connection, before anything is written to it. If
 	// it returns an error, nothing is sent, and Do returns that error with class NotSent.
-	Check func() error
+	Check func(p Path) error
 	// MaxBody is the size of a complete body in bytes; 0 means Settings.MaxBody.
 	MaxBody int64
 	// Fresh asks for a new connection, or one that was in use within Settings.FreshTime.
@@ -35,6 +36,12 @@
 	IsAnswer func(h http.Header) bool
 }
 
+// Path is how a connection reaches the upstream.
+type Path struct {
+	Helper ident.Instance // instance that passes the connection on; "" if it is direct
+	Local  string         // address of this instance's end
+}
+
 // Errors of an exchange. NotSent means that no byte of the request can have reached the upstream.
 // Broken means that the exchange failed later, and the request may have run.
 var (
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -52,8 +52,15 @@
 
 	mu      sync.Mutex
 	stopped bool
-	offered map[string]net.Conn   // by token
-	open    map[net.Conn]struct{} // to upstreams, offered or passed on
+	offered map[string]*passage   // by token
+	open    map[*passage]struct{} // offered or passed on
+}
+
+// passage is a connection to an upstream that is offered or passed on.
+type passage struct {
+	up       net.Conn
+	upstream ident.Upstream
+	peer     ident.Instance // that asked for it
 }
 
 // tokenBytes is the length of a token before its encoding.
@@ -68,7 +75,7 @@
 		cfg.MaxOpen = defaultMaxOpen
 	}
 	unit.SetDefault(&cfg.ClaimTimeout, defaultClaimTimeout)
-	return &Server{cfg: cfg, timer: t, log: log, offered: make(map[string]net.Conn), open: make(map[net.Conn]struct{})}
+	return &Server{cfg: cfg, timer: t, log: log, offered: make(map[string]*passage), open: make(map[*passage]struct{})}
 }
 
 // Start opens the listener. It returns an error if it cannot listen.
@@ -103,8 +110,8 @@
 func (s *Server) Stop() {
 	s.mu.Lock()
 	s.stopped = true
-	for c := range s.open {
-		_ = c.Close()
+	for p := range s.open {
+		_ = p.up.Close()
 	}
 	s.mu.Unlock()
 	if s.listener != nil {
@@ -114,17 +121,18 @@
 	s.tasks.Wait()
 }
 
-// Offer keeps a connection to an upstream for the instance that is told its token. It closes the
+// Offer keeps a connection to an upstream for the instance peer, which is told its token. It closes the
 // connection and returns false if there are too many.
-func (s *Server) Offer(up net.Conn) (token string, ok bool) {
+func (s *Server) Offer(up net.Conn, upstream ident.Upstream, peer ident.Instance) (token string, ok bool) {
 	b := make([]byte, tokenBytes)
 	_, _ = rand.Read(b) // never returns an error
 	token = hex.EncodeToString(b)
+	p := &passage{up: up, upstream: upstream, peer: peer}
 	s.mu.Lock()
 	ok = !s.stopped && len(s.open) < s.cfg.MaxOpen
 	if ok {
-		s.offered[token] = up
-		s.open[up] = struct{}{}
+		s.offered[token] = p
+		s.open[p] = struct{}{}
 	}
 	s.mu.Unlock()
 	if !ok {
@@ -132,28 +140,29 @@
 		return "", false
 	}
 	s.timer.After(s.cfg.ClaimTimeout, func(time.Time) {
-		if c := s.claim(token); c != nil {
-			s.close(c)
+		if p := s.claim(token); p != nil {
+			s.close(p)
+			s.log.Info().Str("Peer", string(peer)).Str("Upstream", string(upstream)).Msg("offered connection was not claimed")
 		}
 	})
 	return token, true
 }
 
 // claim returns the connection offered under a token, once, or nil.
-func (s *Server) claim(token string) net.Conn {
+func (s *Server) claim(token string) *passage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := s.offered[token]
+	p := s.offered[token]
 	delete(s.offered, token)
-	return c
+	return p
 }
 
 // close closes a connection to an upstream.
-func (s *Server) close(up net.Conn) {
+func (s *Server) close(p *passage) {
 	s.mu.Lock()
-	delete(s.open, up)
+	delete(s.open, p)
 	s.mu.Unlock()
-	_ = up.Close()
+	_ = p.up.Close()
 }
 
 // accept serves the connections of other instances until Stop.
@@ -188,44 +197,50 @@
 	if _, err := io.ReadFull(down, token); err != nil {
 		return // nothing was claimed
 	}
-	up := s.claim(string(token))
-	if up == nil {
+	p := s.claim(string(token))
+	if p == nil {
 		return
 	}
-	defer s.close(up)
+	defer s.close(p)
 	_ = down.SetReadDeadline(time.Time{})
+	began := s.timer.Now()
 	sent := make(chan struct{})
+	var left error // why the copy to the upstream ended; valid once sent is closed
 	go func() {
 		defer close(sent)
-		_, _ = io.Copy(up, down) // it ends when either side does
-		_ = up.Close()           // the other instance has left the request, or cannot send it
+		_, left = io.Copy(p.up, down) // it ends when either side does
+		_ = p.up.Close()              // the other instance has left the request, or cannot send it
 	}()
-	if err := copyFrames(down, up); err != nil {
+	n, err := copyFrames(down, p.up)
+	if err != nil {
 		_ = down.SetLinger(0)
 	}
 	_ = down.Close()
 	<-sent
+	s.log.Info().Str("Peer", string(p.peer)).Str("Upstream", string(p.upstream)).Str("Connection", down.RemoteAddr().String()).
+		Int64("Bytes", n).Dur("OpenMs", s.timer.Now().Sub(began)).AnErr("FromUpstream", err).AnErr("ToUpstream", left).Msg("relayed connection ended")
 }
 
-// copyFrames sends what an upstream writes in frames. It returns nil if the upstream ended the
-// connection in order.
-func copyFrames(down io.Writer, up io.Reader) error {
+// copyFrames sends what an upstream writes in frames. It returns the number of bytes that the upstream
+// wrote, and nil if the upstream ended the connection in order.
+func copyFrames(down io.Writer, up io.Reader) (total int64, err error) {
 	const header = 2 // bytes
 	b := make([]byte, header+maxFrame)
 	for {
 		n, err := up.Read(b[header:])
+		total += int64(n)
 		if n > 0 {
 			binary.BigEndian.PutUint16(b, uint16(n))
 			if _, werr := down.Write(b[:header+n]); werr != nil {
-				return werr
+				return total, werr
 			}
 		}
 		if err == io.EOF {
 			_, err = down.Write([]byte{0, 0})
-			return err
+			return total, err
 		}
 		if err != nil {
-			return err
+			return total, err
 		}
 	}
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -64,7 +64,7 @@
 	t.Helper()
 	s := newServer(t, Settings{})
 	helper, upstream := dialUpstream(t)
-	token, ok := s.Offer(helper)
+	token, ok := s.Offer(helper, "upstream", "peer")
 	if !ok {
 		t.Fatal("Offer: got false, want true")
 	}
@@ -165,14 +165,14 @@
 	var tokens []string
 	for range 2 {
 		helper, upstream := dialUpstream(t)
-		token, ok := s.Offer(helper)
+		token, ok := s.Offer(helper, "upstream", "peer")
 		if !ok {
 			t.Fatal("Offer: got false, want true")
 		}
 		tokens, ends = append(tokens, token), append(ends, upstream)
 	}
 	helper, upstream := dialUpstream(t)
-	if _, ok := s.Offer(helper); ok || !s.Full() {
+	if _, ok := s.Offer(helper, "upstream", "peer"); ok || !s.Full() {
 		t.Errorf("third connection: got %t, full %t, want it refused", ok, s.Full())
 	}
 	if _, err := upstream.Read(make([]byte, 1)); err == nil {
