relay, dispatch: failing tests of an engine that works on after its caller's instance was cut off

TestRelayedStreams cuts both directions: the stream goes on at engine b while engine a still works on it.

Bound: a pause of a second is one of a sound upstream, for which a stream waits, so that an engine that is left by then does not work beside another.

--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -20,7 +21,9 @@
 	"crocuslug/ident"
 	"crocuslug/meter"
 	"crocuslug/poison"
+	"crocuslug/relay"
 	"crocuslug/retry"
+	"crocuslug/standinnetwork"
 	"crocuslug/timer"
 	"crocuslug/upstreamlimit"
 	"crocuslug/work"
@@ -81,11 +84,20 @@
 	f := fleet.New(fleet.Settings{Domain: "near"}, random, zerolog.Nop())
 	client := exchange.New(exchange.Settings{MaxBuffered: wd.memory}, clock)
 	defer client.Close()
+	server := relay.New(relay.Settings{Listen: "127.0.0.1:0"}, clock, zerolog.Nop())
+	server.Accepted = wd.addRelay
+	if err := server.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer server.Stop()
 	dial := client.Dial
 	client.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 		if name := wd.nameOf(address); name == wd.departs {
 			wd.leave(name)
 		}
+		if wd.relayed != "" && wd.nameOf(address) == wd.relayed {
+			return wd.dialThroughPeer(ctx, server, dial, address)
+		}
 		return dial(ctx, address)
 	}
 	dependencies := testDependencies(testProtocol(), f, client, clock, zerolog.Nop())
@@ -144,3 +156,47 @@
 	}
 	return "pieces " + got.span()
 }
+
+// dialThroughPeer opens a connection to an upstream through server.
+func (wd *cluster) dialThroughPeer(ctx context.Context, server *relay.Server, dial func(context.Context, string) (net.Conn, error), address string) (net.Conn, error) {
+	up, err := dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	token, ok := server.Offer(up, ident.Upstream(wd.relayed), "self")
+	if !ok {
+		return nil, errors.New("the connection was not offered")
+	}
+	c, err := relay.Dial(ctx, "peer", server.Addr(), token)
+	if err != nil {
+		return nil, err
+	}
+	wd.addRelay(c.TCPConn)
+	return c, nil
+}
+
+// addRelay records an end of a connection between instances.
+func (wd *cluster) addRelay(c *net.TCPConn) {
+	wd.mu.Lock()
+	defer wd.mu.Unlock()
+	wd.relays = append(wd.relays, c)
+}
+
+// cutRelays cuts this instance off from the one that passes its connections on: nothing arrives in
+// either direction.
+func (wd *cluster) cutRelays() {
+	wd.mu.Lock()
+	defer wd.mu.Unlock()
+	for _, c := range wd.relays {
+		if err := standinnetwork.DropReceived(c); err != nil {
+			wd.received = append(wd.received, err.Error())
+		}
+	}
+}
+
+// record adds an event to the requests that were received.
+func (wd *cluster) record(event string) {
+	wd.mu.Lock()
+	defer wd.mu.Unlock()
+	wd.received = append(wd.received, event)
+}
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -37,11 +38,13 @@
 	service  directory.Service
 	budget   retry.Settings
 	deadline time.Duration
-	told     []string     // builds that were told to other instances
-	origin   *ident.Build // build of the stream that the caller takes up; nil if it takes none up, "" if it is not known
-	publish  func()       // passes list to the dispatcher
-	memory   int64        // bound on answers in memory in bytes; 0 means the default
-	departs  string       // engine that registers as leaving while a connection to it is opened; "" for none
+	told     []string       // builds that were told to other instances
+	origin   *ident.Build   // build of the stream that the caller takes up; nil if it takes none up, "" if it is not known
+	publish  func()         // passes list to the dispatcher
+	memory   int64          // bound on answers in memory in bytes; 0 means the default
+	relayed  string         // engine to which connections pass through another instance; "" for none
+	relays   []*net.TCPConn // both ends of the connections between the instances
+	departs  string         // engine that registers as leaving while a connection to it is opened; "" for none
 }
 
 // TestScripts runs the scripts in testdata/*.txt. The near failure domain is that of the
@@ -52,16 +55,18 @@
 //	memory BYTES           the bound on answers in memory
 //	engine NAME DOMAIN[/BUILD] COMMAND ...
 //	connecting NAME        the engine registers as leaving while a connection to it is opened
+//	relayed NAME           connections to the engine pass through another instance
 //	told BUILD ...         the builds told to other instances, in order; - for none
 //	origin BUILD           the caller takes up a stream after piece 3 that began at a build; - if that is not known
 //	want RESULT        "200 BODY", "pieces 1-5", "cut 1-3", "refused NotRun" or "refused Unknown"
-//	request ENGINE ...     a request received by an engine, in order
+//	request ENGINE ...     a request received by an engine, or "ENGINE left" (see cut), in order
 //
 // The commands of an engine are ok:BODY, late:BODY (after pauseTime), status:N, refuse, rest:SECONDS,
 // replaced, drop, unsigned, still:N-M (the engine answers nobody for pauseTime, then streams),
 // and stream:N-M:END, where END is whole, drop, drop-late (after minRunTime), hang, pause-K
 // (silence for pauseTime, then the pieces up to K), rollout-BUILD (after minRunTime an engine of that build
-// registers; one more piece after pauseTime), leave (it registers as leaving) or crash (after minRunTime the engine is
+// registers; one more piece after pauseTime), cut (after minRunTime this instance
+// is cut off from the one that passes the connection on; the engine records when its connection is closed), leave (it registers as leaving) or crash (after minRunTime the engine is
 // gone); bare, see engine.bare; flood, see engine.flood; and long:BYTES for a stream of one
 // event of that size.
 func TestScripts(t *testing.T) { runScripts(t, "testdata/*.txt") }
@@ -69,6 +74,10 @@
 // TestPauses guards against answers that are cut because a sound engine paused.
 func TestPauses(t *testing.T) { runScripts(t, "testdata/pauses/*.txt") }
 
+// TestRelayedStreams guards against a stream that goes on at a second engine while the first one still
+// works on it, because the instance that passed the stream on does not know that this one is cut off.
+func TestRelayedStreams(t *testing.T) { runScripts(t, "testdata/relayed/*.txt") }
+
 // While a script sets the retry budget, other requests let it grow.
 const (
 	otherRequestInterval = 100 * time.Millisecond
@@ -119,6 +128,8 @@
 			wd.add(t, w[1], ident.Domain(domain), ident.Build(build), w[3:])
 		case "connecting":
 			wd.departs = w[1]
+		case "relayed":
+			wd.relayed = w[1]
 		case "told":
 			wantTold = strings.TrimPrefix(strings.Join(w[1:], " "), "-")
 		case "origin":
@@ -300,6 +311,11 @@
 		e.cluster.rollOut(pause)
 		<-time.After(pauseTime)
 		e.writePieces(w, to+1, to+1)
+	case "cut":
+		<-time.After(minRunTime) // the pieces have arrived
+		e.cluster.cutRelays()
+		<-r.Context().Done()
+		e.cluster.record(e.name + " left")
 	case "leave":
 		e.cluster.leave(e.name)
 		panic(http.ErrAbortHandler)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -44,6 +44,10 @@
 
 // Server passes connections on for other instances. Its methods are safe for concurrent use.
 type Server struct {
+	// Accepted, if it is not nil, is called with each connection of another instance. It may be set
+	// before Start.
+	Accepted func(c *net.TCPConn)
+
 	cfg      Settings
 	timer    *timer.Service
 	log      zerolog.Logger
@@ -177,7 +181,11 @@
 			s.pause()
 			continue
 		}
-		s.tasks.Go(func() { s.serve(c.(*net.TCPConn)) })
+		down := c.(*net.TCPConn)
+		if s.Accepted != nil {
+			s.Accepted(down)
+		}
+		s.tasks.Go(func() { s.serve(down) })
 	}
 }
 
