relay, dispatch: a stream goes on only after the engine before was left by the instance that passed it on

Cause: a side of a relayed connection that has gone on cannot tell the other one, and nothing but keep-alive bounded how long the other one acts for it. The class of fault is work that goes on for somebody who has left.

Acknowledgements come from the kernel, so that a process that pauses loses nothing; duplicate ones count, so that a link that loses packets cuts no sound stream. Beats are agreed on in question and offer: older instances get none.

Ruled out: an engine that works on after its connection was closed, and a close that is held up on a sound link (TestSettled: both in one round trip). A bound on unacknowledged data alone acts neither before the first piece nor between rare ones.

TestSilentInstance failed before (4.07 to 4.10 s, want 1 s), and both scripts of TestRelayedStreams.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -26,6 +26,7 @@
 		}
 		return nil
 	}
+	r.Closed = func(settled <-chan struct{}) { a.settled = settled }
 	ans, err := d.client.Do(ctx, u.Address, r)
 	if readsPrompt {
 		d.fleet.AddUnreadTokens(u.ID, -a.w.PromptTokens, d.timer.Now())
--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -96,7 +96,7 @@
 			wd.leave(name)
 		}
 		if wd.relayed != "" && wd.nameOf(address) == wd.relayed {
-			return wd.dialThroughPeer(ctx, server, dial, address)
+			return wd.dialThroughPeer(ctx, clock, server, dial, address)
 		}
 		return dial(ctx, address)
 	}
@@ -158,16 +158,16 @@
 }
 
 // dialThroughPeer opens a connection to an upstream through server.
-func (wd *cluster) dialThroughPeer(ctx context.Context, server *relay.Server, dial func(context.Context, string) (net.Conn, error), address string) (net.Conn, error) {
+func (wd *cluster) dialThroughPeer(ctx context.Context, clock *timer.Service, server *relay.Server, dial func(context.Context, string) (net.Conn, error), address string) (net.Conn, error) {
 	up, err := dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	token, ok := server.Offer(up, ident.Upstream(wd.relayed), "self")
+	token, ok := server.Offer(up, ident.Upstream(wd.relayed), "self", true)
 	if !ok {
 		return nil, errors.New("the connection was not offered")
 	}
-	c, err := relay.Dial(ctx, "peer", server.Addr(), token)
+	c, err := relay.Dial(ctx, clock, "peer", server.Addr(), token, true)
 	if err != nil {
 		return nil, err
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -185,6 +185,7 @@
 	lostDomain  ident.Domain     // failure domain of the last failed upstream; avoided if there are others
 	build       *ident.Build     // build at which the rest of the answer must be produced; nil if any will do
 	lastFailure string           // reason of the last failure
+	settled     <-chan struct{}  // closed once the upstream of the last attempt is left, see exchange.Request.Closed; nil if it is
 	answering   time.Time        // when the answer to the current attempt began; zero before
 }
 
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -64,6 +64,9 @@
 	}
 	var runCopy *work.Copy // copy of the lost run
 	for {
+		if !d.awaitSettled(ctx, &s.attempts) {
+			return nil, s.started, d.contextEnded(ctx, s)
+		}
 		now := d.timer.Now()
 		if w.Deadline.Sub(now) < d.cfg.MinRemaining {
 			return nil, s.started, d.refuse(&s.attempts, result.DeadlineInfeasible, "the remaining time is too short")
@@ -131,6 +134,25 @@
 	}
 }
 
+// awaitSettled waits until the upstream of the last attempt is left, so that two of them never work on one
+// stream. It returns false if ctx ended before.
+func (d *Dispatcher) awaitSettled(ctx context.Context, a *attempts) bool {
+	if a.settled == nil {
+		return true
+	}
+	began := d.timer.Now()
+	select {
+	case <-a.settled:
+	case <-ctx.Done():
+		return false
+	}
+	a.settled = nil
+	waited := d.timer.Now().Sub(began)
+	d.meters.Observe("SettledUs", waited)
+	d.log.Info().Str("Request", string(a.w.ID)).Int("Attempt", a.sends).Dur("WaitedMs", waited).Msg("other instance has left the upstream")
+	return true
+}
+
 // giveBack gives back the place at an upstream that was chosen for w and is not used.
 func (d *Dispatcher) giveBack(id ident.Upstream, w *work.Work, from *work.Copy, now time.Time) {
 	d.fleet.Release(id, now)
--- a/edge/relays.go
+++ b/edge/relays.go
@@ -29,6 +29,7 @@
 // relayRequest asks for a connection to an upstream.
 type relayRequest struct {
 	Upstream ident.Upstream
+	Beats    bool `json:",omitempty"` // the instance that asks understands beats, see package relay
 }
 
 // relayOffer offers the connection.
@@ -38,7 +39,8 @@
 	Born    int64  `json:",omitempty"` // directory.Upstream.Born, as the helper knows
 	Address string // where to claim the connection
 	Token   string
-	Open    int // connections that the helper passes on
+	Open    int  // connections that the helper passes on
+	Beats   bool `json:",omitempty"` // the helper sends beats
 }
 
 // relayListen returns the address at which other instances claim connections.
@@ -78,13 +80,13 @@
 	if err != nil {
 		return relayOffer{Refused: true, Open: e.relays.Open()}, nil
 	}
-	token, ok := e.relays.Offer(c, u.ID, from)
+	token, ok := e.relays.Offer(c, u.ID, from, q.Beats)
 	if !ok {
 		return nil, result.New(result.Overloaded, "too many connections are passed on")
 	}
 	e.meters.Count("Relays.Offered", 1)
 	e.log.Info().Str("Peer", string(from)).Str("Upstream", string(u.ID)).Int("Open", e.relays.Open()).Msg("connection passed on for another instance")
-	return relayOffer{Address: e.relays.Addr(), Token: token, Open: e.relays.Open(), Leaving: u.Draining, Born: u.Born}, nil
+	return relayOffer{Address: e.relays.Addr(), Token: token, Open: e.relays.Open(), Leaving: u.Draining, Born: u.Born, Beats: q.Beats}, nil
 }
 
 // notRelayed is the class of errors of connections that could not be opened through other instances.
@@ -113,7 +115,7 @@
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	var offer relayOffer
-	if err := e.link.Call(ctx, id, relayMethod, relayRequest{u.ID}, &offer); err != nil {
+	if err := e.link.Call(ctx, id, relayMethod, relayRequest{Upstream: u.ID, Beats: true}, &offer); err != nil {
 		e.reach.Helped(id, false, 0, e.timer.Now())
 		e.log.Info().Str("Upstream", string(u.ID)).Str("Peer", string(id)).Err(err).Msg("instance did not pass a connection on")
 		return nil, notRelayed.Wrap(err)
@@ -125,7 +127,7 @@
 	if offer.Refused {
 		return nil, notRelayed.New("no connection from instance %s either", id)
 	}
-	conn, err := relay.Dial(ctx, id, offer.Address, offer.Token)
+	conn, err := relay.Dial(ctx, e.timer, id, offer.Address, offer.Token, offer.Beats)
 	if err != nil {
 		e.reach.Helped(id, false, 0, e.timer.Now())
 		return nil, notRelayed.Wrap(err)
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -124,6 +124,14 @@
 	return Path{Helper: cn.helper(), Local: cn.LocalAddr().String()}
 }
 
+// settled returns a channel that is closed once the upstream is left after abort, nil if that is at once.
+func (cn *conn) settled() <-chan struct{} {
+	if c, ok := cn.Conn.(*relay.Conn); ok {
+		return c.Settled()
+	}
+	return nil
+}
+
 func (cn *conn) write(r *Request) error {
 	if err := writeHead(cn.bw, r); err != nil {
 		return err
@@ -198,6 +206,9 @@
 	if cn.br.Buffered() > 0 {
 		return false
 	}
+	if c, ok := cn.Conn.(*relay.Conn); ok {
+		return c.Quiet()
+	}
 	sc, ok := cn.Conn.(syscall.Conn)
 	if !ok {
 		return true
--- a/exchange/types.go
+++ b/exchange/types.go
@@ -27,6 +27,10 @@
 	// Check, if it is not nil, is called once there is a connection, before anything is written to it. If
 	// it returns an error, nothing is sent, and Do returns that error with class NotSent.
 	Check func(p Path) error
+	// Closed, if it is not nil, is called from Do or Answer.Close when the exchange has ended and its
+	// connection was closed, if that passes through another instance. The channel is closed once the other
+	// instance has closed its connection to the upstream.
+	Closed func(settled <-chan struct{})
 	// MaxBody is the size of a complete body in bytes; 0 means Settings.MaxBody.
 	MaxBody int64
 	// Fresh asks for a new connection, or one that was in use within Settings.FreshTime.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -7,15 +7,19 @@
 //
 // The bytes of the upstream are sent in frames, of which the last one is empty, because an answer may
 // end with its connection: it must not look whole if the helper or its connection is lost.
+//
+// An instance that is cut off from its helper may go on elsewhere, and no close reaches the helper. The
+// helper therefore sends frames without data, beats, while it has nothing to pass on, and closes the
+// connection to the upstream soon after the kernel of the instance acknowledges nothing any more. The
+// instance waits until the helper has closed their connection, or until the helper must have noticed,
+// counted from the last data that it received. This needs clocks that run at the same rate, not equal ones.
 package relay
 
 import (
 	"context"
 	"crypto/rand"
-	"encoding/binary"
 	"encoding/hex"
 	"errors"
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -53,6 +57,7 @@
 	log      zerolog.Logger
 	tasks    background.Group
 	listener net.Listener
+	checks   *timer.Subscription
 
 	mu      sync.Mutex
 	stopped bool
@@ -60,19 +65,9 @@
 	open    map[*passage]struct{} // offered or passed on
 }
 
-// passage is a connection to an upstream that is offered or passed on.
-type passage struct {
-	up       net.Conn
-	upstream ident.Upstream
-	peer     ident.Instance // that asked for it
-}
-
 // tokenBytes is the length of a token before its encoding.
 const tokenBytes = 16
 
-// maxFrame is the largest number of bytes of one frame.
-const maxFrame = 16 << 10
-
 // New returns a server that is not started.
 func New(cfg Settings, t *timer.Service, log zerolog.Logger) *Server {
 	if cfg.MaxOpen <= 0 {
@@ -90,6 +85,7 @@
 		return errs.Wrap(err)
 	}
 	s.listener = l
+	s.checks = s.timer.Every(checkInterval, s.check)
 	s.tasks.Go(s.accept)
 	return nil
 }
@@ -119,19 +115,20 @@
 	}
 	s.mu.Unlock()
 	if s.listener != nil {
+		s.checks.Stop()
 		_ = s.listener.Close()
 	}
 	s.tasks.Close()
 	s.tasks.Wait()
 }
 
-// Offer keeps a connection to an upstream for the instance peer, which is told its token. It closes the
-// connection and returns false if there are too many.
-func (s *Server) Offer(up net.Conn, upstream ident.Upstream, peer ident.Instance) (token string, ok bool) {
+// Offer keeps a connection to an upstream for the instance peer, which is told its token. With beats, peer
+// understands them. Offer closes the connection and returns false if there are too many.
+func (s *Server) Offer(up net.Conn, upstream ident.Upstream, peer ident.Instance, beats bool) (token string, ok bool) {
 	b := make([]byte, tokenBytes)
 	_, _ = rand.Read(b) // never returns an error
 	token = hex.EncodeToString(b)
-	p := &passage{up: up, upstream: upstream, peer: peer}
+	p := &passage{up: up, upstream: upstream, peer: peer, beats: beats}
 	s.mu.Lock()
 	ok = !s.stopped && len(s.open) < s.cfg.MaxOpen
 	if ok {
@@ -161,14 +158,6 @@
 	return p
 }
 
-// close closes a connection to an upstream.
-func (s *Server) close(p *passage) {
-	s.mu.Lock()
-	delete(s.open, p)
-	s.mu.Unlock()
-	_ = p.up.Close()
-}
-
 // accept serves the connections of other instances until Stop.
 func (s *Server) accept() {
 	for {
@@ -196,122 +185,3 @@
 	s.timer.After(retryTime, func(time.Time) { close(over) })
 	<-over
 }
-
-// serve reads the token on a connection of another instance and passes the connection on.
-func (s *Server) serve(down *net.TCPConn) {
-	defer func() { _ = down.Close() }()
-	_ = down.SetReadDeadline(s.timer.Now().Add(s.cfg.ClaimTimeout))
-	token := make([]byte, hex.EncodedLen(tokenBytes))
-	if _, err := io.ReadFull(down, token); err != nil {
-		return // nothing was claimed
-	}
-	p := s.claim(string(token))
-	if p == nil {
-		return
-	}
-	defer s.close(p)
-	_ = down.SetReadDeadline(time.Time{})
-	began := s.timer.Now()
-	sent := make(chan struct{})
-	var left error // why the copy to the upstream ended; valid once sent is closed
-	go func() {
-		defer close(sent)
-		_, left = io.Copy(p.up, down) // it ends when either side does
-		_ = p.up.Close()              // the other instance has left the request, or cannot send it
-	}()
-	n, err := copyFrames(down, p.up)
-	if err != nil {
-		_ = down.SetLinger(0)
-	}
-	_ = down.Close()
-	<-sent
-	s.log.Info().Str("Peer", string(p.peer)).Str("Upstream", string(p.upstream)).Str("Connection", down.RemoteAddr().String()).
-		Int64("Bytes", n).Dur("OpenMs", s.timer.Now().Sub(began)).AnErr("FromUpstream", err).AnErr("ToUpstream", left).Msg("relayed connection ended")
-}
-
-// copyFrames sends what an upstream writes in frames. It returns the number of bytes that the upstream
-// wrote, and nil if the upstream ended the connection in order.
-func copyFrames(down io.Writer, up io.Reader) (total int64, err error) {
-	const header = 2 // bytes
-	b := make([]byte, header+maxFrame)
-	for {
-		n, err := up.Read(b[header:])
-		total += int64(n)
-		if n > 0 {
-			binary.BigEndian.PutUint16(b, uint16(n))
-			if _, werr := down.Write(b[:header+n]); werr != nil {
-				return total, werr
-			}
-		}
-		if err == io.EOF {
-			_, err = down.Write([]byte{0, 0})
-			return total, err
-		}
-		if err != nil {
-			return total, err
-		}
-	}
-}
-
-// Conn is a connection to an upstream through another instance.
-type Conn struct {
-	*net.TCPConn
-	Helper ident.Instance // the instance that passes it on
-
-	head  [2]byte // of the present frame
-	have  int     // bytes of head that were read
-	left  int     // bytes of the frame that were not read
-	ended bool
-}
-
-// Dial claims the connection that a helper offers at an address under a token.
-func Dial(ctx context.Context, helper ident.Instance, address, token string) (*Conn, error) {
-	d := net.Dialer{KeepAliveConfig: keepAlive}
-	c, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, errs.Wrap(err)
-	}
-	if _, err := io.WriteString(c, token); err != nil {
-		_ = c.Close()
-		return nil, errs.Wrap(err)
-	}
-	return &Conn{TCPConn: c.(*net.TCPConn), Helper: helper}, nil
-}
-
-// Read reads what the upstream wrote. It returns io.EOF only if the upstream ended the connection.
-func (c *Conn) Read(b []byte) (int, error) {
-	for c.left == 0 {
-		if c.ended {
-			return 0, io.EOF
-		}
-		n, err := c.TCPConn.Read(c.head[c.have:])
-		c.have += n
-		if c.have == len(c.head) {
-			c.have, c.left = 0, int(binary.BigEndian.Uint16(c.head[:]))
-			c.ended = c.left == 0
-			continue
-		}
-		if err != nil {
-			return 0, unexpected(err)
-		}
-	}
-	n, err := c.TCPConn.Read(b[:min(len(b), c.left)])
-	c.left -= n
-	if n > 0 {
-		return n, nil
-	}
-	return 0, unexpected(err)
-}
-
-// unexpected returns io.ErrUnexpectedEOF in place of io.EOF.
-func unexpected(err error) error {
-	if err == io.EOF {
-		return io.ErrUnexpectedEOF
-	}
-	return err
-}
-
-// WriteTo writes what the upstream wrote, unlike that of TCPConn, which would copy the frames.
-func (c *Conn) WriteTo(w io.Writer) (int64, error) {
-	return io.Copy(w, struct{ io.Reader }{c})
-}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -25,6 +25,12 @@
 }
 
 func newServer(t *testing.T, cfg Settings) *Server {
+	t.Helper()
+	return newServerWith(t, cfg, nil)
+}
+
+// newServerWith returns a server that passes its connections to accepted.
+func newServerWith(t *testing.T, cfg Settings, accepted func(c *net.TCPConn)) *Server {
 	t.Helper()
 	clock := timer.New()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -32,6 +38,7 @@
 	go clock.Run(ctx)
 	cfg.Listen = "127.0.0.1:0"
 	s := New(cfg, clock, zerolog.Nop())
+	s.Accepted = accepted
 	if err := s.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -62,13 +69,18 @@
 
 func newPair(t *testing.T) *pair {
 	t.Helper()
-	s := newServer(t, Settings{})
+	return newPairAt(t, newServer(t, Settings{}), true)
+}
+
+// newPairAt returns a pair at a server. With beats the server sends them.
+func newPairAt(t *testing.T, s *Server, beats bool) *pair {
+	t.Helper()
 	helper, upstream := dialUpstream(t)
-	token, ok := s.Offer(helper, "upstream", "peer")
+	token, ok := s.Offer(helper, "upstream", "peer", beats)
 	if !ok {
 		t.Fatal("Offer: got false, want true")
 	}
-	conn, err := Dial(context.Background(), "peer", s.Addr(), token)
+	conn, err := Dial(context.Background(), s.timer, "peer", s.Addr(), token, beats)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -165,21 +177,21 @@
 	var tokens []string
 	for range 2 {
 		helper, upstream := dialUpstream(t)
-		token, ok := s.Offer(helper, "upstream", "peer")
+		token, ok := s.Offer(helper, "upstream", "peer", true)
 		if !ok {
 			t.Fatal("Offer: got false, want true")
 		}
 		tokens, ends = append(tokens, token), append(ends, upstream)
 	}
 	helper, upstream := dialUpstream(t)
-	if _, ok := s.Offer(helper, "upstream", "peer"); ok || !s.Full() {
+	if _, ok := s.Offer(helper, "upstream", "peer", true); ok || !s.Full() {
 		t.Errorf("third connection: got %t, full %t, want it refused", ok, s.Full())
 	}
 	if _, err := upstream.Read(make([]byte, 1)); err == nil {
 		t.Errorf("third connection: got it open, want it closed")
 	}
 	claim := func(token string) error {
-		c, err := Dial(context.Background(), "peer", s.Addr(), token)
+		c, err := Dial(context.Background(), s.timer, "peer", s.Addr(), token, true)
 		if err != nil {
 			return err
 		}
