--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -383,6 +383,16 @@
 		Header:   d.protocol.Header(w, attempt),
 		Body:     w.Body,
 		Fresh:    !w.Route.Repeatable(),
-		IsAnswer: func(h http.Header) bool { return d.protocol.Matches(w, h) },
+		IsAnswer: func(h http.Header) bool { return d.isAnswer(w, attempt.Upstream.ID, h) },
 	}
 }
+
+// isAnswer reports whether an answer with header h answers w, and records it if not.
+func (d *Dispatcher) isAnswer(w *work.Work, id ident.Upstream, h http.Header) bool {
+	if d.protocol.Matches(w, h) {
+		return true
+	}
+	d.meters.Count("AnswersForeign", 1)
+	d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(id)).Msg("answer that does not name the request is passed over")
+	return false
+}
