pieces: the text of a failure is no part of a stream

Callers found the text of an engine's failure, at times its whole head, in their streams, and the stream ended as if it were complete.

An engine that fails may answer with status 200 and a text, or write that text among its events. Bytes without a number were held until the next event with a number and passed on before it, or as a last piece at the end of the answer, after which the stream was ended as complete. An empty line at the end of the text was enough. Now a line outside the events with a number that is neither a comment nor a field of an event (event, data, id, retry) fails the attempt: a stream that may be resumed goes on at another engine, others are cut.

Ruled out: statuses other than 200 (they were never passed on in a started stream). Left: a failure that an engine writes as an event without a number, after its pieces, looks like a mark of the end ("data: [DONE]") and is passed on; an answer 200 without any event still ends a resumed stream.

--- a/dispatch/framing_test.go
+++ b/dispatch/framing_test.go
@@ -73,3 +73,26 @@
 		_, err = fmt.Fprint(w, units)
 	}
 }
+
+// failureText occurs in all of failureTexts.
+const failureText = "Internal Server Error"
+
+// failureTexts are bodies that tell of a failure and end with an empty line, by name.
+var failureTexts = map[string]string{
+	"line":   failureText + "\n\n",
+	"head":   "HTTP/1.1 500 " + failureText + "\r\nContent-Length: 0\r\n\r\n",
+	"fields": "error: " + failureText + "\n\n",
+}
+
+// text answers with the events of a span and a failure after them, as a whole answer. The script is
+// N-M:NAME[:N-M], where NAME is one of failureTexts. Events of the second span follow it.
+func (e *engine) text(w http.ResponseWriter, script string) {
+	words := strings.Split(script, ":")
+	if first, last, _ := strings.Cut(words[0], "-"); first <= last {
+		w.Header().Set("Content-Type", "text/event-stream")
+	}
+	_, _ = fmt.Fprint(w, e.events(words[0])+failureTexts[words[1]])
+	if len(words) > 2 {
+		_, _ = fmt.Fprint(w, e.events(words[2]))
+	}
+}
--- a/dispatch/received_test.go
+++ b/dispatch/received_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -10,7 +11,8 @@
 // receivedStream is what a caller has received of a stream.
 type receivedStream struct {
 	numbers []string
-	foreign int // bytes of events without a number
+	foreign int  // bytes of events without a number
+	failure bool // a text that tells of a failure was among the pieces
 	ended   bool
 }
 
@@ -18,6 +20,7 @@
 	return Sink{
 		Begin: func(int, http.Header) error { return nil },
 		Piece: func(raw []byte) error {
+			g.failure = g.failure || bytes.Contains(raw, []byte(failureText))
 			id, _, _ := strings.Cut(strings.TrimPrefix(string(raw), "id: "), "\n")
 			if _, err := strconv.Atoi(id); err != nil {
 				g.foreign += len(raw)
@@ -36,6 +39,9 @@
 // span returns "N-M" if the numbers from N to M were received once each and in order, and not too
 // many other bytes.
 func (g *receivedStream) span() string {
+	if g.failure {
+		return "and the text of a failure"
+	}
 	if g.foreign > maxForeign {
 		return fmt.Sprintf("and %d foreign bytes", g.foreign)
 	}
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -62,8 +62,8 @@
 // and stream:N-M:END, where END is whole, drop, drop-late (after minRunTime), hang, pause-K
 // (silence for pauseTime, then the pieces up to K), rollout-BUILD (after minRunTime an engine of that build
 // registers; one more piece after pauseTime), leave (it registers as leaving) or crash (after minRunTime the engine is
-// gone); bare, see engine.bare; flood, see engine.flood; and long:BYTES for a stream of one
-// event of that size.
+// gone); bare, see engine.bare; flood, see engine.flood; text, see engine.text; and long:BYTES for a
+// stream of one event of that size.
 func TestScripts(t *testing.T) { runScripts(t, "testdata/*.txt") }
 
 // TestPauses guards against answers that are cut because a sound engine paused.
@@ -277,6 +277,8 @@
 		e.bare(w, r, rest)
 	case "flood":
 		e.flood(w, rest)
+	case "text":
+		e.text(w, rest)
 	case "long":
 		size, _ := strconv.Atoi(rest)
 		_, _ = fmt.Fprintf(w, "id: 1\ndata: %s\n\n", strings.Repeat("x", size))
@@ -284,6 +286,7 @@
 }
 
 func (e *engine) stream(w http.ResponseWriter, r *http.Request, script string) {
+	w.Header().Set("Content-Type", "text/event-stream")
 	span, end, _ := strings.Cut(script, ":")
 	first, last, _ := strings.Cut(span, "-")
 	from, _ := strconv.Atoi(first)
--- a/pieces/pieces.go
+++ b/pieces/pieces.go
@@ -7,7 +7,9 @@
 //
 // The numbers of the events of an answer increase. An upstream in trouble may send other bytes
 // without end, so NextNew holds back events without a number until one with a new number
-// follows, and bounds their size. It discards events with a number that was passed.
+// follows, and bounds their size. It discards events with a number that was passed. Events without a
+// number may hold the fields of the protocol only: other lines are the text of a failure, which an
+// upstream in trouble writes in the place of events.
 package pieces
 
 import (
@@ -31,6 +33,7 @@
 	TooLong    = errs.Class("event too long")
 	Partial    = errs.Class("stream ends inside an event")
 	NoProgress = errs.Class("stream without progress")
+	NoEvent    = errs.Class("no event")
 )
 
 // maxBytes is the greatest size of an event in bytes.
@@ -77,8 +80,9 @@
 
 // NextNew returns the next event with a number that is greater than those before it, together
 // with the events without a number before it. At the end of the stream it returns those that
-// are left, as a piece without a number. Its errors are those of Next, and one of class
-// NoProgress if too many bytes come that belong to no event with a new number.
+// are left, as a piece without a number. Its errors are those of Next, one of class NoProgress if
+// too many bytes come that belong to no event with a new number, and one of class NoEvent if a line
+// outside the events with a number is no field of an event.
 func (r *Reader) NextNew() (Piece, error) {
 	r.raw = r.raw[:0]
 	for {
@@ -90,6 +94,9 @@
 		if err != nil {
 			return Piece{}, err
 		}
+		if line := foreignLine(r.raw[start:]); !numbered && line != nil {
+			return Piece{}, NoEvent.New("line %.200q is no field of an event", line)
+		}
 		if numbered && (!r.numbered || number > r.last) {
 			r.numbered, r.last, r.other = true, number, 0
 			return Piece{Number: number, HasNumber: true, Raw: r.raw}, nil
@@ -104,6 +111,20 @@
 	}
 }
 
+// foreignLine returns a line of raw that is neither empty nor a comment nor a field of an event, or nil.
+func foreignLine(raw []byte) []byte {
+	for line := range bytes.Lines(raw) {
+		line = bytes.TrimRight(line, "\r\n")
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		switch string(name) {
+		case "", "event", "data", "id", "retry":
+		default:
+			return line
+		}
+	}
+	return nil
+}
+
 // empty reports whether there are only empty lines.
 func (r *Reader) empty() bool { return len(bytes.Trim(r.raw, "\r\n")) == 0 }
 
--- a/pieces/pieces_test.go
+++ b/pieces/pieces_test.go
@@ -79,6 +79,34 @@
 	}
 }
 
+// TestFailureText guards against the text of a failure being passed on as a part of a stream: only events
+// with a number may hold other lines than the fields of the protocol.
+func TestFailureText(t *testing.T) {
+	tests := []struct {
+		name, text string
+		foreign    bool
+	}{
+		{"line", "Internal Server Error\n\n", true},
+		{"head", "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", true},
+		{"other field", "error: failed\n\n", true},
+		{"text in an event", "data: a\nfailed\n\n", true},
+		{"JSON", "{\"error\":1}\n\n", true},
+		{"data", "data: [DONE]\n\n", false},
+		{"all fields", "event: a\ndata\nretry: 5\nid: x\n: comment\n\n", false},
+		{"event with a number", "version: 4\nid: 2\ndata: a\n\n", false},
+	}
+	for _, tc := range tests {
+		r := New(strings.NewReader("id: 1\n\n" + tc.text))
+		if p, err := r.NextNew(); err != nil || p.Number != 1 {
+			t.Errorf("%s: first piece: got %+v, %v", tc.name, p, err)
+		}
+		p, err := r.NextNew()
+		if got := NoEvent.Has(err); got != tc.foreign || !tc.foreign && string(p.Raw) != tc.text {
+			t.Errorf("%s: got %q, %v, want an error of class %v: %t", tc.name, p.Raw, err, NoEvent, tc.foreign)
+		}
+	}
+}
+
 // endless repeats a text without end.
 type endless struct {
 	text string
