dispatch: an answer without a further piece ends a stream only on evidence

A stream had begun and broke off, and ended as if it were complete before its last piece: the next engine had answered 200 with an empty body, or with an event that tells of its failure. Any end of an answer 200 between two events ended the stream as whole, whatever its type, its framing and the number of pieces.

The same answer is the truth if all pieces had arrived before the run was lost. What tells the two apart: the answer must be a stream of events by its Content-Type and say where it ends (length or chunks), and a second engine must answer the same, or the number of the last piece has reached the tokens that the answer may have (a piece holds one or more). Everything else is a failed attempt: the stream goes on elsewhere and is cut if it can't. An answer that goes on without a number is a failed attempt before a byte of it is passed on. This holds as well for streams that a caller takes up; these end as whole once two engines say so, where they were refused before. A stream without any piece is never whole, as before. Stand-ins name the type of their streams now; from older ones, an empty answer is no evidence.

Test before the fix (go test -run 'TestScripts/ended' ./dispatch): ended-untyped: result: got "pieces 1-3", want "pieces 1-5" ended-untyped-last: result: got "pieces 1-3", want "cut 1-3" ended-unframed: result: got "pieces 1-3", want "cut 1-3" ended-unconfirmed: result: got "pieces 1-3", want "pieces 1-5" ended-event: result: got "pieces and the text of a failure", want "pieces 1-5" ended-taken-up: result: got "refused Unknown", want "pieces none"

Left: an engine that ends its stream in order after some pieces, but before the last, can't be told from a whole one.

--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -119,6 +119,7 @@
 		Target:   "/x",
 		Host:     "h",
 		Header:   http.Header{},
+		Tokens:   wd.tokens,
 	}
 	if wd.origin != nil {
 		w.Resumes, w.LastPiece, w.Origin = true, takenUpAfter, "r0"
--- a/dispatch/framing_test.go
+++ b/dispatch/framing_test.go
@@ -77,10 +77,12 @@
 // failureText occurs in all of failureTexts.
 const failureText = "Internal Server Error"
 
-// failureTexts are bodies that tell of a failure and end with an empty line, by name.
+// failureTexts are bodies that tell of a failure and end with an empty line, by name; event is an event
+// without a number.
 var failureTexts = map[string]string{
 	"line":   failureText + "\n\n",
 	"head":   "HTTP/1.1 500 " + failureText + "\r\nContent-Length: 0\r\n\r\n",
+	"event":  "event: error\ndata: " + failureText + "\n\n",
 	"fields": "error: " + failureText + "\n\n",
 }
 
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -37,6 +37,7 @@
 	service  directory.Service
 	budget   retry.Settings
 	deadline time.Duration
+	tokens   int          // greatest number of tokens of the answer; 0 if it is not stated
 	told     []string     // builds that were told to other instances
 	origin   *ident.Build // build of the stream that the caller takes up; nil if it takes none up, "" if it is not known
 	publish  func()       // passes list to the dispatcher
@@ -47,7 +48,7 @@
 // TestScripts runs the scripts in testdata/*.txt. The near failure domain is that of the
 // instance, so its engine is chosen first. Each line is one of
 //
-//	route KIND [resumable] [attempts=N] [budget=RETRIES] [deadline=DURATION]
+//	route KIND [resumable] [attempts=N] [budget=RETRIES] [deadline=DURATION] [tokens=N]
 //	                   the budget, if it is set, grows by other requests up to RETRIES
 //	memory BYTES           the bound on answers in memory
 //	engine NAME DOMAIN[/BUILD] COMMAND ...
@@ -171,6 +172,9 @@
 			}
 			wd.deadline = limit
 			continue
+		case "tokens":
+			wd.tokens, _ = strconv.Atoi(value)
+			continue
 		}
 		n, err := strconv.Atoi(strings.TrimPrefix(w, "attempts="))
 		if err != nil {
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -3,16 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"crocuslug/directory"
 	"crocuslug/exchange"
 	"crocuslug/fleet"
 	"crocuslug/ident"
-	"crocuslug/pieces"
 	"crocuslug/result"
 	"crocuslug/silence"
 	"crocuslug/work"
@@ -36,7 +33,10 @@
 	sentTo     directory.Upstream // as registered when the current attempt was sent
 	keepsBuild bool               // a piece was delivered, so that build is final
 
+	ends int // attempts whose engine had no further piece
+
 	gotPiece    bool      // the current attempt has received a piece
+	passed      bool      // it has passed on a piece with a number
 	cleared     bool      // its answer has cleared the parts of its prompt
 	delimited   bool      // its answer says where it ends
 	pausing     bool      // its engine is silent for longer than the limit, and the stream waits
@@ -258,7 +258,7 @@
 		Uint64("After", s.lastPiece).Str("Origin", string(w.Origin)).Bool("FromCopy", from != nil).Str("CopyTo", attempt.CopyTo).Msg("stream sent")
 	r := d.exchangeRequest(w, &attempt)
 	p := d.newPatience(s, u.ID)
-	s.lastPieceAt, s.answering, s.gotPiece, s.cleared, s.pausing = now, time.Time{}, false, false, false
+	s.lastPieceAt, s.answering, s.gotPiece, s.passed, s.cleared, s.pausing = now, time.Time{}, false, false, false, false
 	r.AnswerBy = now.Add(s.gaps.FirstTimeout())
 	r.Extend = func() time.Time { return d.extend(s, p) }
 	ctx, answered := d.withProbes(ctx, u, p)
@@ -313,90 +313,3 @@
 	s.whole = &Reply{Status: ans.Status, Header: ans.Header, Body: body}
 	return sendFailure{}, true
 }
-
-// relay passes pieces to the caller as they arrive.
-func (d *Dispatcher) relay(ctx context.Context, s *stream, id ident.Upstream, ans *exchange.Answer) (sendFailure, bool) {
-	r := pieces.New(ans)
-	s.delimited = ans.Delimited()
-	r.Reserve = ans.Reserve
-	limit := s.gaps.FirstTimeout()
-	lastAlive := d.timer.Uptime()
-	defer func() { d.fleet.ReportAlive(id, lastAlive) }()
-	for {
-		ans.SetReadDeadline(s.lastPieceAt.Add(limit))
-		p, err := r.NextNew()
-		now := d.timer.Now()
-		if err == io.EOF {
-			return d.finish(s)
-		}
-		if err != nil {
-			if errors.Is(err, os.ErrDeadlineExceeded) {
-				return sendFailure{outcome: fleet.Failed, mayHaveRun: true, cause: silent, reason: "no data for " + now.Sub(s.lastPieceAt).String()}, false
-			}
-			return sendFailure{outcome: fleet.Failed, mayHaveRun: true, cause: broken, reason: err.Error()}, false
-		}
-		if s.gotPiece {
-			s.gaps.ObserveGap(now.Sub(s.lastPieceAt))
-		} else {
-			s.answering = now
-			d.fleet.ReportStreamStart(id, now)
-		}
-		s.gotPiece, s.pausing, s.lastPieceAt, lastAlive = true, false, now, d.timer.Uptime()
-		limit = min(s.gaps.GapTimeout(), s.maxGap)
-		if v, ok := d.deliver(ctx, s, id, ans, p); !ok {
-			return v, false
-		}
-		if !s.cleared && s.proven(now) {
-			s.cleared = true
-			d.poison.Answered(runOf(s.w), now)
-		}
-		s.copies.update(ctx, now)
-	}
-}
-
-// deliver passes a piece to the caller, unless the caller already has it.
-func (d *Dispatcher) deliver(ctx context.Context, s *stream, id ident.Upstream, ans *exchange.Answer, p pieces.Piece) (sendFailure, bool) {
-	if p.HasNumber {
-		if p.Number <= s.lastPiece && s.resumes {
-			return sendFailure{}, true
-		}
-		if s.resumes && p.Number != s.lastPiece+1 {
-			return sendFailure{outcome: fleet.Failed, mayHaveRun: true, cause: incorrect, reason: "a piece of the stream is missing"}, false
-		}
-	}
-	if !s.keepsBuild {
-		d.keepBuild(ctx, s, id)
-	}
-	if !s.started {
-		s.started = true
-		if err := s.sink.Begin(ans.Status, ans.Header); err != nil {
-			return sendFailure{reason: errCallerWrite.Error()}, false
-		}
-	}
-	if err := s.sink.Piece(p.Raw); err != nil {
-		return sendFailure{reason: errCallerWrite.Error()}, false
-	}
-	if !s.lostAt.IsZero() {
-		d.log.Info().Str("Request", string(s.w.ID)).Int("Attempt", s.sends).Uint64("Piece", p.Number).
-			Dur("PauseMs", d.timer.Now().Sub(s.lostAt)).Msg("stream resumed")
-		d.meters.Observe("PauseUs", d.timer.Now().Sub(s.lostAt))
-		s.lostAt = time.Time{}
-		d.endWait(s)
-	}
-	if p.HasNumber {
-		s.lastPiece = p.Number
-		s.resumes = true
-	}
-	return sendFailure{}, true
-}
-
-// finish ends a stream after its last piece.
-func (d *Dispatcher) finish(s *stream) (sendFailure, bool) {
-	if !s.started {
-		return sendFailure{outcome: fleet.Failed, mayHaveRun: true, cause: incorrect, reason: "the stream ended without any piece"}, false
-	}
-	if err := s.sink.End(); err != nil {
-		return sendFailure{reason: errCallerWrite.Error()}, false
-	}
-	return sendFailure{}, true
-}
--- a/standinregistered/server.go
+++ b/standinregistered/server.go
@@ -279,6 +279,7 @@
 		_, _ = fmt.Fprint(w, Answer(id, string(body)))
 		return
 	}
+	h.Set("Content-Type", "text/event-stream")
 	s.streamPieces(w, r, id, hasCopy)
 }
 
