engineclient: a stream that ends without a finish reason is lost at once

An engine that answers with the mark of the end alone ("data: [DONE]"), or with it after some tokens, left an answer without an end and without a loss: reading returned no error, and only the silence of the engine, seconds later, made the answer go on elsewhere. Such a stream is lost as corrupt now, and goes on at another engine at once.

Test before the fix (go test -run TestEndOfStream ./engineclient): end without the reason: got lost false, finished false (<nil>), want true, false end without the reason after a token: got lost false, finished false (<nil>), want true, false

Ruled out by the other cases of the same run, which passed before: an answer 200 that is empty, a text, the head of an answer, a failure in an event, a text after a token, and a whole stream under another name: none of them ends an answer or adds a token to it.

--- a/engineclient/stream.go
+++ b/engineclient/stream.go
@@ -123,12 +123,16 @@
 const endOfStream = "[DONE]"
 
 // Read calls f for each token until the stream ends or f returns false. It returns nil if f
-// returned false or the engine ended the stream, and a *StreamError otherwise.
+// returned false or the engine ended the stream with a finish reason, and a *StreamError otherwise.
 func (s *Stream) Read(f func(Token) bool) error {
+	finished := false
 	for ev, err := range sse.Read(s.resp.BodyStream(), nil) {
 		if err != nil {
 			return streamError(generation.ConnectionReset, err)
 		}
+		if ev.Data == endOfStream && !finished {
+			return streamError(generation.CorruptStream, errs.New("stream ended without a finish reason"))
+		}
 		if ev.Data == endOfStream {
 			return nil
 		}
@@ -136,6 +140,7 @@
 		if err != nil {
 			return streamError(generation.CorruptStream, err)
 		}
+		finished = finished || t.Finish != ""
 		if !f(t) {
 			return nil
 		}
