--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -38,6 +38,7 @@
 	service  directory.Service
 	budget   retry.Settings
 	deadline time.Duration
+	tokens   int            // greatest number of tokens of the answer; 0 if it is not stated
 	told     []string       // builds that were told to other instances
 	origin   *ident.Build   // build of the stream that the caller takes up; nil if it takes none up, "" if it is not known
 	publish  func()         // passes list to the dispatcher
@@ -50,7 +51,7 @@
 // TestScripts runs the scripts in testdata/*.txt. The near failure domain is that of the
 // instance, so its engine is chosen first. Each line is one of
 //
-//	route KIND [resumable] [attempts=N] [budget=RETRIES] [deadline=DURATION]
+//	route KIND [resumable] [attempts=N] [budget=RETRIES] [deadline=DURATION] [tokens=N]
 //	                   the budget, if it is set, grows by other requests up to RETRIES
 //	memory BYTES           the bound on answers in memory
 //	engine NAME DOMAIN[/BUILD] COMMAND ...
@@ -182,6 +183,9 @@
 			}
 			wd.deadline = limit
 			continue
+		case "tokens":
+			wd.tokens, _ = strconv.Atoi(value)
+			continue
 		}
 		n, err := strconv.Atoi(strings.TrimPrefix(w, "attempts="))
 		if err != nil {
@@ -288,6 +292,8 @@
 		e.bare(w, r, rest)
 	case "flood":
 		e.flood(w, rest)
+	case "text":
+		e.text(w, rest)
 	case "long":
 		size, _ := strconv.Atoi(rest)
 		_, _ = fmt.Fprintf(w, "id: 1\ndata: %s\n\n", strings.Repeat("x", size))
@@ -295,6 +301,7 @@
 }
 
 func (e *engine) stream(w http.ResponseWriter, r *http.Request, script string) {
+	w.Header().Set("Content-Type", "text/event-stream")
 	span, end, _ := strings.Cut(script, ":")
 	first, last, _ := strings.Cut(span, "-")
 	from, _ := strconv.Atoi(first)
