ingress: end requests of callers that are lost without a close

Callers whose machine or network is lost send no close. The instance that they were at kept an upstream at work for them while they took up their answer at another one, so that two upstreams worked on one answer.

Cause: the kernel takes what is written and repeats it 15 times, for a quarter of an hour. The limit of 5 s on a write acts only once the send buffer is full, which a stream of small pieces does not reach, and keep-alive (150 s) sends nothing while data is unacknowledged. What was left is the limit of the route.

Ruled out: TCP_USER_TIMEOUT. Instead each stream reads once a second, when it has a piece, whether data is unacknowledged after five time-outs of retransmission in a row (6.4 s at the loopback), and keep-alive covers requests without an answer yet (10 s).

Evidence: go test -race -run TestCallerLost ./ingress failed before: "request of a lost caller: got none ended within 15s", stream and waits; without a limit the stream went on for the 30 s of a trial. Now 7.1 s and 10.3 s. TestSoundCallerServed passed before and passes.

Left: a stream whose upstream is silent is not checked until its next piece.

--- a/ingress/call.go
+++ b/ingress/call.go
@@ -25,6 +25,9 @@
 // errAnswerEnded is returned when an answer is started twice.
 var errAnswerEnded = errors.New("answer was already started")
 
+// errCallerLost is returned when the kernel of the caller acknowledges nothing any more.
+var errCallerLost = errors.New("caller acknowledges nothing")
+
 // Answer writes a complete answer.
 func (c *Call) Answer(status int, h http.Header, body []byte) error {
 	if c.started {
@@ -69,11 +72,15 @@
 // headOnly reports whether the answer consists of its head.
 func (c *Call) headOnly() bool { return c.Request.Method == http.MethodHead }
 
-// Piece writes and flushes one part of the answer. To a HEAD request it writes nothing.
+// Piece writes and flushes one part of the answer. To a HEAD request it writes nothing. It returns an
+// error if the caller is lost.
 func (c *Call) Piece(b []byte) error {
 	if c.complete || len(b) == 0 || c.headOnly() {
 		return nil
 	}
+	if err := c.conn.checkLost(); err != nil {
+		return err
+	}
 	w := c.conn.bw
 	c.conn.setWriteTimeout()
 	if c.chunked {
--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"crocuslug/directory"
+	"crocuslug/socket"
 )
 
 // connection is one connection of a caller.
@@ -25,6 +26,7 @@
 	headLimit *io.LimitedReader // source of br; bounds the head of a request
 	ctx       context.Context   // of the request in progress
 	closing   bool              // the connection is closed after the answer in progress
+	checkedAt time.Time         // when it was last checked whether the caller is lost
 
 	mu     sync.Mutex
 	busy   bool                    // a request is being read or answered
@@ -284,6 +286,22 @@
 	_ = c.SetWriteDeadline(c.server.timer.Now().Add(c.server.cfg.WriteTimeout)) // fails only on a closed connection
 }
 
+// lostCheckInterval is the interval of the checks whether the caller is lost while an answer is written.
+const lostCheckInterval = time.Second
+
+// checkLost returns errCallerLost if the caller acknowledges nothing any more.
+func (c *connection) checkLost() error {
+	now := c.server.timer.Now()
+	if now.Sub(c.checkedAt) < lostCheckInterval {
+		return nil
+	}
+	c.checkedAt = now
+	if socket.Lost(c.Conn) {
+		return errCallerLost
+	}
+	return nil
+}
+
 // resetAtClose sets whether closing the connection resets it, which discards data that was not sent.
 func (c *connection) resetAtClose(reset bool) {
 	linger := -1 // the default of the system
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -14,6 +14,7 @@
 	"github.com/zeebo/errs"
 
 	"crocuslug/directory"
+	"crocuslug/socket"
 	"crocuslug/timer"
 )
 
@@ -74,7 +75,7 @@
 
 // Start opens the listener and serves connections in the background.
 func (s *Server) Start() error {
-	l, err := net.Listen("tcp", s.cfg.Listen)
+	l, err := socket.Listen(s.cfg.Listen)
 	if err != nil {
 		return errs.Wrap(err)
 	}
