gateway: end streams of callers that are lost without a close

The same fault at the product's own door as at ingress: an answer was written to a caller whose machine or network was lost until the send buffer was full and one write took 10 s, and the engine worked on, also where another instance had taken the generation over and gone on elsewhere. The former owner hears of that only from instances that it reaches, so its caller's connection is what bounds it.

Now each stream checks once a second while it writes (each 5 s at least, by its keep-alives) whether the caller acknowledges, as ingress does, and the listener's keep-alive is 10 s. The generation then counts as without a caller and is cancelled after Resume.CallerLimit as before.

Left: answers that are not streamed.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -39,6 +39,7 @@
 	"crocuslug/rollout"
 	"crocuslug/routing"
 	"crocuslug/settings"
+	"crocuslug/socket"
 	"crocuslug/store"
 	"crocuslug/suspect"
 	"crocuslug/takeover"
@@ -171,7 +172,7 @@
 	d.conns.open = make(map[net.Conn]struct{})
 	d.conns.now = opt.Timer.Now
 	d.conns.limit = orDefault(cfg.Limits.Connections, defaultConnections)
-	if d.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
+	if d.listener, err = socket.Listen(cfg.Listen); err != nil {
 		return nil, errs.Wrap(err)
 	}
 	if d.seed = opt.Seed; d.seed == 0 {
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -5,6 +5,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 	"go.opentelemetry.io/otel/trace"
@@ -14,6 +15,7 @@
 	"crocuslug/owner"
 	"crocuslug/problem"
 	"crocuslug/result"
+	"crocuslug/socket"
 )
 
 // sendAnswer sends the part of a generation after cursor c, and ends span when it is done.
@@ -30,7 +32,7 @@
 		g.answerWhole(ctx, gen, r)
 		return
 	}
-	s := &sender{g: g, spec: gen.Spec(), cursor: c, chunked: ctx.Request.Header.IsHTTP11()}
+	s := &sender{g: g, caller: ctx.Conn(), spec: gen.Spec(), cursor: c, chunked: ctx.Request.Header.IsHTTP11()}
 	s.setEventPrefix()
 	// The stream is written directly to the connection, because the server would pass each token of
 	// a streamed body to another goroutine.
@@ -113,6 +115,8 @@
 type sender struct {
 	g           *Gateway
 	conn        net.Conn
+	caller      net.Conn  // the connection that conn wraps
+	checkedAt   time.Time // when it was last checked whether the caller is lost
 	spec        generation.Spec
 	cursor      cursor.Cursor
 	chunked     bool
@@ -223,9 +227,21 @@
 // chunkSizeBase is the base in which the sizes of chunks are written.
 const chunkSizeBase = 16
 
-// writeRaw writes b to the connection within WriteTimeout. It returns false if that fails.
+// lostCheckInterval is the interval of the checks whether the caller is lost.
+const lostCheckInterval = time.Second
+
+// writeRaw writes b to the connection within WriteTimeout. It returns false if that fails or the caller
+// is lost.
 func (s *sender) writeRaw(b []byte) bool {
-	if err := s.conn.SetWriteDeadline(s.g.ports.Timer.Now().Add(s.g.cfg.WriteTimeout)); err != nil {
+	now := s.g.ports.Timer.Now()
+	if now.Sub(s.checkedAt) >= lostCheckInterval {
+		s.checkedAt = now
+		if socket.Lost(s.caller) {
+			s.g.ports.Log.Info().Str("Request", string(s.spec.Request)).Msg("the caller acknowledges nothing; its connection is closed")
+			return false
+		}
+	}
+	if err := s.conn.SetWriteDeadline(now.Add(s.g.cfg.WriteTimeout)); err != nil {
 		return false
 	}
 	_, err := s.conn.Write(b)
