gateway: end whole answers of callers that have gone

A caller that asked for an answer in one piece and left was never noticed, neither by a close nor lost without one: the generation had a reader until its end, so that the engine worked to the last token, and Resume.CallerLimit did not begin. A caller that sent its request again elsewhere moved the generation there, but one under a new id had two engines at work.

Cause: the handler waits for tokens and looks at the connection only to write the answer.

Evidence: go test -race -run TestCallerLost ./standinsite failed before on both cases of whole answers: "stream on the engine: got none cancelled within 18s, want 1".

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -44,13 +44,22 @@
 	})
 }
 
-// answerWhole waits for the end of the generation and sends it in one response.
+// answerWhole waits for the end of the generation and sends it in one response. It stops waiting if the
+// caller disconnects.
 func (g *Gateway) answerWhole(ctx *fasthttp.RequestCtx, gen *owner.Generation, r *owner.Reader) {
 	defer r.Close()
 	var text strings.Builder
 	n := 0
+	checkedAt := g.ports.Timer.Now()
 	for {
 		p := r.Next()
+		if now := g.ports.Timer.Now(); now.Sub(checkedAt) >= disconnectCheckInterval {
+			checkedAt = now
+			if disconnected(ctx.Conn()) {
+				problem.Write(ctx, result.New(result.GenerationCancelled, "the caller has disconnected").Ran(result.RunUnknown), gen.Spec().Request)
+				return
+			}
+		}
 		for _, t := range p.Tokens {
 			text.WriteString(t)
 			n++
--- a/gateway/gone.go
+++ b/gateway/gone.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// disconnectCheckInterval is the interval of the checks whether a waiting caller is still
-// connected.
+// disconnectCheckInterval is the interval of the checks whether a caller that waits for admission or for
+// a whole answer is still connected.
 const disconnectCheckInterval = 250 * time.Millisecond
 
 // whileConnected returns a context that ends when the caller closes its connection, and a function
@@ -26,7 +26,7 @@
 	}
 }
 
-// disconnected reports whether the other side has closed conn. It reads no data and does not
+// disconnected reports whether the other side has closed conn or is lost. It reads no data and does not
 // block. It returns false if the type of the connection does not allow the check.
 func disconnected(conn net.Conn) bool {
 	sc, ok := conn.(syscall.Conn)
@@ -41,7 +41,7 @@
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		closed = n == 0 && err == nil || err == syscall.ECONNRESET
+		closed = n == 0 && err == nil || err == syscall.ECONNRESET || err == syscall.ETIMEDOUT
 	})
 	return closed || err != nil
 }
--- a/standinsite/lost_test.go
+++ b/standinsite/lost_test.go
@@ -39,6 +39,8 @@
 		lose         func(t *testing.T, c net.Conn)
 	}{
 		{"stream, cut off", "true", cut},
+		{"whole answer, cut off", "false", cut},
+		{"whole answer, closed", "false", func(_ *testing.T, c net.Conn) { _ = c.Close() }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
