generation: a former owner that may not have heard of a takeover cancels nothing

An instance that is cut off from the others, not from the engines, keeps its generations. When the caller of one had gone on at another instance, which resumed the engine's stream, the former owner found its caller gone, 15 s later cancelled the stream, and so ended the one by which the new owner went on. The answer was continued at another engine, its prefix was read again, and the sound engine was reported as lost, which counts against the content as well.

Cause: an owner hears of a takeover from the replica that holds the copy. Cancel did not ask whether that one still answers. Now the machine keeps the replicas that it has lost since they last acknowledged. While there are any, it only closes its connection: an engine ends a stream that nobody reads (docs/PROTOCOLS.md), and the stream of a new owner has a reader.

Ruled out: two engines at work on one answer in this case. The new owner resumes the same stream, and both read it.

Evidence: go test -race -run TestFormerOwnerCancelsNothing ./standinsite failed before: "engine 0: got 1 streams cancelled and 0 continued, want none", "engine 1: got 0 streams cancelled and 1 continued, want none", with "engine lost Upstream=engine-accra-0" in the log. It passes now.

Left: an owner that lost its replica and whose caller has really gone leaves its engine to the engine's own time (10 s at the stand-in). A former owner whose stream breaks starts another one while its caller's connection stands; its cancellations on that way are not changed.

--- a/generation/machine.go
+++ b/generation/machine.go
@@ -319,11 +319,18 @@
 	m.callerGoneAt = time.Time{}
 }
 
-// Cancel ends the answer and cancels its stream, because no caller is waiting for it.
+// Cancel ends the answer, because no caller is waiting for it. It cancels its stream, unless another
+// instance may have taken the generation over without this one having heard of it: the stream may be the
+// one by which that instance goes on. The engine ends a stream that nobody reads.
 func (m *Machine) Cancel() []Action {
 	if m.Closed() {
 		return nil
 	}
-	acts := m.cancelStream()
+	var acts []Action
+	if len(m.replica.unheard) == 0 {
+		acts = m.cancelStream()
+	} else {
+		m.silent = silentStream{}
+	}
 	return append(acts, m.endWith(result.New(result.GenerationCancelled, "no caller reconnected to receive the answer").Ran(result.RunUnknown))...)
 }
--- a/generation/replica.go
+++ b/generation/replica.go
@@ -1,6 +1,7 @@
 package generation
 
 import (
+	"slices"
 	"time"
 
 	"crocuslug/ident"
@@ -17,8 +18,9 @@
 	lastAck      time.Time     // last acknowledgement, or first send after everything was acknowledged
 	retryAt      time.Time     // when to choose again after no replica was found
 	exclude      []ident.Instance
-	timedOut     bool      // an excluded replica did not acknowledge in time
-	failingSince time.Time // when reachable replicas stopped acknowledging; zero if they have not
+	timedOut     bool             // an excluded replica did not acknowledge in time
+	failingSince time.Time        // when reachable replicas stopped acknowledging; zero if they have not
+	unheard      []ident.Instance // lost replicas, from which another instance may have taken the generation over
 }
 
 // resetToBase makes the next batch contain the whole log.
@@ -118,6 +120,7 @@
 	r.exclude, r.timedOut = nil, false
 	r.failingSince = time.Time{}
 	r.acked = max(r.acked, upto)
+	r.unheard = slices.DeleteFunc(r.unheard, func(u ident.Instance) bool { return u == id })
 	return m.release(r.acked)
 }
 
@@ -137,6 +140,9 @@
 		return nil
 	}
 	m.replica.exclude = append(m.replica.exclude, id)
+	if !slices.Contains(m.replica.unheard, id) {
+		m.replica.unheard = append(m.replica.unheard, id)
+	}
 	m.replica.id = ""
 	return m.chooseReplica(now)
 }
--- a/standinsite/lost_test.go
+++ b/standinsite/lost_test.go
@@ -1,13 +1,18 @@
 package standinsite
 
 import (
+	"bufio"
+	"io"
 	"net"
+	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"golang.org/x/sys/unix"
 
+	"crocuslug/ident"
 	"crocuslug/standinengine"
 )
 
@@ -63,3 +68,48 @@
 		})
 	}
 }
+
+// TestFormerOwnerCancelsNothing guards against a former owner that has not heard of the takeover, since
+// it is cut off from its replica, and cancels the stream by which the new owner goes on.
+func TestFormerOwnerCancelsNothing(t *testing.T) {
+	t.Parallel()
+	cfg := Settings{Instances: 2, Engines: 2, Engine: standinengine.Settings{TokenInterval: 20 * time.Millisecond}}
+	cfg.Options.Owner.Generation.CallerTimeout = 300 * time.Millisecond
+	var apart atomic.Bool // nothing passes between the instances
+	cfg.Options.DropTo = func(ident.Instance) bool { return apart.Load() }
+	cfg.Options.DropFrom = cfg.Options.DropTo
+	s := startSite(t, cfg)
+	body := `{"model":"m","messages":[{"role":"user","content":"p"}],"stream":true,"max_tokens":150}`
+	former, r := raw(t, s.Addresses()[0], "POST", "/v1/chat/completions", WorkspaceKey, "X-Request-Id: moved\r\n", body)
+	cursor := readEvents(t, r, 10)
+	apart.Store(true)
+	_, r = raw(t, s.Addresses()[1], "GET", "/v1/generations/moved", WorkspaceKey, "Last-Event-ID: "+cursor+"\r\n", "")
+	readEvents(t, r, 10)
+	_ = former.Close()
+	rest, err := io.ReadAll(r)
+	if !strings.Contains(string(rest), "[DONE]") {
+		t.Errorf("answer of the new owner: got %q, %v, want its end", rest, err)
+	}
+	for i, e := range s.Engines {
+		if got := e.Counters(); got.Cancelled != 0 || got.Continued != 0 {
+			t.Errorf("engine %d: got %d streams cancelled and %d continued, want none", i, got.Cancelled, got.Continued)
+		}
+	}
+}
+
+// readEvents reads n events of an answer and returns the id of the last one.
+func readEvents(t *testing.T, r *bufio.Reader, n int) string {
+	t.Helper()
+	id := ""
+	for n > 0 {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			t.Fatalf("answer: got %v, want %d more events", err, n)
+		}
+		if found, ok := strings.CutPrefix(strings.TrimSpace(line), "id: "); ok {
+			id = found
+			n--
+		}
+	}
+	return id
+}
