--- a/reach/reach.go
+++ b/reach/reach.go
@@ -325,8 +325,10 @@
 	return h.open + farPenalty
 }
 
-// Helped records whether an instance passed a connection on, and how many it passes on.
-func (t *Tracker) Helped(id ident.Instance, ok bool, open int, now time.Time) {
+// Helped records whether an instance passed a connection on, and how many it passes on. It reports
+// whether the instance no longer counts as a helper since it did not, which happens once for each answer
+// that made it one, however many requests wait for it.
+func (t *Tracker) Helped(id ident.Instance, ok bool, open int, now time.Time) (removed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h, known := t.helpers[id]
@@ -336,6 +338,7 @@
 	case known:
 		t.helpers[id] = helper{now, open, h.near}
 	}
+	return known && !ok
 }
 
 // Trials returns an upstream of each failure domain that is to be tried directly now. random returns 64
--- a/reach/script_test.go
+++ b/reach/script_test.go
@@ -27,6 +27,7 @@
 //	doubtful DOMAIN yes|no [TRY]
 //	helpers PEER ... | helpers -       checks the helpers, in any order; the first one if it is followed by !
 //	helped PEER OPEN | helped PEER -   a helper passed a connection on, or did not
+//	removed PEER yes|no                one did not, and whether it no longer counts as a helper because of it
 //	trials N                           checks the number of failure domains that are tried directly
 //	reached ID MS yes|no
 func TestScripts(t *testing.T) {
@@ -110,6 +111,8 @@
 		case "helped":
 			open, err := strconv.Atoi(w[2])
 			tr.Helped(ident.Instance(w[1]), err == nil, open, now)
+		case "removed":
+			got, want = yes(tr.Helped(ident.Instance(w[1]), false, 0, now)), w[2]
 		case "trials":
 			got, want = strconv.Itoa(len(tr.Trials(random, now))), w[1]
 		case "reached":
