socket: keep connections without traffic through failures of 7 s

Keep-alive closed a connection that was idle for 4 s after 6 probes in a row, so that a failure of the network of just over 5 s could close one, less than the 6.2 s for which data may stay unacknowledged. Now there are 8 probes: a failure of 7 s closes none, and a lost caller is noticed after 12 s.

Evidence: go test -race -run TestCallerLost ./ingress ./standinsite, the cases without pieces take 12.4 s.

--- a/socket/socket.go
+++ b/socket/socket.go
@@ -17,8 +17,8 @@
 )
 
 // keepAlive bounds how long a connection on which nothing is sent stays open after its caller is lost:
-// Idle and Count intervals, 10 s.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 4 * time.Second, Interval: time.Second, Count: 6}
+// Idle and Count intervals, 12 s. A network that fails for 7 s closes none.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 4 * time.Second, Interval: time.Second, Count: 8}
 
 // maxRetransmissions is the number of time-outs in a row after which unacknowledged data shows that the
 // caller is lost. They double from 200 ms in a local network, to 6.2 s together, and are longer where
