--- a/edge/relays.go
+++ b/edge/relays.go
@@ -116,8 +116,7 @@
 	defer cancel()
 	var offer relayOffer
 	if err := e.link.Call(ctx, id, relayMethod, relayRequest{Upstream: u.ID, Beats: true}, &offer); err != nil {
-		e.reach.Helped(id, false, 0, e.timer.Now())
-		e.log.Info().Str("Upstream", string(u.ID)).Str("Peer", string(id)).Err(err).Msg("instance did not pass a connection on")
+		e.notHelped(id, u, err)
 		return nil, notRelayed.Wrap(err)
 	}
 	e.reach.Helped(id, true, offer.Open, e.timer.Now())
@@ -129,8 +128,17 @@
 	}
 	conn, err := relay.Dial(ctx, e.timer, id, offer.Address, offer.Token, offer.Beats)
 	if err != nil {
-		e.reach.Helped(id, false, 0, e.timer.Now())
+		e.notHelped(id, u, err)
 		return nil, notRelayed.Wrap(err)
 	}
 	return conn, nil
 }
+
+// notHelped records that an instance did not pass a connection on. It writes one line for all requests
+// that wait for the instance at that time.
+func (e *Edge) notHelped(id ident.Instance, u directory.Upstream, err error) {
+	e.meters.Count("Relays.InVain", 1)
+	if e.reach.Helped(id, false, 0, e.timer.Now()) {
+		e.log.Info().Str("Upstream", string(u.ID)).Str("Peer", string(id)).Err(err).Msg("instance did not pass a connection on")
+	}
+}
