dispatch: a probe does not read the build of a stream while its first piece sets it

The race detector reported it once in TestCutOffInstancesServe: a probe asks whether another upstream can take the stream, and read the build that keepBuild was setting. Both now hold a lock.

--- a/dispatch/origin.go
+++ b/dispatch/origin.go
@@ -60,6 +60,20 @@
 	return w.ID
 }
 
+// setBuild sets the build at which the rest of the answer must be produced, while probes may read it.
+func (s *stream) setBuild(build *ident.Build) {
+	s.buildMu.Lock()
+	defer s.buildMu.Unlock()
+	s.build = build
+}
+
+// currentBuild returns that build. The goroutine of the stream, which alone sets it, reads the field.
+func (s *stream) currentBuild() *ident.Build {
+	s.buildMu.Lock()
+	defer s.buildMu.Unlock()
+	return s.build
+}
+
 // keepBuild fixes the build of a stream that has received its first piece. If the service has several, it
 // waits until other instances know the build. They are told no earlier: an attempt may fail before its
 // first piece and the next one begin at another build, and a holder that missed the correction would
@@ -72,7 +86,8 @@
 		build = u.Build
 	}
 	now, service := d.timer.Now(), s.w.Service.Name
-	s.build, s.keepsBuild = d.buildFor(service, build, now), true
+	s.setBuild(d.buildFor(service, build, now))
+	s.keepsBuild = true
 	if build == "" || !s.w.Route.Resumable {
 		return
 	}
--- a/dispatch/patience.go
+++ b/dispatch/patience.go
@@ -13,7 +13,7 @@
 	mayMove  bool          // another attempt is allowed
 	early    bool          // and one more after that, so that the engine is left at the first limit
 	longest  time.Duration // silence after which the engine is left otherwise
-	hasOther func() bool   // another upstream can take the stream
+	hasOther func() bool   // another upstream can take the stream; probes call it as well
 	hasCopy  func() bool   // there is a copy of the run
 }
 
@@ -30,7 +30,7 @@
 		longest: d.cfg.MaxPause,
 		hasOther: func() bool {
 			closed := d.closed(s.w.Service.Name, d.timer.Now())
-			return d.fleet.HasOther(s.w.Service.Name, s.build, append(closed, exclude...))
+			return d.fleet.HasOther(s.w.Service.Name, s.currentBuild(), append(closed, exclude...))
 		},
 		hasCopy: s.copies.hasCopy,
 	}
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"crocuslug/directory"
@@ -32,6 +33,7 @@
 
 	sentTo     directory.Upstream // as registered when the current attempt was sent
 	keepsBuild bool               // a piece was delivered, so that build is final
+	buildMu    sync.Mutex         // held while build is set, and while a probe reads it
 
 	ends int // attempts whose engine had no further piece
 
