--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -118,6 +118,9 @@
 		if !d.recordFailure(ctx, &s.attempts, u, v, now, end) {
 			return nil, s.started, d.contextEnded(ctx, s)
 		}
+		if !v.mayHaveRun {
+			s.settled = nil // there is no work to be left
+		}
 		if !w.Route.Repeatable() && s.runs > 0 {
 			return nil, s.started, d.refuse(&s.attempts, result.UpstreamFailed, "the stream was interrupted and must not be resumed")
 		}
