relay: an upstream is left also by an instance that reads or sends slowly, and a stop does not wait

It reads what its kernel holds first (TestSettled, cut after nothing was read). - A close waited behind the rest of a request that the upstream reads slowly: upstream closed 9.6 s after the close, though said to be left after 1.9 s.

Each fails with its mechanism taken out.

--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -117,7 +117,7 @@
 		return told
 	}
 	dependencies.FindOrigin = func(context.Context, *work.Work) (*ident.Build, bool) { return wd.origin, *wd.origin != "" }
-	d := New(Settings{DefaultGap: 300 * time.Millisecond, MaxResumeWait: 3 * time.Second}, dependencies)
+	d := New(Settings{FirstPieceTimeout: wd.first, DefaultGap: 300 * time.Millisecond, MaxResumeWait: 3 * time.Second}, dependencies)
 	clock.Every(otherRequestInterval, d.Tick)
 	if wd.budget.RetryRatio > 0 {
 		clock.Every(otherRequestInterval, func(time.Time) { d.retryBudget(wd.service.Name).AddRequest() })
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -38,6 +38,7 @@
 	service  directory.Service
 	budget   retry.Settings
 	deadline time.Duration
+	first    time.Duration  // dispatch.Settings.FirstPieceTimeout
 	tokens   int            // greatest number of tokens of the answer; 0 if it is not stated
 	told     []string       // builds that were told to other instances
 	origin   *ident.Build   // build of the stream that the caller takes up; nil if it takes none up, "" if it is not known
@@ -51,8 +52,9 @@
 // TestScripts runs the scripts in testdata/*.txt. The near failure domain is that of the
 // instance, so its engine is chosen first. Each line is one of
 //
-//	route KIND [resumable] [attempts=N] [budget=RETRIES] [deadline=DURATION] [tokens=N]
-//	                   the budget, if it is set, grows by other requests up to RETRIES
+//	route KIND [resumable] [attempts=N] [budget=RETRIES] [deadline=DURATION] [tokens=N] [first=DURATION]
+//	                   the budget, if it is set, grows by other requests up to RETRIES; an engine is
+//	                   left if its first piece takes longer than first
 //	memory BYTES           the bound on answers in memory
 //	engine NAME DOMAIN[/BUILD] COMMAND ...
 //	connecting NAME        the engine registers as leaving while a connection to it is opened
@@ -176,12 +178,16 @@
 			}
 			wd.budget.Burst, wd.budget.RetryRatio = retries, retriesPerRequest
 			continue
-		case "deadline":
+		case "deadline", "first":
 			limit, err := time.ParseDuration(value)
 			if err != nil {
 				t.Fatal(err)
 			}
-			wd.deadline = limit
+			if name == "first" {
+				wd.first = limit
+			} else {
+				wd.deadline = limit
+			}
 			continue
 		case "tokens":
 			wd.tokens, _ = strconv.Atoi(value)
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -154,7 +154,7 @@
 	a.settled = nil
 	waited := d.timer.Now().Sub(began)
 	d.meters.Observe("SettledUs", waited)
-	d.log.Info().Str("Request", string(a.w.ID)).Int("Attempt", a.sends).Dur("WaitedMs", waited).Msg("other instance has left the upstream")
+	d.log.Info().Str("Request", string(a.w.ID)).Int("Attempt", a.sends).Dur("WaitedMs", waited).Msg("waited until another instance has left the upstream")
 	return true
 }
 
--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -22,7 +22,7 @@
 	client   *Client
 	stop     func() bool // stops the close of the connection at the end of the context
 	sending  *requestWrite
-	tell     func(settled <-chan struct{}) // Request.Closed
+	onClose  func(settled <-chan struct{}) // Request.Closed
 	memory   hold
 	maxBody  int64 // in bytes
 	bodyRead bool  // the body was read to its end
@@ -119,7 +119,7 @@
 		return
 	}
 	a.cn.abort()
-	tellClosed(a.cn, a.tell)
+	reportClosed(a.cn, a.onClose)
 }
 
 // reusable reports whether another request may be sent on the connection, given that the body was
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -67,7 +67,7 @@
 		stop()
 		cn.abort()
 		<-sending.done // the count of written bytes is final only then
-		tellClosed(cn, r.Closed)
+		reportClosed(cn, r.Closed)
 		if cn.written.Load() == sent {
 			return nil, NotSent.Wrap(err)
 		}
@@ -83,14 +83,14 @@
 		client:  c,
 		stop:    stop,
 		sending: sending,
-		tell:    r.Closed,
+		onClose: r.Closed,
 		memory:  hold{abort: cn.abort},
 		maxBody: c.maxBody(r),
 	}, nil
 }
 
-// tellClosed calls closed, if it is not nil, after abort of a connection through another instance.
-func tellClosed(cn *conn, closed func(settled <-chan struct{})) {
+// reportClosed calls closed, if it is not nil, after abort of a connection through another instance.
+func reportClosed(cn *conn, closed func(settled <-chan struct{})) {
 	if settled := cn.settled(); settled != nil && closed != nil {
 		closed(settled)
 	}
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -121,7 +121,10 @@
 
 // path returns how the connection reaches the upstream.
 func (cn *conn) path() Path {
-	return Path{Helper: cn.helper(), Local: cn.LocalAddr().String()}
+	if helper := cn.helper(); helper != "" {
+		return Path{Helper: helper, Local: cn.LocalAddr().String()}
+	}
+	return Path{}
 }
 
 // settled returns a channel that is closed once the upstream is left after abort, nil if that is at once.
--- a/exchange/types.go
+++ b/exchange/types.go
@@ -43,7 +43,7 @@
 // Path is how a connection reaches the upstream.
 type Path struct {
 	Helper ident.Instance // instance that passes the connection on; "" if it is direct
-	Local  string         // address of this instance's end
+	Local  string         // address of this instance's end; "" if it is direct
 }
 
 // Errors of an exchange. NotSent means that no byte of the request can have reached the upstream.
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -55,17 +55,23 @@
 func (c *Conn) Read(b []byte) (int, error) {
 	c.reading.Lock()
 	defer c.reading.Unlock()
+	if c.isClosed() {
+		return 0, net.ErrClosed
+	}
 	n, err := c.read(b)
-	if err != nil && err != io.EOF {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if c.closed {
-			return n, net.ErrClosed
-		}
+	if err != nil && err != io.EOF && c.isClosed() {
+		return n, net.ErrClosed
 	}
 	return n, err
 }
 
+// isClosed reports whether Close was called.
+func (c *Conn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
 func (c *Conn) read(b []byte) (int, error) {
 	for c.left == 0 {
 		if c.ended {
@@ -127,25 +133,40 @@
 		close(c.settled)
 		return c.TCPConn.Close()
 	}
+	if state, err := stateOf(c.TCPConn); err == nil && state.Queued > 0 {
+		// A close would arrive after the rest of the request. A reset arrives at once, but has no answer.
+		c.timer.After(lease, func(time.Time) { close(c.settled) })
+		reset(c.TCPConn)
+		return nil
+	}
 	const past = 1                                // Unix time
 	_ = c.TCPConn.SetDeadline(time.Unix(past, 0)) // ends a read and a write in progress
 	_ = c.CloseWrite()                            // fails if the helper has closed the connection, and then the wait ends
-	go c.awaitHelper(c.timer.Now().Add(maxSettling))
+	go c.awaitHelper()
 	return nil
 }
 
-// maxSettling bounds the wait for a helper that goes on sending after Close.
-const maxSettling = 2 * lease
+// Bounds of the wait for a helper after Close.
+const (
+	minSettling = time.Millisecond // lets a read return what the kernel holds already
+	maxSettling = 2 * lease        // for a helper that goes on sending
+)
 
 // awaitHelper waits until the helper has closed its connection to the upstream: it closes this one then, or
-// must have noticed that this instance is lost. It waits until latest at most.
-func (c *Conn) awaitHelper(latest time.Time) {
+// must have noticed that this instance is lost.
+func (c *Conn) awaitHelper() {
 	defer close(c.settled)
 	defer func() { _ = c.TCPConn.Close() }()
-	c.reading.Lock() // the read in progress has ended
-	defer c.reading.Unlock()
+	now := c.timer.Now()
+	latest := now.Add(maxSettling)
+	c.reading.Lock() // the read in progress has ended, and no other reads any more
+	by := c.heardAt.Add(lease)
+	c.reading.Unlock()
+	if least := now.Add(minSettling); by.Before(least) {
+		by = least
+	}
 	b := make([]byte, maxFrame)
-	for by := c.heardAt.Add(lease); ; by = c.timer.Now().Add(lease) {
+	for ; now.Before(latest); by = now.Add(lease) {
 		if latest.Before(by) {
 			by = latest
 		}
@@ -153,11 +174,12 @@
 		if _, err := c.TCPConn.Read(b); err != nil {
 			return
 		}
+		now = c.timer.Now()
 	}
 }
 
-// Settled returns a channel that is closed once the helper has closed its connection to the upstream after
-// Close. A helper without beats does not say so, and is not waited for.
+// Settled returns a channel that is closed after Close, once the helper has closed its connection to the
+// upstream or must have noticed that this instance is lost. A helper without beats is not waited for.
 func (c *Conn) Settled() <-chan struct{} { return c.settled }
 
 // SetDeadline sets the read and write deadlines. It has no effect after Close.
@@ -184,7 +206,7 @@
 func (c *Conn) Quiet() bool {
 	c.reading.Lock()
 	defer c.reading.Unlock()
-	if c.left > 0 || c.have > 0 || c.ended {
+	if c.isClosed() || c.left > 0 || c.have > 0 || c.ended {
 		return false
 	}
 	raw, err := c.SyscallConn()
--- a/relay/contact.go
+++ b/relay/contact.go
@@ -16,9 +16,15 @@
 	maxAckDelay   = 50 * time.Millisecond  // for which a kernel may hold back an acknowledgement
 
 	// lease is the time after the last data from its helper within which an instance that is cut off from
-	// the helper knows that the helper has closed its connection to the upstream. Each step of the helper
-	// takes up to checkInterval more: the last acknowledgement seen, the beat sent, the silence noticed.
+	// the helper knows that the helper has closed its connection to the upstream. The helper may see the
+	// last acknowledgement, the beat in its queue, and the end of silenceLimit a checkInterval late each.
 	lease = maxAckDelay + beatInterval + silenceLimit + 3*checkInterval
+
+	// tolerance is the time by which a check may come early or late and still count as the one due.
+	tolerance = checkInterval / 2
+	// maxCheckGap is the time between two checks after which acknowledgements may have been missed because
+	// this machine stood still.
+	maxCheckGap = 4 * checkInterval
 )
 
 const (
@@ -32,7 +38,8 @@
 
 // tcpState is what the kernel of a helper knows of a connection.
 type tcpState struct {
-	Heard    uint64 // changes with each acknowledgement that arrives
+	Heard    uint64 // counter that changes with each acknowledgement that arrives
+	Left     bool   // the other side has closed or reset the connection
 	InFlight int    // segments that were sent and not acknowledged
 	Queued   int    // bytes that were written and not acknowledged
 	Probes   int    // unanswered probes of a closed receive window
@@ -60,6 +67,7 @@
 	}
 	return tcpState{
 		Heard:    info.Bytes_acked + uint64(info.Segs_in), // duplicate acknowledgements count as well
+		Left:     info.State != unix.BPF_TCP_ESTABLISHED,
 		InFlight: int(info.Unacked),
 		Queued:   queued,
 		Probes:   int(info.Probes),
@@ -67,22 +75,28 @@
 }
 
 // contact decides from the acknowledgements of a connection whether the other side is lost. They come
-// from its kernel, so that a process that merely pauses is not lost. The zero value is ready for use.
+// from its kernel, so that a process that merely pauses is not lost. A kernel that does not count them
+// (Linux before 4.2) would make each busy connection look lost. The zero value is ready for use.
 type contact struct {
-	heard   uint64    // tcpState.Heard of the last call
-	heardAt time.Time // when it was first seen
-	since   time.Time // since when sent data has been waiting for an acknowledgement; zero if none waits
+	heard     uint64    // tcpState.Heard of the last call
+	heardAt   time.Time // when it was first seen
+	since     time.Time // since when sent data has been waiting for an acknowledgement; zero if none waits
+	checkedAt time.Time // the last call
 }
 
 // observe returns whether a beat is to be sent, and whether the other side is lost. It is called every
 // checkInterval.
 func (c *contact) observe(s tcpState, now time.Time) (beat, lost bool) {
+	if now.Sub(c.checkedAt) > maxCheckGap {
+		c.since = time.Time{}
+	}
+	c.checkedAt = now
 	if s.Heard != c.heard || c.heardAt.IsZero() {
 		c.heard, c.heardAt, c.since = s.Heard, now, time.Time{}
 	}
 	if s.Queued == 0 {
 		c.since = time.Time{}
-		return now.Sub(c.heardAt) >= beatInterval, false
+		return now.Sub(c.heardAt) >= beatInterval-tolerance, false
 	}
 	if c.since.IsZero() {
 		c.since = now
@@ -92,5 +106,5 @@
 	}
 	silent := now.Sub(c.since)
 	// Further beats let acknowledgements arrive on a link that loses some.
-	return silent > 0 && s.Queued <= maxQueued, silent >= silenceLimit
+	return silent > 0 && s.Queued <= maxQueued, silent >= silenceLimit-tolerance
 }
--- a/relay/passage.go
+++ b/relay/passage.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"encoding/hex"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -59,22 +61,30 @@
 	p.down.Store(down)
 	began := s.timer.Now()
 	sent := make(chan struct{})
-	var left error // why the copy to the upstream ended; valid once sent is closed
 	go func() {
 		defer close(sent)
-		_, left = io.Copy(p.up, down) // it ends when either side does
-		_ = p.up.Close()              // the other instance has left the request, or cannot send it
+		_, _ = io.Copy(p.up, down) // it ends when either side does
+		_ = p.up.Close()           // the other instance has left the request, or cannot send it
 	}()
 	n, err := p.copyFrames(down)
 	if err != nil {
-		_ = down.SetLinger(0)
+		reset(down)
 	}
 	_ = down.Close()
 	<-sent
 	s.log.Info().Str("Peer", string(p.peer)).Str("Upstream", string(p.upstream)).Str("Connection", down.RemoteAddr().String()).
-		Int64("Bytes", n).Dur("OpenMs", s.timer.Now().Sub(began)).Bool("Lost", p.lost.Load()).AnErr("FromUpstream", err).AnErr("ToUpstream", left).Msg("relayed connection ended")
+		Int64("Bytes", n).Dur("OpenMs", s.timer.Now().Sub(began)).Bool("Lost", p.lost.Load()).Bool("EndedByUpstream", endedByUpstream(err)).Err(err).Msg("relayed connection ended")
 }
 
+// endedByUpstream reports whether an error of copyFrames shows that the upstream ended the connection, in
+// order or not. The other instance has left it otherwise, or is lost.
+func endedByUpstream(err error) bool {
+	return !errors.Is(err, net.ErrClosed) && !errors.Is(err, errPeer)
+}
+
+// errPeer marks a failure to write to the other instance.
+var errPeer = errors.New("writing to the other instance failed")
+
 // copyFrames sends what the upstream writes in frames. It returns the number of bytes that the upstream
 // wrote, and nil if the upstream ended the connection in order.
 func (p *passage) copyFrames(down *net.TCPConn) (total int64, err error) {
@@ -101,21 +111,13 @@
 func (p *passage) write(down *net.TCPConn, frame []byte) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_, err := down.Write(frame)
-	return err
-}
-
-// beat sends a frame without data, unless another frame is being sent. It does not block while the kernel
-// has sent all that was written.
-func (p *passage) beat(down *net.TCPConn) {
-	if !p.beats || !p.mu.TryLock() {
-		return
+	if _, err := down.Write(frame); err != nil {
+		return fmt.Errorf("%w: %w", errPeer, err)
 	}
-	defer p.mu.Unlock()
-	_, _ = down.Write(binary.BigEndian.AppendUint16(nil, beatHeader)) // a failure ends the copy as well
+	return nil
 }
 
-// check sends beats, and closes the connections of instances that are lost.
+// check sends beats, and closes the connections to upstreams of instances that have left or are lost.
 func (s *Server) check(now time.Time) {
 	s.mu.Lock()
 	open := make([]*passage, 0, len(s.open))
@@ -124,22 +126,40 @@
 	}
 	s.mu.Unlock()
 	for _, p := range open {
-		down := p.down.Load()
-		if down == nil {
-			continue
-		}
-		state, err := stateOf(down)
-		if err != nil {
-			continue // the connection is closed
+		if down := p.down.Load(); down != nil {
+			s.checkPassage(p, down, now)
 		}
-		switch beat, lost := p.contact.observe(state, now); {
-		case lost:
-			p.lost.Store(true)
-			s.close(p)
-			_ = down.SetLinger(0)
-			_ = down.Close()
-		case beat:
-			p.beat(down)
+	}
+}
+
+func (s *Server) checkPassage(p *passage, down *net.TCPConn, now time.Time) {
+	// While no frame is written, the state does not change before the beat, which therefore does not block.
+	idle := p.mu.TryLock()
+	if idle {
+		defer p.mu.Unlock()
+	}
+	state, err := stateOf(down)
+	if err != nil {
+		return // the connection is closed
+	}
+	beat, lost := p.contact.observe(state, now)
+	switch {
+	case state.Left: // the copy to the upstream does not see it while it is blocked
+		if up, ok := p.up.(*net.TCPConn); ok {
+			reset(up)
 		}
+		s.close(p)
+	case lost:
+		p.lost.Store(true)
+		s.close(p)
+		reset(down)
+	case beat && idle && p.beats:
+		_, _ = down.Write(binary.BigEndian.AppendUint16(nil, beatHeader)) // a failure ends the copy as well
 	}
 }
+
+// reset closes a connection and discards what was not sent.
+func reset(c *net.TCPConn) {
+	_ = c.SetLinger(0) // fails only on a closed connection
+	_ = c.Close()
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -112,6 +112,9 @@
 	s.stopped = true
 	for p := range s.open {
 		_ = p.up.Close()
+		if down := p.down.Load(); down != nil {
+			reset(down) // a write to it may be blocked
+		}
 	}
 	s.mu.Unlock()
 	if s.listener != nil {
--- a/relay/settled_test.go
+++ b/relay/settled_test.go
@@ -14,13 +14,15 @@
 // upstream at work.
 func TestSettled(t *testing.T) {
 	tests := map[string]struct {
-		cut   bool
-		pause time.Duration // between two pieces; 0 for none
+		cut    bool
+		pause  time.Duration // between two pieces; 0 for none
+		unread time.Duration // for which nothing is read before the cut
 	}{
 		"before the first piece":      {},
 		"pieces under way":            {pause: 20 * time.Millisecond},
 		"cut before the first piece":  {cut: true},
 		"cut while pieces are on way": {cut: true, pause: 20 * time.Millisecond},
+		"cut after nothing was read":  {cut: true, pause: 20 * time.Millisecond, unread: lease + beatInterval},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -29,6 +31,7 @@
 			if tt.pause > 0 {
 				p.writePieces(t, tt.pause)
 			}
+			time.Sleep(tt.unread)
 			if tt.cut {
 				p.cut(t)
 			}
@@ -58,11 +61,70 @@
 	if err := <-done; err != net.ErrClosed {
 		t.Errorf("got %v, want %v", err, net.ErrClosed)
 	}
+	if _, err := p.conn.Read(make([]byte, 1)); err != net.ErrClosed {
+		t.Errorf("second Read: got %v, want %v", err, net.ErrClosed)
+	}
 	if err := p.conn.SetReadDeadline(time.Time{}); err != net.ErrClosed {
 		t.Errorf("SetReadDeadline: got %v, want %v", err, net.ErrClosed)
 	}
 }
 
+// endless is a reader without end.
+type endless struct{}
+
+// Read implements io.Reader.
+func (endless) Read(b []byte) (int, error) { return len(b), nil }
+
+// fillTime is the time in which the buffers between two processes are filled.
+const fillTime = 500 * time.Millisecond
+
+// TestClosedWhileSending guards against an upstream that is kept at work because the close of the
+// connection waits behind the rest of a request that the upstream reads slowly.
+func TestClosedWhileSending(t *testing.T) {
+	p := newPair(t)
+	go func() { _, _ = io.Copy(p.conn.TCPConn, endless{}) }() // ends with the connection
+	closed := make(chan time.Time, 1)
+	go func() {
+		for b := make([]byte, 64<<10); ; time.Sleep(100 * time.Millisecond) {
+			if _, err := p.upstream.Read(b); err != nil {
+				closed <- time.Now()
+				return
+			}
+		}
+	}()
+	time.Sleep(fillTime)
+	_ = p.conn.Close()
+	<-p.conn.Settled()
+	settled := time.Now()
+	if got := <-closed; got.After(settled.Add(observeDelay)) {
+		t.Errorf("upstream's connection: closed %v after the other instance was said to have left it", got.Sub(settled))
+	}
+}
+
+// TestStopWhileBlocked guards against a stop that waits for an instance that reads nothing.
+func TestStopWhileBlocked(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		p := newCutPair(t)
+		go func() { _, _ = io.Copy(p.upstream, endless{}) }() // ends with the connection
+		time.Sleep(fillTime)
+		if cut {
+			p.cut(t)
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			p.server.Stop()
+		}()
+		select {
+		case <-done:
+		case <-time.After(waitLimit):
+			t.Errorf("cut %t: Stop has not returned after %v", cut, waitLimit)
+			_ = p.down.Close()
+			<-done
+		}
+	}
+}
+
 // TestPausedInstance guards against a connection that is closed because the process of the instance that
 // asked for it pauses.
 func TestPausedInstance(t *testing.T) {
