--- a/nativewire/nativewire.go
+++ b/nativewire/nativewire.go
@@ -79,7 +79,7 @@
 				return u, errs.New("id %q does not match key %q", u.ID, e.Key)
 			}
 			u.Revision = e.Version
-			return u, nil
+			return u, u.Check()
 		},
 		UpstreamID:    func(h http.Header) ident.Upstream { return ident.Upstream(h.Get(SignatureField)) },
 		Describe:      describe,
