edge, registry: an upstream whose entry no longer names one to use is removed at once

Seen: when another writer replaced the entry of an upstream by an odd one, instances that watched the store went on with the upstream as it was before, those that read all entries removed it, and their peers followed whichever they asked. After an outage of the store, one that had read all entries kept it for the grace period of entries that expired.

Cause: a change that could not be decoded was left out, as if nothing had been written.

Now it removes the upstream, in a watch and in a list alike, also during an outage, since the entry is there and has not expired. Requests under way end as after any removal; new ones go to the other upstreams. The next entry that the upstream writes brings it back, a heartbeat later.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -87,7 +87,7 @@
 
 	mu          sync.Mutex
 	lastLoadSum time.Time                // when the loads that peers report were last added up
-	unreadable  map[string]store.Version // versions of upstream entries that could not be decoded, by store key
+	oddEntries  map[string]store.Version // versions of entries that name nothing to use, by store key
 	peers       map[ident.Instance]*peer
 	digestRound int           // number of times that digests were sent
 	toldVersion store.Version // store version in the last digests
@@ -149,7 +149,7 @@
 		meters:         meter.New(t),
 		self:           ident.Instance(cfg.PeerListen),
 		digestRound:    rand.IntN(maxDigestRound),
-		unreadable:     make(map[string]store.Version),
+		oddEntries:     make(map[string]store.Version),
 		peers:          make(map[ident.Instance]*peer),
 		restored:       make(chan struct{}, 1),
 		recordedBuilds: make(map[ident.Service]bool),
--- a/edge/odd_test.go
+++ b/edge/odd_test.go
@@ -9,6 +9,7 @@
 
 	"crocuslug/ident"
 	"crocuslug/nativewire"
+	"crocuslug/standinregistered"
 	"crocuslug/store"
 )
 
@@ -93,3 +94,34 @@
 		}
 	}
 }
+
+// TestEntryBecomesOdd guards against instances that go on with an upstream whose entry no longer names one to
+// use, while those that read all entries do not.
+func TestEntryBecomesOdd(t *testing.T) {
+	for i, odd := range oddEntries {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			s.putConfiguration(3)
+			u := standinregistered.New(standinregistered.Settings{Listen: reserveAddress(t), Store: s.http.Addr(), Service: "plain", Domain: "a"}, s.clock)
+			if err := u.Start(); err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(u.Stop)
+			_, first := s.startInstance("e1", s.http.Addr())
+			_, second := s.startInstance("e2", reserveAddress(t), first.PeerListen) // follows the first one
+			both := []string{first.Listen, second.Listen}
+			for _, address := range both {
+				s.waitForStatus(address, "/unsafe/x", "k", http.StatusOK)
+			}
+			s.putEntry(u.ID(), odd)
+			for _, address := range both {
+				s.waitForStatus(address, "/unsafe/x", "k", http.StatusServiceUnavailable)
+			}
+			u.WriteEntry()
+			for _, address := range both {
+				s.waitForStatus(address, "/unsafe/x", "k", http.StatusOK)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/edge/oddentries.go
@@ -0,0 +1,47 @@
+package edge
+
+import (
+	"strings"
+	"time"
+
+	"crocuslug/directory"
+	"crocuslug/ident"
+	"crocuslug/registry"
+	"crocuslug/store"
+)
+
+// decodeUpstream decodes the entry of an upstream. It returns false for an entry that names no upstream to
+// use, and removes the upstream that the entry named before. source says by what it became known.
+func (e *Edge) decodeUpstream(entry store.Entry, source string, now time.Time) (directory.Upstream, bool) {
+	u, err := e.ports.DecodeUpstream(entry)
+	if err == nil {
+		return u, true
+	}
+	e.removeReplaced(e.upstreamOf(entry.Key), entry.Version, err, source, now)
+	return directory.Upstream{}, false
+}
+
+// upstreamOf returns the id of the upstream whose entry has a key.
+func (e *Edge) upstreamOf(key string) ident.Upstream {
+	return ident.Upstream(strings.TrimPrefix(key, e.ports.UpstreamsPrefix))
+}
+
+// removeReplaced removes an upstream whose entry names none to use at a version, for the reason given.
+func (e *Edge) removeReplaced(id ident.Upstream, at store.Version, reason error, source string, now time.Time) {
+	e.logOddEntry(e.ports.UpstreamsPrefix+string(id), at, reason, "upstream entry names no upstream to use; ignoring it")
+	if e.registry.RemoveReplaced(id, at, now) {
+		e.logRemovals(registry.Removals{Gone: []ident.Upstream{id}}, at, source)
+	}
+}
+
+// logOddEntry logs an entry of the store that names nothing to use. It logs each version of an entry once,
+// however often that is read.
+func (e *Edge) logOddEntry(key string, at store.Version, reason error, text string) {
+	e.mu.Lock()
+	known := e.oddEntries[key] == at
+	e.oddEntries[key] = at
+	e.mu.Unlock()
+	if !known {
+		e.log.Warn().Str("Key", key).Uint64("Revision", at.Revision()).Err(reason).Msg(text)
+	}
+}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -180,7 +180,7 @@
 		case entry.Key == e.ports.ConfigurationKey:
 			e.applyConfiguration(entry.Value, "store", now)
 		case strings.HasPrefix(entry.Key, e.ports.UpstreamsPrefix):
-			if u, ok := e.decodeUpstream(entry); ok {
+			if u, ok := e.decodeUpstream(entry, "scan", now); ok {
 				list = append(list, u)
 			}
 		case strings.HasPrefix(entry.Key, buildsPrefix):
@@ -246,11 +246,10 @@
 // applyUpstreamChange updates the registry from a changed or deleted upstream entry.
 func (e *Edge) applyUpstreamChange(entry store.Entry, now time.Time) {
 	if entry.Deleted {
-		id := ident.Upstream(strings.TrimPrefix(entry.Key, e.ports.UpstreamsPrefix))
-		e.logRemovals(e.registry.Remove(id, entry.Version, now), entry.Version, "watch")
+		e.logRemovals(e.registry.Remove(e.upstreamOf(entry.Key), entry.Version, now), entry.Version, "watch")
 		return
 	}
-	if u, ok := e.decodeUpstream(entry); ok {
+	if u, ok := e.decodeUpstream(entry, "watch", now); ok {
 		e.logRegistered(u, "watch")
 		e.registry.Set(u)
 	}
@@ -276,23 +275,6 @@
 	}
 }
 
-// decodeUpstream decodes the entry of an upstream. It returns false for an entry that cannot be
-// decoded, and logs each version of such an entry once.
-func (e *Edge) decodeUpstream(entry store.Entry) (directory.Upstream, bool) {
-	u, err := e.ports.DecodeUpstream(entry)
-	if err == nil {
-		return u, true
-	}
-	e.mu.Lock()
-	known := e.unreadable[entry.Key] == entry.Version
-	e.unreadable[entry.Key] = entry.Version
-	e.mu.Unlock()
-	if !known {
-		e.log.Warn().Str("Key", entry.Key).Uint64("Revision", entry.Version.Revision()).Err(err).Msg("upstream entry could not be decoded; ignoring it")
-	}
-	return directory.Upstream{}, false
-}
-
 // applyConfiguration puts a configuration in force if its version is higher than that of the
 // present one. source says where it came from, for the log.
 func (e *Edge) applyConfiguration(raw []byte, source string, now time.Time) {
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -23,6 +23,7 @@
 //	departures [ID ...]        checks the upstreams that Departures returns
 //	leaving ID REVISION        the upstream reports that it is leaving
 //	remove ID REVISION
+//	replaced ID REVISION yes|no its entry names no upstream any more; whether it was registered
 //	replace REVISION [ID ...]   the contents of the store; entries keep their address
 //	merge REVISION [ID ...]     the ids known to another instance; lapsed ones follow a "/"
 //	update ID REVISION         changes what replace and merge give for an entry, here not known yet
@@ -93,6 +94,10 @@
 			r.Set(u)
 		case "remove":
 			r.Remove(ident.Upstream(w[1]), version(t, w[2]), now)
+		case "replaced":
+			if got := r.RemoveReplaced(ident.Upstream(w[1]), version(t, w[2]), now); got != (w[3] == "yes") {
+				t.Errorf("line %d: RemoveReplaced: got %v, want %s", n+1, got, w[3])
+			}
 		case "replace", "merge":
 			var c Changes
 			ids, lapsed := w[2:], []string(nil)
