edge: an upstream that a peer of an older build reports is checked as well

An instance of a build before the check of entries takes an upstream with port 99999 over from the store and tells it to its peers, which believed it: while they follow a peer, the peer's list takes the place of the store's. Now an upstream that a peer reports and that names none to use is left out, logged once for each revision, and removed if it was known in a form that could be used.

TestOddUpstreamsOfPeers covers this; what it calls is new. Taking the call out of catchUp makes no other test fail; no test runs two builds.

--- a/edge/catchup.go
+++ b/edge/catchup.go
@@ -80,6 +80,7 @@
 		return
 	}
 	e.recordEra(c.Seen)
+	c.Upstreams = e.usableUpstreams(c.Upstreams, from, now)
 	if q.Seen > 0 { // otherwise these are all upstreams
 		for _, u := range c.Upstreams {
 			e.logRegistered(u, "peer "+string(from))
--- a/edge/oddentries.go
+++ b/edge/oddentries.go
@@ -21,6 +21,20 @@
 	return directory.Upstream{}, false
 }
 
+// usableUpstreams returns those of list that name an upstream to use. A peer of an older build may also report
+// others.
+func (e *Edge) usableUpstreams(list []directory.Upstream, from ident.Instance, now time.Time) []directory.Upstream {
+	out := make([]directory.Upstream, 0, len(list))
+	for _, u := range list {
+		if err := u.Check(); err != nil {
+			e.removeReplaced(u.ID, u.Revision, err, "peer "+string(from), now)
+			continue
+		}
+		out = append(out, u)
+	}
+	return out
+}
+
 // upstreamOf returns the id of the upstream whose entry has a key.
 func (e *Edge) upstreamOf(key string) ident.Upstream {
 	return ident.Upstream(strings.TrimPrefix(key, e.ports.UpstreamsPrefix))
