edge: an odd entry is logged once for each revision, shortly, and names no instance

Seen: entries of instances and of software versions that cannot be decoded were logged each time that all entries were read, a number of 65,536 digits in an entry made a log line of that length, and the memory of entries that had been logged kept those that were deleted. An entry of an instance at 127.0.0.1:99999 became a peer, to which digests went in vain while the store listed it.

Now all three kinds of entries share one memory of what was logged, by key and revision, which forgets what the store no longer lists. A reason has at most 300 characters. An instance needs a host and a port from 1 to 65535; names of hosts stay allowed there, as they were.

Left: a configuration that cannot be decoded is logged each time that it is read. Only the operator writes it, and the platform's store accepts only valid ones.

--- a/edge/buildrecords.go
+++ b/edge/buildrecords.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"time"
 
@@ -108,8 +109,12 @@
 	if entry.Deleted {
 		return
 	}
-	if err := json.Unmarshal(entry.Value, &r); err != nil || r.Service != service {
-		e.log.Warn().Str("Key", entry.Key).Err(err).Msg("entry of software versions could not be decoded; its service counts as one with several")
+	err := json.Unmarshal(entry.Value, &r)
+	if err == nil && r.Service != service {
+		err = fmt.Errorf("service %q: want that of the key", r.Service)
+	}
+	if err != nil {
+		e.logOddEntry(entry.Key, entry.Version, err, "entry of software versions could not be decoded; its service counts as one with several")
 	}
 	// Since when is not known, so that no build is taken for the only one before.
 	e.builds.Merge([]builds.State{{Service: service, Since: unit.Duration(buildRecordLease)}}, now)
--- a/edge/oddentries.go
+++ b/edge/oddentries.go
@@ -1,6 +1,9 @@
 package edge
 
 import (
+	"fmt"
+	"net"
+	"strconv"
 	"strings"
 	"time"
 
@@ -48,6 +51,25 @@
 	}
 }
 
+// maxHostBytes is the length of the longest name of a host.
+const maxHostBytes = 253
+
+// checkPeerAddress returns an error unless an address is a host and a port to which a connection can be
+// opened.
+func checkPeerAddress(address string) error {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return err
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 || host == "" || len(host) > maxHostBytes {
+		return fmt.Errorf("host of %d bytes and port %q: want 1 to %d bytes and a port from 1 to 65535", len(host), port, maxHostBytes)
+	}
+	return nil
+}
+
+// maxReason is the length in characters of a reason in the log, which may repeat parts of the entry.
+const maxReason = 300
+
 // logOddEntry logs an entry of the store that names nothing to use. It logs each version of an entry once,
 // however often that is read.
 func (e *Edge) logOddEntry(key string, at store.Version, reason error, text string) {
@@ -56,6 +78,26 @@
 	e.oddEntries[key] = at
 	e.mu.Unlock()
 	if !known {
-		e.log.Warn().Str("Key", key).Uint64("Revision", at.Revision()).Err(reason).Msg(text)
+		e.log.Warn().Str("Key", key).Uint64("Revision", at.Revision()).Err(fmt.Errorf("%.*s", maxReason, reason)).Msg(text)
+	}
+}
+
+// forgetOddEntry forgets an entry that was deleted.
+func (e *Edge) forgetOddEntry(key string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.oddEntries, key)
+}
+
+// forgetOddEntries forgets the entries that the store does not list any more.
+func (e *Edge) forgetOddEntries(listed []store.Entry) {
+	versions := make(map[string]store.Version)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, entry := range listed {
+		if at, ok := e.oddEntries[entry.Key]; ok {
+			versions[entry.Key] = at
+		}
 	}
+	e.oddEntries = versions
 }
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -175,6 +175,7 @@
 	var list []directory.Upstream
 	instances := make(map[ident.Instance]bool)
 	e.forgetBuildRecords()
+	e.forgetOddEntries(entries)
 	for _, entry := range entries {
 		switch {
 		case entry.Key == e.ports.ConfigurationKey:
@@ -210,6 +211,9 @@
 	e.recordStoreAnswered(now)
 	changed := false
 	for _, entry := range entries {
+		if entry.Deleted {
+			e.forgetOddEntry(entry.Key)
+		}
 		switch {
 		case entry.Key == e.ports.ConfigurationKey && !entry.Deleted:
 			e.applyConfiguration(entry.Value, "store", now)
@@ -232,11 +236,15 @@
 }
 
 // addInstance records the instance of a store entry as a peer and returns its id, or "" if the
-// entry cannot be decoded.
+// entry names none.
 func (e *Edge) addInstance(entry store.Entry, now time.Time) ident.Instance {
 	var who presence
-	if err := json.Unmarshal(entry.Value, &who); err != nil {
-		e.log.Warn().Str("Key", entry.Key).Err(err).Msg("instance entry could not be decoded; ignoring it")
+	err := json.Unmarshal(entry.Value, &who)
+	if err == nil {
+		err = checkPeerAddress(string(who.Instance))
+	}
+	if err != nil {
+		e.logOddEntry(entry.Key, entry.Version, err, "instance entry names no instance; ignoring it")
 		return ""
 	}
 	e.addPeer(who, now)
