routing, daemon: a load report with numbers that no engine can have changes nothing

Seen in package routing, with three upstreams of 64 slots: one report of 2^62 running requests of one of them made all three look full, and no request was sent anywhere; a report of 2^63-1 slots made 2^63-1 free slots of 192; after a report from an hour ahead, one of 60 running requests was passed over (64 free slots instead of 4), as all are that are older than the last one. An age in milliseconds beyond 2^63 nanoseconds gave any time.

Cause: the number went as it was into the mean load that counts for engines whose own report has aged, and the age into the time of the report. Numbers such as 1e999 and deep nesting were errors before, and count as a failed poll.

Now ReportLoad refuses a report with a number outside 0 to 2^20, and a poll one with an age outside 0 to one hour. It counts as a failed poll, as one that cannot be decoded, and is logged once until a report of the engine can be used again. A load in the header of an answer is left out.

Not tried: crocuslug serve before an engine that reports so.

--- a/daemon/load.go
+++ b/daemon/load.go
@@ -186,12 +186,16 @@
 		return false
 	}
 	noFreeSlot := started && running >= slots
+	report := routing.Report{Upstream: u, At: d.opt.Timer.Now(), Running: running, Waiting: waiting, Slots: slots}
 	if started {
-		running++
+		report.Running++
 	}
-	now := d.opt.Timer.Now()
-	d.engineChooser.ReportLoad(routing.Report{Upstream: u, At: now, Running: running, Waiting: waiting, Slots: slots})
-	return noFreeSlot && d.engineChooser.FreeSlots(now) > 0
+	err := d.engineChooser.ReportLoad(report)
+	d.noteReport(u, err)
+	if err != nil {
+		return false
+	}
+	return noFreeSlot && d.engineChooser.FreeSlots(report.At) > 0
 }
 
 // parseLoad parses a load of the form running/waiting/slots.
--- a/daemon/poll.go
+++ b/daemon/poll.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -45,6 +47,7 @@
 	next       int
 	budget     float64 // bytes
 	refilledAt time.Time
+	odd        map[ident.Upstream]bool // engines whose last load report could not be used
 }
 
 // target is an engine that is polled.
@@ -86,6 +89,7 @@
 		old[t.name] = t
 	}
 	p.targets = nil
+	maps.DeleteFunc(p.odd, func(u ident.Upstream, _ bool) bool { return !slices.Contains(names, u) })
 	for _, name := range names {
 		a, ok := address(name)
 		if !ok {
@@ -194,6 +198,9 @@
 	return n, json.Unmarshal(resp.Body(), out)
 }
 
+// maxReportAge is the age up to which a load report is believed.
+const maxReportAge = time.Hour
+
 // loadReport is the part of an engine's load report that is used.
 type loadReport struct {
 	Running int   `json:"running"`
@@ -202,6 +209,16 @@
 	AgeMs   int64 `json:"age_ms"`
 }
 
+// of returns the report of an engine that was received at a time. It returns an error if no report can have
+// its age.
+func (r *loadReport) of(u ident.Upstream, received time.Time) (routing.Report, error) {
+	if r.AgeMs < 0 || r.AgeMs > maxReportAge.Milliseconds() {
+		return routing.Report{}, errs.New("load report has an age of %d ms, want 0 to %d", r.AgeMs, maxReportAge.Milliseconds())
+	}
+	at := received.Add(-time.Duration(r.AgeMs) * time.Millisecond)
+	return routing.Report{Upstream: u, At: at, Running: r.Running, Waiting: r.Waiting, Slots: r.Slots}, nil
+}
+
 // pollLoad reads the load of an engine and passes it to the chooser. It returns the number of
 // bytes sent and received.
 func (d *Daemon) pollLoad(t *target) (int, error) {
@@ -211,17 +228,43 @@
 		return n, err
 	}
 	now := d.opt.Timer.Now()
-	d.engineChooser.ReportLoad(routing.Report{
-		Upstream: t.name,
-		At:       now.Add(-time.Duration(r.AgeMs) * time.Millisecond),
-		Running:  r.Running,
-		Waiting:  r.Waiting,
-		Slots:    r.Slots,
-	})
+	report, err := r.of(t.name, now)
+	if err == nil {
+		err = d.engineChooser.ReportLoad(report)
+	}
+	d.noteReport(t.name, err)
+	if err != nil {
+		return n, err
+	}
 	d.generationQueue.Grant(now)
 	return n, nil
 }
 
+// noteReport logs that the load report of an engine cannot be used, once until one can be used again.
+func (d *Daemon) noteReport(u ident.Upstream, err error) {
+	if d.poller.changedOdd(u, err != nil) && err != nil {
+		d.log.Warn().Str("Upstream", string(u)).Err(err).Msg("load report of an engine cannot be used; ignoring it")
+	}
+}
+
+// changedOdd records whether the load report of an engine could not be used, and reports whether that is news.
+func (p *poller) changedOdd(u ident.Upstream, odd bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.odd[u] == odd {
+		return false
+	}
+	if p.odd == nil {
+		p.odd = make(map[ident.Upstream]bool)
+	}
+	if odd {
+		p.odd[u] = true
+	} else {
+		delete(p.odd, u)
+	}
+	return true
+}
+
 // cacheEvents holds the cache events of an engine after a given number.
 type cacheEvents struct {
 	Next   uint64 `json:"next"`
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -115,16 +115,21 @@
 	return ok && e.out
 }
 
-// ReportLoad records a load report. A report older than the last one is ignored.
-func (c *Chooser) ReportLoad(r Report) {
+// ReportLoad records a load report. A report older than the last one is ignored. It returns an error for a
+// report with numbers that no upstream can have, which changes nothing.
+func (c *Chooser) ReportLoad(r Report) error {
+	if err := r.check(); err != nil {
+		return err
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e, ok := c.engines[r.Upstream]
 	if !ok || e.reported && r.At.Before(e.report.At) {
-		return
+		return nil
 	}
 	const weight = 0.05
 	c.priorLoad += weight * (e.recordReport(r) - c.priorLoad)
+	return nil
 }
 
 // AddUnreadTokens adds to the prompt tokens that u has not read yet for the requests of this
--- a/routing/types.go
+++ b/routing/types.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"fmt"
 	"time"
 
 	"crocuslug/ident"
@@ -108,6 +109,19 @@
 	Slots    int // 0 if not reported
 }
 
+// maxReported is the largest number of requests or slots of one upstream that is believed.
+const maxReported = 1 << 20
+
+// check returns an error if no upstream can have the numbers of r.
+func (r *Report) check() error {
+	for _, n := range []int{r.Running, r.Waiting, r.Slots} {
+		if n < 0 || n > maxReported {
+			return fmt.Errorf("load of %d running and %d waiting requests and %d slots: want 0 to %d of each", r.Running, r.Waiting, r.Slots, maxReported)
+		}
+	}
+	return nil
+}
+
 // DomainCapacity is the free capacity reported by another failure domain.
 type DomainCapacity struct {
 	Domain ident.Domain
