instancelist, daemon: one odd entry of the instance list spoils only itself

Seen: one entry without a name, with a repeated one, another state or a field of another type made an instance of crocuslug serve pass the whole list over, for as long as the list held that entry: "instance list could not be read; keeping the known members". An entry at port 99999 became a member, which was then taken for dead.

Now such an entry is left out and the others hold. A port is from 1 to 65535 and a host is not empty. The odd entries are logged once for each version of the list, up to ten of them. Parse still refuses a list with any: files and the stand-in's list are written by the project's users.

Left: lists nested more than 10,000 deep in one entry make the JSON of the whole list unreadable, by a bound of encoding/json. The instance keeps the members that it knows.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -123,6 +123,7 @@
 	// Unix time in ns; until then interrupted generations get engines before new ones.
 	admissionPausedUntil atomic.Int64
 	roundRobinNext       atomic.Uint64
+	oddListed            atomic.Uint64 // version of the instance list whose odd entries were logged
 	server               *fasthttp.Server
 	listener             net.Listener
 	conns                connections
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -45,7 +45,7 @@
 	d.members.OnChange(d.applyBans)
 	if d.cfg.Platform.InstanceList != "" {
 		list := instancelist.New(instancelist.Settings{Address: d.cfg.Platform.InstanceList})
-		d.members.ReadInstanceList = func(ctx context.Context) ([]membership.Member, error) { return listMembers(ctx, list) }
+		d.members.ReadInstanceList = func(ctx context.Context) ([]membership.Member, error) { return d.listMembers(ctx, list) }
 	}
 }
 
@@ -73,12 +73,21 @@
 	return out
 }
 
+// maxOddLogged is the number of entries of one version of the instance list of which the log says that they
+// name no instance.
+const maxOddLogged = 10
+
 // listMembers fetches the platform's instance list and returns it as members.
-func listMembers(ctx context.Context, c *instancelist.Client) ([]membership.Member, error) {
+func (d *Daemon) listMembers(ctx context.Context, c *instancelist.Client) ([]membership.Member, error) {
 	list, err := c.Fetch(ctx)
 	if err != nil {
 		return nil, err
 	}
+	if d.oddListed.Swap(list.Version) != list.Version {
+		for _, reason := range list.Odd[:min(len(list.Odd), maxOddLogged)] {
+			d.log.Warn().Uint64("Version", list.Version).Int("Odd", len(list.Odd)).Err(reason).Msg("instance list has an entry that names no instance; ignoring it")
+		}
+	}
 	out := make([]membership.Member, 0, len(list.Instances))
 	for _, i := range list.Instances {
 		m := membership.Member{
--- a/instancelist/client.go
+++ b/instancelist/client.go
@@ -49,8 +49,9 @@
 	err  error
 }
 
-// Fetch returns the current list of the platform. It returns an error if the list
-// does not arrive in time or is malformed. Each call opens a new connection,
+// Fetch returns the current list of the platform without the instances that
+// cannot be used. It returns an error if the list does not arrive in time or is
+// malformed. Each call opens a new connection,
 // because requests on an idle one may get no answer.
 func (c *Client) Fetch(ctx context.Context) (List, error) {
 	done := make(chan fetchResult, 1)
@@ -78,5 +79,5 @@
 	if got := res.StatusCode(); got != http.StatusOK {
 		return List{}, errs.New("status %d, want %d", got, http.StatusOK)
 	}
-	return Parse(res.Body())
+	return ParseUsable(res.Body())
 }
--- a/instancelist/list.go
+++ b/instancelist/list.go
@@ -8,6 +8,7 @@
 import (
 	"encoding/json"
 	"net"
+	"strconv"
 
 	"github.com/zeebo/errs"
 
@@ -18,6 +19,7 @@
 type List struct {
 	Version   uint64
 	Instances []Instance
+	Odd       []error `json:"-"` // why instances were left out, one for each; nil if none was
 }
 
 // Instance is an instance of the system as registered at the platform.
@@ -45,33 +47,67 @@
 // are more than 100,000 instances, an instance has no name or appears twice, a
 // state is unknown, or an address is not host:port.
 func Parse(body []byte) (List, error) {
-	var l List
-	if err := json.Unmarshal(body, &l); err != nil {
+	l, err := ParseUsable(body)
+	if err == nil && len(l.Odd) > 0 {
+		err = l.Odd[0]
+	}
+	if err != nil {
+		return List{}, err
+	}
+	return l, nil
+}
+
+// ParseUsable parses a list in JSON and leaves out the instances for which Parse
+// returns an error. It returns an error if body is malformed otherwise or has
+// more than 100,000 instances.
+func ParseUsable(body []byte) (List, error) {
+	var raw struct {
+		Version   uint64
+		Instances []json.RawMessage
+	}
+	if err := json.Unmarshal(body, &raw); err != nil {
 		return List{}, errs.Wrap(err)
 	}
-	if len(l.Instances) > maxInstances {
-		return List{}, errs.New("%d instances, want at most %d", len(l.Instances), maxInstances)
+	if len(raw.Instances) > maxInstances {
+		return List{}, errs.New("%d instances, want at most %d", len(raw.Instances), maxInstances)
 	}
-	seen := make(map[ident.Instance]bool, len(l.Instances))
-	for _, i := range l.Instances {
-		if i.Instance == "" || seen[i.Instance] {
-			return List{}, errs.New("instance %q: name is empty or repeated; want a unique name", i.Instance)
+	l := List{Version: raw.Version}
+	seen := make(map[ident.Instance]bool, len(raw.Instances))
+	for n, text := range raw.Instances {
+		var i Instance
+		err := json.Unmarshal(text, &i)
+		switch {
+		case err != nil:
+			err = errs.New("entry %d: %.*v", n, maxReason, err)
+		case i.Instance == "" || seen[i.Instance]:
+			err = errs.New("instance %.*q: name is empty or repeated; want a unique name", maxReason, i.Instance)
+		default:
+			err = i.check()
 		}
-		seen[i.Instance] = true
-		if err := i.check(); err != nil {
-			return List{}, err
+		if err != nil {
+			l.Odd = append(l.Odd, err)
+			continue
 		}
+		seen[i.Instance] = true
+		l.Instances = append(l.Instances, i)
 	}
 	return l, nil
 }
 
+// maxReason is the length in characters of what an error repeats of an entry.
+const maxReason = 100
+
 func (i *Instance) check() error {
 	if i.State != Live && i.State != Leaving {
-		return errs.New("instance %q: state %q, want %s or %s", i.Instance, i.State, Live, Leaving)
+		return errs.New("instance %.*q: state %.*q, want %s or %s", maxReason, i.Instance, maxReason, i.State, Live, Leaving)
 	}
 	for _, a := range []string{i.Address, i.PeerAddress} {
-		if _, _, err := net.SplitHostPort(a); err != nil {
-			return errs.New("instance %q: %v", i.Instance, err)
+		host, port, err := net.SplitHostPort(a)
+		if err != nil {
+			return errs.New("instance %.*q: %.*v", maxReason, i.Instance, maxReason, err)
+		}
+		if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 || host == "" {
+			return errs.New("instance %.*q: address %.*q, want host:port with a port from 1 to 65535", maxReason, i.Instance, maxReason, a)
 		}
 	}
 	return nil
