--- a/relay/conn.go
+++ b/relay/conn.go
@@ -135,7 +135,7 @@
 	}
 	if state, err := stateOf(c.TCPConn); err == nil && state.Queued > 0 {
 		// A close would arrive after the rest of the request. A reset arrives at once, but has no answer.
-		c.timer.After(lease, func(time.Time) { close(c.settled) })
+		c.timer.After(noticeLimit, func(time.Time) { close(c.settled) })
 		reset(c.TCPConn)
 		return nil
 	}
@@ -149,7 +149,7 @@
 // Bounds of the wait for a helper after Close.
 const (
 	minSettling = time.Millisecond // lets a read return what the kernel holds already
-	maxSettling = 2 * lease        // for a helper that goes on sending
+	maxSettling = 2 * noticeLimit  // for a helper that goes on sending
 )
 
 // awaitHelper waits until the helper has closed its connection to the upstream: it closes this one then, or
@@ -160,13 +160,13 @@
 	now := c.timer.Now()
 	latest := now.Add(maxSettling)
 	c.reading.Lock() // the read in progress has ended, and no other reads any more
-	by := c.heardAt.Add(lease)
+	by := c.heardAt.Add(noticeLimit)
 	c.reading.Unlock()
 	if least := now.Add(minSettling); by.Before(least) {
 		by = least
 	}
 	b := make([]byte, maxFrame)
-	for ; now.Before(latest); by = now.Add(lease) {
+	for ; now.Before(latest); by = now.Add(noticeLimit) {
 		if latest.Before(by) {
 			by = latest
 		}
--- a/relay/contact.go
+++ b/relay/contact.go
@@ -15,10 +15,10 @@
 	silenceLimit  = 650 * time.Millisecond // time without an acknowledgement of sent data after which a helper closes a connection; two retransmissions of the kernel, after 200 and 600 ms
 	maxAckDelay   = 50 * time.Millisecond  // for which a kernel may hold back an acknowledgement
 
-	// lease is the time after the last data from its helper within which an instance that is cut off from
+	// noticeLimit is the time after the last data from its helper within which an instance that is cut off from
 	// the helper knows that the helper has closed its connection to the upstream. The helper may see the
 	// last acknowledgement, the beat in its queue, and the end of silenceLimit a checkInterval late each.
-	lease = maxAckDelay + beatInterval + silenceLimit + 3*checkInterval
+	noticeLimit = maxAckDelay + beatInterval + silenceLimit + 3*checkInterval
 
 	// tolerance is the time by which a check may come early or late and still count as the one due.
 	tolerance = checkInterval / 2
--- a/relay/settled_test.go
+++ b/relay/settled_test.go
@@ -22,7 +22,7 @@
 		"pieces under way":            {pause: 20 * time.Millisecond},
 		"cut before the first piece":  {cut: true},
 		"cut while pieces are on way": {cut: true, pause: 20 * time.Millisecond},
-		"cut after nothing was read":  {cut: true, pause: 20 * time.Millisecond, unread: lease + beatInterval},
+		"cut after nothing was read":  {cut: true, pause: 20 * time.Millisecond, unread: noticeLimit + beatInterval},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -130,7 +130,7 @@
 func TestPausedInstance(t *testing.T) {
 	p := newCutPair(t)
 	p.writePieces(t, 20*time.Millisecond)
-	time.Sleep(2 * lease) // nothing is read meanwhile
+	time.Sleep(2 * noticeLimit) // nothing is read meanwhile
 	if _, err := io.ReadFull(p.conn, make([]byte, 1000)); err != nil {
 		t.Errorf("after a pause: got %v, want the connection open", err)
 	}
