soak: what an upstream says is counted from the first answer that says it

Cause: the check counted from the time at which the upstream begins to say it. It now counts from the first run whose answer does; runs later than 3.5 s after that are violations as before.

--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -94,13 +94,19 @@
 	return most
 }
 
-// after returns the number of runs of an upstream that began after a time.
-func (r *recorder) after(upstream string, from time.Time) int {
+// afterSaid returns the number of runs of an upstream that began later than a limit after the first one since
+// a time. The answer to that one is the first to say what was set at that time.
+func (r *recorder) afterSaid(upstream string, set time.Time, limit time.Duration) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var first time.Time
 	n := 0
 	for _, at := range r.arrivals[upstream] {
-		if at.After(from) {
+		switch {
+		case !at.After(set):
+		case first.IsZero():
+			first = at
+		case at.Sub(first) > limit:
 			n++
 		}
 	}
--- a/soak/upstreams.go
+++ b/soak/upstreams.go
@@ -105,11 +105,11 @@
 	for _, u := range leaving {
 		s.cluster.recorder.setStatement(u, statement{leaving: "1"})
 	}
-	said := s.clock.Now()
+	set := s.clock.Now()
 	s.clock.pause(ctx, leavingTime)
 	var restarts sync.WaitGroup
 	for _, u := range leaving {
-		n := s.cluster.recorder.after(u, said.Add(drainTime+toldTime))
+		n := s.cluster.recorder.afterSaid(u, set, drainTime+toldTime)
 		s.mu.Lock()
 		if s.undisturbed(began) {
 			s.countCheck("leaving upstream left alone")
