--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -29,6 +29,7 @@
 	length := run.Flag("for", "Time in which faults are injected.").Default("20s").Duration()
 	dir := run.Flag("dir", "Directory for logs; a new temporary one if empty.").String()
 	noFault := run.Flag("no-fault", "Inject no faults, for comparison.").Bool()
+	former := run.Flag("former", "Program crocuslug of an earlier build, which instances run by turns with this one.").ExistingFile()
 	replay := app.Command("replay", "Run the seeds listed in a file, whose lines have the form SEED LENGTH CAUSE.")
 	file := replay.Arg("file", "File with the seeds.").Required().ExistingFile()
 	var runs []soak.Settings
@@ -36,7 +37,7 @@
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
 	case run.FullCommand():
 		for i := range *count {
-			runs = append(runs, soak.Settings{Seed: *seed + uint64(i), FaultPeriod: *length, NoFault: *noFault})
+			runs = append(runs, soak.Settings{Seed: *seed + uint64(i), FaultPeriod: *length, NoFault: *noFault, Former: *former})
 		}
 	case replay.FullCommand():
 		runs, err = readRuns(*file)
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -59,6 +59,7 @@
 type cluster struct {
 	reserved     []*loopback.Address // of programs, also of those that are down
 	clock        clock
+	former       string // Settings.Former
 	dir          string
 	recorder     *recorder
 	storeProcess *process
@@ -91,8 +92,8 @@
 }
 
 // newCluster starts all programs from directory bin and waits until they serve.
-func newCluster(ctx context.Context, c clock, bin, dir string) (*cluster, error) {
-	cl := &cluster{clock: c, dir: dir}
+func newCluster(ctx context.Context, c clock, bin, former, dir string) (*cluster, error) {
+	cl := &cluster{clock: c, former: former, dir: dir}
 	var err error
 	if cl.recorder, err = newRecorder(c); err != nil {
 		return nil, err
@@ -102,7 +103,7 @@
 		return cl, err
 	}
 	cl.storeAddress = storeAddr
-	cl.storeProcess, err = newProcess(c, dir, "store", filepath.Join(bin, "standin"), nil, "--listen", storeAddr, "keyvalue")
+	cl.storeProcess, err = newProcess(c, dir, "store", []string{filepath.Join(bin, "standin")}, nil, "--listen", storeAddr, "keyvalue")
 	if err != nil {
 		return cl, err
 	}
@@ -188,7 +189,7 @@
 		name = fmt.Sprintf("plain-%d", domain)
 		args = append(args, "--service", string(plainService), "--prefill", "40ms", "--crash-body", crashBody)
 	}
-	proc, err := newProcess(cl.clock, cl.dir, name, filepath.Join(bin, "standin"), nil, args...)
+	proc, err := newProcess(cl.clock, cl.dir, name, []string{filepath.Join(bin, "standin")}, nil, args...)
 	if err != nil {
 		return err
 	}
@@ -227,7 +228,7 @@
 		if err := os.WriteFile(file, b, 0o600); err != nil {
 			return err
 		}
-		proc, err := newProcess(cl.clock, cl.dir, cfg.Name, filepath.Join(bin, "crocuslug"), []string{secretVariable + "=soak"}, "edge", "--settings", file)
+		proc, err := newProcess(cl.clock, cl.dir, cfg.Name, cl.programs(bin, i), []string{secretVariable + "=soak"}, "edge", "--settings", file)
 		if err != nil {
 			return err
 		}
@@ -239,6 +240,19 @@
 	return nil
 }
 
+// programs returns the programs that the starts of the instance with an index use by turns. With a former
+// program, the instances begin with different ones, and each restart replaces one by the other.
+func (cl *cluster) programs(bin string, index int) []string {
+	program := filepath.Join(bin, "crocuslug")
+	switch {
+	case cl.former == "":
+		return []string{program}
+	case index%2 == 0:
+		return []string{cl.former, program}
+	}
+	return []string{program, cl.former}
+}
+
 // isReady asks an instance for its readiness, as a load balancer does.
 func (in *instance) isReady() bool {
 	c := http.Client{Timeout: 300 * time.Millisecond}
--- a/soak/process.go
+++ b/soak/process.go
@@ -15,7 +15,7 @@
 type process struct {
 	clock clock
 	name  string
-	path  string
+	paths []string // programs that the starts use by turns
 	args  []string // of the next start
 	env   []string
 	log   *os.File
@@ -30,12 +30,12 @@
 	exited     chan struct{} // closed when the program has exited; nil before the first start
 }
 
-func newProcess(c clock, dir, name, path string, env []string, args ...string) (*process, error) {
+func newProcess(c clock, dir, name string, paths []string, env []string, args ...string) (*process, error) {
 	f, err := os.Create(filepath.Join(dir, name+".log"))
 	if err != nil {
 		return nil, err
 	}
-	return &process{clock: c, name: name, path: path, args: args, env: append(os.Environ(), env...), log: f}, nil
+	return &process{clock: c, name: name, paths: paths, args: args, env: append(os.Environ(), env...), log: f}, nil
 }
 
 // start starts the program unless it runs or was stopped for good.
@@ -45,7 +45,7 @@
 	if p.stopped || p.isRunning() {
 		return nil
 	}
-	cmd := exec.Command(p.path, p.args...)
+	cmd := exec.Command(p.paths[p.starts%len(p.paths)], p.args...)
 	cmd.Stdout, cmd.Stderr, cmd.Env = p.log, p.log, p.env
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", p.name, err)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -18,6 +18,7 @@
 	FaultPeriod time.Duration // period in which faults are injected
 	Callers     int           // 0 means 12
 	ProgramDir  string        // directory that contains the programs crocuslug and standin
+	Former      string        // program of an earlier build that instances run by turns with that in ProgramDir; "" for none
 	LogDir      string        // existing directory for logs and settings files
 	NoFault     bool          // injects no faults, as a baseline
 }
@@ -99,7 +100,7 @@
 	go c.Run(clockCtx)
 	s := &Soak{cfg: cfg, clock: c, refused: make(map[string]time.Time)}
 	s.figures = Figures{Seed: cfg.Seed, Statuses: map[int]int{}, Faults: map[string]int{}, Checked: map[string]int{}}
-	cl, err := newCluster(ctx, c, cfg.ProgramDir, cfg.LogDir)
+	cl, err := newCluster(ctx, c, cfg.ProgramDir, cfg.Former, cfg.LogDir)
 	if cl != nil {
 		defer cl.stop()
 	}
