--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -47,7 +47,7 @@
 }
 
 // dialUpstream returns both ends of a connection of a helper to an upstream.
-func dialUpstream(t *testing.T) (helper, upstream *net.TCPConn) {
+func dialUpstream(t testing.TB) (helper, upstream *net.TCPConn) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
