--- a/dispatch/deliver.go
+++ b/dispatch/deliver.go
@@ -21,8 +21,7 @@
 	s.delimited = ans.Delimited()
 	r.Reserve = ans.Reserve
 	limit := s.gaps.FirstTimeout()
-	lastAlive := d.timer.Uptime()
-	defer func() { d.fleet.ReportAlive(id, lastAlive) }()
+	defer func() { d.fleet.ReportAlive(id, ans.AliveAt()) }()
 	for {
 		ans.SetReadDeadline(s.lastPieceAt.Add(limit))
 		p, err := r.NextNew()
@@ -42,7 +41,7 @@
 			s.answering = now
 			d.fleet.ReportStreamStart(id, now)
 		}
-		s.gotPiece, s.pausing, s.lastPieceAt, lastAlive = true, false, now, d.timer.Uptime()
+		s.gotPiece, s.pausing, s.lastPieceAt = true, false, now
 		limit = min(s.gaps.GapTimeout(), s.maxGap)
 		if v, ok := d.deliver(ctx, s, id, ans, p); !ok {
 			return v, false
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -56,16 +56,13 @@
 	}
 }
 
-// probe returns nil if u answers a probe, and errResting if none may be sent.
+// probe returns nil if u answers a probe, and errResting if none may be sent. The answer does not say which
+// upstream gave it, so it is no sign of life of u: another one may have the address by now.
 func (d *Dispatcher) probe(ctx context.Context, u directory.Upstream, now time.Time) error {
 	if !d.rests.TakeProbe(u.ID, now) {
 		return errResting
 	}
-	sent := d.timer.Uptime()
 	_, _, err := d.callUpstream(ctx, u.Address, http.MethodGet, d.protocol.ProbePath, nil, now.Add(probeTimeout))
-	if err == nil {
-		d.fleet.ReportAlive(u.ID, sent)
-	}
 	return err
 }
 
--- a/edge/restart.go
+++ b/edge/restart.go
@@ -46,7 +46,7 @@
 	up, reuse := e.timer.Uptime(), e.cfg.ReuseAfter.Std()
 	if k == fleet.Replaced {
 		// The new process already answers at the address.
-		e.tasks.Go(func() { e.probeRestart(u, lastContact+reuse-reuseMargin) })
+		e.tasks.Go(func() { e.probeRestart(u, lastContact) })
 		return
 	}
 	for _, share := range restartProbeShares {
@@ -55,16 +55,16 @@
 			continue
 		}
 		e.timer.After(at-up, func(time.Time) {
-			e.tasks.Go(func() { e.probeRestart(u, lastContact+reuse-reuseMargin) })
+			e.tasks.Go(func() { e.probeRestart(u, lastContact) })
 		})
 	}
 }
 
 // probeRestart asks the address of a lost upstream which upstream answers there, and registers it
-// under its new id. If the answer comes after limit, an uptime, the former upstream is only recorded as
-// replaced. It does nothing if the store has named a newer upstream at that address, or if the upstream has
-// asked for a rest.
-func (e *Edge) probeRestart(u directory.Upstream, limit time.Duration) {
+// under its new id. If the answer comes too long after lastContact, the uptime of the last contact, another
+// service may have the address, and the former upstream is only recorded as replaced. It does nothing if the
+// store has named a newer upstream at that address, or if the upstream has asked for a rest.
+func (e *Edge) probeRestart(u directory.Upstream, lastContact time.Duration) {
 	if e.registry.ByAddress(u.Address).ID != u.ID || !e.rests.TakeProbe(u.ID, e.timer.Now()) {
 		return
 	}
@@ -87,9 +87,10 @@
 		return
 	}
 	now := e.timer.Now()
-	if e.timer.Uptime() >= limit {
+	since := e.timer.Uptime() - lastContact
+	if since >= e.cfg.ReuseAfter.Std()-reuseMargin {
 		e.fleet.ReportReplaced(u.ID, u.Revision, now)
-		e.log.Info().Str("Upstream", string(u.ID)).Str("Address", u.Address).Str("Now", string(id)).Msg("probe found an upstream replaced")
+		e.log.Info().Str("Upstream", string(u.ID)).Str("Address", u.Address).Str("Now", string(id)).Dur("SinceContactMs", since).Msg("probe found an upstream replaced")
 		return
 	}
 	if !e.registry.RecordRestart(u.ID, id, now) {
@@ -98,7 +99,7 @@
 	e.mu.Lock()
 	e.restarts = append(e.restarts, restart{u.ID, id, now.Add(restartReportTime)})
 	e.mu.Unlock()
-	e.log.Info().Str("Upstream", string(id)).Str("Former", string(u.ID)).Str("Address", u.Address).Msg("probe found a restarted upstream while the store does not list it")
+	e.log.Info().Str("Upstream", string(id)).Str("Former", string(u.ID)).Str("Address", u.Address).Dur("SinceContactMs", since).Msg("probe found a restarted upstream while the store does not list it")
 	e.publish(now)
 }
 
--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -41,6 +41,11 @@
 	return n, err
 }
 
+// AliveAt returns an uptime of this machine, as by timer.Service.Uptime, after which the upstream was still
+// alive: it sent something later that has been read. The time at which data is read shows nothing, since
+// data waits while this process is paused or the caller takes no more.
+func (a *Answer) AliveAt() time.Duration { return a.cn.arrivals.sentAfter }
+
 func (a *Answer) readError(err error) error {
 	if reason := a.client.buffers.reason(&a.memory); reason != nil {
 		return reason
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -43,6 +43,7 @@
 // which tells the upstream that the answer is no longer needed. The error is of class NotSent or
 // Broken.
 func (c *Client) Do(ctx context.Context, address string, r *Request) (*Answer, error) {
+	began := c.timer.Uptime()
 	cn, err := c.connect(ctx, address, r.Fresh)
 	if err != nil {
 		return nil, NotSent.Wrap(err)
@@ -53,6 +54,7 @@
 			return nil, NotSent.Wrap(err)
 		}
 	}
+	cn.arrivals.begin(began)
 	stop := context.AfterFunc(ctx, cn.abort)
 	cn.setReadDeadline(r.AnswerBy)
 	cn.extend = r.Extend
@@ -161,7 +163,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(nc, address, c.cfg), nil
+	return newConn(nc, address, c.cfg, c.timer.Uptime), nil
 }
 
 // takeIdle removes and returns the most recently used idle connection to address, or nil if there
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -60,14 +60,16 @@
 	bw          *bufio.Writer
 	headLimit   *io.LimitedReader // source of br; bounds the head of an answer
 	maxHeader   int64
-	written     atomic.Int64     // bytes passed to the kernel
-	extend      func() time.Time // Request.Extend of the exchange in progress; nil if there is none
+	uptime      func() time.Duration // of this machine
+	written     atomic.Int64         // bytes passed to the kernel
+	extend      func() time.Time     // Request.Extend of the exchange in progress; nil if there is none
+	arrivals    arrivals
 	idleSince   time.Time
 	idleTimeout time.Duration // how long the connection may stay idle
 }
 
-func newConn(nc net.Conn, address string, cfg Settings) *conn {
-	cn := &conn{Conn: nc, address: address, maxHeader: int64(cfg.MaxHeader)}
+func newConn(nc net.Conn, address string, cfg Settings, uptime func() time.Duration) *conn {
+	cn := &conn{Conn: nc, address: address, maxHeader: int64(cfg.MaxHeader), uptime: uptime}
 	cn.headLimit = &io.LimitedReader{R: patientReader{cn}, N: unlimited}
 	cn.br = bufio.NewReaderSize(cn.headLimit, readBuffer)
 	cn.bw = bufio.NewWriterSize(countingWriter{cn}, writeBuffer)
@@ -99,7 +101,7 @@
 // Read reads from the connection until its read deadline passes and is not extended.
 func (p patientReader) Read(b []byte) (int, error) {
 	for {
-		n, err := p.cn.Conn.Read(b)
+		n, err := p.cn.receive(b)
 		if n > 0 || p.cn.extend == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
