--- a/edge/catchup.go
+++ b/edge/catchup.go
@@ -63,7 +63,7 @@
 // catchUp asks a peer for the changes that this instance lacks and applies them. A newer
 // configuration is fetched separately, so that it does not hold up the changes of upstreams.
 func (e *Edge) catchUp(from ident.Instance) {
-	began := e.timer.Uptime()
+	began, asked := e.timer.Uptime(), e.timer.Now()
 	q := changesRequest{Seen: e.view.Seen(), Configuration: e.configurationVersion(), OmitConfiguration: true}
 	c, err := e.requestChanges(from, q, callTimeout)
 	if err != nil {
@@ -86,7 +86,7 @@
 			e.logRegistered(u, "peer "+string(from))
 		}
 	}
-	e.logRemovals(e.registry.Merge(c.Changes, c.Seen, now), c.Seen, "peer "+string(from))
+	e.logRemovals(e.registry.Merge(c.Changes, c.Seen, asked, now), c.Seen, "peer "+string(from))
 	e.view.ConfirmThrough(c.Seen, c.decode(), began, e.timer.Uptime())
 	e.publish(now)
 	e.meters.Count("Store.CaughtUp", 1)
@@ -140,7 +140,7 @@
 func (e *Edge) changesSince(q changesRequest) changes {
 	// The version is read before the entries, which must not be older.
 	c := changes{Seen: e.view.Seen(), confirmation: encodeConfirmation(e.view.Confirmation(e.timer.Uptime()))}
-	c.Changes = e.registry.Since(q.Seen)
+	c.Changes = e.registry.Since(q.Seen, e.timer.Now())
 	if cur := e.current.Load(); cur != nil {
 		c.InForce = cur.Version
 		if !q.OmitConfiguration && cur.Version > q.Configuration {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -139,7 +139,7 @@
 		timer:          t,
 		log:            log.With().Str("Instance", cfg.Name).Str("Domain", string(cfg.Domain)).Logger(),
 		view:           storeview.New(storeview.Settings{MaxAge: time.Duration(maxAgeShare * float64(cfg.Drain))}, max(1, randomSeed())),
-		registry:       registry.New(registry.Settings{}),
+		registry:       registry.New(registry.Settings{Drain: cfg.Drain.Std()}),
 		exchange:       exchange.New(exchange.Settings{}, t),
 		poison:         poison.New(),
 		upstreamLimits: upstreamlimit.New(),
@@ -156,6 +156,7 @@
 
 		silentIssuers: make(map[ident.Instance]silentIssuer),
 	}
+	e.registry.Known = func(now time.Time) time.Time { return now.Add(-e.view.Age(t.Uptime())) }
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.DialUpstream = e.exchange.Dial
 	e.exchange.Dial = e.connectUpstream
--- a/registry/order_test.go
+++ b/registry/order_test.go
@@ -136,14 +136,14 @@
 			},
 			"peer reports": func(t *rapid.T) {
 				since := store.Version(rapid.IntRange(0, len(h.changes)).Draw(t, "since"))
-				reports = append(reports, report{peer.Since(since), peer.seen})
+				reports = append(reports, report{peer.Since(since, now), peer.seen})
 			},
 			"report arrives": func(t *rapid.T) {
 				if len(reports) == 0 {
 					return
 				}
 				r := rapid.SampledFrom(reports).Draw(t, "report")
-				f.told(r.changes.Upstreams, f.Merge(r.changes, r.at, now), r.at)
+				f.told(r.changes.Upstreams, f.Merge(r.changes, r.at, now, now), r.at)
 			},
 			"outage begins": func(*rapid.T) { f.SetStoreUnavailable(true, now) },
 			"outage ends":   func(*rapid.T) { f.SetStoreUnavailable(false, now) },
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -27,17 +27,24 @@
 	"crocuslug/directory"
 	"crocuslug/ident"
 	"crocuslug/store"
+	"crocuslug/unit"
 )
 
 // Settings configures a Registry. Zero fields take the defaults.
 type Settings struct {
 	GracePeriod time.Duration // time for which a lapsed entry is kept after an outage; 0 means 2s
+	Drain       time.Duration // time after its removal from which an upstream must get no requests; 0 means 2s
 }
 
 // defaultGracePeriod is the time after an outage within which live upstreams register again,
 // as specified by the platform.
 const defaultGracePeriod = 2 * time.Second
 
+const defaultDrain = 2 * time.Second
+
+// lapseMargin is the part of Settings.Drain that is kept for Expire to be called and for requests under way.
+const lapseMargin = 250 * time.Millisecond
+
 // removalMemory is the time for which the revision of a removal is remembered. It exceeds the time
 // that reading all entries takes.
 const removalMemory = time.Minute
@@ -48,6 +55,10 @@
 // Registry is the list of registered upstreams as last read. Its methods are safe for
 // concurrent use.
 type Registry struct {
+	// Known returns a time up to which this instance has applied all changes of the store. It must not
+	// call methods of the Registry and must be set before the first use; nil means that it is not known.
+	Known func(now time.Time) time.Time
+
 	mu          sync.Mutex
 	cfg         Settings
 	upstreams   map[ident.Upstream]directory.Upstream
@@ -56,6 +67,7 @@
 	leaving     map[ident.Upstream]departure
 	unavailable bool          // the store cannot be read
 	outageEnd   time.Time     // end of the last outage
+	currentFrom time.Time     // end of the last outage that made the knowledge of the store too old
 	copied      store.Version // first version known of the present era; 0 in the first era known
 	era         uint64        // of the store
 	eraKnown    bool          // era is set
@@ -86,6 +98,9 @@
 	if cfg.GracePeriod <= 0 {
 		cfg.GracePeriod = defaultGracePeriod
 	}
+	if cfg.Drain <= 0 {
+		cfg.Drain = defaultDrain
+	}
 	return &Registry{
 		cfg:       cfg,
 		upstreams: make(map[ident.Upstream]directory.Upstream),
@@ -105,7 +120,7 @@
 	}
 	r.unavailable = unavailable
 	if !unavailable {
-		r.outageEnd = now
+		r.outageEnd, r.currentFrom = now, now
 		for id, l := range r.lapsed {
 			l.until = now.Add(r.cfg.GracePeriod)
 			r.lapsed[id] = l
@@ -218,7 +233,7 @@
 	case !r.eraKnown:
 		r.era, r.eraKnown = era, true
 	case era > r.era:
-		r.era, r.copied, r.outageEnd = era, at, now
+		r.era, r.copied, r.outageEnd, r.currentFrom = era, at, now, now
 	}
 }
 
@@ -249,14 +264,26 @@
 		out.Gone = append(out.Gone, id)
 		return
 	}
-	r.keepLapsed(id, lapse{at, r.outageEnd.Add(r.cfg.GracePeriod)}, out)
+	r.keepLapsed(id, lapse{at, r.outageEnd.Add(r.cfg.GracePeriod)}, now, out)
 }
 
-// keepLapsed keeps an entry for its grace period, unless it is kept already. r.mu must be held.
-func (r *Registry) keepLapsed(id ident.Upstream, l lapse, out *Removals) {
+// keepLapsed keeps an entry for its grace period, unless it is kept already. If the knowledge of the store
+// was current, the removal may be as old as the last confirmation of that knowledge, and the entry is kept
+// no longer than an upstream that left then may be used. r.mu must be held.
+func (r *Registry) keepLapsed(id ident.Upstream, l lapse, now time.Time, out *Removals) {
 	if _, ok := r.lapsed[id]; ok {
 		return
 	}
+	if r.Known != nil && !r.unavailable && now.Sub(r.currentFrom) > r.cfg.GracePeriod {
+		if last := r.Known(now).Add(r.cfg.Drain - lapseMargin); l.until.After(last) {
+			l.until = last
+		}
+	}
+	if !r.unavailable && !l.until.After(now) {
+		r.drop(id, l.at, now)
+		out.Gone = append(out.Gone, id)
+		return
+	}
 	r.lapsed[id] = l
 	out.Lapsed = append(out.Lapsed, id)
 }
@@ -300,10 +327,12 @@
 	Upstreams []directory.Upstream // changed since the revision
 	All       []ident.Upstream     // ids of all entries
 	Lapsed    []ident.Upstream     `json:",omitempty"` // ids of those that are kept for their grace period
+	// LapsedFor is what is left of these periods. Instances of earlier builds do not send it.
+	LapsedFor map[ident.Upstream]unit.Duration `json:",omitempty"`
 }
 
 // Since returns the changes since a revision.
-func (r *Registry) Since(revision store.Version) Changes {
+func (r *Registry) Since(revision store.Version, now time.Time) Changes {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var c Changes
@@ -312,16 +341,34 @@
 		if u.Revision > revision {
 			c.Upstreams = append(c.Upstreams, u)
 		}
-		if _, ok := r.lapsed[u.ID]; ok {
-			c.Lapsed = append(c.Lapsed, u.ID)
+		if l, ok := r.lapsed[u.ID]; ok {
+			c.addLapsed(u.ID, r.left(l, now))
 		}
 	}
 	return c
 }
 
-// Merge applies the changes that another instance knew at a revision. That instance could read the
-// store, so what it does not list was removed, unless this instance has just had an outage itself.
-func (r *Registry) Merge(c Changes, at store.Version, now time.Time) Removals {
+// left returns what is left of a grace period, which begins when the outage ends. r.mu must be held.
+func (r *Registry) left(l lapse, now time.Time) time.Duration {
+	if r.unavailable {
+		return r.cfg.GracePeriod
+	}
+	return max(0, l.until.Sub(now))
+}
+
+// addLapsed adds an entry that is kept for the time left.
+func (c *Changes) addLapsed(id ident.Upstream, left time.Duration) {
+	if c.LapsedFor == nil {
+		c.LapsedFor = make(map[ident.Upstream]unit.Duration)
+	}
+	c.Lapsed = append(c.Lapsed, id)
+	c.LapsedFor[id] = unit.Duration(left)
+}
+
+// Merge applies the changes that another instance knew at a revision when it was asked. That instance could
+// read the store, so what it does not list was removed, unless this instance has just had an outage itself.
+// What it keeps for a grace period is kept here until the same time.
+func (r *Registry) Merge(c Changes, at store.Version, asked, now time.Time) Removals {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.enterEra(at, now)
@@ -344,8 +391,12 @@
 		}
 	}
 	for _, id := range c.Lapsed {
+		left, stated := c.LapsedFor[id]
+		if !stated {
+			left = unit.Duration(r.cfg.GracePeriod)
+		}
 		if u, known := r.upstreams[id]; known && u.Revision <= at {
-			r.keepLapsed(id, lapse{at, now.Add(r.cfg.GracePeriod)}, &out)
+			r.keepLapsed(id, lapse{at, asked.Add(left.Std())}, now, &out)
 		}
 	}
 	return out
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -25,7 +25,10 @@
 //	remove ID REVISION
 //	replaced ID REVISION yes|no its entry names no upstream any more; whether it was registered
 //	replace REVISION [ID ...]   the contents of the store; entries keep their address
-//	merge REVISION [ID ...]     the ids known to another instance; lapsed ones follow a "/"
+//	merge REVISION [ID ...]     the ids known to another instance; lapsed ones follow a "/", as ID or ID=MS with
+//	                            what is left of the grace period
+//	known MS                    the time up to which all changes are applied
+//	left ID MS                  checks what is told to others of the grace period of an entry
 //	update ID REVISION         changes what replace and merge give for an entry, here not known yet
 //	outage                     the end of a short outage
 //
@@ -108,14 +111,27 @@
 				c.Upstreams = append(c.Upstreams, known[ident.Upstream(id)])
 				c.All = append(c.All, ident.Upstream(id))
 			}
-			for _, id := range lapsed {
-				c.All = append(c.All, ident.Upstream(id))
-				c.Lapsed = append(c.Lapsed, ident.Upstream(id))
+			for _, text := range lapsed {
+				name, left, stated := strings.Cut(text, "=")
+				id := ident.Upstream(name)
+				c.All = append(c.All, id)
+				if stated {
+					c.addLapsed(id, time.Duration(number(t, left))*time.Millisecond)
+				} else {
+					c.Lapsed = append(c.Lapsed, id)
+				}
 			}
 			if w[0] == "replace" {
 				r.ReplaceAll(c.Upstreams, version(t, w[1]), now)
 			} else {
-				r.Merge(c, version(t, w[1]), now)
+				r.Merge(c, version(t, w[1]), now, now)
+			}
+		case "known":
+			known := start.Add(time.Duration(number(t, w[1])) * time.Millisecond)
+			r.Known = func(time.Time) time.Time { return known }
+		case "left":
+			if got := r.Since(0, now).LapsedFor[ident.Upstream(w[1])].Std().Milliseconds(); got != int64(number(t, w[2])) {
+				t.Errorf("line %d: grace period left: got %d, want %s", n+1, got, w[2])
 			}
 		case "update":
 			u := known[ident.Upstream(w[1])]
