--- a/builds/builds.go
+++ b/builds/builds.go
@@ -9,8 +9,9 @@
 //
 // Only services with several builds need this. Instances tell holders of a stream from the time at
 // which they know of a second build. A holder that does not know a stream, although it has run since
-// before that time, states the only build that there was before: the stream began at that one. No
-// other build is ever assumed.
+// before that time, states the only build that there was before. It may not be one of those that were told,
+// so that this counts only if a quorum of the holders states the same: then the stream began at that build.
+// No other build is ever assumed.
 package builds
 
 import (
@@ -51,6 +52,8 @@
 type Statement struct {
 	Known bool        // the holder was told the build of the stream
 	Build ident.Build // that build, or else the only one of the service before streams were told; "" if not known
+	// Several says that the holder knows of several builds of the service. Earlier builds do not send it.
+	Several bool `json:",omitempty"`
 }
 
 // State says that a service has or had several builds, as one instance tells another.
@@ -308,32 +311,51 @@
 		return Statement{Known: true, Build: r.build}
 	}
 	s, ok := t.services[name]
-	if !ok || !t.forgot.IsZero() && now.Sub(t.forgot) <= t.cfg.Life {
+	if !ok {
 		return Statement{}
 	}
+	if !t.forgot.IsZero() && now.Sub(t.forgot) <= t.cfg.Life {
+		return Statement{Several: s.several}
+	}
 	s.update(t.cfg.Life, now)
 	switch {
 	case !s.several && now.Sub(s.since) >= t.cfg.Settle:
 		return Statement{Build: s.only}
 	case s.several && now.Sub(s.began) <= t.cfg.Life:
-		return Statement{Build: s.before}
+		return Statement{Build: s.before, Several: true}
 	}
-	return Statement{}
+	return Statement{Several: s.several}
 }
 
-// minAgreeing is the number of holders that must state the same build of a stream that none of them
-// was told of. A stream is told to at least three if there are as many.
-const minAgreeing = 2
+// SeveralFor returns the time for which a service is known to have several builds, or 0 if it has one.
+func (t *Tracker) SeveralFor(name ident.Service, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.services[name]; ok && s.several {
+		return now.Sub(s.began)
+	}
+	return 0
+}
 
-// Conclude returns the build of a stream from the statements of its holders, of which there are
-// holders at most. It returns false if they do not tell.
-func Conclude(statements []Statement, holders int) (ident.Build, bool) {
+// Quorum returns how many of the holders of a stream must say that they were not told of it to show that
+// none was, if told of them are told: any two such sets have a member in common.
+func Quorum(holders, told int) int {
+	told = min(told, holders-1) // the instance that tells may be one of them
+	return min(holders, holders-told+1)
+}
+
+// Conclude returns the build of a stream from the statements of its holders. A quorum of them must state the
+// same build if none was told of the stream. It returns false if they do not tell.
+func Conclude(statements []Statement, quorum int) (ident.Build, bool) {
 	var build ident.Build
 	agreeing := 0
 	for _, s := range statements {
-		switch {
-		case s.Known:
+		if s.Known {
 			return s.Build, true
+		}
+	}
+	for _, s := range statements {
+		switch {
 		case s.Build == "":
 		case agreeing > 0 && s.Build != build:
 			return "", false
@@ -342,7 +364,7 @@
 			agreeing++
 		}
 	}
-	return build, agreeing >= max(1, min(minAgreeing, holders))
+	return build, agreeing >= max(1, quorum)
 }
 
 // Report returns the services with several builds, for other instances.
--- a/builds/script_test.go
+++ b/builds/script_test.go
@@ -116,10 +116,11 @@
 	return "no"
 }
 
-// TestConclude guards against a build that is assumed though the holders do not agree on it, and against
-// one that is refused though a holder knows it.
+// TestConclude guards against a build that is assumed though holders that may have been told of the stream do not
+// state it, and against one that is refused though a holder knows it.
 func TestConclude(t *testing.T) {
-	known, before, other, nothing := Statement{true, "v2"}, Statement{false, "v1"}, Statement{false, "v3"}, Statement{}
+	known, before, other, nothing := Statement{Known: true, Build: "v2"}, Statement{Build: "v1"}, Statement{Build: "v3"}, Statement{}
+	const told = 3
 	tests := []struct {
 		statements []Statement
 		holders    int
@@ -128,14 +129,21 @@
 	}{
 		{[]Statement{known}, 6, "v2", true},
 		{[]Statement{before, before, known}, 6, "v2", true},
-		{[]Statement{before, before, nothing}, 6, "v1", true},
-		{[]Statement{before, nothing, nothing}, 6, "v1", false},
-		{[]Statement{before, before, other}, 6, "", false},
+		{[]Statement{before, other, known}, 6, "v2", true},
+		{[]Statement{before, before, before, before, nothing}, 6, "v1", true},
+		{[]Statement{before, before, before, nothing, nothing, nothing}, 6, "", false},
+		{[]Statement{before, before, nothing}, 6, "", false},
+		{[]Statement{before, nothing, nothing}, 6, "", false},
+		{[]Statement{before, before, before, before, other}, 6, "", false},
+		{[]Statement{before, before}, 4, "v1", true},
+		{[]Statement{before}, 4, "", false},
+		{[]Statement{before, before}, 2, "v1", true},
+		{[]Statement{before}, 2, "", false},
 		{[]Statement{before}, 1, "v1", true},
 		{nil, 0, "", false},
 	}
 	for _, tc := range tests {
-		got, found := Conclude(tc.statements, tc.holders)
+		got, found := Conclude(tc.statements, Quorum(tc.holders, told))
 		if found != tc.found || found && got != tc.want {
 			t.Errorf("%v of %d: got %q, %t, want %q, %t", tc.statements, tc.holders, got, found, tc.want, tc.found)
 		}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -93,6 +93,8 @@
 	toldVersion store.Version // store version in the last digests
 	farPeers    int           // number of peers in other failure domains
 	restarts    []restart     // restarts of upstreams that this instance found recently
+	lastTick    time.Duration // uptime of the last tick
+	resumed     time.Duration // uptime at which the process ran again after its last pause; 0 if it was not paused
 
 	recordedBuilds map[ident.Service]bool // services that the store names as having several builds
 
@@ -138,7 +140,7 @@
 		ports:          ports,
 		timer:          t,
 		log:            log.With().Str("Instance", cfg.Name).Str("Domain", string(cfg.Domain)).Logger(),
-		view:           storeview.New(storeview.Settings{MaxAge: time.Duration(maxAgeShare * float64(cfg.Drain))}, max(1, randomSeed())),
+		view:           storeview.New(storeview.Settings{MaxAge: maxAge(cfg.Drain.Std())}, max(1, randomSeed())),
 		registry:       registry.New(registry.Settings{Drain: cfg.Drain.Std()}),
 		exchange:       exchange.New(exchange.Settings{}, t),
 		poison:         poison.New(),
@@ -300,6 +302,7 @@
 
 // tick updates the state of upstreams, waiting requests and crashes that changes with time.
 func (e *Edge) tick(now time.Time) {
+	e.recordTick()
 	e.updateStoreAvailability(now)
 	for _, id := range e.registry.Expire(now) {
 		e.log.Info().Str("Upstream", string(id)).Msg("upstream did not register again after the outage")
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -110,6 +110,9 @@
 // pause and a call, by what digests take; the rest is for the call.
 const maxAgeShare = 0.85
 
+// maxAge returns that age for a time to react to leaving upstreams.
+func maxAge(drain time.Duration) time.Duration { return time.Duration(maxAgeShare * float64(drain)) }
+
 // errOverdueWatch is the reason for which the store counts as lost while a watch has no answer.
 var errOverdueWatch = errs.New("watch has no answer")
 
