--- a/edge/edge.go
+++ b/edge/edge.go
@@ -36,6 +36,7 @@
 	"crocuslug/timer"
 	"crocuslug/unit"
 	"crocuslug/upstreamlimit"
+	"crocuslug/work"
 )
 
 // Edge is one instance.
@@ -326,11 +327,24 @@
 // streams. A stream takes most of the rest.
 const streamStartShare = 0.12
 
-// tooLateToStream reports whether the shutdown of the instance would cut a stream that starts now.
-func (e *Edge) tooLateToStream(now time.Time) bool {
-	return e.leaving.Load() && now.UnixNano()-e.leaveBegan.Load() > int64(streamStartShare*float64(e.cfg.Grace))
+// tooLate reports whether the shutdown of the instance may cut a request that was read at the time now. A
+// stream takes most of the grace period. Other requests come late only on connections that are kept open
+// because their callers were still sending; until the listener is closed, they have as long as the callers
+// of all instances that leave.
+func (e *Edge) tooLate(w *work.Work, now time.Time) bool {
+	if !e.leaving.Load() {
+		return false
+	}
+	began, grace := time.Unix(0, e.leaveBegan.Load()), e.cfg.Grace.Std()
+	if w.Route.Kind == directory.Streaming {
+		return now.Sub(began) > time.Duration(streamStartShare*float64(grace))
+	}
+	return now.Sub(began) >= e.closeAfter() && w.Deadline.After(began.Add(grace-killMargin))
 }
 
+// closeAfter returns the time after the begin of a planned shutdown when connections are accepted no more.
+func (e *Edge) closeAfter() time.Duration { return min(closeDelay, e.cfg.Grace.Std()/2) }
+
 // Leave shuts the instance down in a planned way: it stops accepting connections after a delay, in
 // which the load balancer notices, and waits for the requests in progress to end, up to the grace
 // period.
@@ -341,7 +355,7 @@
 	e.server.Leave()
 	e.log.Info().Int("Connections", e.server.Open()).Msg("leaving")
 	e.tasks.Go(e.handOverOrigins)
-	e.sleep(min(closeDelay, e.cfg.Grace.Std()/2))
+	e.sleep(e.closeAfter())
 	e.server.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/edge/requests.go
+++ b/edge/requests.go
@@ -59,8 +59,8 @@
 	e.log.Info().Str("Request", string(w.ID)).Str("Route", w.Route.Name).Stringer("Kind", w.Route.Kind).Str("Service", string(w.Service.Name)).
 		Str("Workspace", string(w.Workspace)).Uint64("Configuration", d.Version).Dur("ConfigurationAgeMs", c.Arrived.Sub(d.since)).
 		Dur("LimitMs", w.Deadline.Sub(c.Arrived)).Uint64("Content", w.Fingerprint).Msg("request taken")
-	if w.Route.Kind == directory.Streaming && e.tooLateToStream(c.Arrived) {
-		e.sendFailure(c, &desc, d.Version, result.New(result.InstanceLeaving, "this instance is leaving and would end before the stream").After(retryElsewhere))
+	if e.tooLate(w, c.Arrived) {
+		e.sendFailure(c, &desc, d.Version, result.New(result.InstanceLeaving, "this instance is leaving and may end before the answer").After(retryElsewhere))
 		return
 	}
 	if w.Route.Kind == directory.Streaming {
