--- a/builds/builds.go
+++ b/builds/builds.go
@@ -327,6 +327,16 @@
 	return Statement{Several: s.several}
 }
 
+// Before returns the only build of a service before it had several, or "" if it has one or that is not known.
+func (t *Tracker) Before(name ident.Service) ident.Build {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.services[name]; ok && s.several {
+		return s.before
+	}
+	return ""
+}
+
 // SeveralFor returns the time for which a service is known to have several builds, or 0 if it has one.
 func (t *Tracker) SeveralFor(name ident.Service, now time.Time) time.Duration {
 	t.mu.Lock()
--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -57,20 +57,21 @@
 // testDependencies returns the dependencies of a dispatcher whose choices are not random.
 func testDependencies(p work.Protocol, f *fleet.Fleet, c *exchange.Client, clock *timer.Service, log zerolog.Logger) Dependencies {
 	return Dependencies{
-		Protocol: p,
-		Fleet:    f,
-		Client:   c,
-		Poison:   poison.New(),
-		Limits:   upstreamlimit.New(),
-		Rests:    cooldown.New(func() uint64 { return 0 }),
-		Builds:   builds.New(builds.Settings{}, clock.Now()),
-		CutOff:   func(ident.Domain) (bool, bool) { return false, false },
-		Leaves:   func(directory.Upstream, ident.Request) {},
-		Meters:   meter.New(clock),
-		Budget:   retry.Settings{Burst: 100, MaxAttempts: 8},
-		Timer:    clock,
-		Random:   func() uint64 { return 0 },
-		Log:      log,
+		Protocol:    p,
+		Fleet:       f,
+		Client:      c,
+		Poison:      poison.New(),
+		Limits:      upstreamlimit.New(),
+		Rests:       cooldown.New(func() uint64 { return 0 }),
+		Builds:      builds.New(builds.Settings{}, clock.Now()),
+		PreferBuild: func(ident.Service) *ident.Build { return nil },
+		CutOff:      func(ident.Domain) (bool, bool) { return false, false },
+		Leaves:      func(directory.Upstream, ident.Request) {},
+		Meters:      meter.New(clock),
+		Budget:      retry.Settings{Burst: 100, MaxAttempts: 8},
+		Timer:       clock,
+		Random:      func() uint64 { return 0 },
+		Log:         log,
 	}
 }
 
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -51,6 +51,7 @@
 	askPermits func(ctx context.Context, r upstreamlimit.Request) (upstreamlimit.Answer, error)
 	tellOrigin func(r builds.Record) (told <-chan struct{})
 	findOrigin func(ctx context.Context, w *work.Work) (build *ident.Build, found bool)
+	prefer     func(service ident.Service) *ident.Build
 	cutOff     func(domain ident.Domain) (cut, doubtful bool)
 	leaves     func(u directory.Upstream, request ident.Request)
 	tellRest   func(helper ident.Instance, u directory.Upstream, rest time.Duration)
@@ -80,6 +81,9 @@
 	// FindOrigin returns the build at which a stream began that its caller takes up, nil if the
 	// upstreams of the service name none, and false if it is not known.
 	FindOrigin func(ctx context.Context, w *work.Work) (build *ident.Build, found bool)
+	// PreferBuild returns the build at which new streams begin if it has an upstream for them, or nil if any
+	// will do.
+	PreferBuild func(service ident.Service) *ident.Build
 	// CutOff reports whether this instance is cut off from the upstreams of a failure domain, and
 	// whether it may be.
 	CutOff func(domain ident.Domain) (cut, doubtful bool)
@@ -109,6 +113,7 @@
 		builds:         p.Builds,
 		tellOrigin:     p.TellOrigin,
 		findOrigin:     p.FindOrigin,
+		prefer:         p.PreferBuild,
 		cutOff:         p.CutOff,
 		leaves:         p.Leaves,
 		tellRest:       p.TellRest,
@@ -288,6 +293,13 @@
 // pickOutside picks an upstream outside a failure domain, or in it if there is no other. If
 // request.MaxBacklog is 0, it picks a full one if there is no other.
 func (d *Dispatcher) pickOutside(request fleet.PickRequest, avoid ident.Domain, now time.Time) (directory.Upstream, routing.Kind) {
+	if preferred := d.prefer(request.Service); preferred != nil && request.Build == nil {
+		narrowed := request
+		narrowed.Build = preferred
+		if u, kind := d.fleet.Pick(narrowed, now); kind == routing.Send {
+			return u, kind
+		}
+	}
 	u, kind := d.fleet.Pick(request, now)
 	if kind != routing.Send && avoid != "" {
 		request.ExcludeDomain = ""
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -94,6 +94,7 @@
 	toldVersion store.Version // store version in the last digests
 	farPeers    int           // number of peers in other failure domains
 	restarts    []restart     // restarts of upstreams that this instance found recently
+	untoldAt    time.Time     // when too few holders of a stream were told last
 	lastTick    time.Duration // uptime of the last tick
 	resumed     time.Duration // uptime at which the process ran again after its last pause; 0 if it was not paused
 
@@ -190,13 +191,14 @@
 		Limits:   e.upstreamLimits,
 		Rests:    e.rests,
 
-		AskPermits: e.askPermits,
-		Builds:     e.builds,
-		TellOrigin: e.tellOrigin,
-		FindOrigin: e.findOrigin,
-		CutOff:     e.doubt,
-		Leaves:     e.recordLeaving,
-		TellRest:   e.tellRest,
+		AskPermits:  e.askPermits,
+		Builds:      e.builds,
+		TellOrigin:  e.tellOrigin,
+		PreferBuild: e.preferredBuild,
+		FindOrigin:  e.findOrigin,
+		CutOff:      e.doubt,
+		Leaves:      e.recordLeaving,
+		TellRest:    e.tellRest,
 
 		Meters: e.meters,
 		Budget: e.budget(),
--- a/edge/holders_test.go
+++ b/edge/holders_test.go
@@ -157,3 +157,35 @@
 		t.Errorf("streams known at %s: got %d, want %d", e.self, e.builds.Records(), streams)
 	}
 }
+
+// TestFormerBuildWhileUntellable guards against streams that begin at a new software version at an instance that can
+// tell nobody of it: others would state the former one.
+func TestFormerBuildWhileUntellable(t *testing.T) {
+	tests := []struct {
+		name   string
+		ago    time.Duration // since the last digests of the other instances
+		untold bool          // holders did not answer lately
+		want   bool
+	}{
+		{"in touch", 0, false, false},
+		{"no digests", time.Minute, false, true},
+		{"holders do not answer", 0, true, true},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			list := []*Edge{newHolder(t, timer.New())}
+			meet(list, 5, tc.ago)
+			if got := list[0].preferredBuild("s"); got != nil {
+				t.Errorf("with one build: got %q, want none", *got)
+			}
+			learn(list, time.Second)
+			if tc.untold {
+				list[0].recordUntold()
+			}
+			got := list[0].preferredBuild("s")
+			if (got != nil) != tc.want || got != nil && *got != "v1" {
+				t.Errorf("build of new streams: got %v, want v1: %t", got, tc.want)
+			}
+		})
+	}
+}
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -125,12 +125,39 @@
 			tell(holders[first:])
 			missing = e.awaitHolders(confirmed, missing, tellOriginTimeout/2)
 		}
+		if missing > 0 {
+			e.recordUntold()
+		}
 		close(told)
 		e.tellAgain(r, holders, confirmed, missing)
 	})
 	return told
 }
 
+// recordUntold records that too few holders of a stream were told before its first piece was passed on.
+func (e *Edge) recordUntold() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.untoldAt = e.timer.Now()
+}
+
+// preferredBuild returns the build at which new streams begin while this instance can tell too few holders: the
+// only one before the service had several, which holders state of streams that they were not told of. It returns
+// nil if any build will do.
+func (e *Edge) preferredBuild(service ident.Service) *ident.Build {
+	before := e.builds.Before(service)
+	if before == "" {
+		return nil
+	}
+	now := e.timer.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.peers) == 0 || e.inTouch(now) && now.Sub(e.untoldAt) > inStepWindow {
+		return nil
+	}
+	return &before
+}
+
 // tellHolder tells an instance of a stream and passes it on to confirmed if it knows the stream then.
 func (e *Edge) tellHolder(id ident.Instance, r builds.Record, confirmed chan<- ident.Instance) {
 	ctx, cancel := context.WithTimeout(e.ctx, retellInterval)
@@ -329,6 +356,12 @@
 	if current {
 		return true
 	}
+	return e.inTouch(now)
+}
+
+// inTouch reports whether this instance hears at least half of the digests that it expects. The caller holds
+// e.mu.
+func (e *Edge) inTouch(now time.Time) bool {
 	const rounds = int(inStepWindow / digestInterval)
 	near, far, heard := 0, 0, 0
 	for _, p := range e.peers {
