--- a/registry/registry.go
+++ b/registry/registry.go
@@ -27,7 +27,6 @@
 	"crocuslug/directory"
 	"crocuslug/ident"
 	"crocuslug/store"
-	"crocuslug/unit"
 )
 
 // Settings configures a Registry. Zero fields take the defaults.
@@ -322,86 +321,6 @@
 	return out
 }
 
-// Changes is what has changed since a revision, as one instance tells another.
-type Changes struct {
-	Upstreams []directory.Upstream // changed since the revision
-	All       []ident.Upstream     // ids of all entries
-	Lapsed    []ident.Upstream     `json:",omitempty"` // ids of those that are kept for their grace period
-	// LapsedFor is what is left of these periods. Instances of earlier builds do not send it.
-	LapsedFor map[ident.Upstream]unit.Duration `json:",omitempty"`
-}
-
-// Since returns the changes since a revision.
-func (r *Registry) Since(revision store.Version, now time.Time) Changes {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var c Changes
-	for _, u := range r.newest() {
-		c.All = append(c.All, u.ID)
-		if u.Revision > revision {
-			c.Upstreams = append(c.Upstreams, u)
-		}
-		if l, ok := r.lapsed[u.ID]; ok {
-			c.addLapsed(u.ID, r.left(l, now))
-		}
-	}
-	return c
-}
-
-// left returns what is left of a grace period, which begins when the outage ends. r.mu must be held.
-func (r *Registry) left(l lapse, now time.Time) time.Duration {
-	if r.unavailable {
-		return r.cfg.GracePeriod
-	}
-	return max(0, l.until.Sub(now))
-}
-
-// addLapsed adds an entry that is kept for the time left.
-func (c *Changes) addLapsed(id ident.Upstream, left time.Duration) {
-	if c.LapsedFor == nil {
-		c.LapsedFor = make(map[ident.Upstream]unit.Duration)
-	}
-	c.Lapsed = append(c.Lapsed, id)
-	c.LapsedFor[id] = unit.Duration(left)
-}
-
-// Merge applies the changes that another instance knew at a revision when it was asked. That instance could
-// read the store, so what it does not list was removed, unless this instance has just had an outage itself.
-// What it keeps for a grace period is kept here until the same time.
-func (r *Registry) Merge(c Changes, at store.Version, asked, now time.Time) Removals {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.enterEra(at, now)
-	listed := make(map[ident.Upstream]bool, len(c.All))
-	for _, id := range c.All {
-		listed[id] = true
-	}
-	for _, u := range c.Upstreams {
-		r.set(u)
-	}
-	var out Removals
-	for id, old := range r.upstreams {
-		switch {
-		case listed[id] || old.Revision > at:
-		case r.unavailable:
-			r.drop(id, at, now)
-			out.Gone = append(out.Gone, id)
-		default:
-			r.remove(id, at, now, &out)
-		}
-	}
-	for _, id := range c.Lapsed {
-		left, stated := c.LapsedFor[id]
-		if !stated {
-			left = unit.Duration(r.cfg.GracePeriod)
-		}
-		if u, known := r.upstreams[id]; known && u.Revision <= at {
-			r.keepLapsed(id, lapse{at, asked.Add(left.Std())}, now, &out)
-		}
-	}
-	return out
-}
-
 // StoreUnavailable reports whether the store is unavailable.
 func (r *Registry) StoreUnavailable() bool {
 	r.mu.Lock()
