--- a/edge/edge.go
+++ b/edge/edge.go
@@ -79,6 +79,7 @@
 	current    atomic.Pointer[activeConfiguration] // nil until the first configuration arrives
 	fetching   atomic.Bool                         // a configuration is being fetched because a peer has a newer one
 	leaving    atomic.Bool
+	retold     atomic.Int64                                  // streams whose holders are told again
 	addresses  atomic.Pointer[map[string]directory.Upstream] // registered upstreams by address; nil at first
 	restored   chan struct{}                                 // receives when the store was restored from an older copy
 	leaveBegan atomic.Int64                                  // when Leave was called, in Unix nanoseconds of the timer
--- a/edge/holders.go
+++ b/edge/holders.go
@@ -148,19 +148,31 @@
 	return 0
 }
 
-// tellAgain tells the holders of a stream again while too few know it.
+// tellAgain tells the holders of a stream again while too few know it, of maxRetold streams at a time.
 func (e *Edge) tellAgain(r builds.Record, holders []ident.Instance, confirmed chan ident.Instance, missing int) {
-	for range maxRetells {
+	if missing == 0 {
+		return
+	}
+	defer e.retold.Add(-1)
+	if e.retold.Add(1) > maxRetold {
+		e.logTooFew(r, missing)
+		return
+	}
+	for round := range maxRetells {
 		if missing = e.awaitHolders(confirmed, missing, retellInterval); missing == 0 || e.ctx.Err() != nil {
 			return
 		}
-		confirmed = make(chan ident.Instance, len(holders))
-		missing = min(holdersTold, len(holders))
-		r.Age += unit.Duration(retellInterval)
+		later, again := r, make(chan ident.Instance, len(holders))
+		later.Age += unit.Duration(time.Duration(round+1) * retellInterval)
 		for _, id := range holders {
-			e.tasks.Go(func() { e.tellHolder(id, r, confirmed) })
+			e.tasks.Go(func() { e.tellHolder(id, later, again) })
 		}
+		confirmed, missing = again, min(holdersTold, len(holders))
 	}
+	e.logTooFew(r, missing)
+}
+
+func (e *Edge) logTooFew(r builds.Record, missing int) {
 	e.log.Info().Str("Request", string(r.Origin)).Str("Build", string(r.Build)).Int("Missing", missing).Msg("too few holders told of a stream")
 }
 
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -28,6 +28,7 @@
 	tellOriginTimeout = 100 * time.Millisecond // for which the first piece of a stream waits at most
 	retellInterval    = 500 * time.Millisecond // between two rounds in which holders are told, after that
 	maxRetells        = 8                      // of these rounds
+	maxRetold         = 64                     // streams that are told of again at the same time
 	findOriginTimeout = 250 * time.Millisecond
 	handOverTimeout   = time.Second
 
