--- a/edge/holders.go
+++ b/edge/holders.go
@@ -112,7 +112,7 @@
 	now := e.timer.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if len(e.peers) == 0 || e.inTouch(now) && now.Sub(e.untoldAt) > inStepWindow {
+	if len(e.peers) == 0 || e.inTouch(now) && now.Sub(e.untoldAt) > syncWindow {
 		return nil
 	}
 	return &before
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -61,7 +61,7 @@
 	e.waitForBuilds(ctx, service)
 	now := e.timer.Now()
 	several := e.builds.Several(service, now)
-	if !several && e.inStep(now) {
+	if !several && e.inSync(now) {
 		only := e.builds.Only(service) // others may register before an upstream is chosen
 		return &only, only != ""
 	}
--- a/edge/instep.go
+++ b/edge/sync.go
@@ -24,16 +24,16 @@
 	return fresh
 }
 
-// inStepWindow is the time within which an instance hears of a second build that others use, by digests.
-const inStepWindow = time.Second
+// syncWindow is the time within which an instance hears of a second build that others use, by digests.
+const syncWindow = time.Second
 
 // pauseLimit is the time without a tick from which the process counts as paused.
 const pauseLimit = 500 * time.Millisecond
 
-// inStep reports whether this instance knows of builds what the others know: its knowledge of the store is
+// inSync reports whether this instance knows of builds what the others know: its knowledge of the store is
 // current, or it hears at least half of the digests that it expects. After a pause of the process neither is
 // known: digests and answers of the store have waited meanwhile.
-func (e *Edge) inStep(now time.Time) bool {
+func (e *Edge) inSync(now time.Time) bool {
 	up := e.timer.Uptime()
 	age := e.view.Age(up)
 	current := age > 0 && age <= maxAge(e.cfg.Drain.Std()) && e.builds.Settled(now)
@@ -42,7 +42,7 @@
 	if len(e.peers) == 0 {
 		return true
 	}
-	if up-e.lastTick > pauseLimit && e.lastTick > 0 || up-e.resumed < inStepWindow && e.resumed > 0 {
+	if up-e.lastTick > pauseLimit && e.lastTick > 0 || up-e.resumed < syncWindow && e.resumed > 0 {
 		return false
 	}
 	if current {
@@ -54,7 +54,7 @@
 // inTouch reports whether this instance hears at least half of the digests that it expects. The caller holds
 // e.mu.
 func (e *Edge) inTouch(now time.Time) bool {
-	const rounds = int(inStepWindow / digestInterval)
+	const rounds = int(syncWindow / digestInterval)
 	near, far, heard := 0, 0, 0
 	for _, p := range e.peers {
 		if p.domain == e.cfg.Domain {
@@ -62,7 +62,7 @@
 		} else {
 			far++
 		}
-		if !p.lastDigest.IsZero() && now.Sub(p.lastDigest) <= inStepWindow {
+		if !p.lastDigest.IsZero() && now.Sub(p.lastDigest) <= syncWindow {
 			heard++
 		}
 	}
