--- a/canary/canary.go
+++ b/canary/canary.go
@@ -33,7 +33,7 @@
 func (t *Tracker) SetInSync(inSync bool) {}
 
 // Choose returns which upstreams the next attempt of new work may be sent to, and the new build.
-func (t *Tracker) Choose(s ident.Service, now time.Time) (Choice, ident.Build) { return Any, "" }
+func (t *Tracker) Choose(s ident.Service, now time.Time) (Choice, ident.Build) { return AnyBuild, "" }
 
 // Allowed reports whether an attempt that must stay at a build may be sent to it.
 func (t *Tracker) Allowed(s ident.Service, b ident.Build, now time.Time) bool { return true }
--- a/canary/types.go
+++ b/canary/types.go
@@ -48,9 +48,9 @@
 
 // Choices.
 const (
-	Any    Choice = iota // no delivery is in progress
-	Former               // upstreams of all builds but the new one, and of the new one if there is no other usable upstream at all and the build was not rolled back
-	New                  // upstreams of the new build, and others if it has none that is usable
+	AnyBuild     Choice = iota // no delivery is in progress
+	FormerBuilds               // upstreams of all builds but the new one, and of the new one if there is no other usable upstream at all and the build was not rolled back
+	NewBuild                   // upstreams of the new build, and others if it has none that is usable
 )
 
 // View is the state of a delivery for logs and metrics.
