exchange: a status outside 100 to 599 breaks the exchange

Cause: an upstream that answered with status 000, 042 or 099 had its head skipped as an interim answer, and what followed in its body was taken for the answer. 600 and 999 were passed on as answers, and the connection was kept.

Change: such a head is an error of class Broken: the attempt may have run, and the connection is closed. Interim answers 100 to 199 are skipped as before.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -147,6 +147,13 @@
 	return cn.bw.Flush()
 }
 
+// Statuses that HTTP defines (RFC 9110, 15). What comes with another one is no answer, nor an interim one
+// that another answer follows.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
 // readHead reads the head of an answer to a request with the given method.
 func (cn *conn) readHead(method string) (*http.Response, error) {
 	cn.headLimit.N = cn.maxHeader
@@ -161,6 +168,9 @@
 	if !strings.HasPrefix(res.Proto, "HTTP/1.") {
 		return nil, errs.New("protocol %q is not HTTP/1", res.Proto)
 	}
+	if res.StatusCode < minStatus || res.StatusCode > maxStatus {
+		return nil, errs.New("status %03d is outside %d to %d", res.StatusCode, minStatus, maxStatus)
+	}
 	return res, nil
 }
 
