exchange: an answer without a length that is reset during the upload is broken

Cause: the kernel reports the failure of a connection once. If it reports a reset to the write of the request, reads then return the data that has arrived and a plain end of stream, which ends an answer without a length.

Change: at the end of such a body the write is ended, which is deterministic: the kernel reported the failure to it before the read returned the end. If it failed other than by EPIPE, the body is broken. EPIPE is the error of a reset that follows the orderly end (FIN) of the upstream, after which the answer is whole. Connections through another instance end by their last frame and are not checked.

Ruled out: TCP_INFO, which does not tell a reset from a reset after a FIN; waiting for the write, which may take as long as the upstream does not read.

Seen failing before the change (go test -run TestTruncated ./exchange): reset_during_the_upload: results of 40 runs: got map[200 "part":25 broken:15], want all broken reset_during_the_upload,_HTTP/1.0: results of 40 runs: got map[200 "part":25 broken:15], want all broken The other seven cases, in which the answer is whole or the kernel tells the reader, passed before. All pass after it, also with -race.

Seen beside it, at a load of 17: TestEndlessTogether/chunk got 147 MiB, want at most 142, once in three runs of the package. 24 runs each before and after the change gave 97 to 119 and 93 to 115 MiB.

--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -1,10 +1,12 @@
 package exchange
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"crocuslug/ident"
@@ -30,9 +32,14 @@
 }
 
 // Read reads the body. It returns io.EOF only after the complete body, and otherwise an error of
-// class Broken.
+// class Broken. At the end of a body that ends with the connection, it also ends the write of the request.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.res.Body.Read(p)
+	if err == io.EOF && a.endsWithConnection() {
+		if failure := a.sending.stop(a.cn); connectionFailed(failure) {
+			err = failure
+		}
+	}
 	if err == io.EOF {
 		a.bodyRead = true
 	} else if err != nil {
@@ -41,6 +48,20 @@
 	return n, err
 }
 
+// endsWithConnection reports whether only the end of the connection shows the end of the body, as the kernel
+// tells it. A connection through another instance says by its last frame that the upstream closed it in order.
+func (a *Answer) endsWithConnection() bool {
+	return !a.Delimited() && a.res.Body != http.NoBody && a.cn.helper() == ""
+}
+
+// connectionFailed reports whether the error of a write shows that the connection did not end in order. The
+// kernel reports a failure such as a reset once, and if it does so to a write, reads return the end of the
+// stream. EPIPE is the exception: it is the error of a reset that follows an orderly end.
+func connectionFailed(write error) bool {
+	var errno syscall.Errno
+	return errors.As(write, &errno) && errno != syscall.EPIPE
+}
+
 // AliveAt returns an uptime of this machine, as by timer.Service.Uptime, after which the upstream was still
 // alive: it sent something later that has been read. The time at which data is read shows nothing, since
 // data waits while this process is paused or the caller takes no more.
