--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -1,15 +1,14 @@
 package exchange
 
 import (
-	"errors"
 	"io"
 	"net/http"
 	"slices"
 	"strings"
-	"syscall"
 	"time"
 
 	"crocuslug/ident"
+	"crocuslug/socket"
 )
 
 // Answer is the answer of an upstream. Its header was read; its body is read from the connection.
@@ -36,7 +35,7 @@
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.res.Body.Read(p)
 	if err == io.EOF && a.endsWithConnection() {
-		if failure := a.sending.stop(a.cn); connectionFailed(failure) {
+		if failure := a.sending.stop(a.cn); socket.Failed(failure) {
 			err = failure
 		}
 	}
@@ -54,14 +53,6 @@
 	return !a.Delimited() && a.res.Body != http.NoBody && a.cn.helper() == ""
 }
 
-// connectionFailed reports whether the error of a write shows that the connection did not end in order. The
-// kernel reports a failure such as a reset once, and if it does so to a write, reads return the end of the
-// stream. EPIPE is the exception: it is the error of a reset that follows an orderly end.
-func connectionFailed(write error) bool {
-	var errno syscall.Errno
-	return errors.As(write, &errno) && errno != syscall.EPIPE
-}
-
 // AliveAt returns an uptime of this machine, as by timer.Service.Uptime, after which the upstream was still
 // alive: it sent something later that has been read. The time at which data is read shows nothing, since
 // data waits while this process is paused or the caller takes no more.
--- a/relay/passage.go
+++ b/relay/passage.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"crocuslug/ident"
+	"crocuslug/socket"
 )
 
 // Frames. Each begins with the number of its bytes.
@@ -32,6 +33,7 @@
 	down    atomic.Pointer[net.TCPConn] // to the peer; nil until it is claimed
 	contact contact                     // used by Server.check only
 	lost    atomic.Bool                 // the peer is lost
+	request requestCopy
 
 	mu sync.Mutex // held while a frame is written
 }
@@ -60,22 +62,56 @@
 	_ = down.SetReadDeadline(time.Time{})
 	p.down.Store(down)
 	began := s.timer.Now()
-	sent := make(chan struct{})
-	go func() {
-		defer close(sent)
-		_, _ = io.Copy(p.up, down) // it ends when either side does
-		_ = p.up.Close()           // the other instance has left the request, or cannot send it
-	}()
+	p.request.done = make(chan struct{})
+	go p.copyRequest(down)
 	n, err := p.copyFrames(down)
 	if err != nil {
 		reset(down)
 	}
 	_ = down.Close()
-	<-sent
+	<-p.request.done
 	s.log.Info().Str("Peer", string(p.peer)).Str("Upstream", string(p.upstream)).Str("Connection", down.RemoteAddr().String()).
 		Int64("Bytes", n).Dur("OpenMs", s.timer.Now().Sub(began)).Bool("Lost", p.lost.Load()).Bool("EndedByUpstream", endedByUpstream(err)).Err(err).Msg("relayed connection ended")
 }
 
+// requestCopy is the copy of what the other instance writes to the upstream.
+type requestCopy struct {
+	done chan struct{} // closed at its end
+	err  error         // of the write to the upstream; valid once done is closed
+}
+
+// copyRequest copies what the other instance writes to the upstream until either side ends. If the other
+// instance has left the request, or cannot send it, the connection to the upstream is closed. If the upstream
+// takes no more, what it wrote before is still to be read.
+//
+// It does not splice, as io.Copy does: that may drop the error of the connection to the upstream.
+func (p *passage) copyRequest(down *net.TCPConn) {
+	defer close(p.request.done)
+	b := make([]byte, maxFrame)
+	for {
+		n, err := down.Read(b)
+		if n > 0 {
+			if _, p.request.err = p.up.Write(b[:n]); p.request.err != nil {
+				return
+			}
+		}
+		if err != nil {
+			_ = p.up.Close()
+			return
+		}
+	}
+}
+
+// endRequest ends the copy of the request once the upstream has ended the connection, and returns the error of
+// its write.
+func (p *passage) endRequest(down *net.TCPConn) error {
+	past := time.Unix(1, 0)
+	_ = p.up.SetWriteDeadline(past) // fails only on a closed connection, and then writes fail too
+	_ = down.SetReadDeadline(past)  // as above
+	<-p.request.done
+	return p.request.err
+}
+
 // endedByUpstream reports whether an error of copyFrames shows that the upstream ended the connection, in
 // order or not. The other instance has left it otherwise, or is lost.
 func endedByUpstream(err error) bool {
@@ -99,6 +135,9 @@
 			}
 		}
 		if err == io.EOF {
+			if failure := p.endRequest(down); socket.Failed(failure) {
+				return total, failure
+			}
 			return total, p.write(down, binary.BigEndian.AppendUint16(nil, endHeader))
 		}
 		if err != nil {
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -1,4 +1,5 @@
-// Package socket asks the kernel whether the callers of this instance are still there.
+// Package socket asks the kernel whether the callers of this instance are still there, and whether a
+// connection ended in order.
 //
 // A caller whose machine or network is lost sends no close. It may go on with its answer at another
 // instance, while this one keeps an upstream at work for it: the kernel accepts what is written and
