statusline: engineclient and serviceproxy refuse statuses outside 100 to 599

Cause: fasthttp takes such statuses for answers and reports 000 as 200. serviceproxy passed them on and recorded actions as done with them; engineclient took 000 for a stream, and others for the engine's rejection, after which the caller is told that its request has not run.

Change: package statusline reads interim answers and checks the status line before fasthttp reads the answer, as StatusCode cannot tell 000 from 200. In serviceproxy such an attempt has failed and may have run: only repeatable requests are sent again, and an action is unknown. In engineclient it is a broken connection (ConnectionReset).

Ruled out: the part of an answer that is reset during the upload. Both clients write the whole request before they read, so a reset that the write is told of ends the attempt, and engineclient takes no stream for whole without its last event. Tests of both (TestResetDuringUpload, 16 MiB, 40 and 5 runs) passed on the former code.

Seen failing before the change (go test -run TestInvalidStatus ./engineclient ./serviceproxy): status 000: got <nil>, want a loss with cause 2 status 042: got engine answered with status 42, want a loss with cause 2 (099, 600, 999 alike) status 000, GET /records/x: got 200 0, sent 1 times, want UpstreamFailed/Unknown 0, sent 2 times status 000, POST /bookings: got 200 0, sent 1 times, want ActionUnknown/Unknown 0, sent 1 times status 042, PUT /notes: got 42 0, sent 1 times, want UpstreamFailed/Unknown 0, sent 1 times status 600, POST /bookings: got 600 0, sent 1 times, want ActionUnknown/Unknown 0, sent 1 times (and so on) Passes after it, with -race.

--- a/engineclient/stream.go
+++ b/engineclient/stream.go
@@ -14,6 +14,7 @@
 	"github.com/zeebo/errs"
 
 	"crocuslug/generation"
+	"crocuslug/statusline"
 )
 
 // Stream is one stream of an engine, on a connection of its own.
@@ -79,6 +80,9 @@
 	}
 	s.resp = fasthttp.AcquireResponse()
 	s.resp.StreamBody = true
+	if err := statusline.SkipInterim(r, &s.resp.Header); err != nil {
+		return streamError(generation.ConnectionReset, err)
+	}
 	if err := s.resp.ReadLimitBody(r, 0); err != nil {
 		return streamError(generation.ConnectionReset, err)
 	}
--- a/serviceproxy/exchange.go
+++ b/serviceproxy/exchange.go
@@ -14,6 +14,7 @@
 	"crocuslug/configuration"
 	"crocuslug/health"
 	"crocuslug/result"
+	"crocuslug/statusline"
 )
 
 // hopHeaders concern a single connection and are not forwarded.
@@ -139,8 +140,11 @@
 		return err
 	}
 	resp.SkipBody = req.Header.IsHead()
-	r := io.LimitReader(conn, maxHead+maxFraming*int64(maxBody))
-	if err := resp.ReadLimitBody(bufio.NewReader(r), maxBody); err != nil {
+	r := bufio.NewReader(io.LimitReader(conn, maxHead+maxFraming*int64(maxBody)))
+	if err := statusline.SkipInterim(r, &resp.Header); err != nil {
+		return err
+	}
+	if err := resp.ReadLimitBody(r, maxBody); err != nil {
 		return err
 	}
 	resp.Header.ResetConnectionClose()
