dispatch: tests of truncated answers and invalid statuses, for calls and streams

Guards the paths on top of exchange: parts of answers without a length that are reset during the upload, and statuses outside 100 to 599. An unsafe request is not sent again after one; safe ones and streams go on elsewhere.

--- a/dispatch/evidence_test.go
+++ b/dispatch/evidence_test.go
@@ -159,12 +159,18 @@
 	t.Cleanup(func() { _ = l.Close() })
 	e.listener = l
 	go e.serve()
+	return startDispatcher(t, l.Addr().String())
+}
+
+// startDispatcher returns a dispatcher with one upstream.
+func startDispatcher(t *testing.T, address string) (*Dispatcher, *timer.Service) {
+	t.Helper()
 	clock := timer.New()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go clock.Run(ctx)
 	f := fleet.New(fleet.Settings{}, func() uint64 { return 0 }, zerolog.Nop())
-	f.SetUpstreams([]directory.Upstream{{ID: "a", Service: "s", Address: l.Addr().String(), Slots: 64}}, func(ident.Service) int { return 0 }, clock.Now())
+	f.SetUpstreams([]directory.Upstream{{ID: "a", Service: "s", Address: address, Slots: 64}}, func(ident.Service) int { return 0 }, clock.Now())
 	client := exchange.New(exchange.Settings{}, clock)
 	t.Cleanup(client.Close)
 	return New(Settings{}, testDependencies(testProtocol(), f, client, clock, zerolog.Nop())), clock
--- a/dispatch/framing_test.go
+++ b/dispatch/framing_test.go
@@ -38,6 +38,17 @@
 	}
 }
 
+// invalid answers with a status that HTTP does not define, and a head of a whole answer in the body.
+func (e *engine) invalid(w http.ResponseWriter, r *http.Request, status string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = conn.Close() }()
+	fields := "\r\nId: " + r.Header.Get("Id") + "\r\nSigned: 1\r\nContent-Length: "
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s X%s50\r\n\r\nHTTP/1.1 200 OK%s2\r\n\r\nhi", status, fields, fields)
+}
+
 // events returns the events with the numbers of a span N-M.
 func (e *engine) events(span string) string {
 	first, last, _ := strings.Cut(span, "-")
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -70,7 +70,7 @@
 // (silence for pauseTime, then the pieces up to K), rollout-BUILD (after minRunTime an engine of that build
 // registers; one more piece after pauseTime), cut (after minRunTime this instance
 // is cut off from the one that passes the connection on; the engine records when its connection is closed), leave (it registers as leaving) or crash (after minRunTime the engine is
-// gone); bare, see engine.bare; flood, see engine.flood; and long:BYTES for a stream of one
+// gone); bare and invalid, see engine.bare and engine.invalid; flood, see engine.flood; and long:BYTES for a stream of one
 // event of that size.
 func TestScripts(t *testing.T) { runScripts(t, "testdata/*.txt") }
 
@@ -296,6 +296,8 @@
 		e.stream(w, r, rest)
 	case "bare":
 		e.bare(w, r, rest)
+	case "invalid":
+		e.invalid(w, r, rest)
 	case "flood":
 		e.flood(w, rest)
 	case "text":
