--- a/canary/evidence.go
+++ b/canary/evidence.go
@@ -182,10 +182,16 @@
 	r.changed, r.told = now, 0
 }
 
+// admits reports whether a route is counted by its name. One place is kept for otherRoutes.
+func (d *delivery) admits(route string) bool {
+	_, known := d.known.routes[route]
+	return known || route == otherRoutes || len(route) <= maxName && len(d.known.routes) < maxRoutes-1
+}
+
 // setRoute raises the counters of a route of a run.
 func (d *delivery) setRoute(r *run, route string, s sides, now time.Time) {
 	old, ok := r.routes[route]
-	if _, known := d.known.routes[route]; !ok && !known && len(d.known.routes) >= maxRoutes {
+	if !ok && !d.admits(route) {
 		return
 	}
 	s = sides{old.New.max(s.New), old.Former.max(s.Former)}
@@ -214,7 +220,7 @@
 		}
 		d.setSent(r, told.Sent, now)
 		for _, t := range told.Routes[:min(len(told.Routes), maxRoutes)] {
-			if len(t.Route) <= maxName && t.New.valid() && t.Former.valid() {
+			if t.New.valid() && t.Former.valid() {
 				d.setRoute(r, t.Route, sides{t.New, t.Former}, now)
 			}
 		}
@@ -267,7 +273,7 @@
 
 // observe adds an answer to the counters of this instance.
 func (d *delivery) observe(route string, former, bad bool, latency time.Duration, now time.Time) {
-	if _, ok := d.known.routes[route]; len(route) > maxName || !ok && len(d.known.routes) >= maxRoutes-1 {
+	if !d.admits(route) {
 		route = otherRoutes
 	}
 	latency = min(max(0, latency), maxLatency)
