platform, settings, nativewire: orders and statuses of deliveries

Progressive delivery is asked for by entries of the store and bounded by three settings of the platform's file, which nothing read. The platform's names are decoded in package platform, and nativewire has its own form for stand-ins. Entries that another program may have written are errors. Without the settings the section Delivery is zero, which switches the delivery off.

go test ./settings ./platform ./nativewire ./cmd/crocuslug: ok

--- a/edge/ports.go
+++ b/edge/ports.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"crocuslug/canary"
 	"crocuslug/directory"
 	"crocuslug/ident"
 	"crocuslug/keyvalue"
@@ -19,6 +20,17 @@
 
 	// DecodeConfiguration decodes the value at ConfigurationKey.
 	DecodeConfiguration func(value []byte) (directory.Document, error)
+	// Prefixes of the store keys of orders of deliveries and of their statuses. The rest of a key is the
+	// service. Without them there are no deliveries.
+	OrdersPrefix   string
+	StatusesPrefix string
+
+	// DecodeOrder decodes the store entry of an order.
+	DecodeOrder func(e store.Entry) (canary.Order, error)
+	// DecodeStatus decodes the store entry of a status.
+	DecodeStatus func(e store.Entry) (canary.Status, error)
+	// EncodeStatus returns the value of the store entry of a status.
+	EncodeStatus func(s canary.Status) ([]byte, error)
 	// UpstreamPorts translate the exchanges with upstreams.
 	UpstreamPorts work.Protocol
 	// DecodeUpstream decodes the store entry of an upstream.
--- a/nativewire/nativewire.go
+++ b/nativewire/nativewire.go
@@ -48,6 +48,8 @@
 const (
 	ConfigurationKey = "configuration"
 	UpstreamsPrefix  = "upstreams/"
+	OrdersPrefix     = "orders/"
+	StatusesPrefix   = "statuses/"
 	ReadinessPath    = "/ready"
 	StatePath        = "/state"
 	CopiesPath       = "/copies"
@@ -81,6 +83,12 @@
 			u.Revision = e.Version
 			return u, u.Check()
 		},
+		OrdersPrefix:   OrdersPrefix,
+		StatusesPrefix: StatusesPrefix,
+		DecodeOrder:    decodeOrder,
+		DecodeStatus:   decodeStatus,
+		EncodeStatus:   encodeStatus,
+
 		UpstreamID:    func(h http.Header) ident.Upstream { return ident.Upstream(h.Get(SignatureField)) },
 		Describe:      describe,
 		RequestHeader: requestHeader,
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -30,6 +30,14 @@
 	RetrySlack   float64       `json:",omitempty"` // retries allowed in addition, in a window of a few seconds
 	Descriptors  int           `json:",omitempty"` // limit of open file descriptors; no limit if 0
 	MemoryBytes  int64         `json:",omitempty"` // limit of the memory of the process; no limit if 0
+	Delivery     Delivery      `json:",omitzero"`
+}
+
+// Delivery holds the settings of the progressive delivery of software versions of upstreams.
+type Delivery struct {
+	Share          float64       `json:",omitempty"` // part of the requests of a service that a version under delivery may get until it is promoted; 0 switches the delivery off
+	Slack          float64       `json:",omitempty"` // requests that it may get besides, from all instances together
+	RollbackWithin unit.Duration `json:",omitempty"` // time after which a version with failures must get no requests
 }
 
 // ReadEdge reads an Edge from file. It returns all problems in the content
@@ -72,10 +80,15 @@
 		{"RetrySlack", cfg.RetrySlack},
 		{"Descriptors", float64(cfg.Descriptors)},
 		{"MemoryBytes", float64(cfg.MemoryBytes)},
+		{"Delivery.Slack", cfg.Delivery.Slack},
+		{"Delivery.RollbackWithin", float64(cfg.Delivery.RollbackWithin)},
 	} {
 		if n.v < 0 {
 			addProblem(n.path, "want no negative number")
 		}
 	}
+	if s := cfg.Delivery.Share; !(s >= 0 && s <= 1) {
+		addProblem("Delivery.Share", "want a number from 0 to 1")
+	}
 	return out
 }
--- a/settings/edge_test.go
+++ b/settings/edge_test.go
@@ -20,6 +20,9 @@
 		{`"Grace":"8s"`, `"Grace":8`, "Grace"},
 		{`"Grace":"8s"`, `"RetryShare":-1`, "RetryShare"},
 		{`"Grace":"8s"`, `"Gracious":"8s"`, "Gracious"},
+		{`"Grace":"8s"`, `"Delivery":{"Share":1.5}`, "Delivery.Share"},
+		{`"Grace":"8s"`, `"Delivery":{"Share":0.1,"Slack":-1}`, "Delivery.Slack"},
+		{`"Grace":"8s"`, `"Delivery":{"Share":0.1,"RollbackWithin":"-1s"}`, "Delivery.RollbackWithin"},
 	}
 	for _, tc := range tests {
 		_, problems := ParseEdge([]byte(strings.Replace(valid, tc.old, tc.new, 1)))
