routing, fleet: a build that is not to be chosen

A choice could be limited to one build, but not to all others, which a delivery in its first phase needs. Request and PickRequest get ExcludeBuild, and Usable and HasOther take it. HasBuildBesides says whether another build is registered.

--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -116,7 +116,7 @@
 // its share of the time, or zero if the request may be sent to another one.
 func (d *Dispatcher) extendCall(a *attempts, id ident.Upstream) time.Time {
 	service := a.w.Service.Name
-	if d.fleet.HasOther(service, a.build, append(d.unavailable(a, d.timer.Now()), id)) && d.retryBudget(service).Available() {
+	if d.fleet.HasOther(service, a.build, "", append(d.unavailable(a, d.timer.Now()), id)) && d.retryBudget(service).Available() {
 		return time.Time{}
 	}
 	return d.timer.Now().Add(silenceCheckInterval)
--- a/dispatch/patience.go
+++ b/dispatch/patience.go
@@ -30,7 +30,7 @@
 		longest: d.cfg.MaxPause,
 		hasOther: func() bool {
 			closed := d.closed(s.w.Service.Name, d.timer.Now())
-			return d.fleet.HasOther(s.w.Service.Name, s.currentBuild(), append(closed, exclude...))
+			return d.fleet.HasOther(s.w.Service.Name, s.currentBuild(), "", append(closed, exclude...))
 		},
 		hasCopy: s.copies.hasCopy,
 	}
--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -72,7 +72,7 @@
 	if len(blocked) == 0 {
 		return nil, nil
 	}
-	usable = d.fleet.Usable(a.w.Service.Name, a.build, append(a.excluded(), d.rests.Closed(a.w.Service.Name, now)...))
+	usable = d.fleet.Usable(a.w.Service.Name, a.build, "", append(a.excluded(), d.rests.Closed(a.w.Service.Name, now)...))
 	return usable, slices.DeleteFunc(blocked, func(id ident.Upstream) bool { return !slices.Contains(usable, id) })
 }
 
--- a/edge/restart_test.go
+++ b/edge/restart_test.go
@@ -80,7 +80,7 @@
 			step.to.fleet.ReportPeerReplaced(id, revision, clock.Now())
 		}
 	}
-	if got := last.fleet.Usable("s", nil, nil); len(got) != 0 {
+	if got := last.fleet.Usable("s", nil, "", nil); len(got) != 0 {
 		t.Errorf("usable upstreams at the last instance: got %v, want none", got)
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -187,7 +187,7 @@
 	}
 	g.recordSize(a.Tokens, f)
 	d := g.chooser.Choose(routing.Request{
-		Blocks: a.Blocks, Sizes: a.Sizes, PromptTokens: a.Tokens, Exclude: a.Exclude, ExcludeDomain: a.ExcludeDomain, Build: a.Build, Resumed: a.AllowFull,
+		Blocks: a.Blocks, Sizes: a.Sizes, PromptTokens: a.Tokens, Exclude: a.Exclude, ExcludeDomain: a.ExcludeDomain, Build: a.Build, ExcludeBuild: a.ExcludeBuild, Resumed: a.AllowFull,
 		RequireIdle: a.RequireIdle, MinFreeShare: a.MinFreeShare, MaxBacklog: a.MaxBacklog, RespectShares: len(f.instances) <= maxSharingInstances,
 	}, now)
 	if d.Kind != routing.Send {
@@ -201,33 +201,6 @@
 	return f.upstreams[d.Upstream], routing.Send
 }
 
-// HasOther reports whether a service has an upstream in rotation that is not in exclude and
-// does not leave. If build is not nil, only upstreams of that build count.
-func (f *Fleet) HasOther(service ident.Service, build *ident.Build, exclude []ident.Upstream) bool {
-	return len(f.Usable(service, build, exclude)) > 0
-}
-
-// Usable returns the upstreams of a service in rotation that are not in exclude and do not leave. If
-// build is not nil, only upstreams of that build are returned.
-func (f *Fleet) Usable(service ident.Service, build *ident.Build, exclude []ident.Upstream) []ident.Upstream {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	g, ok := f.services[service]
-	if !ok {
-		return nil
-	}
-	var out []ident.Upstream
-	for _, u := range g.list {
-		if !u.Build.Continues(build) {
-			continue
-		}
-		if _, replaced := f.replaced[u.ID]; !replaced && !u.Draining && !g.tracker.Out(u.ID) && !slices.Contains(exclude, u.ID) {
-			out = append(out, u.ID)
-		}
-	}
-	return out
-}
-
 // Upstream returns an upstream as it is registered now.
 func (f *Fleet) Upstream(id ident.Upstream) (directory.Upstream, bool) {
 	f.mu.Lock()
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -25,7 +25,7 @@
 // "near". Each line is one of
 //
 //	at MS
-//	add ID DOMAIN REVISION [draining]    adds or changes an upstream
+//	add ID DOMAIN[/BUILD] REVISION [draining]  adds or changes an upstream
 //	remove ID                            removes an upstream
 //	pick ID                              picks this upstream for a request
 //	ended ID served|failed|dead|replaced reports the outcome of a request
@@ -37,6 +37,8 @@
 //	never ID ... | always ID ...         none or all of a hundred choices are among these
 //	some ID ...                          each of these is among a hundred choices
 //	exclude-domain DOMAIN                for the choices that follow; - for none
+//	exclude-build BUILD                  for the choices and has-other that follow; - for none
+//	besides yes|no BUILD                 checks HasBuildBesides
 //	memory-lost ID yes|no                checks MemoryLost
 //	has-other yes|no ID ...              checks HasOther with these excluded
 //	none                                 checks that no choice is possible
@@ -60,6 +62,7 @@
 	now := start
 	all := map[ident.Upstream]directory.Upstream{}
 	var excludeDomain ident.Domain
+	var excludeBuild ident.Build
 	publish := func() {
 		var list []directory.Upstream
 		for _, u := range all {
@@ -82,8 +85,9 @@
 		case "at":
 			now = start.Add(time.Duration(number(t, w[1])) * time.Millisecond)
 		case "add":
+			domain, build, _ := strings.Cut(w[2], "/")
 			all[id] = directory.Upstream{
-				ID: id, Service: "s", Address: w[1] + ":1", Domain: ident.Domain(w[2]), Slots: 64,
+				ID: id, Service: "s", Address: w[1] + ":1", Domain: ident.Domain(domain), Build: ident.Build(build), Slots: 64,
 				Revision: store.Version(number(t, w[3])), Draining: len(w) > 4,
 			}
 			publish()
@@ -123,8 +127,16 @@
 			if excludeDomain = ident.Domain(w[1]); excludeDomain == "-" {
 				excludeDomain = ""
 			}
+		case "exclude-build":
+			if excludeBuild = ident.Build(w[1]); excludeBuild == "-" {
+				excludeBuild = ""
+			}
+		case "besides":
+			if got := f.HasBuildBesides("s", ident.Build(w[2])); got != (w[1] == "yes") {
+				t.Errorf("line %d: %s: got %t", n+1, line, got)
+			}
 		case "never", "always":
-			got := choices(f, excludeDomain, now)
+			got := choices(f, excludeDomain, excludeBuild, now)
 			if len(got) == 0 && w[0] == "always" {
 				t.Errorf("line %d: %s: got no choice", n+1, line)
 			}
@@ -134,7 +146,7 @@
 				}
 			}
 		case "some":
-			got := choices(f, excludeDomain, now)
+			got := choices(f, excludeDomain, excludeBuild, now)
 			for _, id := range w[1:] {
 				if got[id] == 0 {
 					t.Errorf("line %d: %s: got %v", n+1, line, got)
@@ -149,11 +161,11 @@
 			for _, id := range w[2:] {
 				exclude = append(exclude, ident.Upstream(id))
 			}
-			if got, want := f.HasOther("s", nil, exclude), w[1] == "yes"; got != want {
+			if got, want := f.HasOther("s", nil, excludeBuild, exclude), w[1] == "yes"; got != want {
 				t.Errorf("line %d: %s: got %t, want %t", n+1, line, got, want)
 			}
 		case "none":
-			if got := choices(f, excludeDomain, now); len(got) > 0 {
+			if got := choices(f, excludeDomain, excludeBuild, now); len(got) > 0 {
 				t.Errorf("line %d: got %v, want no choice", n+1, got)
 			}
 		default:
@@ -163,10 +175,10 @@
 }
 
 // choices returns how often each upstream is chosen in a hundred choices.
-func choices(f *Fleet, excludeDomain ident.Domain, now time.Time) map[string]int {
+func choices(f *Fleet, excludeDomain ident.Domain, excludeBuild ident.Build, now time.Time) map[string]int {
 	got := map[string]int{}
 	for range 100 {
-		u, kind := f.Pick(PickRequest{Service: "s", ExcludeDomain: excludeDomain}, now)
+		u, kind := f.Pick(PickRequest{Service: "s", ExcludeDomain: excludeDomain, ExcludeBuild: excludeBuild}, now)
 		if kind == routing.Send {
 			got[string(u.ID)]++
 			f.Release(u.ID, now)
@@ -216,11 +228,11 @@
 	f.SetUpstreams(list, func(ident.Service) int { return 0 }, now)
 	f.AddUnreadTokens("0", 5000, now)
 	f.ReportPeerLoads(map[ident.Upstream]work.Load{"1": {Requests: 3}}, now)
-	if got := choices(f, "", now); got["0"] > 0 {
+	if got := choices(f, "", "", now); got["0"] > 0 {
 		t.Errorf("got %v, want none at 0, which has unread prompt tokens", got)
 	}
 	f.AddUnreadTokens("0", -5000, now)
-	if got := choices(f, "", now); got["1"] > 0 {
+	if got := choices(f, "", "", now); got["1"] > 0 {
 		t.Errorf("got %v, want none at 1, which has more requests", got)
 	}
 }
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -63,6 +63,8 @@
 	Exclude []ident.Upstream // upstreams not to be chosen
 	Build   *ident.Build     // if not nil, only upstreams of this build are chosen, and none if it is ""
 
+	ExcludeBuild ident.Build // if set, no upstream of this build is chosen
+
 	ExcludeDomain ident.Domain // if set, no upstream of this failure domain is chosen
 	AllowFull     bool         // a full upstream may be chosen
 	// RequireIdle limits the choice to upstreams without unread prompt tokens that are in
--- a/routing/choose_test.go
+++ b/routing/choose_test.go
@@ -39,7 +39,8 @@
 
 func (tr *reference) allowed(r Request) bool {
 	held := slices.Contains(tr.cand.Models, r.Model)
-	return !tr.out && !tr.cand.Leaving && held && !slices.Contains(r.Exclude, tr.cand.Upstream)
+	wanted := tr.cand.Build.Continues(r.Build) && (r.ExcludeBuild == "" || r.ExcludeBuild != tr.cand.Build)
+	return !tr.out && !tr.cand.Leaving && held && wanted && !slices.Contains(r.Exclude, tr.cand.Upstream)
 }
 
 // TestInvariants applies random events and checks each decision against a search of the
@@ -50,7 +51,8 @@
 		var list []Candidate
 		for i := range rapid.IntRange(1, 8).Draw(t, "engines") {
 			held := rapid.SliceOfNDistinct(rapid.SampledFrom(models), 1, 2, rapid.ID[Model]).Draw(t, "held")
-			list = append(list, Candidate{Upstream: name(i), Slots: 3, Models: held, Near: rapid.Bool().Draw(t, "near")})
+			build := rapid.SampledFrom([]ident.Build{"", "v1", "v2"}).Draw(t, "build")
+			list = append(list, Candidate{Upstream: name(i), Slots: 3, Models: held, Near: rapid.Bool().Draw(t, "near"), Build: build})
 		}
 		c := newChooser(1, list)
 		c.cfg.MaxHops = rapid.IntRange(1, 2).Draw(t, "hops")
@@ -97,6 +99,10 @@
 					Resumed:      rapid.Bool().Draw(t, "resumed"),
 					Visited:      rapid.SampledFrom([][]ident.Domain{nil, {"east"}, {"east", "west"}}).Draw(t, "visited"),
 				}
+				r.ExcludeBuild = rapid.SampledFrom([]ident.Build{"", "", "v2"}).Draw(t, "excluded build")
+				if v1 := ident.Build("v1"); rapid.IntRange(0, 3).Draw(t, "keeps build") == 0 {
+					r.Build = &v1
+				}
 				checkChoice(t, c, all, r, now)
 			}
 		}
--- a/routing/engine.go
+++ b/routing/engine.go
@@ -115,6 +115,9 @@
 	if r.ExcludeDomain != "" && r.ExcludeDomain == e.Domain {
 		return false
 	}
+	if r.ExcludeBuild != "" && r.ExcludeBuild == e.Build {
+		return false
+	}
 	return e.Build.Continues(r.Build) && !contains(r.Exclude, e.Upstream)
 }
 
--- a/routing/types.go
+++ b/routing/types.go
@@ -96,7 +96,7 @@
 	Leaving  bool         // accepts no new work
 	Domain   ident.Domain // failure domain; needed only for Request.ExcludeDomain
 	Near     bool         // in this instance's subset, whose load is polled
-	Build    ident.Build  // version of its software; needed only for Request.Build
+	Build    ident.Build  // version of its software; needed only for Request.Build and Request.ExcludeBuild
 	InShare  bool         // in this instance's share; needed only for Request.RequireIdle and Request.RespectShares
 }
 
@@ -140,6 +140,7 @@
 	Only          ident.Upstream   // if set, no other upstream is chosen
 	ExcludeDomain ident.Domain     // if set, no upstream of this failure domain is chosen
 	Build         *ident.Build     // if not nil, only upstreams of this build are chosen, and none if it is ""
+	ExcludeBuild  ident.Build      // if set, no upstream of this build is chosen
 	Resumed       bool             // continues an answer that was interrupted
 	// RequireIdle limits the choice to upstreams without unread prompt tokens that are in
 	// this instance's share or have been idle for a while. It is set for requests that
