dispatch: builds that get attempts during a delivery

Nothing in dispatch knew that the traffic of a service is being moved to another build. Delivery is a set of functions that says which builds get attempts: each attempt of new work asks for a choice, a queued stream when it is placed; attempts that stay at a build are refused with BuildGone once that gets no more requests; probes, copies, upstreams with a stale limit and connections that were opened meanwhile honour it. Attempts and answers are recorded. Silence and lost connections count against a build only if its upstream answers a probe afterwards.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -20,6 +20,10 @@
 		if err := d.checkOpen(u); err != nil {
 			return err
 		}
+		if !a.counted {
+			a.counted = true
+			d.delivery.Sent(a.w.Service.Name, u.Build, d.timer.Now())
+		}
 		if p.Helper != "" {
 			d.meters.Count("Sent.Relayed", 1)
 			d.log.Info().Str("Request", string(a.w.ID)).Str("Upstream", string(u.ID)).Str("Peer", string(p.Helper)).Str("Connection", p.Local).Int("Attempt", a.sends).Msg("sent through another instance")
@@ -50,6 +54,7 @@
 var (
 	errLeft    = errors.New("the upstream is leaving or gone since it was chosen")
 	errResting = errors.New("the upstream has asked for a rest since it was chosen")
+	errNoBuild = errors.New("the software version of the upstream gets no requests since it was chosen")
 )
 
 // checkOpen returns an error if no request may be sent to u any more.
@@ -60,6 +65,9 @@
 	if d.rests.Left(u.ID, d.timer.Now()) > 0 {
 		return errResting
 	}
+	if !d.mayUse(u, d.timer.Now()) {
+		return errNoBuild
+	}
 	return nil
 }
 
--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -26,6 +26,7 @@
 		if w.Deadline.Sub(now) < d.cfg.MinRemaining {
 			return or(failure, d.refuse(a, result.DeadlineInfeasible, "the remaining time is too short"))
 		}
+		a.side = d.sideOf(w, nil, now)
 		d.awaitTrial(ctx, a, now)
 		if refusal := d.ensurePermit(ctx, a, d.timer.Now()); refusal != nil {
 			return or(failure, refusal)
@@ -39,6 +40,12 @@
 		sent := d.timer.Uptime()
 		reply, v, failed := d.send(ctx, a, u, now)
 		end := d.timer.Now()
+		switch {
+		case !failed:
+			d.observe(a, u, reply.Status >= http.StatusInternalServerError, end.Sub(now), end)
+		case ctx.Err() == nil:
+			d.observeFailure(a, u, v, end.Sub(now))
+		}
 		if !failed && reply.Status >= http.StatusInternalServerError && w.Route.Repeatable() {
 			failure = reply
 			v, failed = sendFailure{outcome: fleet.Served, mayHaveRun: true, cause: status, reason: "status " + strconv.Itoa(reply.Status)}, true
@@ -116,7 +123,7 @@
 // its share of the time, or zero if the request may be sent to another one.
 func (d *Dispatcher) extendCall(a *attempts, id ident.Upstream) time.Time {
 	service := a.w.Service.Name
-	if d.fleet.HasOther(service, a.build, "", append(d.unavailable(a, d.timer.Now()), id)) && d.retryBudget(service).Available() {
+	if d.fleet.HasOther(service, a.wantedBuild(), a.side.exclude, append(d.unavailable(a, d.timer.Now()), id)) && d.retryBudget(service).Available() {
 		return time.Time{}
 	}
 	return d.timer.Now().Add(silenceCheckInterval)
--- a/dispatch/copy.go
+++ b/dispatch/copy.go
@@ -73,6 +73,9 @@
 // reserveHolder reserves capacity at a holder in another failure domain. k.mu must be held.
 func (k *copyManager) reserveHolder(now time.Time) bool {
 	k.release(now)
+	if !k.d.mayUse(k.run, now) {
+		return false
+	}
 	exclude := append(k.d.limits.Limited(k.w.Service.Name), k.run.ID)
 	exclude = append(exclude, k.d.rests.Closed(k.w.Service.Name, now)...)
 	request := fleet.PickRequest{
@@ -171,6 +174,9 @@
 	if k.d.rests.Left(run.ID, now) > 0 {
 		return "", errResting
 	}
+	if !k.d.mayUse(run, now) {
+		return "", errNoBuild
+	}
 	target, body := k.d.protocol.CopyRequest(work.Move{Run: k.w.ID, To: to})
 	status, answer, err := k.d.callUpstream(ctx, run.Address, http.MethodPost, target, body, now.Add(copyTimeout))
 	if err != nil {
@@ -186,7 +192,7 @@
 // drop deletes a copy that was made by a call.
 func (k *copyManager) drop(run directory.Upstream, name string) {
 	now := k.d.timer.Now()
-	if k.d.rests.Left(run.ID, now) > 0 {
+	if k.d.rests.Left(run.ID, now) > 0 || !k.d.mayUse(run, now) {
 		return // the copy expires
 	}
 	status, _, err := k.d.callUpstream(context.Background(), run.Address, http.MethodDelete, k.d.protocol.DropTarget(name), nil, now.Add(copyTimeout))
--- a/dispatch/deliver.go
+++ b/dispatch/deliver.go
@@ -38,7 +38,8 @@
 		if s.gotPiece {
 			s.gaps.ObserveGap(now.Sub(s.lastPieceAt))
 		} else {
-			s.answering = now
+			s.answering, s.firstPieceAfter = now, now.Sub(s.lastPieceAt)
+			d.observe(&s.attempts, s.sentTo, false, s.firstPieceAfter, now)
 			d.fleet.ReportStreamStart(id, now)
 		}
 		s.gotPiece, s.pausing, s.lastPieceAt = true, false, now
@@ -67,7 +68,7 @@
 		return sendFailure{outcome: fleet.Failed, mayHaveRun: true, cause: incorrect, reason: "the answer goes on without a number"}, false
 	}
 	if !s.keepsBuild {
-		d.keepBuild(ctx, s, id)
+		d.keepBuild(ctx, s)
 	}
 	if !s.started {
 		s.started = true
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"slices"
 	"sync"
@@ -23,7 +22,6 @@
 	"crocuslug/poison"
 	"crocuslug/result"
 	"crocuslug/retry"
-	"crocuslug/routing"
 	"crocuslug/timer"
 	"crocuslug/upstreamlimit"
 	"crocuslug/work"
@@ -55,6 +53,7 @@
 	cutOff     func(domain ident.Domain) (cut, doubtful bool)
 	leaves     func(u directory.Upstream, request ident.Request)
 	tellRest   func(helper ident.Instance, u directory.Upstream, rest time.Duration)
+	delivery   Delivery
 
 	mu             sync.Mutex
 	budget         retry.Settings
@@ -64,7 +63,7 @@
 	queues         map[ident.Service]*line.Queue
 }
 
-// Dependencies are the components that a Dispatcher uses. All are required.
+// Dependencies are the components that a Dispatcher uses. All but Delivery are required.
 type Dependencies struct {
 	Protocol work.Protocol
 	Fleet    *fleet.Fleet
@@ -92,6 +91,8 @@
 	Leaves func(u directory.Upstream, request ident.Request)
 	// TellRest tells an instance that passed a request on that u has asked it for a rest.
 	TellRest func(helper ident.Instance, u directory.Upstream, rest time.Duration)
+	// Delivery limits which builds get attempts while a service is moved to another build.
+	Delivery Delivery
 	Meters   *meter.Meters
 	Budget   retry.Settings // settings of the retry budget of each service
 	Timer    *timer.Service
@@ -117,6 +118,7 @@
 		cutOff:         p.CutOff,
 		leaves:         p.Leaves,
 		tellRest:       p.TellRest,
+		delivery:       p.Delivery.withDefaults(),
 		prompts:        newPrompts(),
 		meters:         p.Meters,
 		timer:          p.Timer,
@@ -188,6 +190,8 @@
 	silent      []ident.Upstream // upstreams that were left because they were silent; tried again after a wait
 	declined    []ident.Upstream // upstreams that did not accept the request; tried again after a wait
 	lostDomain  ident.Domain     // failure domain of the last failed upstream; avoided if there are others
+	side        side             // builds that may get the current attempt if build is nil
+	counted     bool             // the current attempt was passed to Delivery.Sent
 	build       *ident.Build     // build at which the rest of the answer must be produced; nil if any will do
 	lastFailure string           // reason of the last failure
 	settled     <-chan struct{}  // closed once the upstream of the last attempt is left, see exchange.Request.Closed; nil if it is
@@ -230,88 +234,6 @@
 	a.uncounted = a.sends
 }
 
-// pickRequest returns what the Fleet needs to pick the upstream of the next attempt.
-func (d *Dispatcher) pickRequest(a *attempts, now time.Time) fleet.PickRequest {
-	return fleet.PickRequest{
-		Service: a.w.Service.Name, Tokens: a.w.Tokens, Blocks: a.w.Blocks, Sizes: a.w.Sizes,
-		Exclude: d.unavailable(a, now), Build: a.build, ExcludeDomain: a.lostDomain, RequireIdle: a.requireIdle, UnreadTokens: a.w.PromptTokens,
-	}
-}
-
-// pick chooses the upstream of the next attempt, whatever the backlogs of the upstreams.
-func (d *Dispatcher) pick(a *attempts, now time.Time) (directory.Upstream, *result.Error) {
-	u, refusal, _ := d.pickWithin(a, 0, now)
-	return u, refusal
-}
-
-// pickWithin chooses the upstream of the next attempt. If backlog is positive and all
-// upstreams are full or have more prompts to read than that, it reports busy. If backlog is
-// 0, a full upstream is chosen if there is no other.
-func (d *Dispatcher) pickWithin(a *attempts, backlog time.Duration, now time.Time) (u directory.Upstream, refusal *result.Error, busy bool) {
-	if refusal := d.checkContent(a, now); refusal != nil {
-		return directory.Upstream{}, refusal, false
-	}
-	if refusal := d.checkRests(a, now); refusal != nil {
-		return directory.Upstream{}, refusal, false
-	}
-	request := d.pickRequest(a, now)
-	request.MaxBacklog = backlog
-	u, kind := d.pickWithPermit(request, a.lostDomain, now)
-	switch {
-	case kind == routing.Send:
-		return u, nil, false
-	case kind == routing.Wait && backlog > 0:
-		return directory.Upstream{}, nil, true
-	}
-	if usable, blocked := d.blocked(a, now); len(blocked) > 0 && len(blocked) == len(usable) {
-		return directory.Upstream{}, d.refuseAtLimit(a, blocked, now), false
-	}
-	if refusal := d.checkBuild(a, now); refusal != nil {
-		return directory.Upstream{}, refusal, false
-	}
-	n := d.fleet.Count(a.w.Service.Name)
-	detail := fmt.Sprintf("no upstream of service %q accepts the request: %d registered, %d leaving, %d out, %d replaced, %d excluded",
-		a.w.Service.Name, n.Registered, n.Leaving, n.Out, n.Replaced, len(request.Exclude))
-	return directory.Upstream{}, d.refuse(a, result.NoUpstream, detail), false
-}
-
-// pickWithPermit picks an upstream and uses a permit for it, if it has a limit. If another request has
-// used the last one meanwhile, it picks another upstream.
-func (d *Dispatcher) pickWithPermit(request fleet.PickRequest, avoid ident.Domain, now time.Time) (directory.Upstream, routing.Kind) {
-	if u, ok := d.pickStale(request, now); ok {
-		return u, routing.Send
-	}
-	for {
-		u, kind := d.pickOutside(request, avoid, now)
-		if kind != routing.Send || d.takePermit(u.ID, request.UnreadTokens, now) {
-			return u, kind
-		}
-		request.Exclude = append(request.Exclude, u.ID)
-	}
-}
-
-// pickOutside picks an upstream outside a failure domain, or in it if there is no other. If
-// request.MaxBacklog is 0, it picks a full one if there is no other.
-func (d *Dispatcher) pickOutside(request fleet.PickRequest, avoid ident.Domain, now time.Time) (directory.Upstream, routing.Kind) {
-	if preferred := d.prefer(request.Service); preferred != nil && request.Build == nil {
-		narrowed := request
-		narrowed.Build = preferred
-		if u, kind := d.fleet.Pick(narrowed, now); kind == routing.Send {
-			return u, kind
-		}
-	}
-	u, kind := d.fleet.Pick(request, now)
-	if kind != routing.Send && avoid != "" {
-		request.ExcludeDomain = ""
-		u, kind = d.fleet.Pick(request, now)
-	}
-	if kind == routing.Wait && request.MaxBacklog == 0 {
-		request.AllowFull = true
-		u, kind = d.fleet.Pick(request, now)
-	}
-	return u, kind
-}
-
 // refuse returns the final error of a request. It states that the request was not run only
 // if no attempt can have run it.
 func (d *Dispatcher) refuse(a *attempts, code result.Code, detail string) *result.Error {
--- a/dispatch/origin.go
+++ b/dispatch/origin.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"crocuslug/builds"
+	"crocuslug/directory"
 	"crocuslug/ident"
 	"crocuslug/result"
 	"crocuslug/work"
@@ -37,6 +38,9 @@
 // checkBuild refuses a stream that no upstream can go on with, because those of its build have left.
 func (d *Dispatcher) checkBuild(a *attempts, now time.Time) *result.Error {
 	service := a.w.Service.Name
+	if refusal := d.checkDelivery(a, now); refusal != nil {
+		return refusal
+	}
 	switch {
 	case a.build == nil || !d.builds.Several(service, now):
 		return nil
@@ -74,17 +78,22 @@
 	return s.build
 }
 
+// answeringBuild returns the build of u, as it was registered when it was chosen, that writes its answer. A
+// connection does not outlast the process that accepted it, so that an upstream that has started again
+// since it was chosen writes the answer after that.
+func (d *Dispatcher) answeringBuild(u directory.Upstream) ident.Build {
+	if now, ok := d.fleet.Upstream(u.ID); ok && now.Born != u.Born {
+		return now.Build
+	}
+	return u.Build
+}
+
 // keepBuild fixes the build of a stream that has received its first piece. If the service has several, it
 // waits until other instances know the build. They are told no earlier: an attempt may fail before its
 // first piece and the next one begin at another build, and a holder that missed the correction would
 // name the wrong one.
-func (d *Dispatcher) keepBuild(ctx context.Context, s *stream, id ident.Upstream) {
-	build := s.sentTo.Build
-	// A connection does not outlast the process that accepted it, so that an upstream that has
-	// started again since it was chosen wrote the piece after that.
-	if u, ok := d.fleet.Upstream(id); ok && u.Born != s.sentTo.Born {
-		build = u.Build
-	}
+func (d *Dispatcher) keepBuild(ctx context.Context, s *stream) {
+	build := d.answeringBuild(s.sentTo)
 	now, service := d.timer.Now(), s.w.Service.Name
 	s.setBuild(d.buildFor(service, build, now))
 	s.keepsBuild = true
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -54,7 +54,7 @@
 		return sendFailure{outcome: fleet.Failed, mayHaveRun: !exchange.NotSent.Has(err), cause: timedOut, reason: "no answer within its time limit"}, true
 	case exchange.Broken.Has(err) && errors.Is(err, os.ErrDeadlineExceeded):
 		return timeLimitPassed, true
-	case errors.Is(err, errLeft) || errors.Is(err, errResting):
+	case errors.Is(err, errLeft) || errors.Is(err, errResting) || errors.Is(err, errNoBuild):
 		return sendFailure{outcome: fleet.Abandoned, cause: withdrawn, reason: err.Error()}, true
 	case exchange.NotSent.Has(err):
 		return sendFailure{outcome: fleet.Dead, cause: notSent, reason: err.Error()}, true
--- a/dispatch/patience.go
+++ b/dispatch/patience.go
@@ -24,13 +24,14 @@
 		left = min(left, most-s.runs-1)
 	}
 	exclude := append(slices.Clone(s.exclude), id) // those that declined or were silent are tried again
+	chosen := s.side
 	return patience{
 		mayMove: s.w.Route.Repeatable() && left > 0,
 		early:   left > 1,
 		longest: d.cfg.MaxPause,
 		hasOther: func() bool {
 			closed := d.closed(s.w.Service.Name, d.timer.Now())
-			return d.fleet.HasOther(s.w.Service.Name, s.currentBuild(), "", append(closed, exclude...))
+			return d.fleet.HasOther(s.w.Service.Name, chosen.wanted(s.currentBuild()), chosen.exclude, append(closed, exclude...))
 		},
 		hasCopy: s.copies.hasCopy,
 	}
--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -72,7 +72,7 @@
 	if len(blocked) == 0 {
 		return nil, nil
 	}
-	usable = d.fleet.Usable(a.w.Service.Name, a.build, "", append(a.excluded(), d.rests.Closed(a.w.Service.Name, now)...))
+	usable = d.fleet.Usable(a.w.Service.Name, a.wantedBuild(), a.side.exclude, append(a.excluded(), d.rests.Closed(a.w.Service.Name, now)...))
 	return usable, slices.DeleteFunc(blocked, func(id ident.Upstream) bool { return !slices.Contains(usable, id) })
 }
 
@@ -156,7 +156,8 @@
 		if slices.Contains(request.Exclude, id) {
 			continue
 		}
-		if u, ok := d.fleet.Upstream(id); !ok || !u.Build.Continues(request.Build) {
+		u, ok := d.fleet.Upstream(id)
+		if !ok || !u.Build.Continues(request.Build) || u.Build != "" && u.Build == request.ExcludeBuild || !d.mayUse(u, now) {
 			continue
 		}
 		if u, ok := d.fleet.Reserve(id, now); ok {
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -38,7 +38,7 @@
 		go func() {
 			switch err := d.probe(waiting, u, now); {
 			case waiting.Err() != nil:
-			case errors.Is(err, errResting):
+			case errors.Is(err, errResting) || errors.Is(err, errNoBuild):
 				// Nothing is known about the engine.
 			case err == nil:
 				answered.Store(max(answered.Load(), now.UnixNano()))
@@ -56,9 +56,12 @@
 	}
 }
 
-// probe returns nil if u answers a probe, and errResting if none may be sent. The answer does not say which
+// probe returns nil if u answers a probe, and errResting or errNoBuild if none may be sent. The answer does not say which
 // upstream gave it, so it is no sign of life of u: another one may have the address by now.
 func (d *Dispatcher) probe(ctx context.Context, u directory.Upstream, now time.Time) error {
+	if !d.mayUse(u, now) {
+		return errNoBuild
+	}
 	if !d.rests.TakeProbe(u.ID, now) {
 		return errResting
 	}
--- a/dispatch/race_test.go
+++ b/dispatch/race_test.go
@@ -19,6 +19,6 @@
 	p := d.newPatience(s, "a")
 	var probe sync.WaitGroup
 	probe.Go(func() { p.beforeStart(time.Second) })
-	d.keepBuild(t.Context(), s, "a")
+	d.keepBuild(t.Context(), s)
 	probe.Wait()
 }
--- a/dispatch/rests.go
+++ b/dispatch/rests.go
@@ -40,7 +40,7 @@
 		return nil
 	}
 	// Upstreams that have declined the request may be among those that rest, and take it later.
-	usable := d.fleet.Usable(a.w.Service.Name, a.build, "", slices.Concat(a.exclude, a.silent))
+	usable := d.fleet.Usable(a.w.Service.Name, a.wantedBuild(), a.side.exclude, slices.Concat(a.exclude, a.silent))
 	resting = slices.DeleteFunc(resting, func(id ident.Upstream) bool { return !slices.Contains(usable, id) })
 	others := slices.DeleteFunc(usable, func(id ident.Upstream) bool { return slices.Contains(resting, id) || slices.Contains(a.declined, id) })
 	if len(others) > 0 {
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -43,6 +43,8 @@
 	delimited   bool      // its answer says where it ends
 	pausing     bool      // its engine is silent for longer than the limit, and the stream waits
 	lastPieceAt time.Time // when it received the last piece; its start before that
+
+	firstPieceAfter time.Duration // time of the current attempt to its first piece; 0 before
 }
 
 // errCallerWrite marks a failure to write to the caller.
@@ -101,6 +103,9 @@
 		forget()
 		end := d.timer.Now()
 		runCopy = s.copies.end(end, done)
+		if !done && v.reason != errCallerWrite.Error() {
+			d.observeLost(ctx, s, u, v, end.Sub(now))
+		}
 		switch {
 		case done:
 			d.recordAnswer(&s.attempts, u, s.whole == nil && s.delimited, 0, end)
@@ -244,12 +249,17 @@
 	if refusal := d.checkContent(&s.attempts, now); refusal != nil {
 		return directory.Upstream{}, nil, refusal
 	}
+	if refusal := d.checkDelivery(&s.attempts, now); refusal != nil {
+		return directory.Upstream{}, nil, refusal
+	}
+	s.side, s.counted = side{}, false
 	if runCopy != nil && !d.fleet.MemoryLost(runCopy.Holder, now) {
 		u, ok := d.fleet.Reserve(runCopy.Holder, now)
-		if ok && u.Address == runCopy.Address && u.Build.Continues(s.build) && d.takePermit(u.ID, 0, now) {
+		if ok && u.Address == runCopy.Address && u.Build.Continues(s.build) && d.mayUse(u, now) && d.takePermit(u.ID, 0, now) {
 			return u, runCopy, nil
 		}
 	}
+	s.side = d.sideOf(s.w, s.build, now)
 	d.awaitTrial(ctx, &s.attempts, now)
 	if refusal := d.ensurePermit(ctx, &s.attempts, d.timer.Now()); refusal != nil {
 		return directory.Upstream{}, nil, refusal
@@ -286,6 +296,7 @@
 	r := d.exchangeRequest(w, &attempt)
 	p := d.newPatience(s, u.ID)
 	s.lastPieceAt, s.answering, s.gotPiece, s.passed, s.cleared, s.pausing = now, time.Time{}, false, false, false, false
+	s.firstPieceAfter = 0
 	r.AnswerBy = now.Add(s.gaps.FirstTimeout())
 	r.Extend = func() time.Time { return d.extend(s, p) }
 	ctx, answered := d.withProbes(ctx, u, p)
@@ -333,6 +344,8 @@
 	if err != nil {
 		return sendFailure{outcome: fleet.Failed, mayHaveRun: true, cause: broken, reason: err.Error()}, false
 	}
+	now := d.timer.Now()
+	d.observe(&s.attempts, s.sentTo, ans.Status >= http.StatusInternalServerError, now.Sub(s.lastPieceAt), now)
 	if s.started {
 		reason := "the resumed stream was answered with status " + http.StatusText(ans.Status)
 		return sendFailure{outcome: fleet.Failed, mayHaveRun: true, cause: status, reason: reason}, false
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -17,10 +17,14 @@
 	"crocuslug/work"
 )
 
-// queuedRequest is a queued stream: the request to the Fleet and the upstream picked for it.
+// queuedRequest is a queued stream: the request to the Fleet, the upstream picked for it, and what
+// limited that choice.
 type queuedRequest struct {
-	request  fleet.PickRequest
+	w        *work.Work
+	request  fleet.PickRequest // without a side, which is chosen when the stream is placed
 	upstream directory.Upstream
+	side     side
+	counted  bool
 }
 
 // queueOf returns the queue of new streams of a service and creates it if needed.
@@ -43,11 +47,12 @@
 		queued := waiter.Request.(*queuedRequest)
 		request := queued.request
 		request.Exclude = append(slices.Clone(request.Exclude), d.closed(s, now)...)
-		u, kind := d.fleet.Pick(request, now)
+		chosen := d.sideOf(queued.w, request.Build, now)
+		u, kind := d.pickPlace(request, chosen, now)
 		if kind != routing.Send || !d.takePermit(u.ID, request.UnreadTokens, now) {
 			return false
 		}
-		queued.upstream = u
+		queued.upstream, queued.side, queued.counted = u, chosen, d.countChosen(queued.w, chosen, u, now)
 		q.Admission.Finish(waiter.ID, waiter.Cost) // from now on the Fleet counts it at the upstream
 		q.Resolve(waiter, line.Outcome{})
 		return true
@@ -114,7 +119,8 @@
 	} else if refusal := d.checkRests(&s.attempts, now); refusal != nil {
 		return directory.Upstream{}, refusal
 	}
-	queued := &queuedRequest{request: d.pickRequest(&s.attempts, now)}
+	queued := &queuedRequest{w: w, request: d.pickRequest(&s.attempts, now)}
+	queued.request.Build, queued.request.ExcludeBuild = s.build, ""
 	queued.request.Exclude = s.excluded() // permits may be issued, and rests may end meanwhile
 	queued.request.RequireIdle = true
 	s.requireIdle = false
@@ -140,6 +146,7 @@
 	case outcome.Err != nil:
 		return directory.Upstream{}, d.queueRefusal(s, outcome.Err)
 	}
+	s.side, s.counted = queued.side, queued.counted
 	d.meters.Observe("QueuedUs", end.Sub(now))
 	d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(queued.upstream.ID)).Dur("WaitedMs", end.Sub(now)).Msg("queued stream was assigned an upstream")
 	return queued.upstream, nil
