dispatch: tests of the builds that get attempts during a delivery

Scripts in testdata/delivery state the phase, the requests that engines receive, and the attempts and answers that are recorded.

--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -103,6 +103,9 @@
 	}
 	dependencies := testDependencies(testProtocol(), f, client, clock, zerolog.Nop())
 	dependencies.Budget = wd.budget
+	if wd.delivery != nil {
+		dependencies.Delivery = wd.delivery.functions()
+	}
 	wd.publish = func() {
 		f.SetUpstreams(wd.list, func(ident.Service) int { return wd.service.Memory }, clock.Now())
 		dependencies.Builds.SetUpstreams(wd.list, clock.Now())
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -46,6 +46,7 @@
 	memory   int64          // bound on answers in memory in bytes; 0 means the default
 	relayed  string         // engine to which connections pass through another instance; "" for none
 	relays   []*net.TCPConn // both ends of the connections between the instances
+	delivery *fakeDelivery  // nil for none
 	departs  string         // engine that registers as leaving while a connection to it is opened; "" for none
 }
 
@@ -61,12 +62,15 @@
 //	relayed NAME           connections to the engine pass through another instance
 //	told BUILD ...         the builds told to other instances, in order; - for none
 //	origin BUILD           the caller takes up a stream after piece 3 that began at a build; - if that is not known
+//	delivery PHASE BUILD   the service is being moved to a build: former, new, ended or rolled-back
+//	sent BUILD ...         the builds whose attempts were recorded, in order; - for none
+//	observed BUILD:ok|bad ...  the answers that were recorded, sorted; - for none
 //	want RESULT        "200 BODY", "pieces 1-5", "cut 1-3", "refused NotRun" or "refused Unknown"
 //	request ENGINE ...     a request received by an engine, or "ENGINE left" (see cut), in order
 //
 // The commands of an engine are ok:BODY, late:BODY (after pauseTime), status:N, refuse, rest:SECONDS,
 // replaced, drop, unsigned, still:N-M (the engine answers nobody for pauseTime, then streams),
-// and stream:N-M:END, where END is whole, drop, drop-late (after minRunTime), hang, pause-K
+// and stream:N-M:END, where END is whole, rollback (the build of the delivery is rolled back, then drop), drop, drop-late (after minRunTime), hang, pause-K
 // (silence for pauseTime, then the pieces up to K), rollout-BUILD (after minRunTime an engine of that build
 // registers; one more piece after pauseTime), cut (after minRunTime this instance
 // is cut off from the one that passes the connection on; the engine records when its connection is closed), leave (it registers as leaving) or crash (after minRunTime the engine is
@@ -74,6 +78,10 @@
 // event of that size.
 func TestScripts(t *testing.T) { runScripts(t, "testdata/*.txt") }
 
+// TestDeliveries guards against requests to a build that is being delivered beyond its share, or after it was
+// rolled back, and against answers that are recorded wrongly.
+func TestDeliveries(t *testing.T) { runScripts(t, "testdata/delivery/*.txt") }
+
 // TestPauses guards against answers that are cut because a sound engine paused.
 func TestPauses(t *testing.T) { runScripts(t, "testdata/pauses/*.txt") }
 
@@ -115,7 +123,7 @@
 	wd := &cluster{service: directory.Service{Name: "s", Memory: 55000, Backups: true}, budget: retry.Settings{Burst: 100, MaxAttempts: 8}, deadline: 20 * time.Second}
 	var want string
 	var wantSeen []string
-	wantTold := "any"
+	wantTold, wantSent, wantObserved := "any", "any", "any"
 	for n, line := range strings.Split(string(text), "\n") {
 		w := strings.Fields(line)
 		if len(w) == 0 || w[0] == "#" {
@@ -135,6 +143,12 @@
 			wd.relayed = w[1]
 		case "told":
 			wantTold = strings.TrimPrefix(strings.Join(w[1:], " "), "-")
+		case "delivery":
+			wd.delivery = newDelivery(t, w[1], ident.Build(w[2]))
+		case "sent":
+			wantSent = strings.TrimPrefix(strings.Join(w[1:], " "), "-")
+		case "observed":
+			wantObserved = strings.TrimPrefix(strings.Join(w[1:], " "), "-")
 		case "origin":
 			build := ident.Build(strings.TrimPrefix(w[1], "-"))
 			wd.origin = &build
@@ -149,6 +163,9 @@
 	if got := wd.run(t); got != want {
 		t.Errorf("result: got %q, want %q", got, want)
 	}
+	if wd.delivery != nil {
+		wd.delivery.check(t, wantSent, wantObserved)
+	}
 	wd.mu.Lock()
 	defer wd.mu.Unlock()
 	if got := strings.Join(wd.told, " "); got != wantTold && wantTold != "any" {
@@ -329,6 +346,10 @@
 		e.cluster.cutRelays()
 		<-r.Context().Done()
 		e.cluster.record(e.name + " left")
+	case "rollback":
+		<-time.After(minRunTime) // the pieces have arrived
+		e.cluster.delivery.rollBack()
+		panic(http.ErrAbortHandler)
 	case "leave":
 		e.cluster.leave(e.name)
 		panic(http.ErrAbortHandler)
