edge: orders and statuses of deliveries, and the tracker's inputs

The tracker of package canary had neither inputs nor users. Orders and statuses come from scan, watch and catch-up, with removals; an order is applied before the upstreams of its build can be chosen. Evidence travels in digests. Statuses are written under the version that the tracker names, one at a time for each service; a failed condition reads the entry. Once a delivery is known to be done, new work goes to the new build while former ones are listed. Phases, orders and writes are logged, explain knows the lines, and metrics show the deliveries. Without settings nothing of this happens.

go test -race ./edge -run 'TestOrders|TestOrderBefore|TestStatusWritten|TestFormerBuilds|TestOddEntries': ok

--- a/edge/catchup.go
+++ b/edge/catchup.go
@@ -33,6 +33,8 @@
 	InForce       uint64          // version of the configuration in force
 	Configuration json.RawMessage `json:",omitempty"` // set if it is newer than the version in the request, unless that omits it
 	registry.Changes
+	// Deliveries are all orders and statuses of deliveries. Instances of earlier builds do not send it.
+	Deliveries *[]toldDelivery `json:",omitempty"`
 	// Peers are known instances, sent to a peer that has not read the store yet.
 	Peers []presence `json:",omitempty"`
 }
@@ -86,7 +88,10 @@
 			e.logRegistered(u, "peer "+string(from))
 		}
 	}
+	told := e.deliveriesOf(c, e.timer.Uptime()-began)
+	e.applyDeliveries(told, e.isOrder, c.Seen, "peer "+string(from), now) // before a second build can be used
 	e.logRemovals(e.registry.Merge(c.Changes, c.Seen, asked, now), c.Seen, "peer "+string(from))
+	e.applyDeliveries(told, e.isStatus, c.Seen, "peer "+string(from), now)
 	e.view.ConfirmThrough(c.Seen, c.decode(), began, e.timer.Uptime())
 	e.publish(now)
 	e.meters.Count("Store.CaughtUp", 1)
@@ -140,6 +145,7 @@
 func (e *Edge) changesSince(q changesRequest) changes {
 	// The version is read before the entries, which must not be older.
 	c := changes{Seen: e.view.Seen(), confirmation: encodeConfirmation(e.view.Confirmation(e.timer.Uptime()))}
+	c.Deliveries = e.tellDeliveries(e.timer.Now())
 	c.Changes = e.registry.Since(q.Seen, e.timer.Now())
 	if cur := e.current.Load(); cur != nil {
 		c.InForce = cur.Version
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -67,6 +67,7 @@
 	upstreamLimits *upstreamlimit.Limits
 	rests          *cooldown.Tracker
 	builds         *builds.Tracker
+	deliveries     *deliveries
 	reach          *reach.Tracker
 	relays         *relay.Server
 	dispatcher     *dispatch.Dispatcher
@@ -161,6 +162,7 @@
 		silentIssuers: make(map[ident.Instance]silentIssuer),
 	}
 	e.registry.Known = func(now time.Time) time.Time { return now.Add(-e.view.Age(t.Uptime())) }
+	e.deliveries = e.newDeliveries()
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.DialUpstream = e.exchange.Dial
 	e.exchange.Dial = e.connectUpstream
@@ -199,6 +201,7 @@
 		CutOff:      e.doubt,
 		Leaves:      e.recordLeaving,
 		TellRest:    e.tellRest,
+		Delivery:    e.dispatchDelivery(),
 
 		Meters: e.meters,
 		Budget: e.budget(),
@@ -316,6 +319,7 @@
 	e.poison.Tick(now)
 	e.logBans()
 	e.logBuilds()
+	e.tickDeliveries(now)
 }
 
 // sleep waits for d or until the instance ends.
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -56,6 +56,7 @@
 	for _, id := range slices.Sorted(maps.Keys(resting)) {
 		line("Rest."+string(id)+".LeftMs", resting[id].Milliseconds())
 	}
+	e.writeDeliveryMetrics(line, now)
 	line("Origins.Held", e.builds.Records())
 	cut, _ := e.reach.CutDomains()
 	line("Reach.CutDomains", len(cut))
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"crocuslug/builds"
+	"crocuslug/canary"
 	"crocuslug/ident"
 	"crocuslug/peerlink"
 	"crocuslug/poison"
@@ -89,6 +90,8 @@
 	Limits []upstreamlimit.Statement `json:",omitempty"`
 	// Builds are the services with several software versions of upstreams.
 	Builds []builds.State `json:",omitempty"`
+	// Deliveries is the evidence of deliveries in progress. Instances of earlier builds ignore it.
+	Deliveries []canary.Evidence `json:",omitempty"`
 	// Departures are upstreams that have said in answers to the sender that they are leaving.
 	Departures []registry.Departure `json:",omitempty"`
 	// Restarts are those of upstreams that were found without the store.
@@ -188,6 +191,9 @@
 	}
 	d.Poison, d.Limits, d.Builds = e.poison.Report(now), e.upstreamLimits.Report(now), e.builds.Report(now)
 	d.Departures = e.registry.Departures(now.Add(-departureReportTime))
+	if e.deliveries.on {
+		d.Deliveries = e.deliveries.report(now)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	d.Seen, d.confirmation = e.view.Seen(), encodeConfirmation(e.view.Confirmation(e.timer.Uptime()))
@@ -253,12 +259,12 @@
 	near := []ident.Instance{e.self}
 	sharing := []ident.Instance{e.self}
 	domains := []ident.Domain{e.cfg.Domain}
-	live, liveDomains := 1, map[ident.Domain]bool{e.cfg.Domain: true}
+	live, liveDomains := []ident.Instance{e.self}, map[ident.Domain]bool{e.cfg.Domain: true}
 	e.mu.Lock()
 	for id, p := range e.peers {
 		alive := e.peerAlive(p, now)
 		if alive {
-			live++
+			live = append(live, id)
 			liveDomains[p.domain] = true
 		}
 		switch {
@@ -271,7 +277,8 @@
 		}
 	}
 	e.mu.Unlock()
-	e.dispatcher.SetRetryBurst(e.retryBurst(live))
+	e.dispatcher.SetRetryBurst(e.retryBurst(len(live)))
+	e.deliveries.setInstances(live)
 	e.fleet.SetInstances(domains, sharing)
 	e.view.SetPeers(e.cfg.Domain, e.self, near, len(liveDomains))
 }
@@ -343,6 +350,9 @@
 	e.poison.Merge(d.Poison, now)
 	e.mergeLimits(d.Limits, from, now)
 	e.builds.Merge(d.Builds, now)
+	if e.deliveries.on && len(d.Deliveries) > 0 {
+		e.deliveries.merge(d.Deliveries, now)
+	}
 	e.mergeDepartures(d.Departures, from, now)
 	e.applyRestarts(d.Restarts, from, now)
 	if behind {
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -11,6 +11,7 @@
 	"crocuslug/ident"
 	"crocuslug/registry"
 	"crocuslug/store"
+	"crocuslug/unit"
 )
 
 // watch follows the changes in the store until the instance ends. While peers keep the instance
@@ -175,6 +176,8 @@
 	now := e.timer.Now()
 	e.recordStoreAnswered(now)
 	e.recordEra(at)
+	age := e.view.Age(began) // 0 before the first scan
+	var orders []toldDelivery
 	var list []directory.Upstream
 	instances := make(map[ident.Instance]bool)
 	e.forgetBuildRecords()
@@ -193,11 +196,15 @@
 			if id := e.addInstance(entry, now); id != "" {
 				instances[id] = true
 			}
+		case e.isOrder(entry.Key) || e.isStatus(entry.Key):
+			orders = append(orders, toldDelivery{entry.Key, entry.Value, entry.Version, unit.Duration(age)})
 		}
 	}
 	e.forgetPeers(instances)
 	e.updateFleetInstances(now)
+	e.applyDeliveries(orders, e.isOrder, at, "scan", now) // before a second build can be used
 	e.logRemovals(e.registry.ReplaceAll(list, at, now), at, "scan")
+	e.applyDeliveries(orders, e.isStatus, at, "scan", now)
 	e.view.Confirm(at, began)
 	e.publish(now)
 	e.log.Info().Uint64("Revision", at.Revision()).Uint64("Era", at.Era()).Int("Upstreams", len(list)).Msg("store read")
@@ -206,6 +213,7 @@
 
 // watchChanges waits for the next changes in the store and applies them.
 func (e *Edge) watchChanges() error {
+	age := e.view.Age(e.timer.Uptime()) // what changes while the store waits is known at once
 	entries, at, err := e.store.Watch(e.ctx, "", e.view.Seen())
 	if err != nil {
 		return err
@@ -229,6 +237,8 @@
 			if !entry.Deleted {
 				e.addInstance(entry, now)
 			}
+		case e.isOrder(entry.Key) || e.isStatus(entry.Key):
+			e.applyDelivery(entry, age, "watch", now)
 		}
 	}
 	e.view.Confirm(at, answered)
@@ -320,6 +330,7 @@
 	e.reach.SetUpstreams(list)
 	e.upstreamLimits.SetUpstreams(list)
 	e.rests.SetUpstreams(list)
+	e.forgetFormerBuilds()
 	e.fleet.SetUpstreams(list, func(s ident.Service) int {
 		if d == nil {
 			return 0
--- a/explain/report.go
+++ b/explain/report.go
@@ -33,6 +33,7 @@
 var instanceEvents = []string{
 	"configuration in force", "store lost", "store regained", "leaving", "started", "failure domain hit; its upstreams are avoided",
 	"caught up from a peer", "parts of prompts refused: engines crash with them", "parts of prompts refused no more", "settings reloaded", "software versions of service changed",
+	"delivery ordered", "delivery withdrawn", "phase of delivery changed", "status of delivery known", "status of delivery written",
 	"cut off from upstreams; using other instances", "upstreams reached again",
 }
 
