--- a/canary/size_test.go
+++ b/canary/size_test.go
@@ -27,7 +27,7 @@
 				{"s", "chat", 50, 600 * time.Millisecond, [2]time.Duration{5 * time.Second, 10 * time.Second}},
 				{"s", "call", 100, 50 * time.Millisecond, [2]time.Duration{0, 50 * time.Millisecond}},
 			}
-			s.faults = []fault{{build: "v2", fraction: 0.3, to: time.Minute}}
+			s.faults = []fault{{build: "v2", fraction: 0.6, to: time.Minute}}
 			s.after(time.Second, func() { s.order("s", "v2", 12*time.Second) })
 			s.run(8 * time.Second)
 			y := s.tallies["s"]
@@ -157,3 +157,24 @@
 		t.Errorf("evidence: got %s, want %s", g, w)
 	}
 }
+
+// TestRuns guards against counters of an instance that are lost when it starts again, and against own counters that come
+// back from others and count twice.
+func TestRuns(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tr := New(Settings{Share: 0.1, Slack: 50}, "i", now)
+	tr.SetOrder(Order{Service: "s", To: "v2", FinishBy: 12 * time.Second, Version: 5}, now)
+	tr.Observe("s", "r", "v2", false, time.Second, now)
+	own := tr.Report(now)
+	route := []routeReport{{Route: "r", New: counts{2}}}
+	for _, started := range []int64{1, 2} {
+		tr.Merge([]Evidence{{Service: "s", To: "v2", Version: 5, Instances: []instanceReport{{Instance: "a", Started: started, Routes: route}}}}, now)
+	}
+	tr.Merge(own, now)
+	if got, want := tr.Views(now)[0].New, 1+2+2; got != want {
+		t.Errorf("answers of the new build: got %d, want %d", got, want)
+	}
+	if got, want := len(tr.services["s"].delivery.runs), 3; got != want {
+		t.Errorf("runs: got %d, want %d", got, want)
+	}
+}
