--- a/edge/builds_test.go
+++ b/edge/builds_test.go
@@ -50,7 +50,14 @@
 // newBuilding returns a site with engines of some builds, half of them in each of two failure domains.
 func newBuilding(t *testing.T, builds ...ident.Build) *building {
 	t.Helper()
-	b := &building{site: newSite(t), engines: make(map[ident.Build][]*standinregistered.Server), random: rand.New(rand.NewPCG(1, 2))}
+	return buildOn(newSite(t), builds...)
+}
+
+// buildOn adds engines of some builds and instances to a site.
+func buildOn(s *site, builds ...ident.Build) *building {
+	t := s.t
+	t.Helper()
+	b := &building{site: s, engines: make(map[ident.Build][]*standinregistered.Server), random: rand.New(rand.NewPCG(1, 2))}
 	b.putConfiguration(3)
 	b.startUpstream("plain", 0, "127.0.0.1:0")
 	for _, build := range builds {
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -38,6 +38,7 @@
 	version store.Version
 	stops   map[*edge.Edge]func() // stop each instance once
 	drain   time.Duration         // time in which instances react to leaving upstreams; 0 means the default
+	prepare func(e *edge.Edge)    // if it is not nil, called before each instance starts; instances deliver builds then
 	slack   float64               // retries of all instances together beyond a share of the requests
 }
 
@@ -118,10 +119,16 @@
 		Seeds: seeds, Grace: unit.Duration(3 * time.Second), ReuseAfter: unit.Duration(waitLimit), Drain: unit.Duration(s.drain),
 		RetrySlack: s.slack,
 	}
+	if s.prepare != nil {
+		cfg.Delivery = settings.Delivery{Share: 0.1, Slack: 50, RollbackWithin: unit.Duration(5 * time.Second)}
+	}
 	e := edge.New(cfg, nativewire.Ports(storeAddress), []byte("secret"), s.clock, zerolog.Nop())
 	if links != nil {
 		links.dial, e.DialUpstream = e.DialUpstream, links.open
 	}
+	if s.prepare != nil {
+		s.prepare(e)
+	}
 	if err := e.Start(); err != nil {
 		s.t.Fatal(err)
 	}
