edge, fleet: one log line while a status cannot be written; replaced upstreams are gone

A status that cannot be written was logged with each tick, ten times a second. A former upstream whose address another one has taken kept new work from the new build although it is gone.

--- a/edge/delivery.go
+++ b/edge/delivery.go
@@ -44,6 +44,7 @@
 	known   map[string]deliveryEntry
 	ended   map[ident.Service]endedDelivery
 	writing map[ident.Service]bool        // statuses that are being written
+	failing map[ident.Service]bool        // the last write of a status failed, which was logged
 	phases  map[ident.Service]canary.View // as logged last
 }
 
@@ -69,6 +70,7 @@
 		known:             make(map[string]deliveryEntry),
 		ended:             make(map[ident.Service]endedDelivery),
 		writing:           make(map[ident.Service]bool),
+		failing:           make(map[ident.Service]bool),
 		phases:            make(map[ident.Service]canary.View),
 	}
 }
--- a/edge/orders.go
+++ b/edge/orders.go
@@ -194,6 +194,9 @@
 		at, err = e.store.Put(ctx, key, value, s.Version, 0)
 	}
 	now := e.timer.Now()
+	if e.statusFails(s.Service, err != nil && !store.Conflict.Has(err)) {
+		return // while the store is away, each tick tries again
+	}
 	e.log.Info().Str("Service", string(s.Service)).Str("Build", string(s.To)).Str("State", string(s.State)).Uint64("Expected", s.Version.Revision()).
 		Uint64("Revision", at.Revision()).Int("FormerUnderWay", e.formerInProgress(s.Service, s.To)).Dur("OrderAgeMs", e.orderAge(s.Service, now)).
 		Dur("TookMs", now.Sub(began)).Err(err).Msg("status of delivery written")
@@ -205,6 +208,16 @@
 	}
 }
 
+// statusFails records whether the write of a status failed, and reports whether the one before failed as well.
+func (e *Edge) statusFails(s ident.Service, fails bool) bool {
+	d := e.deliveries
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	before := d.failing[s]
+	d.failing[s] = fails
+	return before && fails
+}
+
 // orderAge returns the time since the order of a service was given, or 0 if there is none.
 func (e *Edge) orderAge(s ident.Service, now time.Time) time.Duration {
 	e.deliveries.mu.Lock()
--- a/edge/orders_test.go
+++ b/edge/orders_test.go
@@ -308,3 +308,30 @@
 		t.Errorf("build that new work is limited to: got %q, want %q", got, want)
 	}
 }
+
+// TestStatusWrittenAfterOutage guards against a status that is not written once the store answers again, and against a
+// line of the log for each try while it does not.
+func TestStatusWrittenAfterOutage(t *testing.T) {
+	clock := newDeliveryClock(t)
+	kv := standinkeyvalue.New(clock)
+	d := newDelivering(t, "127.0.0.1:0", kv, clock)
+	write, away := d.store.Put, true
+	d.store.Put = func(ctx context.Context, key string, value []byte, expect store.Version, lease store.Lease) (store.Version, error) {
+		if away {
+			return 0, store.Unavailable.New("no answer")
+		}
+		return write(ctx, key, value, expect, lease)
+	}
+	d.due(canary.Status{Service: "s", To: "v2", State: canary.RolledBack})
+	for n := range 6 {
+		away = n < 5
+		d.tickDeliveries(clock.Now())
+		d.tasks.Wait()
+	}
+	if got, want := d.take(), "status RolledBack v2"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	if got := strings.Count(d.log.String(), "status of delivery written"); got != 2 {
+		t.Errorf("lines of the log: got %d, want one of the failures and one of the success; log:\n%s", got, &d.log)
+	}
+}
--- a/fleet/usable.go
+++ b/fleet/usable.go
@@ -35,10 +35,13 @@
 }
 
 // HasBuildBesides reports whether an upstream of a service that does not leave is of another build, in
-// rotation or not.
+// rotation or not. One whose address another upstream has taken is gone.
 func (f *Fleet) HasBuildBesides(service ident.Service, build ident.Build) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	g, ok := f.services[service]
-	return ok && slices.ContainsFunc(g.list, func(u directory.Upstream) bool { return u.Build != build && !u.Draining })
+	return ok && slices.ContainsFunc(g.list, func(u directory.Upstream) bool {
+		_, replaced := f.replaced[u.ID]
+		return u.Build != build && !u.Draining && !replaced
+	})
 }
