bodybudget, ingress, exchange: one budget of memory for all bodies and answers

Callers saw instances outgrow their memory: 60 chunked bodies of 4 MiB that stop one byte short of their end took 279 MiB of an instance with 96 MiB. Each body was read into a buffer that doubled, and nothing bounded all of them together; whole answers were copied once more and counted only until they had been read.

With MemoryBytes, bodies and answers now share a quarter of it, and never less than the largest body that the configuration allows. Bodies are read in parts and take memory for each part before it is read. When the memory is used up, the one without progress for 500 ms and the longest gives way: a body that is being read with 503, Retry-After and Connection: close, an answer that its caller does not read with a reset. A request that was passed on is not given up; its answer waits and then goes beyond the limit, by a quarter of the memory at most. Callers' connections are bounded by memory too.

Left: heads of many fields cost about 100 bytes a field and are not counted.

--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -102,14 +102,14 @@
 		return nil, v, true
 	}
 	a.answering = d.timer.Now()
-	body, err := ans.ReadBody()
+	body, more, err := ans.ReadParts()
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, timeLimitPassed, true
 	}
 	if err != nil {
 		return nil, sendFailure{outcome: fleet.Failed, mayHaveRun: true, cause: broken, reason: err.Error()}, true
 	}
-	return &Reply{Status: ans.Status, Header: ans.Header, Body: body, delimited: ans.Delimited()}, sendFailure{}, false
+	return &Reply{Status: ans.Status, Header: ans.Header, Body: body, More: more, delimited: ans.Delimited()}, sendFailure{}, false
 }
 
 // extendCall returns until when a request waits for an upstream that has not answered within
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -395,6 +395,9 @@
 		Host:     w.Host,
 		Header:   d.protocol.Header(w, attempt),
 		Body:     w.Body,
+		More:     w.More,
+		Take:     w.Take,
+		Give:     w.Give,
 		Fresh:    !w.Route.Repeatable(),
 		IsAnswer: func(h http.Header) bool { return d.isAnswer(w, attempt.Upstream.ID, h) },
 	}
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -329,7 +329,7 @@
 
 // readWhole reads an answer that is not a stream.
 func (d *Dispatcher) readWhole(s *stream, ans *exchange.Answer) (sendFailure, bool) {
-	body, err := ans.ReadBody()
+	body, more, err := ans.ReadParts()
 	if err != nil {
 		return sendFailure{outcome: fleet.Failed, mayHaveRun: true, cause: broken, reason: err.Error()}, false
 	}
@@ -337,6 +337,6 @@
 		reason := "the resumed stream was answered with status " + http.StatusText(ans.Status)
 		return sendFailure{outcome: fleet.Failed, mayHaveRun: true, cause: status, reason: reason}, false
 	}
-	s.whole = &Reply{Status: ans.Status, Header: ans.Header, Body: body}
+	s.whole = &Reply{Status: ans.Status, Header: ans.Header, Body: body, More: more}
 	return sendFailure{}, true
 }
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -12,6 +12,7 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	More   [][]byte // of the body, after Body
 
 	delimited bool // the answer says where it ends
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -13,6 +13,7 @@
 	"github.com/zeebo/errs"
 
 	"crocuslug/background"
+	"crocuslug/bodybudget"
 	"crocuslug/builds"
 	"crocuslug/cooldown"
 	"crocuslug/directory"
@@ -71,6 +72,7 @@
 	relays         *relay.Server
 	dispatcher     *dispatch.Dispatcher
 	server         *ingress.Server
+	bodies         *bodybudget.Budget // nil if there is no bound on memory
 	link           *peerlink.Link
 	admin          *fasthttp.Server // serves readiness and metrics
 	meters         *meter.Meters
@@ -144,7 +146,8 @@
 		log:            log.With().Str("Instance", cfg.Name).Str("Domain", string(cfg.Domain)).Logger(),
 		view:           storeview.New(storeview.Settings{MaxAge: maxAge(cfg.Drain.Std())}, max(1, randomSeed())),
 		registry:       registry.New(registry.Settings{Drain: cfg.Drain.Std()}),
-		exchange:       exchange.New(exchange.Settings{}, t),
+		exchange:       exchange.New(exchange.Settings{MaxBuffered: maxAnswers(cfg.MemoryBytes)}, t),
+		bodies:         newBodies(cfg.MemoryBytes),
 		poison:         poison.New(),
 		upstreamLimits: upstreamlimit.New(),
 		rests:          cooldown.New(rand.Uint64),
@@ -206,7 +209,7 @@
 		Random: rand.Uint64,
 		Log:    e.log,
 	})
-	e.server = ingress.New(ingress.Settings{Listen: cfg.Listen, MaxConnections: e.connections()}, ingress.Ports{
+	e.server = ingress.New(ingress.Settings{Listen: cfg.Listen, MaxConnections: e.connections(), Bodies: e.bodies}, ingress.Ports{
 		Handle:   e.handle,
 		Limits:   e.limits,
 		Rejected: e.recordRejected,
@@ -251,16 +254,6 @@
 	}
 }
 
-// connections returns the number of connections from callers that the file descriptors allow, or 0
-// if there are too few to set a bound.
-func (e *Edge) connections() int {
-	const reserved, share = 400, 2 // reserved for files, peers and the store; callers get half of the rest
-	if e.cfg.Descriptors <= reserved {
-		return 0
-	}
-	return (e.cfg.Descriptors - reserved) / share
-}
-
 // Start opens the listeners and starts serving requests.
 func (e *Edge) Start() error {
 	if err := e.link.Start(); err != nil {
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -61,6 +61,15 @@
 	line("Reach.CutDomains", len(cut))
 	line("Relays.Open", e.relays.Open())
 	line("Connections.Open", e.server.Open())
+	if e.bodies != nil {
+		c := e.bodies.Counts()
+		line("Bodies.Bytes", c.Bytes)
+		line("Bodies.Limit", c.Limit)
+		line("Bodies.Waited", c.Waited)
+		line("Bodies.GaveWay", c.GaveWay)
+		line("Bodies.Refused", c.Refused)
+		line("Bodies.Exceeded", c.Exceeded)
+	}
 	line("Upstreams.Registered", len(e.registry.All()))
 	for _, name := range e.fleet.Services() {
 		n := e.fleet.Count(name)
--- a/edge/requests.go
+++ b/edge/requests.go
@@ -38,9 +38,9 @@
 }
 
 // recordRejected counts and logs a request that could not be read.
-func (e *Edge) recordRejected(caller string, status int) {
+func (e *Edge) recordRejected(caller string, status int, cause error) {
 	e.meters.Count("Rejected."+http.StatusText(status), 1)
-	e.log.Info().Str("Caller", caller).Int("Status", status).Msg("request could not be read")
+	e.log.Info().Str("Caller", caller).Int("Status", status).AnErr("Reason", cause).Msg("request could not be read")
 }
 
 // handle answers one request.
@@ -112,7 +112,7 @@
 	if route.Timeout > 0 {
 		timeout = min(timeout, route.Timeout)
 	}
-	return &work.Work{
+	w := &work.Work{
 		ID:           desc.ID,
 		Route:        route,
 		Service:      service,
@@ -134,7 +134,12 @@
 		Host:         c.Request.Host,
 		Header:       e.ports.RequestHeader(c.Request.Header),
 		Body:         c.Body,
-	}, nil
+		More:         c.More,
+	}
+	if e.bodies != nil {
+		w.Take, w.Give = c.Take, c.Give
+	}
+	return w, nil
 }
 
 // partTokens returns the number of tokens of each part of a prompt.
@@ -165,6 +170,9 @@
 		_, _ = h.WriteString(p.Name + "\n")
 	}
 	_, _ = h.Write(c.Body)
+	for _, part := range c.More {
+		_, _ = h.Write(part)
+	}
 	return h.Sum64()
 }
 
@@ -205,7 +213,7 @@
 // sendReply passes a complete answer on to the caller.
 func (e *Edge) sendReply(c *ingress.Call, w *work.Work, r *dispatch.Reply) {
 	e.recordAnswer(w, r.Status, e.timer.Now().Sub(c.Arrived))
-	if err := c.Answer(r.Status, e.ports.AnswerHeader(r.Header), r.Body); err != nil {
+	if err := c.Answer(r.Status, e.ports.AnswerHeader(r.Header), r.Body, r.More...); err != nil {
 		e.log.Info().Str("Request", string(w.ID)).Err(err).Msg("the caller did not take the answer")
 	}
 }
--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -24,8 +24,11 @@
 	sending  *requestWrite
 	onClose  func(settled <-chan struct{}) // Request.Closed
 	memory   hold
-	maxBody  int64 // in bytes
-	bodyRead bool  // the body was read to its end
+	take     func(n int64) error // Request.Take
+	give     func(n int64)       // Request.Give
+	taken    int64               // bytes that take took and give has to return
+	maxBody  int64               // in bytes
+	bodyRead bool                // the body was read to its end
 	closed   bool
 }
 
@@ -55,34 +58,53 @@
 
 // Reserve counts n bytes more of the body as held in memory by the caller, until Close. It returns
 // an error of class Broken if the answer was broken off because the bodies in memory exceed
-// Settings.MaxBuffered.
-func (a *Answer) Reserve(n int64) error { return a.client.buffers.take(&a.memory, n) }
+// Settings.MaxBuffered, or if Request.Take fails.
+func (a *Answer) Reserve(n int64) error {
+	if a.take != nil {
+		if err := a.take(n); err != nil {
+			return Broken.Wrap(err)
+		}
+		a.taken += n
+	}
+	return a.client.buffers.take(&a.memory, n)
+}
 
 // ReadBody returns the complete body. It returns an error if the body is incomplete or larger than
 // allowed, or if Reserve does.
 func (a *Answer) ReadBody() ([]byte, error) {
-	var parts [][]byte
+	first, more, err := a.ReadParts()
+	if len(more) == 0 {
+		return first, err
+	}
+	return slices.Concat(append([][]byte{first}, more...)...), err
+}
+
+// ReadParts returns the complete body in parts, first and more, as ReadBody does without a copy. What
+// Request.Take took for them stays taken after Close.
+func (a *Answer) ReadParts() (first []byte, more [][]byte, err error) {
 	var size int64
 	for !a.bodyRead {
 		if size > a.maxBody || a.Length > a.maxBody && a.res.Body != http.NoBody {
-			return nil, Broken.New("answer has more than %d bytes", a.maxBody)
+			return nil, nil, Broken.New("answer has more than %d bytes", a.maxBody)
 		}
 		n := a.nextPart(size)
 		if err := a.Reserve(n); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		part := make([]byte, n)
 		got, err := io.ReadFull(a, part)
 		if err != nil && !a.bodyRead {
-			return nil, err
+			return nil, nil, err
+		}
+		if size == 0 {
+			first = part[:got]
+		} else {
+			more = append(more, part[:got])
 		}
-		parts = append(parts, part[:got])
 		size += int64(got)
 	}
-	if len(parts) == 1 {
-		return parts[0], nil
-	}
-	return slices.Concat(parts...), nil
+	a.taken = 0
+	return first, more, nil
 }
 
 // Sizes in bytes of the parts in which a body is read. Memory is taken for what has arrived and one
@@ -117,6 +139,9 @@
 	a.closed = true
 	running := a.stop()
 	lost := a.client.buffers.release(&a.memory)
+	if a.give != nil && a.taken > 0 {
+		a.give(a.taken)
+	}
 	a.cn.setReadDeadline(time.Time{})
 	a.cn.extend = nil
 	if running && !lost && a.bodyRead && a.reusable() {
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -88,6 +88,8 @@
 		onClose: r.Closed,
 		memory:  hold{abort: cn.abort},
 		maxBody: c.maxBody(r),
+		take:    r.Take,
+		give:    r.Give,
 	}, nil
 }
 
@@ -264,8 +266,12 @@
 			return err
 		}
 	}
-	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
-		if _, err := w.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n"); err != nil {
+	length := len(r.Body)
+	for _, part := range r.More {
+		length += len(part)
+	}
+	if length > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		if _, err := w.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n"); err != nil {
 			return err
 		}
 	}
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -144,6 +144,11 @@
 	if _, err := cn.bw.Write(r.Body); err != nil {
 		return err
 	}
+	for _, part := range r.More {
+		if _, err := cn.bw.Write(part); err != nil {
+			return err
+		}
+	}
 	return cn.bw.Flush()
 }
 
--- a/exchange/types.go
+++ b/exchange/types.go
@@ -17,6 +17,13 @@
 	Host   string
 	Header http.Header // without the fields for the connection and for framing
 	Body   []byte
+	More   [][]byte // of the body, after Body
+
+	// Take, if it is not nil, is called before memory is allocated for n bytes of the answer, from the goroutine
+	// that reads it. It may wait, and may return an error, with which reading fails. Give returns such bytes
+	// when the answer is closed, unless ReadParts has returned them.
+	Take func(n int64) error
+	Give func(n int64)
 
 	// AnswerBy is the time by which the head of the answer must arrive; zero means no bound.
 	AnswerBy time.Time
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -7,17 +7,21 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"crocuslug/bodybudget"
 )
 
 // Call is one request and the means to answer it. Its methods are called from one goroutine.
 type Call struct {
-	Request *http.Request // its body was read into Body
+	Request *http.Request // its body was read into Body and More
 	Body    []byte
+	More    [][]byte  // of the body, after Body
 	Arrived time.Time // when the whole request had been read
 	Caller  string    // address of the caller
 
 	conn     *connection
-	started  bool // the answer was started
+	memory   bodybudget.Claim // of the body and the answer
+	started  bool             // the answer was started
 	chunked  bool
 	complete bool // the whole answer was written
 }
@@ -28,29 +32,63 @@
 // errCallerLost is returned when the kernel of the caller acknowledges nothing any more.
 var errCallerLost = errors.New("caller acknowledges nothing")
 
-// Answer writes a complete answer.
-func (c *Call) Answer(status int, h http.Header, body []byte) error {
+// Answer writes a complete answer, whose body is body and more.
+func (c *Call) Answer(status int, h http.Header, body []byte, more ...[]byte) error {
 	if c.started {
 		return errAnswerEnded
 	}
 	c.started = true
+	length := len(body)
+	for _, part := range more {
+		length += len(part)
+	}
 	w := c.conn.bw
 	c.conn.setWriteTimeout()
-	if err := c.writeHead(w, status, h, "Content-Length: "+strconv.Itoa(len(body))+"\r\n"); err != nil {
+	if err := c.writeHead(w, status, h, "Content-Length: "+strconv.Itoa(length)+"\r\n"); err != nil {
 		return err
 	}
 	if !c.headOnly() {
-		if _, err := w.Write(body); err != nil {
+		err := c.writePart(body)
+		for i := 0; err == nil && i < len(more); i++ {
+			err = c.writePart(more[i])
+		}
+		if err != nil {
 			return err
 		}
 	}
 	if err := w.Flush(); err != nil {
-		return err
+		return c.writeError(err)
 	}
 	c.complete = true
 	return nil
 }
 
+// writePart writes a part of the body of a complete answer. While it waits for the caller, the request may have to
+// give way to others.
+func (c *Call) writePart(b []byte) error {
+	for len(b) > 0 {
+		if !c.memory.Write(c.conn.server.timer.Now()) {
+			return c.writeError(errGaveWay)
+		}
+		n := min(len(b), writeStep)
+		if _, err := c.conn.bw.Write(b[:n]); err != nil {
+			return c.writeError(err)
+		}
+		b = b[n:]
+	}
+	return nil
+}
+
+// writeError returns the cause of an error of a write. A connection whose request gave way is reset, so
+// that the kernel does not keep what the caller does not read.
+func (c *Call) writeError(err error) error {
+	if c.memory.Hold() {
+		return err
+	}
+	c.conn.resetAtClose(true)
+	return errGaveWay
+}
+
 // Begin starts an answer that is written piece by piece. To an HTTP/1.0 caller it ends with the
 // connection, which is reset if it ends before End, also by the end of the process.
 func (c *Call) Begin(status int, h http.Header) error {
@@ -81,8 +119,22 @@
 	if err := c.conn.checkLost(); err != nil {
 		return err
 	}
-	w := c.conn.bw
 	c.conn.setWriteTimeout()
+	if !c.memory.Write(c.conn.server.timer.Now()) {
+		return c.writeError(errGaveWay)
+	}
+	if err := c.writePiece(b); err != nil {
+		return c.writeError(err)
+	}
+	if !c.memory.Hold() {
+		return c.writeError(errGaveWay)
+	}
+	return nil
+}
+
+// writePiece writes one part of the answer as it is sent.
+func (c *Call) writePiece(b []byte) error {
+	w := c.conn.bw
 	if c.chunked {
 		const hex = 16
 		if _, err := w.WriteString(strconv.FormatInt(int64(len(b)), hex) + "\r\n"); err != nil {
--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -27,6 +26,7 @@
 	ctx       context.Context   // of the request in progress
 	closing   bool              // the connection is closed after the answer in progress
 	checkedAt time.Time         // when it was last checked whether the caller is lost
+	evict     func(writing bool)
 
 	mu     sync.Mutex
 	busy   bool                    // a request is being read or answered
@@ -47,9 +47,9 @@
 			return
 		}
 		limits := c.server.ports.Limits()
-		call, status := c.readRequest(limits)
+		call, status, err := c.readRequest(limits)
 		if call == nil {
-			c.reject(status)
+			c.reject(status, err)
 			return
 		}
 		if !c.handle(call, limits) {
@@ -115,8 +115,8 @@
 }
 
 // readRequest reads one complete request. If that fails it returns the status with which to
-// answer, or 0 if the caller has disconnected.
-func (c *connection) readRequest(limits directory.Limits) (*Call, int) {
+// answer and the cause, or 0 if the caller has disconnected.
+func (c *connection) readRequest(limits directory.Limits) (*Call, int, error) {
 	now := c.server.timer.Now()
 	c.setReadTimeout(now, limits.HeaderTimeout)
 	if limits.HeaderBytes > 0 {
@@ -126,32 +126,38 @@
 	if err != nil {
 		// The parser reports an incomplete line as malformed, so check the time first.
 		if limits.HeaderTimeout > 0 && c.server.timer.Now().Sub(now) >= limits.HeaderTimeout {
-			return nil, http.StatusRequestTimeout
+			return nil, http.StatusRequestTimeout, err
 		}
-		return nil, c.headErrorStatus(err)
+		return nil, c.headErrorStatus(err), err
 	}
 	if limits.HeaderBytes > 0 && headerSize(req) > limits.HeaderBytes {
-		return nil, http.StatusRequestHeaderFieldsTooLarge
+		return nil, http.StatusRequestHeaderFieldsTooLarge, errHeaderTooLarge
 	}
 	c.headLimit.N = unlimited
 	if req.ContentLength > int64(limits.BodyBytes) && limits.BodyBytes > 0 {
-		return nil, http.StatusRequestEntityTooLarge
+		return nil, http.StatusRequestEntityTooLarge, errBodyTooLarge
 	}
 	if expectsContinue(req.Header) && (req.ContentLength != 0) {
 		c.setWriteTimeout()
 		if _, err := c.bw.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil || c.bw.Flush() != nil {
-			return nil, 0
+			return nil, 0, err
 		}
 	}
 	c.setReadTimeout(now, c.server.cfg.BodyTimeout)
-	body, status := readBody(req, limits)
-	if status != 0 {
-		return nil, status
+	call := &Call{Request: req, Caller: c.RemoteAddr().String(), conn: c}
+	call.memory.Attach(c.server.bodies, c.evict)
+	if status, err := call.readBody(limits); err != nil {
+		call.memory.Release()
+		return nil, status, err
 	}
 	_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
-	return &Call{Request: req, Body: body, Arrived: c.server.timer.Now(), Caller: c.RemoteAddr().String(), conn: c}, 0
+	call.Arrived = c.server.timer.Now()
+	return call, 0, nil
 }
 
+// errHeaderTooLarge is returned for header fields that exceed their limit.
+var errHeaderTooLarge = errors.New("header fields exceed their limit")
+
 // headSlack is the number of bytes by which the request line and buffered input may exceed the
 // limit on the header.
 const headSlack = 8 << 10
@@ -192,34 +198,6 @@
 	return strings.EqualFold(h.Get("Expect"), "100-continue")
 }
 
-// readBody returns the body of a request, or the status with which to answer if it could not be
-// read within the limits.
-func readBody(req *http.Request, limits directory.Limits) ([]byte, int) {
-	if req.ContentLength == 0 {
-		return nil, 0
-	}
-	var b bytes.Buffer
-	if req.ContentLength > 0 {
-		b.Grow(int(req.ContentLength))
-	}
-	limit := int64(unlimited)
-	if limits.BodyBytes > 0 {
-		limit = int64(limits.BodyBytes)
-	}
-	n, err := b.ReadFrom(io.LimitReader(req.Body, limit+1))
-	switch {
-	case n > limit:
-		return nil, http.StatusRequestEntityTooLarge
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, http.StatusRequestTimeout
-	case errors.Is(err, io.ErrUnexpectedEOF), isNetError(err):
-		return nil, 0
-	case err != nil:
-		return nil, http.StatusBadRequest
-	}
-	return b.Bytes(), 0
-}
-
 // handle runs the handler for a request and cancels its context if the caller disconnects
 // meanwhile. It returns whether the connection stays open.
 func (c *connection) handle(call *Call, limits directory.Limits) bool {
@@ -232,6 +210,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
+		defer call.memory.Release()
 		c.server.ports.Handle(call)
 		c.closing = c.closing || !call.complete
 		c.finishRequest(limits.IdleTimeout)
@@ -244,15 +223,22 @@
 	return err == nil && call.complete && !c.closing
 }
 
+// retryBody is the Retry-After, in seconds, of a request whose body gave way to others.
+const retryBody = "1"
+
 // reject answers a request that could not be read and ends the connection.
-func (c *connection) reject(status int) {
+func (c *connection) reject(status int, cause error) {
 	if status == 0 {
 		return
 	}
-	c.server.ports.Rejected(c.RemoteAddr().String(), status)
+	c.server.ports.Rejected(c.RemoteAddr().String(), status, cause)
 	call := &Call{Request: &http.Request{Method: http.MethodGet}, conn: c}
 	c.closing = true
-	if call.Answer(status, nil, nil) != nil {
+	var h http.Header
+	if status == http.StatusServiceUnavailable {
+		h = http.Header{"Retry-After": {retryBody}}
+	}
+	if call.Answer(status, h, nil) != nil {
 		return
 	}
 	c.linger()
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -30,7 +30,7 @@
 	s := New(Settings{Listen: "127.0.0.1:0", BodyTimeout: 500 * time.Millisecond}, Ports{
 		Handle:   handle,
 		Limits:   func() directory.Limits { return limits },
-		Rejected: func(string, int) {},
+		Rejected: func(string, int, error) {},
 	}, clock, zerolog.Nop())
 	if err := s.Start(); err != nil {
 		t.Fatal(err)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"github.com/zeebo/errs"
 
+	"crocuslug/bodybudget"
 	"crocuslug/directory"
 	"crocuslug/socket"
 	"crocuslug/timer"
@@ -24,6 +25,8 @@
 	BodyTimeout    time.Duration // from the start of a request to the end of its body; 0 means 15s
 	WriteTimeout   time.Duration // limit of one write to a caller; 0 means 5s
 	MaxConnections int           // number of open connections beyond which new ones are closed; 0 means 2000
+
+	Bodies *bodybudget.Budget // memory of all bodies and answers in progress; nil means no bound
 }
 
 // Defaults of Settings.
@@ -40,7 +43,7 @@
 	// Limits returns the limits in force.
 	Limits func() directory.Limits
 	// Rejected reports a request that could not be read and was answered with status.
-	Rejected func(caller string, status int)
+	Rejected func(caller string, status int, cause error)
 }
 
 // Server serves the connections of callers.
@@ -50,6 +53,8 @@
 	timer *timer.Service
 	log   zerolog.Logger
 
+	bodies *bodybudget.Budget
+
 	listener net.Listener
 	draining atomic.Bool // answers ask callers to close their connections
 	closed   atomic.Bool // Close was called: connections end after the request in progress
@@ -70,7 +75,7 @@
 	if cfg.MaxConnections <= 0 {
 		cfg.MaxConnections = defaultMaxConnections
 	}
-	return &Server{cfg: cfg, ports: ports, timer: t, log: log, open: make(map[*connection]struct{})}
+	return &Server{cfg: cfg, ports: ports, timer: t, log: log, bodies: cfg.Bodies, open: make(map[*connection]struct{})}
 }
 
 // Start opens the listener and serves connections in the background.
@@ -107,6 +112,7 @@
 			continue
 		}
 		c := &connection{Conn: nc, server: s, ctx: context.Background()}
+		c.evict = c.giveWay
 		c.headLimit = &io.LimitedReader{R: nc, N: unlimited}
 		c.br = bufio.NewReaderSize(c.headLimit, readBuffer)
 		c.bw = bufio.NewWriterSize(nc, writeBuffer)
--- a/work/work.go
+++ b/work/work.go
@@ -55,6 +55,12 @@
 	Host   string
 	Header http.Header // as sent by the caller, without the headers of its connection
 	Body   []byte
+	More   [][]byte // of the body, after Body
+
+	// Take and Give take memory for the answer and return it, see exchange.Request. They are nil if it is
+	// not bounded.
+	Take func(n int64) error
+	Give func(n int64)
 }
 
 // Copy is a copy of the memory of a run, stored by another engine than the one that runs it.
