soak: a crowd of heads with many fields that do not end

A field of a few bytes takes about 100 once it is parsed, and nothing counts that. 60 heads of 192 KiB show what many of 16 KiB do.

--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -33,10 +33,12 @@
 	crowdCallers     = 60
 	crowdMemory      = 96 << 20
 	crowdDescriptors = 800
-	crowdBody        = 4 << 20  // limit of bodies in the configuration
-	crowdTinyBody    = 1 << 20  // of the callers with very small chunks
-	crowdLongBody    = 16 << 20 // beyond the limit
-	crowdAnswer      = 8 << 20  // of the upstream
+	crowdHeader      = 16 << 10  // the users'
+	crowdLongHeader  = 192 << 10 // of the test of heads
+	crowdBody        = 4 << 20   // limit of bodies in the configuration
+	crowdTinyBody    = 1 << 20   // of the callers with very small chunks
+	crowdLongBody    = 16 << 20  // beyond the limit
+	crowdAnswer      = 8 << 20   // of the upstream
 	crowdWait        = 30 * time.Second
 )
 
@@ -48,8 +50,8 @@
 	answered atomic.Int64 // large answers that the upstream has written or broken off
 }
 
-// startCrowdSite starts a store and an instance as processes.
-func startCrowdSite(t *testing.T) *crowdSite {
+// startCrowdSite starts a store and an instance as processes, with a limit of the heads of requests.
+func startCrowdSite(t *testing.T, headerBytes int) *crowdSite {
 	t.Helper()
 	bin, logs := t.TempDir(), t.TempDir()
 	if out, err := exec.Command("go", "build", "-o", bin, "crocuslug/cmd/crocuslug", "crocuslug/cmd/standin").CombinedOutput(); err != nil {
@@ -65,7 +67,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(s.cluster.stop)
-	s.startStore(ctx, bin)
+	s.startStore(ctx, bin, headerBytes)
 	s.startUpstream(ctx)
 	s.startInstance(bin)
 	return s
@@ -100,7 +102,7 @@
 }
 
 // startStore starts the store and writes a configuration with one route.
-func (s *crowdSite) startStore(ctx context.Context, bin string) {
+func (s *crowdSite) startStore(ctx context.Context, bin string, headerBytes int) {
 	s.t.Helper()
 	cl := s.cluster
 	cl.storeAddress = s.address()
@@ -114,7 +116,7 @@
 			Services: []directory.Share{{Service: plainService, Weight: 1}},
 		}},
 		Services: []directory.Service{{Name: plainService}},
-		Limits:   directory.Limits{HeaderBytes: 16 << 10, BodyBytes: crowdBody, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+		Limits:   directory.Limits{HeaderBytes: headerBytes, BodyBytes: crowdBody, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 	}
 	s.await("the store takes the configuration", func() bool { return cl.writeConfiguration(ctx) == nil })
 }
@@ -295,7 +297,7 @@
 // TestCrowdOfLargeChunks guards against memory that grows with the number of bodies that stop one byte
 // short of their end.
 func TestCrowdOfLargeChunks(t *testing.T) {
-	s := startCrowdSite(t)
+	s := startCrowdSite(t, crowdHeader)
 	s.crowd(func(_ int, c *net.TCPConn) {
 		const chunk = 64 << 10
 		sendChunks(c, crowdBody-chunk, chunk)
@@ -306,14 +308,14 @@
 
 // TestCrowdOfTinyChunks guards against chunks that cost more than their bytes.
 func TestCrowdOfTinyChunks(t *testing.T) {
-	s := startCrowdSite(t)
+	s := startCrowdSite(t, crowdHeader)
 	s.crowd(func(_ int, c *net.TCPConn) { sendChunks(c, crowdTinyBody, 1) })
 	s.check()
 }
 
 // TestCrowdOverLimit guards against memory for bodies that are refused as too large, announced or not.
 func TestCrowdOverLimit(t *testing.T) {
-	s := startCrowdSite(t)
+	s := startCrowdSite(t, crowdHeader)
 	s.crowd(func(i int, c *net.TCPConn) {
 		const chunk = 64 << 10
 		if i%2 == 0 {
@@ -331,7 +333,7 @@
 // TestCrowdThatDoesNotRead guards against memory that grows with the number of answers that callers do not
 // read.
 func TestCrowdThatDoesNotRead(t *testing.T) {
-	s := startCrowdSite(t)
+	s := startCrowdSite(t, crowdHeader)
 	s.crowd(func(i int, c *net.TCPConn) {
 		const buffer = 4 << 10
 		_ = c.SetReadBuffer(buffer) // fails only on a closed connection
@@ -344,3 +346,18 @@
 	}
 	s.check()
 }
+
+// TestCrowdOfHeads guards against memory that grows with the number of fields in heads that do not end. A field
+// of a few bytes takes many times as much once it is parsed.
+func TestCrowdOfHeads(t *testing.T) {
+	s := startCrowdSite(t, crowdLongHeader)
+	s.crowd(func(_ int, c *net.TCPConn) {
+		var b strings.Builder
+		b.WriteString("GET /safe/head HTTP/1.1\r\nHost: " + host + "\r\n")
+		for i := 0; b.Len() < crowdLongHeader; i++ {
+			fmt.Fprintf(&b, "%x:\n", i)
+		}
+		_, _ = io.WriteString(c, b.String()) // the instance may have closed the connection
+	})
+	s.check()
+}
