bodybudget, ingress: garbage of large bodies and heads of many fields count

An instance of 96 MiB took 111 MiB in one run of four of TestCrowdOverLimit beside other load: the memory of refused bodies counted as free at once, but was garbage until the next collection, and a busy collector frees less than 60 callers send. Heads did not count at all and took 99 and 134 MiB.

The memory of claims of more than 64 KiB is now free after a garbage collection; one that has to wait while there is such garbage runs it. Heads take memory beyond 8 KiB, with 128 bytes for each line.

--- a/bodybudget/budget.go
+++ b/bodybudget/budget.go
@@ -23,6 +23,9 @@
 	Limit    int64         // bytes of all bodies together; required
 	Patience time.Duration // time without progress after which a body may have to give way; 0 means 500ms
 	Small    int64         // bytes up to which a body may use the reserve; 0 means 64 KiB
+	// Collected says that the memory of larger claims than Small is free only after a garbage collection.
+	// Otherwise refused bodies leave garbage faster than a busy collector frees it.
+	Collected bool
 }
 
 // Defaults of Settings.
@@ -42,6 +45,7 @@
 	GaveWay  uint64 // bodies that gave way to others
 	Refused  uint64 // bodies that waited in vain
 	Exceeded uint64 // steps of answers that were granted beyond the limit
+	Collects uint64 // garbage collections that were asked for
 }
 
 // Budget is a number of bytes that all bodies share. Its methods and those of its claims may be called from any
@@ -53,6 +57,8 @@
 	floor   int64 // size of the largest body that is served if nothing else is in progress
 	used    int64 // bytes of all claims
 	leaving int64 // part of used that evicted claims have not released yet
+	garbage int64 // part of used that was released and is free after a garbage collection
+	swept   int64 // part of garbage that the collection in progress frees; 0 if there is none
 	stalled claimList
 	waiting []*Claim // in the order in which they began to wait
 	counts  Counts
@@ -109,8 +115,15 @@
 	if c.evicted {
 		b.leaving -= n
 	}
-	room := b.total() - b.used
-	for n > 0 && len(b.waiting) > 0 && room > 0 {
+	if n > 0 {
+		b.wakeWaiting()
+	}
+}
+
+// wakeWaiting wakes the claims for which there may be room now.
+func (b *Budget) wakeWaiting() {
+	room := b.total() - b.used + b.garbage
+	for len(b.waiting) > 0 && room > 0 {
 		first := b.waiting[0]
 		room -= first.wanted
 		b.waiting = b.waiting[1:]
@@ -118,6 +131,16 @@
 	}
 }
 
+// Collected records that a garbage collection that a Verdict asked for has ended.
+func (b *Budget) Collected() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used -= b.swept
+	b.garbage -= b.swept
+	b.swept = 0
+	b.wakeWaiting()
+}
+
 // stopWaiting removes a claim from the waiting ones.
 func (b *Budget) stopWaiting(c *Claim) {
 	for i, w := range b.waiting {
--- a/bodybudget/budget_test.go
+++ b/bodybudget/budget_test.go
@@ -15,6 +15,8 @@
 // result, the requests that gave way, those that were woken, and the bytes in use. The commands are
 //
 //	budget LIMIT SMALL   makes a budget with a patience of 500 ms
+//	garbage              lets the memory of large claims be free after a garbage collection only
+//	collected            ends a garbage collection
 //	at MS                sets the time
 //	open ID LARGEST      begins a request
 //	take ID N            asks for N bytes
@@ -65,6 +67,10 @@
 	switch f[0] {
 	case "budget":
 		s.budget = New(Settings{Limit: number(1), Small: number(2), Patience: 500 * time.Millisecond})
+	case "garbage":
+		s.budget.cfg.Collected = true
+	case "collected":
+		s.budget.Collected()
 	case "at":
 		s.now = time.UnixMilli(number(1))
 	case "open":
@@ -96,6 +102,9 @@
 		if v.State == Waiting {
 			text += fmt.Sprint(" ", v.Wait.Milliseconds())
 		}
+		if v.Collect {
+			text += " collect"
+		}
 		s.events = append(s.events, text)
 	case "hold":
 		s.events = append(s.events, fmt.Sprint(c.Hold()))
--- a/bodybudget/claim.go
+++ b/bodybudget/claim.go
@@ -28,6 +28,8 @@
 type Verdict struct {
 	State State
 	Wait  time.Duration
+	// Collect asks the caller, while it waits, to run a garbage collection and to call Budget.Collected.
+	Collect bool
 }
 
 // Claim is the part of a budget that one request holds. The zero value belongs to no budget, and is granted
@@ -99,7 +101,7 @@
 		b.giveUp(c)
 		return Verdict{State: Refused}
 	case b.used+n <= b.room(c.size+n):
-	case c.phase != reading && c.overdue(now) && b.used-b.leaving+n > b.room(c.size+n): // nobody else can give way
+	case c.phase != reading && c.overdue(now) && b.used-b.leaving-b.garbage+n > b.room(c.size+n): // nobody else can give way
 		b.counts.Exceeded++
 	default:
 		return b.wait(c, now)
@@ -113,7 +115,7 @@
 
 // makeRoom evicts claims for what c wants. It returns false if it is the turn of c itself to give way.
 func (b *Budget) makeRoom(c *Claim, now time.Time) bool {
-	for b.used-b.leaving+c.wanted > b.room(c.size+c.wanted) {
+	for b.used-b.leaving-b.garbage+c.wanted > b.room(c.size+c.wanted) {
 		v, overdue := b.stalled.first, c.overdue(now)
 		mayRefuse := c.phase == reading
 		if v == nil || now.Sub(v.progress) < b.cfg.Patience && (mayRefuse || !overdue) {
@@ -144,8 +146,13 @@
 	if v := b.stalled.first; v != nil && v.progress.Before(c.waits) {
 		until = v.progress.Add(b.cfg.Patience)
 	}
-	const least = time.Millisecond // evicted claims are about to release their bytes
-	return Verdict{State: Waiting, Wait: max(least, until.Sub(now))}
+	const least = time.Millisecond // evicted claims release their bytes soon
+	verdict := Verdict{State: Waiting, Wait: max(least, until.Sub(now))}
+	if b.garbage > 0 && b.swept == 0 {
+		verdict.Collect, b.swept = true, b.garbage
+		b.counts.Collects++
+	}
+	return verdict
 }
 
 // advance records progress.
@@ -208,6 +215,14 @@
 	defer b.mu.Unlock()
 	b.stalled.remove(c)
 	b.stopWaiting(c)
+	if n := c.size; b.cfg.Collected && n > b.cfg.Small {
+		b.garbage += n
+		if c.evicted {
+			b.leaving -= n
+		}
+		c.size = 0
+		b.wakeWaiting()
+	}
 	b.free(c, c.size)
 	c.phase, c.evicted = idle, false
 }
--- a/edge/memory.go
+++ b/edge/memory.go
@@ -21,7 +21,7 @@
 	if memory <= 0 {
 		return nil
 	}
-	return bodybudget.New(bodybudget.Settings{Limit: memory / bodiesShare})
+	return bodybudget.New(bodybudget.Settings{Limit: memory / bodiesShare, Collected: true})
 }
 
 // maxAnswers returns the bound on answers that are being read by a process with the given memory, or 0 for
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -69,6 +69,7 @@
 		line("Bodies.GaveWay", c.GaveWay)
 		line("Bodies.Refused", c.Refused)
 		line("Bodies.Exceeded", c.Exceeded)
+		line("Bodies.Collects", c.Collects)
 	}
 	line("Upstreams.Registered", len(e.registry.All()))
 	for _, name := range e.fleet.Services() {
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"runtime"
 	"time"
 
 	"crocuslug/bodybudget"
@@ -44,7 +45,6 @@
 	if limits.BodyBytes > 0 {
 		limit = int64(limits.BodyBytes)
 	}
-	c.memory.Open(c.conn.server.timer.Now(), int64(limits.BodyBytes)+1)
 	var size int64
 	for length < 0 || size < length {
 		n := nextPart(size, length, limit)
@@ -126,10 +126,21 @@
 		case bodybudget.TooLarge:
 			return errOverBudget
 		}
+		if v.Collect {
+			runtime.GC()
+			c.conn.server.bodies.Collected()
+			continue
+		}
 		c.conn.server.wait(c.memory.Ready(), v.Wait)
 	}
 }
 
+// release ends the request for the budget. The body must not be used any more.
+func (c *Call) release() {
+	c.Body, c.More = nil, nil
+	c.memory.Release()
+}
+
 // Give returns n bytes that Take took.
 func (c *Call) Give(n int64) { c.memory.Give(n) }
 
--- a/ingress/body_test.go
+++ b/ingress/body_test.go
@@ -200,3 +200,27 @@
 		}
 	}
 }
+
+// TestHeadTakesMemory guards against heads of many fields that take memory uncounted, and against a head within
+// the limits that is refused though nothing else is in progress.
+func TestHeadTakesMemory(t *testing.T) {
+	handled := make(chan int64, 1)
+	var b *bodybudget.Budget
+	var s *Server
+	s, b = startBounded(t, func(c *Call) {
+		handled <- b.Counts().Bytes
+		_ = c.Answer(http.StatusOK, http.Header{}, nil)
+	})
+	c := dialServer(t, s)
+	const fields = 150
+	if _, err := fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: h\r\n%s\r\n", strings.Repeat("A:1\r\n", fields)); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := <-handled, int64(fields*fieldCost-freeHead); got < want {
+		t.Errorf("got %d bytes, want at least %d", got, want)
+	}
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || res.StatusCode != http.StatusOK {
+		t.Errorf("got %v, %v, want 200", res, err)
+	}
+}
--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -22,6 +22,7 @@
 	server    *Server
 	br        *bufio.Reader
 	bw        *bufio.Writer
+	head      headReader        // source of headLimit
 	headLimit *io.LimitedReader // source of br; bounds the head of a request
 	ctx       context.Context   // of the request in progress
 	closing   bool              // the connection is closed after the answer in progress
@@ -122,37 +123,62 @@
 	if limits.HeaderBytes > 0 {
 		c.headLimit.N = int64(limits.HeaderBytes) - int64(c.br.Buffered()) + headSlack
 	}
+	call := &Call{Caller: c.RemoteAddr().String(), conn: c}
+	call.memory.Attach(c.server.bodies, c.evict)
+	call.memory.Open(now, int64(limits.BodyBytes)+1+largestHead(limits))
+	status, err := c.readHead(call, limits, now)
+	if err == nil {
+		c.setReadTimeout(now, c.server.cfg.BodyTimeout)
+		status, err = call.readBody(limits)
+	}
+	if err != nil {
+		call.release()
+		return nil, status, err
+	}
+	_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
+	call.Arrived = c.server.timer.Now()
+	return call, 0, nil
+}
+
+// readHead reads the head of a request. If that fails it returns the status with which to answer and the
+// cause, or 0 if the caller has disconnected.
+func (c *connection) readHead(call *Call, limits directory.Limits, now time.Time) (int, error) {
+	buffered, _ := c.br.Peek(c.br.Buffered()) // nothing is read
+	c.head.begin(call, buffered)
 	req, err := http.ReadRequest(c.br)
+	c.head.end()
+	if err == nil {
+		err = c.head.err
+	}
 	if err != nil {
+		if errors.Is(err, errOverBudget) {
+			return http.StatusRequestHeaderFieldsTooLarge, err
+		}
+		if !call.memory.Hold() {
+			return http.StatusServiceUnavailable, errGaveWay
+		}
 		// The parser reports an incomplete line as malformed, so check the time first.
 		if limits.HeaderTimeout > 0 && c.server.timer.Now().Sub(now) >= limits.HeaderTimeout {
-			return nil, http.StatusRequestTimeout, err
+			return http.StatusRequestTimeout, err
 		}
-		return nil, c.headErrorStatus(err), err
+		return c.headErrorStatus(err), err
 	}
 	if limits.HeaderBytes > 0 && headerSize(req) > limits.HeaderBytes {
-		return nil, http.StatusRequestHeaderFieldsTooLarge, errHeaderTooLarge
+		return http.StatusRequestHeaderFieldsTooLarge, errHeaderTooLarge
 	}
 	c.headLimit.N = unlimited
 	if req.ContentLength > int64(limits.BodyBytes) && limits.BodyBytes > 0 {
-		return nil, http.StatusRequestEntityTooLarge, errBodyTooLarge
+		return http.StatusRequestEntityTooLarge, errBodyTooLarge
 	}
 	if expectsContinue(req.Header) && (req.ContentLength != 0) {
 		c.setWriteTimeout()
-		if _, err := c.bw.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil || c.bw.Flush() != nil {
-			return nil, 0, err
+		_, _ = c.bw.WriteString("HTTP/1.1 100 Continue\r\n\r\n") // an error shows at the flush
+		if err := c.bw.Flush(); err != nil {
+			return 0, err
 		}
 	}
-	c.setReadTimeout(now, c.server.cfg.BodyTimeout)
-	call := &Call{Request: req, Caller: c.RemoteAddr().String(), conn: c}
-	call.memory.Attach(c.server.bodies, c.evict)
-	if status, err := call.readBody(limits); err != nil {
-		call.memory.Release()
-		return nil, status, err
-	}
-	_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
-	call.Arrived = c.server.timer.Now()
-	return call, 0, nil
+	call.Request = req
+	return 0, nil
 }
 
 // errHeaderTooLarge is returned for header fields that exceed their limit.
@@ -210,7 +236,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		defer call.memory.Release()
+		defer call.release()
 		c.server.ports.Handle(call)
 		c.closing = c.closing || !call.complete
 		c.finishRequest(limits.IdleTimeout)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -113,7 +113,8 @@
 		}
 		c := &connection{Conn: nc, server: s, ctx: context.Background()}
 		c.evict = c.giveWay
-		c.headLimit = &io.LimitedReader{R: nc, N: unlimited}
+		c.head = headReader{Conn: nc}
+		c.headLimit = &io.LimitedReader{R: &c.head, N: unlimited}
 		c.br = bufio.NewReaderSize(c.headLimit, readBuffer)
 		c.bw = bufio.NewWriterSize(nc, writeBuffer)
 		if !s.add(c) {
