fleet, dispatch, edge: memory of engines counted over the life of requests

Cause: the room of an engine is estimated today as a number of slots from the mean size of requests, and other instances' requests count by number. An engine crashes if what it holds exceeds its memory, so an estimate is not enough.

Change: package enginememory counts tokens (prompt plus greatest answer) per request and per copy; digests carry them (Load.Tokens) and the tokens started per second (Demand), both omitted if empty. Requests of instances that tell no tokens count at the mean size. An engine outside this instance's share needs a margin for requests not reported yet; one in its share needs none once the others cannot have used it. A request larger than an engine's memory is refused at once (TooLarge).

Left: many instances in virtual time; the reserve for urgent work.

--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -19,7 +19,11 @@
 // disconnected, the connection to the upstream is closed and both results are nil.
 func (d *Dispatcher) Call(ctx context.Context, w *work.Work) (*Reply, *result.Error) {
 	d.retryBudget(w.Service.Name).AddRequest()
-	a := &attempts{w: w}
+	a := &attempts{w: w, claim: d.newClaim()}
+	defer func() { d.fleet.ReleaseMemory(a.claim, d.timer.Now()) }()
+	if refusal := d.checkSize(a); refusal != nil {
+		return nil, refusal
+	}
 	var failure *Reply // failure answered by an upstream, passed on if no other upstream succeeds
 	for {
 		now := d.timer.Now()
@@ -51,7 +55,7 @@
 				Int("Status", reply.Status).Dur("TookMs", end.Sub(now)).Msg("answered")
 			return reply, nil
 		case ctx.Err() != nil:
-			d.fleet.ReportEnd(u.ID, fleet.Abandoned, 0, end)
+			d.reportEnd(a.claim, u.ID, fleet.Abandoned, 0, end)
 			a.runs++
 			return d.callEnded(ctx, a, u.ID, failure)
 		}
--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -82,7 +82,8 @@
 	defer cancel()
 	go clock.Run(ctx)
 	random := func() uint64 { return 0 }
-	f := fleet.New(fleet.Settings{Domain: "near"}, random, zerolog.Nop())
+	f := fleet.New(fleet.Settings{Domain: "near", ByMemory: wd.byMemory}, random, zerolog.Nop())
+	defer func() { wd.memoryUsed, _ = f.MemoryUsed(wd.service.Name) }()
 	client := exchange.New(exchange.Settings{MaxBuffered: wd.memory}, clock)
 	defer client.Close()
 	server := relay.New(relay.Settings{Listen: "127.0.0.1:0"}, clock, zerolog.Nop())
@@ -118,7 +119,7 @@
 		return told
 	}
 	dependencies.FindOrigin = func(context.Context, *work.Work) (*ident.Build, bool) { return wd.origin, *wd.origin != "" }
-	d := New(Settings{FirstPieceTimeout: wd.first, DefaultGap: 300 * time.Millisecond, MaxResumeWait: 3 * time.Second}, dependencies)
+	d := New(Settings{FirstPieceTimeout: wd.first, DefaultGap: 300 * time.Millisecond, MaxResumeWait: 3 * time.Second, ByMemory: wd.byMemory}, dependencies)
 	clock.Every(otherRequestInterval, d.Tick)
 	if wd.budget.RetryRatio > 0 {
 		clock.Every(otherRequestInterval, func(time.Time) { d.retryBudget(wd.service.Name).AddRequest() })
--- a/dispatch/copy.go
+++ b/dispatch/copy.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"crocuslug/directory"
+	"crocuslug/enginememory"
 	"crocuslug/exchange"
 	"crocuslug/fleet"
 	"crocuslug/ident"
@@ -34,6 +35,8 @@
 	d *Dispatcher
 	w *work.Work
 
+	claim enginememory.Claim // on the memory of the holder
+
 	mu           sync.Mutex
 	attempt      int                // number of the current attempt; results of calls of earlier attempts are ignored
 	run          directory.Upstream // upstream of the run
@@ -47,7 +50,7 @@
 }
 
 func newCopyManager(d *Dispatcher, w *work.Work) *copyManager {
-	return &copyManager{d: d, w: w}
+	return &copyManager{d: d, w: w, claim: d.newClaim()}
 }
 
 // canResume reports whether a run of the request can be resumed at another engine.
@@ -77,6 +80,10 @@
 	exclude = append(exclude, k.d.rests.Closed(k.w.Service.Name, now)...)
 	request := fleet.PickRequest{
 		Service: k.w.Service.Name, Build: k.d.buildFor(k.w.Service.Name, k.run.Build, now), ExcludeDomain: k.run.Domain, Exclude: append(exclude, k.exclude...), MinFreeShare: holderMinFreeShare,
+		Claim: k.claim, Copy: true,
+	}
+	if d := k.d; d.cfg.ByMemory {
+		request.Tokens = k.w.Tokens
 	}
 	u, kind := k.d.fleet.Pick(request, now)
 	if kind != routing.Send {
@@ -96,7 +103,7 @@
 // release gives up the capacity reserved at the holder. k.mu must be held.
 func (k *copyManager) release(now time.Time) {
 	if k.holder.ID != "" {
-		k.d.fleet.Release(k.holder.ID, now)
+		k.d.reportEnd(k.claim, k.holder.ID, fleet.Abandoned, 0, now)
 		k.holder = directory.Upstream{}
 	}
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -15,6 +15,7 @@
 	"crocuslug/builds"
 	"crocuslug/cooldown"
 	"crocuslug/directory"
+	"crocuslug/enginememory"
 	"crocuslug/exchange"
 	"crocuslug/fleet"
 	"crocuslug/ident"
@@ -47,6 +48,7 @@
 	prompts  *prompts
 	meters   *meter.Meters
 	queueSeq atomic.Uint64 // number of the last queued stream, see waiterID
+	claimSeq atomic.Uint64 // last claim on the memory of upstreams, see newClaim
 
 	askPermits func(ctx context.Context, r upstreamlimit.Request) (upstreamlimit.Answer, error)
 	tellOrigin func(r builds.Record) (told <-chan struct{})
@@ -130,35 +132,6 @@
 	}
 }
 
-// retryBudget returns the retry budget of a service and creates it if needed.
-func (d *Dispatcher) retryBudget(s ident.Service) *retry.Budget {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	b, ok := d.budgets[s]
-	if !ok {
-		b = retry.New(d.budget, d.random)
-		d.budgets[s] = b
-	}
-	return b
-}
-
-// SetRetryBurst replaces the burst of the retry budgets of all services.
-func (d *Dispatcher) SetRetryBurst(burst float64) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.budget.Burst = burst
-	for _, b := range d.budgets {
-		b.SetBurst(burst)
-	}
-}
-
-// RetryBurst returns the burst of the retry budgets.
-func (d *Dispatcher) RetryBurst() float64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.budget.Burst
-}
-
 // countWaiting adds n to the number of interrupted streams that wait for an upstream of s.
 func (d *Dispatcher) countWaiting(s ident.Service, n int) {
 	d.mu.Lock()
@@ -178,20 +151,21 @@
 // attempts is the state of the attempts to send one request.
 type attempts struct {
 	w           *work.Work
-	sends       int              // attempts, including those that cannot have arrived
-	runs        int              // attempts that may have run
-	crashes     int              // engines that crashed while they ran the request
-	crashChecks []<-chan bool    // results of the checks whether further lost engines crashed
-	uncounted   int              // part of sends that does not count towards Settings.MaxSends any more
-	exclude     []ident.Upstream // upstreams that are not tried again
-	requireIdle bool             // the request waits, with others, for the first upstreams that return
-	silent      []ident.Upstream // upstreams that were left because they were silent; tried again after a wait
-	declined    []ident.Upstream // upstreams that did not accept the request; tried again after a wait
-	lostDomain  ident.Domain     // failure domain of the last failed upstream; avoided if there are others
-	build       *ident.Build     // build at which the rest of the answer must be produced; nil if any will do
-	lastFailure string           // reason of the last failure
-	settled     <-chan struct{}  // closed once the upstream of the last attempt is left, see exchange.Request.Closed; nil if it is
-	answering   time.Time        // when the answer to the current attempt began; zero before
+	claim       enginememory.Claim // on the memory of the upstream of the current attempt
+	sends       int                // attempts, including those that cannot have arrived
+	runs        int                // attempts that may have run
+	crashes     int                // engines that crashed while they ran the request
+	crashChecks []<-chan bool      // results of the checks whether further lost engines crashed
+	uncounted   int                // part of sends that does not count towards Settings.MaxSends any more
+	exclude     []ident.Upstream   // upstreams that are not tried again
+	requireIdle bool               // the request waits, with others, for the first upstreams that return
+	silent      []ident.Upstream   // upstreams that were left because they were silent; tried again after a wait
+	declined    []ident.Upstream   // upstreams that did not accept the request; tried again after a wait
+	lostDomain  ident.Domain       // failure domain of the last failed upstream; avoided if there are others
+	build       *ident.Build       // build at which the rest of the answer must be produced; nil if any will do
+	lastFailure string             // reason of the last failure
+	settled     <-chan struct{}    // closed once the upstream of the last attempt is left, see exchange.Request.Closed; nil if it is
+	answering   time.Time          // when the answer to the current attempt began; zero before
 }
 
 // ErrLeaving is the cause with which the context of a request ends if its instance ends before the
@@ -234,7 +208,7 @@
 func (d *Dispatcher) pickRequest(a *attempts, now time.Time) fleet.PickRequest {
 	return fleet.PickRequest{
 		Service: a.w.Service.Name, Tokens: a.w.Tokens, Blocks: a.w.Blocks, Sizes: a.w.Sizes,
-		Exclude: d.unavailable(a, now), Build: a.build, ExcludeDomain: a.lostDomain, RequireIdle: a.requireIdle, UnreadTokens: a.w.PromptTokens,
+		Exclude: d.unavailable(a, now), Build: a.build, ExcludeDomain: a.lostDomain, RequireIdle: a.requireIdle, UnreadTokens: a.w.PromptTokens, Claim: a.claim,
 	}
 }
 
@@ -283,7 +257,7 @@
 	}
 	for {
 		u, kind := d.pickOutside(request, avoid, now)
-		if kind != routing.Send || d.takePermit(u.ID, request.UnreadTokens, now) {
+		if kind != routing.Send || d.takePermit(u.ID, request.Claim, request.UnreadTokens, now) {
 			return u, kind
 		}
 		request.Exclude = append(request.Exclude, u.ID)
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -73,7 +73,7 @@
 // recordAnswer updates the state after an attempt with a complete answer. The request is not to
 // blame for crashes if sound is true or the answer has been written for long enough.
 func (d *Dispatcher) recordAnswer(a *attempts, u directory.Upstream, sound bool, took time.Duration, now time.Time) {
-	d.fleet.ReportEnd(u.ID, fleet.Served, took, now)
+	d.reportEnd(a.claim, u.ID, fleet.Served, took, now)
 	if sound || a.proven(now) {
 		d.poison.Answered(runOf(a.w), now)
 	}
@@ -94,7 +94,7 @@
 // countFailure updates the state of the request and of its upstream after a failed attempt and logs
 // it.
 func (d *Dispatcher) countFailure(a *attempts, u directory.Upstream, v sendFailure, began, now time.Time) {
-	d.fleet.ReportEnd(u.ID, v.outcome, 0, now)
+	d.reportEnd(a.claim, u.ID, v.outcome, 0, now)
 	d.meters.Count("Failed."+string(v.cause), 1)
 	a.lastFailure = v.reason
 	if v.outcome == fleet.Dead || v.outcome == fleet.Failed {
--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"crocuslug/directory"
+	"crocuslug/enginememory"
 	"crocuslug/fleet"
 	"crocuslug/ident"
 	"crocuslug/result"
@@ -159,9 +160,9 @@
 		if u, ok := d.fleet.Upstream(id); !ok || !u.Build.Continues(request.Build) {
 			continue
 		}
-		if u, ok := d.fleet.Reserve(id, now); ok {
+		if u, ok := d.fleet.ReserveFor(id, request.Claim, request.Tokens, now); ok {
 			d.fleet.AddUnreadTokens(id, request.UnreadTokens, now)
-			if d.takePermit(id, request.UnreadTokens, now) {
+			if d.takePermit(id, request.Claim, request.UnreadTokens, now) {
 				return u, true
 			}
 		}
@@ -171,11 +172,11 @@
 
 // takePermit uses a permit for an upstream that was picked, if it has a limit. If there is none left, or
 // the upstream has asked for a rest, it gives the place at the upstream back and returns false.
-func (d *Dispatcher) takePermit(id ident.Upstream, unread int, now time.Time) bool {
+func (d *Dispatcher) takePermit(id ident.Upstream, claim enginememory.Claim, unread int, now time.Time) bool {
 	if d.rests.Take(id, now) && d.limits.Take(id, now) {
 		return true
 	}
 	d.fleet.AddUnreadTokens(id, -unread, now)
-	d.fleet.ReportEnd(id, fleet.Abandoned, 0, now)
+	d.reportEnd(claim, id, fleet.Abandoned, 0, now)
 	return false
 }
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -46,7 +46,11 @@
 	memory   int64          // bound on answers in memory in bytes; 0 means the default
 	relayed  string         // engine to which connections pass through another instance; "" for none
 	relays   []*net.TCPConn // both ends of the connections between the instances
-	departs  string         // engine that registers as leaving while a connection to it is opened; "" for none
+	byMemory bool           // the memory of engines is counted
+
+	memoryUsed float64 // share of the memory that counts as used after the request
+
+	departs string // engine that registers as leaving while a connection to it is opened; "" for none
 }
 
 // TestScripts runs the scripts in testdata/*.txt. The near failure domain is that of the
@@ -107,12 +111,15 @@
 	}
 }
 
-func runScript(t *testing.T, name string) {
+func runScript(t *testing.T, name string) { runScriptOn(t, name, &cluster{}) }
+
+// runScriptOn runs a script on a cluster.
+func runScriptOn(t *testing.T, name string, wd *cluster) {
 	text, err := os.ReadFile(name)
 	if err != nil {
 		t.Fatal(err)
 	}
-	wd := &cluster{service: directory.Service{Name: "s", Memory: 55000, Backups: true}, budget: retry.Settings{Burst: 100, MaxAttempts: 8}, deadline: 20 * time.Second}
+	wd.service, wd.budget, wd.deadline = directory.Service{Name: "s", Memory: 55000, Backups: true}, retry.Settings{Burst: 100, MaxAttempts: 8}, 20*time.Second
 	var want string
 	var wantSeen []string
 	wantTold := "any"
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -55,15 +55,19 @@
 // a whole answer.
 func (d *Dispatcher) Stream(ctx context.Context, w *work.Work, sink Sink) (reply *Reply, started bool, refusal *result.Error) {
 	d.retryBudget(w.Service.Name).AddRequest()
-	s := &stream{attempts: attempts{w: w}, sink: sink, lastPiece: w.LastPiece, resumes: w.Resumes, copies: newCopyManager(d, w)}
+	s := &stream{attempts: attempts{w: w, claim: d.newClaim()}, sink: sink, lastPiece: w.LastPiece, resumes: w.Resumes, copies: newCopyManager(d, w)}
 	s.gaps, s.maxGap = d.silenceDetector(w)
 	defer d.endWait(s)
+	defer func() { d.fleet.ReleaseMemory(s.claim, d.timer.Now()) }()
 	defer d.untold.remove(s)
 	ctx, cancel := d.withDeadline(ctx, w.Deadline)
 	defer cancel()
 	if refusal := d.findBuild(ctx, s); refusal != nil {
 		return nil, false, refusal
 	}
+	if refusal := d.checkSize(&s.attempts); refusal != nil {
+		return nil, false, refusal
+	}
 	var runCopy *work.Copy // copy of the lost run
 	for {
 		if !d.awaitSettled(ctx, &s.attempts) {
@@ -86,11 +90,11 @@
 		}
 		now = d.timer.Now() // the stream may have waited in the queue
 		if ctx.Err() != nil {
-			d.giveBack(u.ID, w, from, now)
+			d.giveBack(u.ID, s, from, now)
 			return nil, s.started, d.contextEnded(ctx, s)
 		}
 		if refusal := d.checkContent(&s.attempts, now); refusal != nil { // engines may have crashed meanwhile
-			d.giveBack(u.ID, w, from, now)
+			d.giveBack(u.ID, s, from, now)
 			return nil, s.started, refusal
 		}
 		s.sends++
@@ -108,7 +112,7 @@
 				Uint64("LastPiece", s.lastPiece).Dur("TookMs", end.Sub(now)).Msg("stream ended")
 			return s.whole, s.started, nil
 		case ctx.Err() != nil || v.reason == errCallerWrite.Error():
-			d.fleet.ReportEnd(u.ID, fleet.Abandoned, 0, end)
+			d.reportEnd(s.claim, u.ID, fleet.Abandoned, 0, end)
 			s.runs++
 			return nil, s.started, d.contextEnded(ctx, s)
 		}
@@ -158,11 +162,11 @@
 	return true
 }
 
-// giveBack gives back the place at an upstream that was chosen for w and is not used.
-func (d *Dispatcher) giveBack(id ident.Upstream, w *work.Work, from *work.Copy, now time.Time) {
-	d.fleet.Release(id, now)
+// giveBack gives back the place at an upstream that was chosen for s and is not used.
+func (d *Dispatcher) giveBack(id ident.Upstream, s *stream, from *work.Copy, now time.Time) {
+	d.reportEnd(s.claim, id, fleet.Abandoned, 0, now)
 	if from == nil {
-		d.fleet.AddUnreadTokens(id, -w.PromptTokens, now)
+		d.fleet.AddUnreadTokens(id, -s.w.PromptTokens, now)
 	}
 }
 
@@ -245,8 +249,8 @@
 		return directory.Upstream{}, nil, refusal
 	}
 	if runCopy != nil && !d.fleet.MemoryLost(runCopy.Holder, now) {
-		u, ok := d.fleet.Reserve(runCopy.Holder, now)
-		if ok && u.Address == runCopy.Address && u.Build.Continues(s.build) && d.takePermit(u.ID, 0, now) {
+		u, ok := d.fleet.ReserveFor(runCopy.Holder, s.claim, s.w.Tokens, now)
+		if ok && u.Address == runCopy.Address && u.Build.Continues(s.build) && d.takePermit(u.ID, s.claim, 0, now) {
 			return u, runCopy, nil
 		}
 	}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -35,6 +35,7 @@
 	MinRemaining      time.Duration // least remaining time with which a request is sent; 0 means 5ms
 	MaxBacklog        time.Duration // reading time of the prompts at an upstream up to which a new stream is sent there without queueing; 0 means 1.5s
 	QueueWaitShare    float64       // fraction of the objective of its route that a new stream may spend in the queue; 0 means 0.65
+	ByMemory          bool          // the memory of engines is counted, see package enginememory; the same as fleet.Settings.ByMemory
 	MaxQueued         int           // new streams queued for one service; 0 means 128
 	MaxResumeWait     time.Duration // longest wait of an interrupted stream for an upstream; 0 means 12s
 	RequireIdleFor    time.Duration // part of MaxResumeWait during which only upstreams without unread prompts are chosen; 0 means 10s
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -44,7 +44,7 @@
 		request := queued.request
 		request.Exclude = append(slices.Clone(request.Exclude), d.closed(s, now)...)
 		u, kind := d.fleet.Pick(request, now)
-		if kind != routing.Send || !d.takePermit(u.ID, request.UnreadTokens, now) {
+		if kind != routing.Send || !d.takePermit(u.ID, request.Claim, request.UnreadTokens, now) {
 			return false
 		}
 		queued.upstream = u
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -180,10 +180,13 @@
 	e.fleet = fleet.New(fleet.Settings{
 		Self:   e.self,
 		Domain: cfg.Domain,
+
+		ByMemory: cfg.Admission.ByMemory,
+
 		Health: health.Settings{BackOff: unit.Duration(healthBackOff), MaxBackOff: unit.Duration(maxHealthBackOff)},
 	}, rand.Uint64, e.log)
 	e.fleet.OnLost = e.upstreamLost
-	e.dispatcher = dispatch.New(dispatch.Settings{}, dispatch.Dependencies{
+	e.dispatcher = dispatch.New(dispatch.Settings{ByMemory: cfg.Admission.ByMemory}, dispatch.Dependencies{
 		Protocol: ports.UpstreamPorts,
 		Fleet:    e.fleet,
 		Client:   e.exchange,
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"crocuslug/builds"
+	"crocuslug/fleet"
 	"crocuslug/ident"
 	"crocuslug/peerlink"
 	"crocuslug/poison"
@@ -66,8 +67,9 @@
 	domain     ident.Domain // "" if not known yet
 	lastDigest time.Time    // arrival of its last digest; zero if none came
 	added      time.Time
-	inFlight   map[ident.Upstream]work.Load // its load on each upstream, from its last digest
-	seed       bool                         // listed in the settings
+	inFlight   map[ident.Upstream]work.Load // its load on each upstream, from its last digest; nil if that told none
+	demand     map[ident.Service]work.Demand
+	seed       bool // listed in the settings
 }
 
 // digest is what an instance sends to its peers periodically.
@@ -77,6 +79,8 @@
 	confirmation                               // of that knowledge
 	Configuration uint64                       // version in force; 0 if none
 	InFlight      map[ident.Upstream]work.Load // the load of the sender on each upstream
+	// Demand is the demand of the sender for the memory of engines, by service.
+	Demand map[ident.Service]work.Demand `json:",omitempty"`
 	// Prompts are those of its streams. They are sent only within the failure domain, because its
 	// callers return to instances there.
 	Prompts []work.Prompt    `json:",omitempty"`
@@ -187,6 +191,7 @@
 		d.Configuration = cur.Version
 	}
 	d.Poison, d.Limits, d.Builds = e.poison.Report(now), e.upstreamLimits.Report(now), e.builds.Report(now)
+	d.Demand = e.demand(now)
 	d.Departures = e.registry.Departures(now.Add(-departureReportTime))
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -323,13 +328,18 @@
 		e.log.Info().Str("Peer", string(from)).Uint64("Seen", d.Seen.Revision()).Uint64("Configuration", d.Configuration).Msg("digest received from a peer that had sent none lately")
 	}
 	p.lastDigest = now
-	p.inFlight = d.InFlight
+	p.inFlight, p.demand = d.InFlight, d.Demand
 	loads := e.sumPeerLoads(now)
+	var others fleet.Others
+	if loads != nil && e.cfg.Admission.ByMemory {
+		others = e.sumOthers(now)
+	}
 	e.mu.Unlock()
 	behind := e.view.Report(d.Seen, d.decode(), e.timer.Uptime())
 	behind = behind || e.lacksConfiguration(d)
 	if loads != nil {
 		e.fleet.ReportPeerLoads(loads, now)
+		e.reportOthers(others, now)
 	}
 	for _, id := range d.Lost {
 		e.fleet.ReportPeerLoss(id, now)
@@ -374,8 +384,7 @@
 			continue
 		}
 		for u, n := range q.inFlight {
-			sum := counts[u]
-			counts[u] = work.Load{Requests: sum.Requests + n.Requests, Reading: sum.Reading + n.Reading}
+			counts[u] = counts[u].Plus(n)
 		}
 	}
 	return counts
--- a/fleet/counts.go
+++ b/fleet/counts.go
@@ -71,8 +71,35 @@
 	defer f.mu.Unlock()
 	out := make(map[ident.Upstream]work.Load)
 	for _, g := range f.services {
-		for id, n := range g.chooser.InFlight() {
-			out[id] = n
+		loads := g.chooser.InFlight()
+		g.addTokens(loads)
+		maps.Copy(out, loads)
+	}
+	return out
+}
+
+// HasOther reports whether a service has an upstream in rotation that is not in exclude and
+// does not leave. If build is not nil, only upstreams of that build count.
+func (f *Fleet) HasOther(service ident.Service, build *ident.Build, exclude []ident.Upstream) bool {
+	return len(f.Usable(service, build, exclude)) > 0
+}
+
+// Usable returns the upstreams of a service in rotation that are not in exclude and do not leave. If
+// build is not nil, only upstreams of that build are returned.
+func (f *Fleet) Usable(service ident.Service, build *ident.Build, exclude []ident.Upstream) []ident.Upstream {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g, ok := f.services[service]
+	if !ok {
+		return nil
+	}
+	var out []ident.Upstream
+	for _, u := range g.list {
+		if !u.Build.Continues(build) {
+			continue
+		}
+		if _, replaced := f.replaced[u.ID]; !replaced && !u.Draining && !g.tracker.Out(u.ID) && !slices.Contains(exclude, u.ID) {
+			out = append(out, u.ID)
 		}
 	}
 	return out
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -17,6 +17,7 @@
 
 	"crocuslug/affinity"
 	"crocuslug/directory"
+	"crocuslug/enginememory"
 	"crocuslug/health"
 	"crocuslug/ident"
 	"crocuslug/prefix"
@@ -151,6 +152,9 @@
 			trials:     make(map[ident.Upstream]bool),
 			backingOff: make(map[ident.Upstream]time.Time),
 		}
+		if f.cfg.ByMemory {
+			g.memory = enginememory.NewLedger()
+		}
 		f.services[name] = g
 	}
 	return g
@@ -189,6 +193,7 @@
 	d := g.chooser.Choose(routing.Request{
 		Blocks: a.Blocks, Sizes: a.Sizes, PromptTokens: a.Tokens, Exclude: a.Exclude, ExcludeDomain: a.ExcludeDomain, Build: a.Build, Resumed: a.AllowFull,
 		RequireIdle: a.RequireIdle, MinFreeShare: a.MinFreeShare, MaxBacklog: a.MaxBacklog, RespectShares: len(f.instances) <= maxSharingInstances,
+		Fits: g.fits(&a, now),
 	}, now)
 	if d.Kind != routing.Send {
 		return directory.Upstream{}, d.Kind
@@ -198,36 +203,10 @@
 		g.chooser.SetOut(d.Upstream, true) // only one request at a time is sent as a trial
 	}
 	g.chooser.AddUnreadTokens(d.Upstream, a.UnreadTokens, now)
+	g.claim(a.Claim, d.Upstream, a.Tokens, now)
 	return f.upstreams[d.Upstream], routing.Send
 }
 
-// HasOther reports whether a service has an upstream in rotation that is not in exclude and
-// does not leave. If build is not nil, only upstreams of that build count.
-func (f *Fleet) HasOther(service ident.Service, build *ident.Build, exclude []ident.Upstream) bool {
-	return len(f.Usable(service, build, exclude)) > 0
-}
-
-// Usable returns the upstreams of a service in rotation that are not in exclude and do not leave. If
-// build is not nil, only upstreams of that build are returned.
-func (f *Fleet) Usable(service ident.Service, build *ident.Build, exclude []ident.Upstream) []ident.Upstream {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	g, ok := f.services[service]
-	if !ok {
-		return nil
-	}
-	var out []ident.Upstream
-	for _, u := range g.list {
-		if !u.Build.Continues(build) {
-			continue
-		}
-		if _, replaced := f.replaced[u.ID]; !replaced && !u.Draining && !g.tracker.Out(u.ID) && !slices.Contains(exclude, u.ID) {
-			out = append(out, u.ID)
-		}
-	}
-	return out
-}
-
 // Upstream returns an upstream as it is registered now.
 func (f *Fleet) Upstream(id ident.Upstream) (directory.Upstream, bool) {
 	f.mu.Lock()
@@ -236,14 +215,6 @@
 	return u, ok
 }
 
-// Ready reports whether an upstream of the service can accept a waiting request now.
-func (f *Fleet) Ready(service ident.Service, now time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	g, ok := f.services[service]
-	return ok && g.chooser.Ready(now)
-}
-
 // AddUnreadTokens adds to the prompt tokens that an upstream has not read yet for the
 // requests of this instance. A negative number marks tokens as read.
 func (f *Fleet) AddUnreadTokens(id ident.Upstream, tokens int, now time.Time) {
@@ -284,6 +255,11 @@
 func (f *Fleet) Reserve(id ident.Upstream, now time.Time) (directory.Upstream, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.reserve(id, now)
+}
+
+// reserve does what Reserve does. f.mu must be held.
+func (f *Fleet) reserve(id ident.Upstream, now time.Time) (directory.Upstream, bool) {
 	u, ok := f.upstreams[id]
 	if !ok {
 		return directory.Upstream{}, false
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"crocuslug/directory"
+	"crocuslug/enginememory"
 	"crocuslug/health"
 	"crocuslug/ident"
 	"crocuslug/routing"
@@ -13,8 +14,9 @@
 type group struct {
 	chooser      *routing.Chooser
 	tracker      *health.Tracker
-	memoryTokens int     // memory of one upstream in tokens; 0 means unlimited
-	meanTokens   float64 // running mean of the tokens of a request; 0 before the first request
+	memoryTokens int                  // memory of one upstream in tokens; 0 means unlimited
+	memory       *enginememory.Ledger // nil without Settings.ByMemory
+	meanTokens   float64              // running mean of the tokens of a request; 0 before the first request
 	list         []directory.Upstream
 	trials       map[ident.Upstream]bool      // upstreams whose next request is a trial
 	backingOff   map[ident.Upstream]time.Time // when a trial at each dead upstream failed; other upstreams are tried meanwhile
@@ -46,6 +48,7 @@
 // without.
 func (g *group) updateCandidatesExcept(f *Fleet, without map[ident.Upstream]bool) {
 	var list []routing.Candidate
+	var engines []enginememory.Engine
 	inShare := g.shareOf(f)
 	for _, u := range g.list {
 		if _, replaced := f.replaced[u.ID]; replaced || without[u.ID] {
@@ -60,8 +63,12 @@
 			Build:    u.Build,
 			InShare:  inShare[u.ID],
 		})
+		engines = append(engines, enginememory.Engine{Upstream: u.ID, InShare: inShare[u.ID]})
 	}
 	g.chooser.SetCandidates(list)
+	if g.memory != nil {
+		g.memory.SetEngines(g.memoryTokens, engines)
+	}
 }
 
 // deadRetryInterval is the time between two requests to an upstream while all upstreams
@@ -103,7 +110,7 @@
 // slots returns the number of requests that an upstream can run at once: its declared
 // slots, or fewer if that many requests of the mean size do not fit into its memory.
 func (g *group) slots(declared int) int {
-	if g.memoryTokens <= 0 || g.meanTokens <= 0 {
+	if g.memoryTokens <= 0 || g.meanTokens <= 0 || g.memory != nil {
 		return declared
 	}
 	fit := max(1, int(float64(g.memoryTokens)/g.meanTokens))
@@ -122,6 +129,9 @@
 	if tokens <= 0 {
 		return
 	}
+	if g.memory != nil {
+		g.memory.RecordSize(tokens)
+	}
 	var before int
 	if len(g.list) > 0 {
 		before = g.slots(g.list[0].Slots)
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"crocuslug/enginememory"
 	"crocuslug/health"
 	"crocuslug/ident"
 	"crocuslug/prefix"
@@ -15,6 +16,9 @@
 	Domain  ident.Domain   // failure domain of this instance
 	Routing routing.Settings
 	Health  health.Settings
+	// ByMemory has the requests of services with a memory counted in tokens, see package
+	// enginememory. Otherwise the number of slots follows from their mean size.
+	ByMemory bool
 }
 
 // defaultChoices is the number of upstreams sampled for a choice. Counts of requests
@@ -76,4 +80,8 @@
 	// UnreadTokens is added to the unread prompt tokens of the chosen upstream.
 	// AddUnreadTokens subtracts them again.
 	UnreadTokens int
+	// Claim names the request, or the copy of its run, while it uses memory of an upstream. It
+	// is needed only with Settings.ByMemory.
+	Claim enginememory.Claim
+	Copy  bool // the request stores a copy of a run
 }
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -45,7 +45,7 @@
 
 // accepts reports whether e may be chosen for r now.
 func (c *Chooser) accepts(e *engine, r *Request, now time.Time) bool {
-	if !e.usable(r) || e.busy(r, c.cfg.PrefillRate, now) {
+	if !e.usable(r) || e.busy(r, c.cfg.PrefillRate, now) || r.Fits != nil && !r.Fits(e.Upstream) {
 		return false
 	}
 	return r.MinFreeShare <= 0 || c.free(e, now) >= r.MinFreeShare*e.slots(c.cfg.Slots)
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -159,11 +159,15 @@
 
 // Ready reports whether an upstream can accept a request that waits with RequireIdle.
 func (c *Chooser) Ready(now time.Time) bool {
+	return c.ReadyFor(Request{RequireIdle: true}, now)
+}
+
+// ReadyFor reports whether an upstream with a free slot can accept r.
+func (c *Chooser) ReadyFor(r Request, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r := &Request{RequireIdle: true}
 	for _, e := range c.list {
-		if e.usable(r) && !e.busy(r, c.cfg.PrefillRate, now) && c.free(e, now) >= 1 {
+		if c.accepts(e, &r, now) && c.free(e, now) >= 1 {
 			return true
 		}
 	}
--- a/routing/types.go
+++ b/routing/types.go
@@ -152,7 +152,10 @@
 	// RespectShares, with MaxBacklog, excludes upstreams outside of this instance's share
 	// that have any unread prompt tokens.
 	RespectShares bool
-	Visited       []ident.Domain // failure domains that passed the request on, in order
+	// Fits, if set, reports whether an upstream has room for the request. It is called with the
+	// Chooser locked.
+	Fits    func(u ident.Upstream) bool
+	Visited []ident.Domain // failure domains that passed the request on, in order
 }
 
 // Kind is what to do with a request.
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -30,6 +30,12 @@
 	RetrySlack   float64       `json:",omitempty"` // retries allowed in addition, in a window of a few seconds
 	Descriptors  int           `json:",omitempty"` // limit of open file descriptors; no limit if 0
 	MemoryBytes  int64         `json:",omitempty"` // limit of the memory of the process; no limit if 0
+	Admission    EdgeAdmission `json:",omitzero"`
+}
+
+// EdgeAdmission holds the settings of an Edge for the admission of requests of model engines.
+type EdgeAdmission struct {
+	ByMemory bool `json:",omitempty"` // counts the memory of engines in tokens over the life of requests, and keeps some free for urgent ones
 }
 
 // ReadEdge reads an Edge from file. It returns all problems in the content
--- a/work/work.go
+++ b/work/work.go
@@ -123,8 +123,32 @@
 	Blocks   []prefix.Block
 }
 
-// Load is the load that one instance has at an upstream.
+// Load is the load that one instance, or several, have at an upstream.
 type Load struct {
 	Requests int
 	Reading  int `json:",omitempty"` // prompt tokens of these requests that are not read yet
+	Tokens   int `json:",omitempty"` // memory of these requests in tokens; 0 if the instance does not count it
+	// Untold is, in a sum over instances, the number of requests of those that do not count the
+	// memory.
+	Untold int `json:"-"`
+}
+
+// Plus returns the sum of a and the load of one further instance.
+func (a Load) Plus(one Load) Load {
+	sum := Load{Requests: a.Requests + one.Requests, Reading: a.Reading + one.Reading, Tokens: a.Tokens + one.Tokens, Untold: a.Untold}
+	if one.Tokens == 0 {
+		sum.Untold += one.Requests
+	}
+	return sum
+}
+
+// Demand is the demand of one instance, or several, for the memory of the engines of a service, in
+// tokens.
+type Demand struct {
+	Started int `json:",omitempty"` // of the requests sent per second
+}
+
+// Plus returns the sum of d and the demand of other instances.
+func (d Demand) Plus(other Demand) Demand {
+	return Demand{Started: d.Started + other.Started}
 }
