enginememory, fleet, dispatch: room kept for urgent streams, turns at engines of others

Cause: any free engine admits any priority, so a burst of the less urgent kind fills the engines before urgent streams arrive.

Change: less urgent streams start only while the room for the urgent ones stays that wait anywhere (digests tell their tokens) or are expected while an engine reads a prompt. Engines are divided without overlap (routing.Partition), and beyond a quarter of the memory instances take turns at those of others.

--- a/admission/next.go
+++ b/admission/next.go
@@ -165,6 +165,17 @@
 	return n
 }
 
+// CostDownTo returns the total cost of the waiting requests with at least the priority lowest.
+func (q *Queue) CostDownTo(lowest Priority) float64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	cost := 0.0
+	for p := Urgent; p <= lowest; p++ {
+		cost += q.classes[p].cost
+	}
+	return cost
+}
+
 // Backlog returns the time needed to grant all waiting requests at the current
 // drain rate, at most an hour. It returns 0 while the rate is unknown.
 func (q *Queue) Backlog() time.Duration {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -152,6 +152,7 @@
 type attempts struct {
 	w           *work.Work
 	claim       enginememory.Claim // on the memory of the upstream of the current attempt
+	yields      bool               // the request leaves the room that urgent ones need
 	sends       int                // attempts, including those that cannot have arrived
 	runs        int                // attempts that may have run
 	crashes     int                // engines that crashed while they ran the request
@@ -208,7 +209,7 @@
 func (d *Dispatcher) pickRequest(a *attempts, now time.Time) fleet.PickRequest {
 	return fleet.PickRequest{
 		Service: a.w.Service.Name, Tokens: a.w.Tokens, Blocks: a.w.Blocks, Sizes: a.w.Sizes,
-		Exclude: d.unavailable(a, now), Build: a.build, ExcludeDomain: a.lostDomain, RequireIdle: a.requireIdle, UnreadTokens: a.w.PromptTokens, Claim: a.claim,
+		Exclude: d.unavailable(a, now), Build: a.build, ExcludeDomain: a.lostDomain, RequireIdle: a.requireIdle, UnreadTokens: a.w.PromptTokens, Claim: a.claim, Yields: a.yields,
 	}
 }
 
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -68,6 +68,7 @@
 	if refusal := d.checkSize(&s.attempts); refusal != nil {
 		return nil, false, refusal
 	}
+	d.recordArrival(s, d.timer.Now())
 	var runCopy *work.Copy // copy of the lost run
 	for {
 		if !d.awaitSettled(ctx, &s.attempts) {
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -38,7 +38,7 @@
 		MaxRetry: unit.Duration(maxQueueRetryAfter),
 		Seed:     d.random(),
 	}, noLimits)
-	q.Capacity = func(now time.Time) (admission.Priority, bool) { return admission.Batch, d.fleet.Ready(s, now) }
+	q.Capacity = func(now time.Time) (admission.Priority, bool) { return d.lowestPriority(s, now), d.fleet.Ready(s, now) }
 	q.TryPlace = func(waiter *line.Waiter, now time.Time) bool {
 		queued := waiter.Request.(*queuedRequest)
 		request := queued.request
@@ -76,6 +76,7 @@
 	for _, l := range queues {
 		l.Expire(now)
 	}
+	d.reportUrgentWaiting()
 }
 
 // priorityOf returns the admission priority of a request with priority p.
@@ -103,6 +104,8 @@
 		priority, wait = admission.Batch, time.Duration(lateWaitShare*float64(w.Deadline.Sub(now)))
 		d.meters.Count("StreamsLate", 1)
 	}
+	s.yields = priority > admission.Urgent
+	defer func() { s.yields = false }() // once begun, an answer goes on
 	if q.Admission.WaitingDownTo(priority) == 0 {
 		u, refusal, busy := d.pickWithin(&s.attempts, d.cfg.MaxBacklog, now)
 		if !busy {
@@ -118,6 +121,7 @@
 	queued.request.Exclude = s.excluded() // permits may be issued, and rests may end meanwhile
 	queued.request.RequireIdle = true
 	s.requireIdle = false
+	shortage := d.shortage(s, now)
 	waiter, refusal := q.Enqueue(admission.Item{
 		ID:        d.waiterID(w.ID),
 		Workspace: w.Workspace,
@@ -126,8 +130,10 @@
 		Deadline:  now.Add(wait),
 	}, queued, now)
 	if refusal != nil {
+		d.recordRefusedAtOnce(s, shortage, refusal)
 		return directory.Upstream{}, d.queueRefusal(s, refusal)
 	}
+	d.recordWait(s, q, shortage)
 	n, _ := q.Admission.Len()
 	d.log.Info().Str("Request", string(w.ID)).Int("Waiting", n).Dur("BacklogMs", q.Admission.Backlog()).Msg("stream queued")
 	d.meters.Count("StreamsQueued", 1)
--- a/edge/demand.go
+++ b/edge/demand.go
@@ -37,7 +37,8 @@
 			o.Demand[s] = o.Demand[s].Plus(d)
 		}
 	}
-	o.ReportAge = max(reportAge(near, nearDigests), reportAge(far, farDigests))
+	o.NearAge = reportAge(near, nearDigests)
+	o.ReportAge = max(o.NearAge, reportAge(far, farDigests))
 	return o
 }
 
@@ -57,3 +58,16 @@
 		e.fleet.ReportOthers(o, now)
 	}
 }
+
+// agedReadRate is the rate in tokens per second at which the prompts of a peer count as read since its
+// last digest: half of the rate of an engine, which may read those of others as well. Without it, an
+// engine in the share of this instance would count as reading a prompt for seconds after it has read it.
+const agedReadRate = 2500
+
+// aged returns the load of a peer some time after its digest.
+func (e *Edge) aged(n work.Load, age time.Duration) work.Load {
+	if !e.cfg.Admission.ByMemory {
+		return n
+	}
+	return n.Aged(agedReadRate, age)
+}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -71,6 +71,9 @@
 		line(prefix+"Replaced", n.Replaced)
 		line(prefix+"UnderWay", n.InFlight)
 		line(prefix+"Unread", n.UnreadTokens)
+		if used, ok := e.fleet.MemoryUsed(name); ok {
+			line(prefix+"MemoryUsed", used)
+		}
 		line(prefix+"Waiting", e.dispatcher.Waiting(name))
 		for build, count := range n.Builds {
 			line(prefix+"Builds."+string(build), count)
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -384,7 +384,7 @@
 			continue
 		}
 		for u, n := range q.inFlight {
-			counts[u] = counts[u].Plus(n)
+			counts[u] = counts[u].Plus(e.aged(n, now.Sub(q.lastDigest)))
 		}
 	}
 	return counts
--- a/enginememory/ledger.go
+++ b/enginememory/ledger.go
@@ -5,11 +5,13 @@
 // Reports are up to a few seconds old, and many instances act on the same ones. Two rules
 // keep them from filling one engine together:
 //
-//   - Each engine is in the share of one or a few instances (routing.Subset). An instance
-//     without a share in an engine uses it only while a margin of memory stays free there.
-//     The margin covers the requests that other instances have probably sent since their
-//     last reports: their expected number, from the rate at which streams start at the
-//     service, and two standard deviations.
+//   - Each engine is in the share of one instance of a failure domain (routing.Partition), or of
+//     several that divide its memory evenly if there are more instances than engines. An
+//     instance without a share in an engine uses it only while a margin of memory stays free
+//     there. The margin covers the requests that other instances have probably sent since
+//     their last reports: their expected number, from the rate at which streams start at the
+//     service, and two standard deviations. Unless there is little load, the instances without
+//     a share take turns, since all of them would choose the engines that look best at once.
 //   - An instance with a share in an engine needs that margin only while the others may
 //     have used the engine. Once the engine has been closed to them for longer than reports
 //     take, all requests there are known, and the rest of the memory is its own.
@@ -19,6 +21,8 @@
 	"math"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"crocuslug/ident"
 	"crocuslug/work"
 )
@@ -56,6 +60,14 @@
 type Engine struct {
 	Upstream ident.Upstream
 	InShare  bool // in the share of this instance
+	Near     bool // in the share of an instance of this failure domain
+}
+
+// Share describes how the engines of a service are divided among the instances of a failure domain.
+type Share struct {
+	Holders   int // instances that have the same engines in their shares as this one; at least 1
+	Instances int // all instances of this failure domain
+	Rank      int // of this instance among them
 }
 
 // Site describes how much this instance knows of the others.
@@ -63,6 +75,7 @@
 	Live      int           // live instances, including this one
 	Heard     int           // those of them whose load is known, including this one
 	ReportAge time.Duration // greatest usual age of such a load
+	NearAge   time.Duration // same for the instances of this failure domain
 	Demand    work.Demand   // sum of the demand of the others
 }
 
@@ -71,8 +84,11 @@
 type Ledger struct {
 	memory     int     // of one engine, in tokens
 	meanTokens float64 // mean size of a request; 0 before the first one
+	share      Share
 	site       Site
+	total      int  // tokens known to be used at all engines
 	started    rate // tokens of the requests that this instance has sent
+	urgent     urgency
 	// untoldFactor is the number of requests of all instances divided by that of the requests of
 	// instances that count the memory. The others do not tell how many they start either.
 	untoldFactor float64
@@ -89,10 +105,13 @@
 // engine is the memory known to be used at one engine.
 type engine struct {
 	inShare  bool
+	near     bool
 	own      int // by requests of this instance
 	peers    int // by those of other instances, as reported
 	open     bool
 	closedAt time.Time // when open became false
+	hash     uint64    // of its name
+	usedIn   int64     // last turn in which this instance used it without having it in its share
 }
 
 // NewLedger returns a Ledger without engines.
@@ -103,18 +122,22 @@
 // SetEngines replaces the list of engines, each with the given memory in tokens. The claims
 // on engines that remain are kept; the others end, such as those on an engine that has restarted
 // and was left out of a list before.
-func (l *Ledger) SetEngines(memory int, list []Engine) {
-	l.memory = memory
+func (l *Ledger) SetEngines(memory int, list []Engine, share Share) {
+	l.memory, l.share = memory, share
 	engines := make(map[ident.Upstream]*engine, len(list))
 	for _, v := range list {
 		e, ok := l.engines[v.Upstream]
 		if !ok {
-			e = &engine{open: true}
+			e = &engine{open: true, hash: xxh3.HashString(string(v.Upstream))}
 		}
-		e.inShare = v.InShare
+		e.inShare, e.near = v.InShare, v.Near
 		engines[v.Upstream] = e
 	}
 	l.engines = engines
+	l.total = 0
+	for _, e := range engines {
+		l.total += e.own + e.peers
+	}
 	for c, v := range l.claims {
 		if _, ok := engines[v.upstream]; !ok {
 			delete(l.claims, c)
@@ -136,7 +159,9 @@
 	told, untold := len(l.claims), 0
 	for u, e := range l.engines {
 		n := loads[u]
+		l.total -= e.peers
 		e.peers = n.Tokens + int(float64(n.Untold)*l.meanTokens)
+		l.total += e.peers
 		told += n.Requests - n.Untold
 		untold += n.Untold
 	}
@@ -157,13 +182,21 @@
 	tokens = l.size(tokens)
 	l.claims[c] = claimed{u, tokens}
 	e.own += tokens
+	l.total += tokens
+	if !e.inShare {
+		e.usedIn = l.turn(e, now)
+	}
 	l.started.add(float64(tokens), now)
 	l.update(e, now)
 }
 
 // Demand returns the demand of this instance, which it tells the others.
 func (l *Ledger) Demand(now time.Time) work.Demand {
-	return work.Demand{Started: int(l.started.perSecond(now))}
+	return work.Demand{
+		Started: int(l.started.perSecond(now)),
+		Urgent:  int(l.urgent.arrived.perSecond(now)),
+		Waiting: l.urgent.waiting,
+	}
 }
 
 // Release ends a claim. A claim that is not in use is ignored.
@@ -175,6 +208,7 @@
 	delete(l.claims, c)
 	if e, ok := l.engines[v.upstream]; ok {
 		e.own -= v.tokens
+		l.total -= v.tokens
 		l.update(e, now)
 	}
 }
@@ -207,41 +241,102 @@
 	if !ok {
 		return false
 	}
+	tokens = l.size(tokens)
 	limit := float64(l.memory)
-	switch kind {
-	case New:
+	if kind != Continue {
 		limit -= l.margin(e, now)
-	case Backup:
-		limit -= max(l.margin(e, now), copyFreeShare*float64(l.memory))
+		switch {
+		case e.inShare && e.own+tokens > l.memory/max(1, l.share.Holders):
+			return false
+		case !e.inShare && !l.hasTurn(e, now):
+			return false
+		}
+	}
+	if kind == Backup {
+		limit = min(limit, (1-copyFreeShare)*float64(l.memory))
+	}
+	return float64(e.own+e.peers+tokens) <= limit
+}
+
+// Fractions of the memory up to which instances without a share in an engine use it at any time, so that
+// they find the prompts that it has cached. Above them, few engines look better than the others, and all
+// instances would choose these at the same time.
+const (
+	lightUse = 1.0 / 3 // of the memory of that engine
+	quietUse = 0.25    // of the memory of all engines
+)
+
+// hasTurn reports whether this instance may use an engine that is not in its share.
+func (l *Ledger) hasTurn(e *engine, now time.Time) bool {
+	n := l.share.Instances
+	light := float64(e.own+e.peers) <= lightUse*float64(l.memory)
+	switch {
+	case light && !l.Busy():
+		return true
+	case !e.near && !light:
+		return false // reports of other failure domains are too old
+	case n <= 1:
+		return true
+	}
+	turn := l.turn(e, now)
+	return e.usedIn != turn && (e.hash+uint64(turn))%uint64(n) == uint64(l.share.Rank)
+}
+
+// Busy reports whether so much memory is used that instances keep to their shares.
+func (l *Ledger) Busy() bool { return l.Used() > quietUse }
+
+// turn returns the number of the current turn at an engine that is not in the share of this instance. In
+// each turn, one instance of a failure domain may send one request there.
+func (l *Ledger) turn(e *engine, now time.Time) int64 {
+	length := l.site.ReportAge
+	if e.near {
+		length = time.Duration(nearTurn * float64(l.site.NearAge))
 	}
-	return float64(e.own+e.peers+l.size(tokens)) <= limit
+	return now.UnixNano() / int64(max(length, minTurn))
 }
 
+// Lengths of turns. At an engine of another failure domain a turn lasts until its request is reported.
+const (
+	nearTurn = 0.5 // of NearAge, so that two requests may be unreported, fewer than the margin covers
+	minTurn  = 100 * time.Millisecond
+)
+
+// longestStay is the time after which the requests have mostly ended that an engine held when it was
+// closed to instances without a share in it.
+const longestStay = 10 * time.Second
+
 // margin returns the tokens that must stay free at e for requests that are not known here.
 func (l *Ledger) margin(e *engine, now time.Time) float64 {
 	if !e.inShare {
-		return l.outsideMargin()
+		return l.outsideMargin(e)
+	}
+	others := 0.0
+	if e.open || now.Sub(e.closedAt) <= longestStay {
+		others += l.unheard()
 	}
-	others := l.unheard()
 	if e.open || now.Sub(e.closedAt) <= l.site.ReportAge {
-		others += l.unreported()
+		others += l.unreported(l.site.NearAge)
 	}
 	return min(l.spread(others), maxShareMargin*float64(l.memory))
 }
 
-// outsideMargin returns the margin at engines that are not in the share of this instance.
-func (l *Ledger) outsideMargin() float64 {
-	return min(l.spread(l.unheard()+l.unreported()), maxMargin*float64(l.memory))
+// outsideMargin returns the margin at e for instances without a share in it.
+func (l *Ledger) outsideMargin(e *engine) float64 {
+	age := l.site.ReportAge
+	if e.near || e.inShare {
+		age = l.site.NearAge
+	}
+	return min(l.spread(l.unheard()+l.unreported(age)), maxMargin*float64(l.memory))
 }
 
 // unreported returns the expected number of requests that other instances whose load is known have
-// sent to an engine since their last reports.
-func (l *Ledger) unreported() float64 {
+// sent to an engine within a time.
+func (l *Ledger) unreported(within time.Duration) float64 {
 	if len(l.engines) == 0 || l.meanTokens == 0 || l.site.Live <= 1 {
 		return 0
 	}
 	perEngine := float64(l.site.Demand.Started) * l.untoldFactor / l.meanTokens / float64(len(l.engines))
-	return perEngine * l.site.ReportAge.Seconds()
+	return perEngine * within.Seconds()
 }
 
 // unheard returns the expected number of requests at an engine of instances whose load is not
@@ -251,11 +346,7 @@
 	if missing <= 0 || len(l.engines) == 0 || l.meanTokens == 0 {
 		return 0
 	}
-	known := 0
-	for _, e := range l.engines {
-		known += e.own + e.peers
-	}
-	each := float64(known) / float64(max(1, l.site.Heard))
+	each := float64(l.total) / float64(max(1, l.site.Heard))
 	return float64(missing) * each / l.meanTokens / float64(len(l.engines))
 }
 
@@ -267,7 +358,7 @@
 
 // update notes whether e is open to instances without a share in it.
 func (l *Ledger) update(e *engine, now time.Time) {
-	open := float64(e.own+e.peers)+l.meanTokens+l.outsideMargin() <= float64(l.memory)
+	open := float64(e.own+e.peers)+l.meanTokens+l.outsideMargin(e) <= float64(l.memory)
 	if e.open && !open {
 		e.closedAt = now
 	}
@@ -287,9 +378,5 @@
 	if l.memory <= 0 || len(l.engines) == 0 {
 		return 0
 	}
-	used := 0
-	for _, e := range l.engines {
-		used += e.own + e.peers
-	}
-	return float64(used) / float64(l.memory) / float64(len(l.engines))
+	return float64(l.total) / float64(l.memory) / float64(len(l.engines))
 }
--- a/enginememory/ledger_test.go
+++ b/enginememory/ledger_test.go
@@ -18,6 +18,8 @@
 	ledger *Ledger
 	now    time.Time
 	memory int
+	share  Share
+	out    string // engine that is not usable
 	where  string
 }
 
@@ -25,15 +27,21 @@
 // count of tokens is wrong. Each line of testdata/*.txt is one of
 //
 //	memory TOKENS                   of each engine
-//	engines NAME[:share] ...        replaces the list
+//	engines NAME[:share|:near] ...       replaces the list
+//	share HOLDERS INSTANCES RANK    from the next engines on
 //	size TOKENS TIMES               records the size of requests
 //	take CLAIM ENGINE TOKENS
 //	release CLAIM
 //	after DURATION
-//	site live=N heard=N age=DURATION started=TOKENS
+//	site live=N heard=N age=DURATION started=TOKENS [urgent=TOKENS] [waiting=TOKENS]
 //	peers ENGINE:REQUESTS/TOKENS ...  tokens 0: of an instance that does not count them
 //	fits ENGINE TOKENS new|continue|copy yes|no
 //	used ENGINE TOKENS              of this instance and its peers
+//	turns ENGINE N                  requests that may start there in the next 3 s, each ending at once
+//	urgent TOKENS N                 arrivals of urgent requests whose prompts take 1 s to read
+//	waiting TOKENS                  of urgent requests at this instance
+//	out ENGINE                      is not usable
+//	spare TOKENS yes|no             a less urgent request may start
 func TestScripts(t *testing.T) {
 	names, err := filepath.Glob("testdata/*.txt")
 	if err != nil || len(names) == 0 {
@@ -64,9 +72,9 @@
 		var list []Engine
 		for _, e := range w[1:] {
 			name, share, _ := strings.Cut(e, ":")
-			list = append(list, Engine{Upstream: ident.Upstream(name), InShare: share != ""})
+			list = append(list, Engine{Upstream: ident.Upstream(name), InShare: share == "share", Near: share != ""})
 		}
-		s.ledger.SetEngines(s.memory, list)
+		s.ledger.SetEngines(s.memory, list, s.share)
 	case "size":
 		for range s.number(w[2]) {
 			s.ledger.RecordSize(s.number(w[1]))
@@ -80,8 +88,8 @@
 	case "site":
 		v := s.values(w[1:])
 		s.ledger.SetSite(Site{
-			Live: s.number(v["live"]), Heard: s.number(v["heard"]), ReportAge: s.duration(v["age"]),
-			Demand: work.Demand{Started: s.number(v["started"])},
+			Live: s.number(v["live"]), Heard: s.number(v["heard"]), ReportAge: s.duration(v["age"]), NearAge: s.duration(v["age"]),
+			Demand: work.Demand{Started: s.number(v["started"]), Urgent: s.optional(v["urgent"]), Waiting: s.optional(v["waiting"])},
 		}, s.now)
 	case "peers":
 		loads := make(map[ident.Upstream]work.Load)
@@ -101,11 +109,53 @@
 		if got, want := e.own+e.peers, s.number(w[2]); got != want {
 			s.t.Errorf("%s: %s: got %d, want %d", s.where, strings.Join(w, " "), got, want)
 		}
+	case "share":
+		s.share = Share{Holders: s.number(w[1]), Instances: s.number(w[2]), Rank: s.number(w[3])}
+	case "urgent":
+		for range s.number(w[2]) {
+			s.ledger.UrgentArrived(s.number(w[1]), time.Second, s.now)
+		}
+	case "waiting":
+		s.ledger.SetUrgentWaiting(s.number(w[1]))
+	case "spare":
+		usable := func(u ident.Upstream) bool { return string(u) != s.out }
+		if got, want := s.ledger.Spare(s.number(w[1]), usable, s.now), w[2] == "yes"; got != want {
+			s.t.Errorf("%s: %s: got %t, want %t", s.where, strings.Join(w, " "), got, want)
+		}
+	case "out":
+		s.out = w[1]
+	case "turns":
+		if got, want := s.turns(w[1]), s.number(w[2]); got != want {
+			s.t.Errorf("%s: %s: got %d, want %d", s.where, strings.Join(w, " "), got, want)
+		}
 	default:
 		s.t.Fatalf("%s: unknown command %q", s.where, w[0])
 	}
 }
 
+// turns returns how many requests may start at an engine in the next 3 s.
+func (s *script) turns(engine string) int {
+	const claim, size = 1 << 20, 100
+	n := 0
+	for range 300 {
+		s.now = s.now.Add(10 * time.Millisecond)
+		if s.ledger.Fits(ident.Upstream(engine), size, New, s.now) {
+			s.ledger.Take(claim, ident.Upstream(engine), size, s.now)
+			s.ledger.Release(claim, s.now)
+			n++
+		}
+	}
+	return n
+}
+
+// optional returns a number, or 0 if the text is empty.
+func (s *script) optional(text string) int {
+	if text == "" {
+		return 0
+	}
+	return s.number(text)
+}
+
 // values returns the values of words of the form NAME=VALUE.
 func (s *script) values(words []string) map[string]string {
 	out := make(map[string]string)
--- a/fleet/counts.go
+++ b/fleet/counts.go
@@ -62,6 +62,9 @@
 	defer f.mu.Unlock()
 	for _, g := range f.services {
 		g.chooser.ReportPeerLoads(counts, now)
+		if g.memory != nil {
+			g.memory.ReportPeers(counts, now)
+		}
 	}
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -190,9 +190,13 @@
 		return directory.Upstream{}, routing.NoUpstream
 	}
 	g.recordSize(a.Tokens, f)
+	if a.Yields && g.counts() && !g.memory.Spare(a.Tokens, g.usable, now) {
+		return directory.Upstream{}, routing.Wait
+	}
+	busy := g.counts() && g.memory.Busy()
 	d := g.chooser.Choose(routing.Request{
 		Blocks: a.Blocks, Sizes: a.Sizes, PromptTokens: a.Tokens, Exclude: a.Exclude, ExcludeDomain: a.ExcludeDomain, Build: a.Build, Resumed: a.AllowFull,
-		RequireIdle: a.RequireIdle, MinFreeShare: a.MinFreeShare, MaxBacklog: a.MaxBacklog, RespectShares: len(f.instances) <= maxSharingInstances,
+		RequireIdle: a.RequireIdle, MinFreeShare: a.MinFreeShare, MaxBacklog: a.MaxBacklog, RespectShares: len(f.instances) <= maxSharingInstances || busy,
 		Fits: g.fits(&a, now),
 	}, now)
 	if d.Kind != routing.Send {
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"crocuslug/directory"
@@ -49,7 +50,10 @@
 func (g *group) updateCandidatesExcept(f *Fleet, without map[ident.Upstream]bool) {
 	var list []routing.Candidate
 	var engines []enginememory.Engine
-	inShare := g.shareOf(f)
+	inShare, near, holders := g.shareOf(f), map[ident.Upstream]bool(nil), 1
+	if g.memory != nil {
+		inShare, near, holders = g.partOf(f)
+	}
 	for _, u := range g.list {
 		if _, replaced := f.replaced[u.ID]; replaced || without[u.ID] {
 			continue
@@ -63,11 +67,12 @@
 			Build:    u.Build,
 			InShare:  inShare[u.ID],
 		})
-		engines = append(engines, enginememory.Engine{Upstream: u.ID, InShare: inShare[u.ID]})
+		engines = append(engines, enginememory.Engine{Upstream: u.ID, InShare: inShare[u.ID], Near: near[u.ID]})
 	}
 	g.chooser.SetCandidates(list)
 	if g.memory != nil {
-		g.memory.SetEngines(g.memoryTokens, engines)
+		rank, _ := slices.BinarySearch(f.instances, f.cfg.Self)
+		g.memory.SetEngines(g.memoryTokens, engines, enginememory.Share{Holders: holders, Rank: rank, Instances: max(1, len(f.instances))})
 	}
 }
 
@@ -101,6 +106,27 @@
 	return inShare
 }
 
+// partOf returns the upstreams in this instance's share and in that of its failure domain if the memory
+// is counted, and the number of instances that have the same share. Shares do not overlap then, as far as
+// there are enough upstreams.
+func (g *group) partOf(f *Fleet) (inShare, near map[ident.Upstream]bool, holders int) {
+	names := make([]ident.Upstream, 0, len(g.list))
+	for _, u := range g.list {
+		names = append(names, u.ID)
+	}
+	set := func(names []ident.Upstream) map[ident.Upstream]bool {
+		out := make(map[ident.Upstream]bool, len(names))
+		for _, id := range names {
+			out[id] = true
+		}
+		return out
+	}
+	names, _ = routing.Partition(f.domains, f.cfg.Domain, names)
+	near = set(names)
+	names, holders = routing.Partition(f.instances, f.cfg.Self, names)
+	return set(names), near, holders
+}
+
 // ceilDiv returns whole divided by n, rounded up. An n below 1 counts as 1.
 func ceilDiv(whole, n int) int {
 	n = max(1, n)
--- a/fleet/memory.go
+++ b/fleet/memory.go
@@ -114,6 +114,7 @@
 	Live      int                           // live instances, including this one
 	Heard     int                           // those of them whose load is known, including this one
 	ReportAge time.Duration                 // greatest usual age of such a load
+	NearAge   time.Duration                 // same for the instances of this failure domain
 	Demand    map[ident.Service]work.Demand // sum of the demand of the others
 }
 
@@ -124,7 +125,7 @@
 	defer f.mu.Unlock()
 	for name, g := range f.services {
 		if g.memory != nil {
-			g.memory.SetSite(enginememory.Site{Live: o.Live, Heard: o.Heard, ReportAge: o.ReportAge, Demand: o.Demand[name]}, now)
+			g.memory.SetSite(enginememory.Site{Live: o.Live, Heard: o.Heard, ReportAge: o.ReportAge, NearAge: o.NearAge, Demand: o.Demand[name]}, now)
 		}
 	}
 }
@@ -141,6 +142,9 @@
 	return g.memory.Used(), true
 }
 
+// usable reports whether an upstream is in rotation and does not leave.
+func (g *group) usable(id ident.Upstream) bool { return g.chooser.InRotation(id) }
+
 // Ready reports whether an upstream of the service can accept a waiting request now.
 func (f *Fleet) Ready(service ident.Service, now time.Time) bool {
 	f.mu.Lock()
@@ -148,3 +152,46 @@
 	g, ok := f.services[service]
 	return ok && g.chooser.ReadyFor(routing.Request{RequireIdle: true, Fits: g.fits(&PickRequest{}, now)}, now)
 }
+
+// Spare reports whether a less urgent request of a service could start and leave the room that urgent
+// ones need. It is true if the memory is not counted.
+func (f *Fleet) Spare(service ident.Service, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g, ok := f.services[service]
+	return !ok || !g.counts() || g.memory.Spare(0, g.usable, now)
+}
+
+// HasRoom reports whether a request that starts an answer fits into the memory of an upstream of a
+// service. It is true if the memory is not counted.
+func (f *Fleet) HasRoom(service ident.Service, tokens int, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g, ok := f.services[service]
+	if !ok || !g.counts() {
+		return true
+	}
+	return slices.ContainsFunc(g.list, func(u directory.Upstream) bool {
+		return g.usable(u.ID) && g.memory.Fits(u.ID, tokens, enginememory.New, now)
+	})
+}
+
+// UrgentArrived records the arrival of an urgent request with a prompt of the given size, which needs
+// tokens of memory.
+func (f *Fleet) UrgentArrived(service ident.Service, tokens, prompt int, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if g, ok := f.services[service]; ok && g.counts() {
+		reading := time.Duration(float64(prompt) / f.cfg.Routing.PrefillRate * float64(time.Second))
+		g.memory.UrgentArrived(tokens, reading, now)
+	}
+}
+
+// SetUrgentWaiting sets the memory in tokens that the urgent requests need that wait at this instance.
+func (f *Fleet) SetUrgentWaiting(service ident.Service, tokens int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if g, ok := f.services[service]; ok && g.counts() {
+		g.memory.SetUrgentWaiting(tokens)
+	}
+}
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -84,4 +84,6 @@
 	// is needed only with Settings.ByMemory.
 	Claim enginememory.Claim
 	Copy  bool // the request stores a copy of a run
+	// Yields is set for a less urgent request, which leaves the room that urgent ones need.
+	Yields bool
 }
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -115,6 +115,14 @@
 	return ok && e.out
 }
 
+// InRotation reports whether an upstream is neither out of rotation nor leaving.
+func (c *Chooser) InRotation(u ident.Upstream) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, ok := c.engines[u]
+	return ok && !e.out && !e.Leaving
+}
+
 // ReportLoad records a load report. A report older than the last one is ignored. It returns an error for a
 // report with numbers that no upstream can have, which changes nothing.
 func (c *Chooser) ReportLoad(r Report) error {
--- a/routing/subset.go
+++ b/routing/subset.go
@@ -33,6 +33,28 @@
 	return subset
 }
 
+// Partition returns the upstreams that belong to one of the sharers. Unlike the result of Subset, they
+// belong to no other one, unless there are more sharers than upstreams: then several have the same
+// upstream, and Partition returns their number, which is 1 otherwise. A sharer that is not in the sorted
+// list gets all upstreams.
+func Partition[T ~string](sharers []T, me T, upstreams []ident.Upstream) (mine []ident.Upstream, holders int) {
+	rank, listed := slices.BinarySearch(sharers, me)
+	if !listed || len(upstreams) == 0 {
+		return upstreams, 1
+	}
+	ring, m := newRing(upstreams), len(sharers)
+	first, end := rank*len(ring)/m, (rank+1)*len(ring)/m
+	holders = 1
+	if m > len(ring) {
+		end = first + 1
+		holders = (end*m+len(ring)-1)/len(ring) - (first*m+len(ring)-1)/len(ring)
+	}
+	for _, e := range ring[first:end] {
+		mine = append(mine, e.name)
+	}
+	return mine, holders
+}
+
 // ringEntry is an upstream on the ring.
 type ringEntry struct {
 	hash uint64
--- a/work/work.go
+++ b/work/work.go
@@ -142,13 +142,21 @@
 	return sum
 }
 
+// Aged returns a load after a time in which an engine reads prompts at a rate in tokens per second.
+func (a Load) Aged(rate float64, age time.Duration) Load {
+	a.Reading = max(0, a.Reading-int(rate*age.Seconds()))
+	return a
+}
+
 // Demand is the demand of one instance, or several, for the memory of the engines of a service, in
 // tokens.
 type Demand struct {
 	Started int `json:",omitempty"` // of the requests sent per second
+	Urgent  int `json:",omitempty"` // of the urgent requests that arrive per second
+	Waiting int `json:",omitempty"` // of the urgent requests that wait
 }
 
 // Plus returns the sum of d and the demand of other instances.
 func (d Demand) Plus(other Demand) Demand {
-	return Demand{Started: d.Started + other.Started}
+	return Demand{Started: d.Started + other.Started, Urgent: d.Urgent + other.Urgent, Waiting: d.Waiting + other.Waiting}
 }
