fleet: load in which the memory is scarcer than the time to read prompts

Cause: in the other loads of TestPressure engines read prompts too slowly to fill their memory, so they pass without the reserve for urgent streams.

Change: answers of a site may take longer; testdata/site/memory.txt.

--- a/fleet/pressure_test.go
+++ b/fleet/pressure_test.go
@@ -31,7 +31,7 @@
 // against engines that crash because instances with old reports fill them together, and against a
 // workspace that takes the room of the others. Each line of testdata/site/*.txt is one of
 //
-//	site instances=N domains=N engines=N length=DURATION
+//	site instances=N domains=N engines=N length=DURATION writing=DURATION
 //	traffic NAME priority=N objective=DURATION rate=PER-SECOND workspaces=N heavy=N [from=D to=D factor=N]
 //	want urgent=SHARE left=SHARE workspace=SHARE
 //
@@ -87,7 +87,7 @@
 		switch w[0] {
 		case "site":
 			s = newSite(v.int(t, "instances"), v.int(t, "domains"), v.int(t, "engines"), byMemory, seed)
-			length = v.duration(t, "length")
+			length, s.writing = v.duration(t, "length"), v.duration(t, "writing")
 		case "traffic":
 			traffics = append(traffics, &traffic{
 				name: w[1], priority: v.int(t, "priority"), objective: v.duration(t, "objective"), rate: v.float(t, "rate"), workspaces: v.int(t, "workspaces"),
@@ -152,7 +152,7 @@
 		}
 	}
 	f.urgentOnTime = float64(onTime) / float64(max(1, urgent))
-	perEngine := min(readRate/promptTokens, float64(engineMemory/(promptTokens+answerTokens))/(writeTime.Seconds()+promptTokens/readRate))
+	perEngine := min(readRate/promptTokens, float64(engineMemory/(promptTokens+answerTokens))/(s.writing.Seconds()+promptTokens/readRate))
 	left := perEngine*float64(s.engines)*(to-from).Seconds() - float64(urgentIn)
 	f.lessUrgent = float64(servedIn) / max(1, min(left, float64(offeredIn)))
 	f.workspace = leastWorkspace(offered, served)
--- a/fleet/site_test.go
+++ b/fleet/site_test.go
@@ -24,8 +24,7 @@
 	engineMemory = 55_000 // tokens
 	promptTokens = 5200
 	answerTokens = 840
-	readRate     = 5000.0          // prompt tokens per second of an engine, shared by the prompts that it reads
-	writeTime    = 6 * time.Second // of an answer
+	readRate     = 5000.0 // prompt tokens per second of an engine, shared by the prompts that it reads
 	maxBacklog   = 1500 * time.Millisecond
 	waitShare    = 0.65 // of its objective that a stream may wait, see dispatch.Settings.QueueWaitShare
 
@@ -91,6 +90,7 @@
 	byMemory  bool
 	domains   int
 	engines   int
+	writing   time.Duration // of an answer
 	instances []*instance
 	held      map[ident.Upstream]int
 	running   map[ident.Upstream][]*request
@@ -255,7 +255,7 @@
 			case r.unread > 0:
 				if r.unread -= readRate * step.Seconds() / float64(reading); r.unread <= 0 {
 					r.onTime = s.now.Sub(r.at) <= r.traffic.objective
-					r.end = s.now.Add(writeTime)
+					r.end = s.now.Add(s.writing)
 					r.in.fleet.AddUnreadTokens(u, -promptTokens, s.now)
 					r.in.queue.Grant(s.now) // may place further requests here
 				}
