--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -15,7 +15,7 @@
 func (d *Dispatcher) pickRequest(a *attempts, now time.Time) fleet.PickRequest {
 	return fleet.PickRequest{
 		Service: a.w.Service.Name, Tokens: a.w.Tokens, Blocks: a.w.Blocks, Sizes: a.w.Sizes,
-		Exclude: d.unavailable(a, now), Build: a.wantedBuild(), ExcludeBuild: a.side.exclude, ExcludeDomain: a.lostDomain, RequireIdle: a.requireIdle, UnreadTokens: a.w.PromptTokens,
+		Exclude: d.unavailable(a, now), Build: a.wantedBuild(), ExcludeBuild: a.side.exclude, ExcludeDomain: a.lostDomain, RequireIdle: a.requireIdle, UnreadTokens: a.w.PromptTokens, Claim: a.claim, Yields: a.yields,
 	}
 }
 
@@ -65,7 +65,7 @@
 	}
 	for {
 		u, kind := d.pickSide(request, s, avoid, now)
-		if kind != routing.Send || d.takePermit(u.ID, request.UnreadTokens, now) {
+		if kind != routing.Send || d.takePermit(u.ID, request.Claim, request.UnreadTokens, now) {
 			return u, kind
 		}
 		request.Exclude = append(request.Exclude, u.ID)
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -31,6 +31,7 @@
 	Descriptors  int           `json:",omitempty"` // limit of open file descriptors; no limit if 0
 	MemoryBytes  int64         `json:",omitempty"` // limit of the memory of the process; no limit if 0
 	Delivery     Delivery      `json:",omitzero"`
+	Admission    EdgeAdmission `json:",omitzero"`
 }
 
 // Delivery holds the settings of the progressive delivery of software versions of upstreams.
@@ -40,6 +41,11 @@
 	RollbackWithin unit.Duration `json:",omitempty"` // time after which a version with failures must get no requests
 }
 
+// EdgeAdmission holds the settings of an Edge for the admission of requests of model engines.
+type EdgeAdmission struct {
+	ByMemory bool `json:",omitempty"` // counts the memory of engines in tokens over the life of requests, and keeps some free for urgent ones
+}
+
 // ReadEdge reads an Edge from file. It returns all problems in the content
 // together, and an error if the file cannot be read.
 func ReadEdge(file string) (Edge, []Problem, error) {
