upstreamlimit: an answer does not become newer each time that it is told

Cause: instances tell each other the age of the newest answer of an upstream, and each told age lacks the time that the message took. Passed on by all to all, the same answer stayed new: with 40 instances and slow messages its age did not grow at all. A limit that had ended so stayed in force: NotNamed ignores answers to requests sent before the last answer that named it, and statements about the limit won against those about its end.

Change: a statement names its answer by the instance that received it and the time by its clock. Of an answer the greatest age counts that was told, and answers older than the last known one of the same instance do not count. Statements of earlier versions have no identity and count as before.

--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -61,7 +61,7 @@
 		Fleet:       f,
 		Client:      c,
 		Poison:      poison.New(),
-		Limits:      upstreamlimit.New(),
+		Limits:      upstreamlimit.New("e1"),
 		Rests:       cooldown.New(func() uint64 { return 0 }),
 		Builds:      builds.New(builds.Settings{}, clock.Now()),
 		PreferBuild: func(ident.Service) *ident.Build { return nil },
--- a/dispatch/patience_test.go
+++ b/dispatch/patience_test.go
@@ -51,7 +51,7 @@
 	f := fleet.New(fleet.Settings{}, func() uint64 { return 0 }, zerolog.Nop())
 	f.SetUpstreams([]directory.Upstream{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}, {ID: "c", Service: "s", Draining: true}},
 		func(ident.Service) int { return 0 }, time.Unix(0, 0))
-	d := &Dispatcher{cfg: Settings{MaxSends: 4}.withDefaults(), fleet: f, limits: upstreamlimit.New(), rests: cooldown.New(func() uint64 { return 0 }), timer: timer.New()}
+	d := &Dispatcher{cfg: Settings{MaxSends: 4}.withDefaults(), fleet: f, limits: upstreamlimit.New("e1"), rests: cooldown.New(func() uint64 { return 0 }), timer: timer.New()}
 	resumable := directory.Route{Kind: directory.Streaming, Resumable: true}
 	tests := []struct {
 		name                     string
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -146,7 +146,7 @@
 		registry:       registry.New(registry.Settings{Drain: cfg.Drain.Std()}),
 		exchange:       exchange.New(exchange.Settings{}, t),
 		poison:         poison.New(),
-		upstreamLimits: upstreamlimit.New(),
+		upstreamLimits: upstreamlimit.New(ident.Instance(cfg.PeerListen)),
 		rests:          cooldown.New(rand.Uint64),
 		builds:         builds.New(builds.Settings{}, t.Now()),
 		reach:          reach.New(reach.Settings{}),
--- a/upstreamlimit/limits.go
+++ b/upstreamlimit/limits.go
@@ -3,7 +3,8 @@
 //
 // An upstream in need names in its answers the rate that it takes from all instances together. The
 // answers of one upstream may reach several instances, so each tells the others what it was told,
-// with the age of the answer, and the newest answer counts.
+// with the age of the answer, and the newest answer counts. An answer has an identity, so that it does not
+// become newer by the time that messages take.
 //
 // The rate is shared by permits, one for each request. For each upstream one instance issues them
 // from a token bucket, and the others ask it. Any instance can so use the whole rate, however many
@@ -41,6 +42,7 @@
 	maxWait        = 5 * time.Second  // greatest time until the next permit that is told
 	maxAskInterval = time.Second      // longest time for which an instance does not ask again
 	endTold        = 10 * time.Second // time for which the end of a limit is told
+	answerKept     = 10 * time.Second // age up to which answers are known beside the newest one; messages take far less
 	demandTime     = time.Second / 4  // time over which the demand is measured, and for which permits are asked
 	maxTold        = 256              // statements in one report
 	staleAfter     = time.Second      // time after the last answer of an upstream from when its limit may have ended unnoticed
@@ -51,6 +53,8 @@
 // upstreams for which it issues permits. It is safe for concurrent use. Times passed to it must come
 // from one clock.
 type Limits struct {
+	self ident.Instance
+
 	mu        sync.Mutex
 	upstreams map[ident.Upstream]directory.Upstream
 	limits    map[ident.Upstream]*limit
@@ -67,6 +71,15 @@
 	logged float64   // rate of the last Change
 	stock  stock
 	issue  bucket
+	source answer                    // that said so
+	known  map[ident.Instance]answer // the last answer of which is known that it reached each instance, see learn
+}
+
+// answer is an answer of an upstream that said something about its limit.
+type answer struct {
+	to   ident.Instance // that received it
+	time int64          // when, by the clock of that instance, in Unix nanoseconds
+	at   time.Time      // the earliest time at which it can have arrived as far as is known here
 }
 
 // demand is the number of requests for a service in the last demandTime, which decays exponentially.
@@ -86,6 +99,10 @@
 	Born     int64   `json:",omitempty"` // directory.Upstream.Born
 	Rate     float64 // requests a second; 0 if it named none
 	Age      unit.Duration
+	// Source and Answer identify the answer: the instance that received it, and when by its clock, in Unix
+	// nanoseconds. Instances of earlier versions do not tell them.
+	Source ident.Instance `json:",omitempty"`
+	Answer int64          `json:",omitempty"`
 }
 
 // Change is the begin or end of a limit, or a change by more than logShare, for the log.
@@ -95,9 +112,10 @@
 	Age          time.Duration
 }
 
-// New returns a Limits without limits.
-func New() *Limits {
+// New returns a Limits without limits for the instance self.
+func New(self ident.Instance) *Limits {
 	return &Limits{
+		self:      self,
 		upstreams: make(map[ident.Upstream]directory.Upstream), limits: make(map[ident.Upstream]*limit),
 		demand: make(map[ident.Service]*demand), rejected: make(map[ident.Upstream]string),
 	}
@@ -142,7 +160,7 @@
 	if _, ok := l.upstreams[id]; !ok {
 		return Change{}, false
 	}
-	return l.set(id, rate, now, now)
+	return l.set(id, rate, l.own(now), now)
 }
 
 // NotNamed records that an answer of an upstream to a request sent at a time named no limit. Answers
@@ -155,9 +173,12 @@
 	if b := l.limits[id]; b == nil || b.rate == 0 || sent.Before(b.at) {
 		return Change{}, false
 	}
-	return l.set(id, 0, now, now)
+	return l.set(id, 0, l.own(now), now)
 }
 
+// own returns an answer to this instance.
+func (l *Limits) own(now time.Time) answer { return answer{l.self, now.UnixNano(), now} }
+
 // Rejected records that an upstream named a value that is no rate, and reports whether its last value
 // was another one.
 func (l *Limits) Rejected(id ident.Upstream, text string) bool {
@@ -170,26 +191,27 @@
 	return true
 }
 
-// set records what an answer that arrived at a time said. l.mu must be held.
-func (l *Limits) set(id ident.Upstream, rate float64, at, now time.Time) (Change, bool) {
+// set records what the newest answer said. l.mu must be held.
+func (l *Limits) set(id ident.Upstream, rate float64, a answer, now time.Time) (Change, bool) {
 	b := l.limits[id]
 	if b == nil {
 		if rate == 0 {
 			return Change{}, false
 		}
-		b = &limit{}
+		b = &limit{known: make(map[ident.Instance]answer)}
 		l.limits[id] = b
 	}
 	if (b.rate == 0) != (rate == 0) {
 		b.since, b.issue = now, bucket{at: now}
 	}
-	b.rate, b.at = rate, at
+	b.rate, b.at, b.source = rate, a.at, a
+	b.learn(a, now)
 	former := b.logged
 	if rate == former || rate > 0 && math.Abs(rate-former) <= logShare*former {
 		return Change{}, false
 	}
 	b.logged = rate
-	return Change{Upstream: id, Former: former, Rate: rate, Age: max(0, now.Sub(at))}, true
+	return Change{Upstream: id, Former: former, Rate: rate, Age: max(0, now.Sub(a.at))}, true
 }
 
 // Report returns what the other instances are to be told. Of many limits, those of which the newest
@@ -211,7 +233,7 @@
 }
 
 func (l *Limits) statement(id ident.Upstream, b *limit, now time.Time) Statement {
-	return Statement{Upstream: id, Born: l.upstreams[id].Born, Rate: b.rate, Age: unit.Duration(max(0, now.Sub(b.at)).Round(time.Millisecond))}
+	return Statement{Upstream: id, Born: l.upstreams[id].Born, Rate: b.rate, Age: unit.Duration(max(0, now.Sub(b.at)).Round(time.Millisecond)), Source: b.source.to, Answer: b.source.time}
 }
 
 // Statement returns what is known of the limit of an upstream, and false if it has none.
@@ -236,16 +258,44 @@
 		if !ok || u.Born != s.Born || s.Rate < 0 || s.Rate > maxRate || math.IsNaN(s.Rate) {
 			continue
 		}
-		if b := l.limits[s.Upstream]; b != nil && !at.After(b.at) {
-			continue
+		a := answer{s.Source, s.Answer, at}
+		if b := l.limits[s.Upstream]; b != nil {
+			if a = b.learn(a, now); !a.at.After(b.at) {
+				continue
+			}
 		}
-		if c, ok := l.set(s.Upstream, s.Rate, at, now); ok {
+		if c, ok := l.set(s.Upstream, s.Rate, a, now); ok {
 			changes = append(changes, c)
 		}
 	}
 	return changes
 }
 
+// learn records that an answer is known, and returns it with the earliest time at which it can have arrived.
+// Each time that an answer is told, its age lacks the time that the message took. Told on and on, it
+// would stay new, and the limit that it names would outlast later answers without one. So the greatest age
+// counts that was told of an answer, and an answer older than the last known one of its instance does not.
+func (b *limit) learn(a answer, now time.Time) answer {
+	if a.to == "" {
+		return a
+	}
+	last, ok := b.known[a.to]
+	switch {
+	case ok && a.time < last.time:
+		return answer{}
+	case ok && a.time == last.time && last.at.Before(a.at):
+		a.at = last.at
+	}
+	b.known[a.to] = a
+	if a.to == b.source.to && a.time == b.source.time {
+		b.at, b.source.at = a.at, a.at
+	}
+	maps.DeleteFunc(b.known, func(id ident.Instance, other answer) bool {
+		return id != a.to && id != b.source.to && now.Sub(other.at) >= answerKept
+	})
+	return a
+}
+
 // Limited returns the upstreams of a service that have a limit, sorted.
 func (l *Limits) Limited(s ident.Service) []ident.Upstream {
 	l.mu.Lock()
--- a/upstreamlimit/script_test.go
+++ b/upstreamlimit/script_test.go
@@ -73,7 +73,7 @@
 
 func (s *script) instance(name string) *Limits {
 	if s.instances[name] == nil {
-		s.instances[name] = New()
+		s.instances[name] = New(ident.Instance(name))
 		s.instances[name].SetUpstreams(s.upstreams)
 	}
 	return s.instances[name]
--- a/upstreamlimit/size_test.go
+++ b/upstreamlimit/size_test.go
@@ -35,7 +35,7 @@
 			begin := time.Unix(1000, 0)
 			instances := make([]*Limits, tc.instances)
 			for i := range instances {
-				instances[i] = New()
+				instances[i] = New(ident.Instance(fmt.Sprint(i)))
 				instances[i].SetUpstreams([]directory.Upstream{{ID: "u", Service: "s"}})
 				instances[i].Named("u", tc.rate, begin)
 			}
@@ -86,7 +86,7 @@
 // TestReportBound guards against reports that grow with the number of limits. Those told must be the
 // newest.
 func TestReportBound(t *testing.T) {
-	l := New()
+	l := New("a")
 	now := time.Unix(1000, 0)
 	var list []directory.Upstream
 	for i := range 3 * maxTold {
