--- a/edge/edge.go
+++ b/edge/edge.go
@@ -150,7 +150,7 @@
 		exchange:       exchange.New(exchange.Settings{MaxBuffered: maxAnswers(cfg.MemoryBytes)}, t),
 		bodies:         newBodies(cfg.MemoryBytes),
 		poison:         poison.New(),
-		upstreamLimits: upstreamlimit.New(),
+		upstreamLimits: upstreamlimit.New(ident.Instance(cfg.PeerListen)),
 		rests:          cooldown.New(rand.Uint64),
 		builds:         builds.New(builds.Settings{}, t.Now()),
 		reach:          reach.New(reach.Settings{}),
