--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -19,13 +19,18 @@
 // disconnected, the connection to the upstream is closed and both results are nil.
 func (d *Dispatcher) Call(ctx context.Context, w *work.Work) (*Reply, *result.Error) {
 	d.retryBudget(w.Service.Name).AddRequest()
-	a := &attempts{w: w}
+	a := &attempts{w: w, claim: d.newClaim()}
+	defer func() { d.fleet.ReleaseMemory(a.claim, d.timer.Now()) }()
+	if refusal := d.checkSize(a); refusal != nil {
+		return nil, refusal
+	}
 	var failure *Reply // failure answered by an upstream, passed on if no other upstream succeeds
 	for {
 		now := d.timer.Now()
 		if w.Deadline.Sub(now) < d.cfg.MinRemaining {
 			return or(failure, d.refuse(a, result.DeadlineInfeasible, "the remaining time is too short"))
 		}
+		a.side = d.sideOf(w, nil, now)
 		d.awaitTrial(ctx, a, now)
 		if refusal := d.ensurePermit(ctx, a, d.timer.Now()); refusal != nil {
 			return or(failure, refusal)
@@ -39,6 +44,12 @@
 		sent := d.timer.Uptime()
 		reply, v, failed := d.send(ctx, a, u, now)
 		end := d.timer.Now()
+		switch {
+		case !failed:
+			d.observe(a, u, reply.Status >= http.StatusInternalServerError, end.Sub(now), end)
+		case ctx.Err() == nil:
+			d.observeFailure(a, u, v, end.Sub(now))
+		}
 		if !failed && reply.Status >= http.StatusInternalServerError && w.Route.Repeatable() {
 			failure = reply
 			v, failed = sendFailure{outcome: fleet.Served, mayHaveRun: true, cause: status, reason: "status " + strconv.Itoa(reply.Status)}, true
@@ -51,7 +62,7 @@
 				Int("Status", reply.Status).Dur("TookMs", end.Sub(now)).Msg("answered")
 			return reply, nil
 		case ctx.Err() != nil:
-			d.fleet.ReportEnd(u.ID, fleet.Abandoned, 0, end)
+			d.reportEnd(a.claim, u.ID, fleet.Abandoned, 0, end)
 			a.runs++
 			return d.callEnded(ctx, a, u.ID, failure)
 		}
@@ -102,21 +113,21 @@
 		return nil, v, true
 	}
 	a.answering = d.timer.Now()
-	body, err := ans.ReadBody()
+	body, more, err := ans.ReadParts()
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, timeLimitPassed, true
 	}
 	if err != nil {
 		return nil, sendFailure{outcome: fleet.Failed, mayHaveRun: true, cause: broken, reason: err.Error()}, true
 	}
-	return &Reply{Status: ans.Status, Header: ans.Header, Body: body, delimited: ans.Delimited()}, sendFailure{}, false
+	return &Reply{Status: ans.Status, Header: ans.Header, Body: body, More: more, delimited: ans.Delimited()}, sendFailure{}, false
 }
 
 // extendCall returns until when a request waits for an upstream that has not answered within
 // its share of the time, or zero if the request may be sent to another one.
 func (d *Dispatcher) extendCall(a *attempts, id ident.Upstream) time.Time {
 	service := a.w.Service.Name
-	if d.fleet.HasOther(service, a.build, append(d.unavailable(a, d.timer.Now()), id)) && d.retryBudget(service).Available() {
+	if d.fleet.HasOther(service, a.wantedBuild(), a.side.exclude, append(d.unavailable(a, d.timer.Now()), id)) && d.retryBudget(service).Available() {
 		return time.Time{}
 	}
 	return d.timer.Now().Add(silenceCheckInterval)
--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -61,7 +61,7 @@
 		Fleet:       f,
 		Client:      c,
 		Poison:      poison.New(),
-		Limits:      upstreamlimit.New(),
+		Limits:      upstreamlimit.New("e1"),
 		Rests:       cooldown.New(func() uint64 { return 0 }),
 		Builds:      builds.New(builds.Settings{}, clock.Now()),
 		PreferBuild: func(ident.Service) *ident.Build { return nil },
@@ -82,7 +82,8 @@
 	defer cancel()
 	go clock.Run(ctx)
 	random := func() uint64 { return 0 }
-	f := fleet.New(fleet.Settings{Domain: "near"}, random, zerolog.Nop())
+	f := fleet.New(fleet.Settings{Domain: "near", ByMemory: wd.byMemory}, random, zerolog.Nop())
+	defer func() { wd.memoryUsed, _ = f.MemoryUsed(wd.service.Name) }()
 	client := exchange.New(exchange.Settings{MaxBuffered: wd.memory}, clock)
 	defer client.Close()
 	server := relay.New(relay.Settings{Listen: "127.0.0.1:0"}, clock, zerolog.Nop())
@@ -103,6 +104,9 @@
 	}
 	dependencies := testDependencies(testProtocol(), f, client, clock, zerolog.Nop())
 	dependencies.Budget = wd.budget
+	if wd.delivery != nil {
+		dependencies.Delivery = wd.delivery.functions()
+	}
 	wd.publish = func() {
 		f.SetUpstreams(wd.list, func(ident.Service) int { return wd.service.Memory }, clock.Now())
 		dependencies.Builds.SetUpstreams(wd.list, clock.Now())
@@ -118,7 +122,7 @@
 		return told
 	}
 	dependencies.FindOrigin = func(context.Context, *work.Work) (*ident.Build, bool) { return wd.origin, *wd.origin != "" }
-	d := New(Settings{FirstPieceTimeout: wd.first, DefaultGap: 300 * time.Millisecond, MaxResumeWait: 3 * time.Second}, dependencies)
+	d := New(Settings{FirstPieceTimeout: wd.first, DefaultGap: 300 * time.Millisecond, MaxResumeWait: 3 * time.Second, ByMemory: wd.byMemory}, dependencies)
 	clock.Every(otherRequestInterval, d.Tick)
 	if wd.budget.RetryRatio > 0 {
 		clock.Every(otherRequestInterval, func(time.Time) { d.retryBudget(wd.service.Name).AddRequest() })
--- a/dispatch/copy.go
+++ b/dispatch/copy.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"crocuslug/directory"
+	"crocuslug/enginememory"
 	"crocuslug/exchange"
 	"crocuslug/fleet"
 	"crocuslug/ident"
@@ -34,6 +35,8 @@
 	d *Dispatcher
 	w *work.Work
 
+	claim enginememory.Claim // on the memory of the holder
+
 	mu           sync.Mutex
 	attempt      int                // number of the current attempt; results of calls of earlier attempts are ignored
 	run          directory.Upstream // upstream of the run
@@ -47,7 +50,7 @@
 }
 
 func newCopyManager(d *Dispatcher, w *work.Work) *copyManager {
-	return &copyManager{d: d, w: w}
+	return &copyManager{d: d, w: w, claim: d.newClaim()}
 }
 
 // canResume reports whether a run of the request can be resumed at another engine.
@@ -73,10 +76,17 @@
 // reserveHolder reserves capacity at a holder in another failure domain. k.mu must be held.
 func (k *copyManager) reserveHolder(now time.Time) bool {
 	k.release(now)
+	if !k.d.mayUse(k.run, now) {
+		return false
+	}
 	exclude := append(k.d.limits.Limited(k.w.Service.Name), k.run.ID)
 	exclude = append(exclude, k.d.rests.Closed(k.w.Service.Name, now)...)
 	request := fleet.PickRequest{
 		Service: k.w.Service.Name, Build: k.d.buildFor(k.w.Service.Name, k.run.Build, now), ExcludeDomain: k.run.Domain, Exclude: append(exclude, k.exclude...), MinFreeShare: holderMinFreeShare,
+		Claim: k.claim, Copy: true,
+	}
+	if d := k.d; d.cfg.ByMemory {
+		request.Tokens = k.w.Tokens
 	}
 	u, kind := k.d.fleet.Pick(request, now)
 	if kind != routing.Send {
@@ -96,7 +106,7 @@
 // release gives up the capacity reserved at the holder. k.mu must be held.
 func (k *copyManager) release(now time.Time) {
 	if k.holder.ID != "" {
-		k.d.fleet.Release(k.holder.ID, now)
+		k.d.reportEnd(k.claim, k.holder.ID, fleet.Abandoned, 0, now)
 		k.holder = directory.Upstream{}
 	}
 }
@@ -171,6 +181,9 @@
 	if k.d.rests.Left(run.ID, now) > 0 {
 		return "", errResting
 	}
+	if !k.d.mayUse(run, now) {
+		return "", errNoBuild
+	}
 	target, body := k.d.protocol.CopyRequest(work.Move{Run: k.w.ID, To: to})
 	status, answer, err := k.d.callUpstream(ctx, run.Address, http.MethodPost, target, body, now.Add(copyTimeout))
 	if err != nil {
@@ -186,7 +199,7 @@
 // drop deletes a copy that was made by a call.
 func (k *copyManager) drop(run directory.Upstream, name string) {
 	now := k.d.timer.Now()
-	if k.d.rests.Left(run.ID, now) > 0 {
+	if k.d.rests.Left(run.ID, now) > 0 || !k.d.mayUse(run, now) {
 		return // the copy expires
 	}
 	status, _, err := k.d.callUpstream(context.Background(), run.Address, http.MethodDelete, k.d.protocol.DropTarget(name), nil, now.Add(copyTimeout))
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -17,10 +17,14 @@
 	"crocuslug/work"
 )
 
-// queuedRequest is a queued stream: the request to the Fleet and the upstream picked for it.
+// queuedRequest is a queued stream: the request to the Fleet, the upstream picked for it, and what
+// limited that choice.
 type queuedRequest struct {
-	request  fleet.PickRequest
+	w        *work.Work
+	request  fleet.PickRequest // without a side, which is chosen when the stream is placed
 	upstream directory.Upstream
+	side     side
+	counted  bool
 }
 
 // queueOf returns the queue of new streams of a service and creates it if needed.
@@ -38,16 +42,17 @@
 		MaxRetry: unit.Duration(maxQueueRetryAfter),
 		Seed:     d.random(),
 	}, noLimits)
-	q.Capacity = func(now time.Time) (admission.Priority, bool) { return admission.Batch, d.fleet.Ready(s, now) }
+	q.Capacity = func(now time.Time) (admission.Priority, bool) { return d.lowestPriority(s, now), d.fleet.Ready(s, now) }
 	q.TryPlace = func(waiter *line.Waiter, now time.Time) bool {
 		queued := waiter.Request.(*queuedRequest)
 		request := queued.request
 		request.Exclude = append(slices.Clone(request.Exclude), d.closed(s, now)...)
-		u, kind := d.fleet.Pick(request, now)
-		if kind != routing.Send || !d.takePermit(u.ID, request.UnreadTokens, now) {
+		chosen := d.sideOf(queued.w, request.Build, now)
+		u, kind := d.pickPlace(request, chosen, now)
+		if kind != routing.Send || !d.takePermit(u.ID, request.Claim, request.UnreadTokens, now) {
 			return false
 		}
-		queued.upstream = u
+		queued.upstream, queued.side, queued.counted = u, chosen, d.countChosen(queued.w, chosen, u, now)
 		q.Admission.Finish(waiter.ID, waiter.Cost) // from now on the Fleet counts it at the upstream
 		q.Resolve(waiter, line.Outcome{})
 		return true
@@ -76,6 +81,7 @@
 	for _, l := range queues {
 		l.Expire(now)
 	}
+	d.reportUrgentWaiting()
 }
 
 // priorityOf returns the admission priority of a request with priority p.
@@ -103,6 +109,8 @@
 		priority, wait = admission.Batch, time.Duration(lateWaitShare*float64(w.Deadline.Sub(now)))
 		d.meters.Count("StreamsLate", 1)
 	}
+	s.yields = priority > admission.Urgent
+	defer func() { s.yields = false }() // once begun, an answer goes on
 	if q.Admission.WaitingDownTo(priority) == 0 {
 		u, refusal, busy := d.pickWithin(&s.attempts, d.cfg.MaxBacklog, now)
 		if !busy {
@@ -114,10 +122,12 @@
 	} else if refusal := d.checkRests(&s.attempts, now); refusal != nil {
 		return directory.Upstream{}, refusal
 	}
-	queued := &queuedRequest{request: d.pickRequest(&s.attempts, now)}
+	queued := &queuedRequest{w: w, request: d.pickRequest(&s.attempts, now)}
+	queued.request.Build, queued.request.ExcludeBuild = s.build, ""
 	queued.request.Exclude = s.excluded() // permits may be issued, and rests may end meanwhile
 	queued.request.RequireIdle = true
 	s.requireIdle = false
+	shortage := d.shortage(s, now)
 	waiter, refusal := q.Enqueue(admission.Item{
 		ID:        d.waiterID(w.ID),
 		Workspace: w.Workspace,
@@ -126,8 +136,10 @@
 		Deadline:  now.Add(wait),
 	}, queued, now)
 	if refusal != nil {
+		d.recordRefusedAtOnce(s, shortage, refusal)
 		return directory.Upstream{}, d.queueRefusal(s, refusal)
 	}
+	d.recordWait(s, q, shortage)
 	n, _ := q.Admission.Len()
 	d.log.Info().Str("Request", string(w.ID)).Int("Waiting", n).Dur("BacklogMs", q.Admission.Backlog()).Msg("stream queued")
 	d.meters.Count("StreamsQueued", 1)
@@ -140,6 +152,7 @@
 	case outcome.Err != nil:
 		return directory.Upstream{}, d.queueRefusal(s, outcome.Err)
 	}
+	s.side, s.counted = queued.side, queued.counted
 	d.meters.Observe("QueuedUs", end.Sub(now))
 	d.log.Info().Str("Request", string(w.ID)).Str("Upstream", string(queued.upstream.ID)).Dur("WaitedMs", end.Sub(now)).Msg("queued stream was assigned an upstream")
 	return queued.upstream, nil
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -13,6 +13,7 @@
 	"github.com/zeebo/errs"
 
 	"crocuslug/background"
+	"crocuslug/bodybudget"
 	"crocuslug/builds"
 	"crocuslug/cooldown"
 	"crocuslug/directory"
@@ -67,10 +68,12 @@
 	upstreamLimits *upstreamlimit.Limits
 	rests          *cooldown.Tracker
 	builds         *builds.Tracker
+	deliveries     *deliveries
 	reach          *reach.Tracker
 	relays         *relay.Server
 	dispatcher     *dispatch.Dispatcher
 	server         *ingress.Server
+	bodies         *bodybudget.Budget // nil if there is no bound on memory
 	link           *peerlink.Link
 	admin          *fasthttp.Server // serves readiness and metrics
 	meters         *meter.Meters
@@ -144,9 +147,10 @@
 		log:            log.With().Str("Instance", cfg.Name).Str("Domain", string(cfg.Domain)).Logger(),
 		view:           storeview.New(storeview.Settings{MaxAge: maxAge(cfg.Drain.Std())}, max(1, randomSeed())),
 		registry:       registry.New(registry.Settings{Drain: cfg.Drain.Std()}),
-		exchange:       exchange.New(exchange.Settings{}, t),
+		exchange:       exchange.New(exchange.Settings{MaxBuffered: maxAnswers(cfg.MemoryBytes)}, t),
+		bodies:         newBodies(cfg.MemoryBytes),
 		poison:         poison.New(),
-		upstreamLimits: upstreamlimit.New(),
+		upstreamLimits: upstreamlimit.New(ident.Instance(cfg.PeerListen)),
 		rests:          cooldown.New(rand.Uint64),
 		builds:         builds.New(builds.Settings{}, t.Now()),
 		reach:          reach.New(reach.Settings{}),
@@ -161,6 +165,7 @@
 		silentIssuers: make(map[ident.Instance]silentIssuer),
 	}
 	e.registry.Known = func(now time.Time) time.Time { return now.Add(-e.view.Age(t.Uptime())) }
+	e.deliveries = e.newDeliveries()
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.DialUpstream = e.exchange.Dial
 	e.exchange.Dial = e.connectUpstream
@@ -180,10 +185,13 @@
 	e.fleet = fleet.New(fleet.Settings{
 		Self:   e.self,
 		Domain: cfg.Domain,
+
+		ByMemory: cfg.Admission.ByMemory,
+
 		Health: health.Settings{BackOff: unit.Duration(healthBackOff), MaxBackOff: unit.Duration(maxHealthBackOff)},
 	}, rand.Uint64, e.log)
 	e.fleet.OnLost = e.upstreamLost
-	e.dispatcher = dispatch.New(dispatch.Settings{}, dispatch.Dependencies{
+	e.dispatcher = dispatch.New(dispatch.Settings{ByMemory: cfg.Admission.ByMemory}, dispatch.Dependencies{
 		Protocol: ports.UpstreamPorts,
 		Fleet:    e.fleet,
 		Client:   e.exchange,
@@ -199,6 +207,7 @@
 		CutOff:      e.doubt,
 		Leaves:      e.recordLeaving,
 		TellRest:    e.tellRest,
+		Delivery:    e.dispatchDelivery(),
 
 		Meters: e.meters,
 		Budget: e.budget(),
@@ -206,7 +215,7 @@
 		Random: rand.Uint64,
 		Log:    e.log,
 	})
-	e.server = ingress.New(ingress.Settings{Listen: cfg.Listen, MaxConnections: e.connections()}, ingress.Ports{
+	e.server = ingress.New(ingress.Settings{Listen: cfg.Listen, MaxConnections: e.connections(), Bodies: e.bodies}, ingress.Ports{
 		Handle:   e.handle,
 		Limits:   e.limits,
 		Rejected: e.recordRejected,
@@ -251,16 +260,6 @@
 	}
 }
 
-// connections returns the number of connections from callers that the file descriptors allow, or 0
-// if there are too few to set a bound.
-func (e *Edge) connections() int {
-	const reserved, share = 400, 2 // reserved for files, peers and the store; callers get half of the rest
-	if e.cfg.Descriptors <= reserved {
-		return 0
-	}
-	return (e.cfg.Descriptors - reserved) / share
-}
-
 // Start opens the listeners and starts serving requests.
 func (e *Edge) Start() error {
 	if err := e.link.Start(); err != nil {
@@ -316,6 +315,7 @@
 	e.poison.Tick(now)
 	e.logBans()
 	e.logBuilds()
+	e.tickDeliveries(now)
 }
 
 // sleep waits for d or until the instance ends.
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -56,11 +56,22 @@
 	for _, id := range slices.Sorted(maps.Keys(resting)) {
 		line("Rest."+string(id)+".LeftMs", resting[id].Milliseconds())
 	}
+	e.writeDeliveryMetrics(line, now)
 	line("Origins.Held", e.builds.Records())
 	cut, _ := e.reach.CutDomains()
 	line("Reach.CutDomains", len(cut))
 	line("Relays.Open", e.relays.Open())
 	line("Connections.Open", e.server.Open())
+	if e.bodies != nil {
+		c := e.bodies.Counts()
+		line("Bodies.Bytes", c.Bytes)
+		line("Bodies.Limit", c.Limit)
+		line("Bodies.Waited", c.Waited)
+		line("Bodies.GaveWay", c.GaveWay)
+		line("Bodies.Refused", c.Refused)
+		line("Bodies.Exceeded", c.Exceeded)
+		line("Bodies.Collects", c.Collects)
+	}
 	line("Upstreams.Registered", len(e.registry.All()))
 	for _, name := range e.fleet.Services() {
 		n := e.fleet.Count(name)
@@ -71,6 +82,9 @@
 		line(prefix+"Replaced", n.Replaced)
 		line(prefix+"UnderWay", n.InFlight)
 		line(prefix+"Unread", n.UnreadTokens)
+		if used, ok := e.fleet.MemoryUsed(name); ok {
+			line(prefix+"MemoryUsed", used)
+		}
 		line(prefix+"Waiting", e.dispatcher.Waiting(name))
 		for build, count := range n.Builds {
 			line(prefix+"Builds."+string(build), count)
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"crocuslug/builds"
+	"crocuslug/canary"
+	"crocuslug/fleet"
 	"crocuslug/ident"
 	"crocuslug/peerlink"
 	"crocuslug/poison"
@@ -66,8 +68,9 @@
 	domain     ident.Domain // "" if not known yet
 	lastDigest time.Time    // arrival of its last digest; zero if none came
 	added      time.Time
-	inFlight   map[ident.Upstream]work.Load // its load on each upstream, from its last digest
-	seed       bool                         // listed in the settings
+	inFlight   map[ident.Upstream]work.Load // its load on each upstream, from its last digest; nil if that told none
+	demand     map[ident.Service]work.Demand
+	seed       bool // listed in the settings
 }
 
 // digest is what an instance sends to its peers periodically.
@@ -77,6 +80,8 @@
 	confirmation                               // of that knowledge
 	Configuration uint64                       // version in force; 0 if none
 	InFlight      map[ident.Upstream]work.Load // the load of the sender on each upstream
+	// Demand is the demand of the sender for the memory of engines, by service.
+	Demand map[ident.Service]work.Demand `json:",omitempty"`
 	// Prompts are those of its streams. They are sent only within the failure domain, because its
 	// callers return to instances there.
 	Prompts []work.Prompt    `json:",omitempty"`
@@ -89,6 +94,8 @@
 	Limits []upstreamlimit.Statement `json:",omitempty"`
 	// Builds are the services with several software versions of upstreams.
 	Builds []builds.State `json:",omitempty"`
+	// Deliveries is the evidence of deliveries in progress. Instances of earlier builds ignore it.
+	Deliveries []canary.Evidence `json:",omitempty"`
 	// Departures are upstreams that have said in answers to the sender that they are leaving.
 	Departures []registry.Departure `json:",omitempty"`
 	// Restarts are those of upstreams that were found without the store.
@@ -187,7 +194,11 @@
 		d.Configuration = cur.Version
 	}
 	d.Poison, d.Limits, d.Builds = e.poison.Report(now), e.upstreamLimits.Report(now), e.builds.Report(now)
+	d.Demand = e.demand(now)
 	d.Departures = e.registry.Departures(now.Add(-departureReportTime))
+	if e.deliveries.on {
+		d.Deliveries = e.deliveries.report(now)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	d.Seen, d.confirmation = e.view.Seen(), encodeConfirmation(e.view.Confirmation(e.timer.Uptime()))
@@ -253,12 +264,12 @@
 	near := []ident.Instance{e.self}
 	sharing := []ident.Instance{e.self}
 	domains := []ident.Domain{e.cfg.Domain}
-	live, liveDomains := 1, map[ident.Domain]bool{e.cfg.Domain: true}
+	live, liveDomains := []ident.Instance{e.self}, map[ident.Domain]bool{e.cfg.Domain: true}
 	e.mu.Lock()
 	for id, p := range e.peers {
 		alive := e.peerAlive(p, now)
 		if alive {
-			live++
+			live = append(live, id)
 			liveDomains[p.domain] = true
 		}
 		switch {
@@ -271,7 +282,8 @@
 		}
 	}
 	e.mu.Unlock()
-	e.dispatcher.SetRetryBurst(e.retryBurst(live))
+	e.dispatcher.SetRetryBurst(e.retryBurst(len(live)))
+	e.deliveries.setInstances(live)
 	e.fleet.SetInstances(domains, sharing)
 	e.view.SetPeers(e.cfg.Domain, e.self, near, len(liveDomains))
 }
@@ -323,13 +335,18 @@
 		e.log.Info().Str("Peer", string(from)).Uint64("Seen", d.Seen.Revision()).Uint64("Configuration", d.Configuration).Msg("digest received from a peer that had sent none lately")
 	}
 	p.lastDigest = now
-	p.inFlight = d.InFlight
+	p.inFlight, p.demand = d.InFlight, d.Demand
 	loads := e.sumPeerLoads(now)
+	var others fleet.Others
+	if loads != nil && e.cfg.Admission.ByMemory {
+		others = e.sumOthers(now)
+	}
 	e.mu.Unlock()
 	behind := e.view.Report(d.Seen, d.decode(), e.timer.Uptime())
 	behind = behind || e.lacksConfiguration(d)
 	if loads != nil {
 		e.fleet.ReportPeerLoads(loads, now)
+		e.reportOthers(others, now)
 	}
 	for _, id := range d.Lost {
 		e.fleet.ReportPeerLoss(id, now)
@@ -343,6 +360,9 @@
 	e.poison.Merge(d.Poison, now)
 	e.mergeLimits(d.Limits, from, now)
 	e.builds.Merge(d.Builds, now)
+	if e.deliveries.on && len(d.Deliveries) > 0 {
+		e.deliveries.merge(d.Deliveries, now)
+	}
 	e.mergeDepartures(d.Departures, from, now)
 	e.applyRestarts(d.Restarts, from, now)
 	if behind {
@@ -374,8 +394,7 @@
 			continue
 		}
 		for u, n := range q.inFlight {
-			sum := counts[u]
-			counts[u] = work.Load{Requests: sum.Requests + n.Requests, Reading: sum.Reading + n.Reading}
+			counts[u] = counts[u].Plus(e.aged(n, now.Sub(q.lastDigest)))
 		}
 	}
 	return counts
--- a/fleet/counts.go
+++ b/fleet/counts.go
@@ -62,6 +62,9 @@
 	defer f.mu.Unlock()
 	for _, g := range f.services {
 		g.chooser.ReportPeerLoads(counts, now)
+		if g.memory != nil {
+			g.memory.ReportPeers(counts, now)
+		}
 	}
 }
 
@@ -71,9 +74,9 @@
 	defer f.mu.Unlock()
 	out := make(map[ident.Upstream]work.Load)
 	for _, g := range f.services {
-		for id, n := range g.chooser.InFlight() {
-			out[id] = n
-		}
+		loads := g.chooser.InFlight()
+		g.addTokens(loads)
+		maps.Copy(out, loads)
 	}
 	return out
 }
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -1,9 +1,11 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"crocuslug/directory"
+	"crocuslug/enginememory"
 	"crocuslug/health"
 	"crocuslug/ident"
 	"crocuslug/routing"
@@ -13,8 +15,9 @@
 type group struct {
 	chooser      *routing.Chooser
 	tracker      *health.Tracker
-	memoryTokens int     // memory of one upstream in tokens; 0 means unlimited
-	meanTokens   float64 // running mean of the tokens of a request; 0 before the first request
+	memoryTokens int                  // memory of one upstream in tokens; 0 means unlimited
+	memory       *enginememory.Ledger // nil without Settings.ByMemory
+	meanTokens   float64              // running mean of the tokens of a request; 0 before the first request
 	list         []directory.Upstream
 	trials       map[ident.Upstream]bool      // upstreams whose next request is a trial
 	backingOff   map[ident.Upstream]time.Time // when a trial at each dead upstream failed; other upstreams are tried meanwhile
@@ -46,7 +49,11 @@
 // without.
 func (g *group) updateCandidatesExcept(f *Fleet, without map[ident.Upstream]bool) {
 	var list []routing.Candidate
-	inShare := g.shareOf(f)
+	var engines []enginememory.Engine
+	inShare, near, holders := g.shareOf(f), map[ident.Upstream]bool(nil), 1
+	if g.memory != nil {
+		inShare, near, holders = g.partOf(f)
+	}
 	for _, u := range g.list {
 		if _, replaced := f.replaced[u.ID]; replaced || without[u.ID] {
 			continue
@@ -60,8 +67,13 @@
 			Build:    u.Build,
 			InShare:  inShare[u.ID],
 		})
+		engines = append(engines, enginememory.Engine{Upstream: u.ID, InShare: inShare[u.ID], Near: near[u.ID]})
 	}
 	g.chooser.SetCandidates(list)
+	if g.memory != nil {
+		rank, _ := slices.BinarySearch(f.instances, f.cfg.Self)
+		g.memory.SetEngines(g.memoryTokens, engines, enginememory.Share{Holders: holders, Rank: rank, Instances: max(1, len(f.instances))})
+	}
 }
 
 // deadRetryInterval is the time between two requests to an upstream while all upstreams
@@ -94,6 +106,27 @@
 	return inShare
 }
 
+// partOf returns the upstreams in this instance's share and in that of its failure domain if the memory
+// is counted, and the number of instances that have the same share. Shares do not overlap then, as far as
+// there are enough upstreams.
+func (g *group) partOf(f *Fleet) (inShare, near map[ident.Upstream]bool, holders int) {
+	names := make([]ident.Upstream, 0, len(g.list))
+	for _, u := range g.list {
+		names = append(names, u.ID)
+	}
+	set := func(names []ident.Upstream) map[ident.Upstream]bool {
+		out := make(map[ident.Upstream]bool, len(names))
+		for _, id := range names {
+			out[id] = true
+		}
+		return out
+	}
+	names, _ = routing.Partition(f.domains, f.cfg.Domain, names)
+	near = set(names)
+	names, holders = routing.Partition(f.instances, f.cfg.Self, names)
+	return set(names), near, holders
+}
+
 // ceilDiv returns whole divided by n, rounded up. An n below 1 counts as 1.
 func ceilDiv(whole, n int) int {
 	n = max(1, n)
@@ -103,7 +136,7 @@
 // slots returns the number of requests that an upstream can run at once: its declared
 // slots, or fewer if that many requests of the mean size do not fit into its memory.
 func (g *group) slots(declared int) int {
-	if g.memoryTokens <= 0 || g.meanTokens <= 0 {
+	if g.memoryTokens <= 0 || g.meanTokens <= 0 || g.memory != nil {
 		return declared
 	}
 	fit := max(1, int(float64(g.memoryTokens)/g.meanTokens))
@@ -122,6 +155,9 @@
 	if tokens <= 0 {
 		return
 	}
+	if g.memory != nil {
+		g.memory.RecordSize(tokens)
+	}
 	var before int
 	if len(g.list) > 0 {
 		before = g.slots(g.list[0].Slots)
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -115,6 +115,14 @@
 	return ok && e.out
 }
 
+// InRotation reports whether an upstream is neither out of rotation nor leaving.
+func (c *Chooser) InRotation(u ident.Upstream) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, ok := c.engines[u]
+	return ok && !e.out && !e.Leaving
+}
+
 // ReportLoad records a load report. A report older than the last one is ignored. It returns an error for a
 // report with numbers that no upstream can have, which changes nothing.
 func (c *Chooser) ReportLoad(r Report) error {
@@ -159,11 +167,15 @@
 
 // Ready reports whether an upstream can accept a request that waits with RequireIdle.
 func (c *Chooser) Ready(now time.Time) bool {
+	return c.ReadyFor(Request{RequireIdle: true}, now)
+}
+
+// ReadyFor reports whether an upstream with a free slot can accept r.
+func (c *Chooser) ReadyFor(r Request, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r := &Request{RequireIdle: true}
 	for _, e := range c.list {
-		if e.usable(r) && !e.busy(r, c.cfg.PrefillRate, now) && c.free(e, now) >= 1 {
+		if c.accepts(e, &r, now) && c.free(e, now) >= 1 {
 			return true
 		}
 	}
--- a/work/work.go
+++ b/work/work.go
@@ -55,6 +55,12 @@
 	Host   string
 	Header http.Header // as sent by the caller, without the headers of its connection
 	Body   []byte
+	More   [][]byte // of the body, after Body
+
+	// Take and Give take memory for the answer and return it, see exchange.Request. They are nil if it is
+	// not bounded.
+	Take func(n int64) error
+	Give func(n int64)
 }
 
 // Copy is a copy of the memory of a run, stored by another engine than the one that runs it.
@@ -123,8 +129,40 @@
 	Blocks   []prefix.Block
 }
 
-// Load is the load that one instance has at an upstream.
+// Load is the load that one instance, or several, have at an upstream.
 type Load struct {
 	Requests int
 	Reading  int `json:",omitempty"` // prompt tokens of these requests that are not read yet
+	Tokens   int `json:",omitempty"` // memory of these requests in tokens; 0 if the instance does not count it
+	// Untold is, in a sum over instances, the number of requests of those that do not count the
+	// memory.
+	Untold int `json:"-"`
+}
+
+// Plus returns the sum of a and the load of one further instance.
+func (a Load) Plus(one Load) Load {
+	sum := Load{Requests: a.Requests + one.Requests, Reading: a.Reading + one.Reading, Tokens: a.Tokens + one.Tokens, Untold: a.Untold}
+	if one.Tokens == 0 {
+		sum.Untold += one.Requests
+	}
+	return sum
+}
+
+// Aged returns a load after a time in which an engine reads prompts at a rate in tokens per second.
+func (a Load) Aged(rate float64, age time.Duration) Load {
+	a.Reading = max(0, a.Reading-int(rate*age.Seconds()))
+	return a
+}
+
+// Demand is the demand of one instance, or several, for the memory of the engines of a service, in
+// tokens.
+type Demand struct {
+	Started int `json:",omitempty"` // of the requests sent per second
+	Urgent  int `json:",omitempty"` // of the urgent requests that arrive per second
+	Waiting int `json:",omitempty"` // of the urgent requests that wait
+}
+
+// Plus returns the sum of d and the demand of other instances.
+func (d Demand) Plus(other Demand) Demand {
+	return Demand{Started: d.Started + other.Started, Urgent: d.Urgent + other.Urgent, Waiting: d.Waiting + other.Waiting}
 }
