edge, dispatch, fleet: work goes to upstreams by their learned pace

The choice takes upstreams of one service for equally fast. With LearnPace (off by default; the contract pressure of the platform sets it) the times for pieces and answers are observed, told within the failure domain, and the estimates passed to the choice once a second.

--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -46,6 +46,7 @@
 		end := d.timer.Now()
 		switch {
 		case !failed:
+			d.observeAnswerPace(u, reply.Status, end.Sub(now))
 			d.observe(a, u, reply.Status >= http.StatusInternalServerError, end.Sub(now), end)
 		case ctx.Err() == nil:
 			d.observeFailure(a, u, v, end.Sub(now))
--- a/dispatch/deliver.go
+++ b/dispatch/deliver.go
@@ -21,6 +21,7 @@
 	s.delimited = ans.Delimited()
 	r.Reserve = ans.Reserve
 	limit := s.gaps.FirstTimeout()
+	pace := paceMeter{d: d, id: id}
 	defer func() { d.fleet.ReportAlive(id, ans.AliveAt()) }()
 	for {
 		ans.SetReadDeadline(s.lastPieceAt.Add(limit))
@@ -44,9 +45,11 @@
 		}
 		s.gotPiece, s.pausing, s.lastPieceAt = true, false, now
 		limit = min(s.gaps.GapTimeout(), s.maxGap)
+		pace.received(now)
 		if v, ok := d.deliver(ctx, s, id, ans, p); !ok {
 			return v, false
 		}
+		pace.delivered()
 		if !s.cleared && s.proven(now) {
 			s.cleared = true
 			d.poison.Answered(runOf(s.w), now)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -48,14 +48,15 @@
 	queueSeq atomic.Uint64 // number of the last queued stream, see waiterID
 	claimSeq atomic.Uint64 // last claim on the memory of upstreams, see newClaim
 
-	askPermits func(ctx context.Context, r upstreamlimit.Request) (upstreamlimit.Answer, error)
-	tellOrigin func(r builds.Record) (told <-chan struct{})
-	findOrigin func(ctx context.Context, w *work.Work) (build *ident.Build, found bool)
-	prefer     func(service ident.Service) *ident.Build
-	cutOff     func(domain ident.Domain) (cut, doubtful bool)
-	leaves     func(u directory.Upstream, request ident.Request)
-	tellRest   func(helper ident.Instance, u directory.Upstream, rest time.Duration)
-	delivery   Delivery
+	askPermits  func(ctx context.Context, r upstreamlimit.Request) (upstreamlimit.Answer, error)
+	tellOrigin  func(r builds.Record) (told <-chan struct{})
+	findOrigin  func(ctx context.Context, w *work.Work) (build *ident.Build, found bool)
+	prefer      func(service ident.Service) *ident.Build
+	cutOff      func(domain ident.Domain) (cut, doubtful bool)
+	leaves      func(u directory.Upstream, request ident.Request)
+	tellRest    func(helper ident.Instance, u directory.Upstream, rest time.Duration)
+	observePace func(id ident.Upstream, n int, elapsed time.Duration) // may be nil
+	delivery    Delivery
 
 	mu             sync.Mutex
 	budget         retry.Settings
@@ -93,6 +94,8 @@
 	Leaves func(u directory.Upstream, request ident.Request)
 	// TellRest tells an instance that passed a request on that u has asked it for a rest.
 	TellRest func(helper ident.Instance, u directory.Upstream, rest time.Duration)
+	// ObservePace records that an upstream took a time for n pieces of a stream, or for one whole answer. It may be nil.
+	ObservePace func(id ident.Upstream, n int, elapsed time.Duration)
 	// Delivery limits which builds get attempts while a service is moved to another build.
 	Delivery Delivery
 	Meters   *meter.Meters
@@ -120,6 +123,7 @@
 		cutOff:         p.CutOff,
 		leaves:         p.Leaves,
 		tellRest:       p.TellRest,
+		observePace:    p.ObservePace,
 		delivery:       p.Delivery.withDefaults(),
 		prompts:        newPrompts(),
 		meters:         p.Meters,
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -25,6 +25,7 @@
 	"crocuslug/ingress"
 	"crocuslug/keyvalue"
 	"crocuslug/meter"
+	"crocuslug/pace"
 	"crocuslug/peerlink"
 	"crocuslug/poison"
 	"crocuslug/reach"
@@ -69,6 +70,9 @@
 	rests          *cooldown.Tracker
 	builds         *builds.Tracker
 	deliveries     *deliveries
+	paces          *pace.Tracker
+	paceLimits     map[ident.Upstream]int // limits by pace; used by updatePaces only
+	pacedLimits    atomic.Int64           // number of upstreams with such a limit
 	reach          *reach.Tracker
 	relays         *relay.Server
 	dispatcher     *dispatch.Dispatcher
@@ -152,6 +156,8 @@
 		poison:         poison.New(),
 		upstreamLimits: upstreamlimit.New(ident.Instance(cfg.PeerListen)),
 		rests:          cooldown.New(rand.Uint64),
+		paces:          pace.New(pace.Settings{}),
+		paceLimits:     make(map[ident.Upstream]int),
 		builds:         builds.New(builds.Settings{}, t.Now()),
 		reach:          reach.New(reach.Settings{}),
 		meters:         meter.New(t),
@@ -191,6 +197,10 @@
 		Health: health.Settings{BackOff: unit.Duration(healthBackOff), MaxBackOff: unit.Duration(maxHealthBackOff)},
 	}, rand.Uint64, e.log)
 	e.fleet.OnLost = e.upstreamLost
+	var observePace func(ident.Upstream, int, time.Duration)
+	if cfg.LearnPace {
+		observePace = e.observePace
+	}
 	e.dispatcher = dispatch.New(dispatch.Settings{ByMemory: cfg.Admission.ByMemory}, dispatch.Dependencies{
 		Protocol: ports.UpstreamPorts,
 		Fleet:    e.fleet,
@@ -207,6 +217,7 @@
 		CutOff:      e.doubt,
 		Leaves:      e.recordLeaving,
 		TellRest:    e.tellRest,
+		ObservePace: observePace,
 		Delivery:    e.dispatchDelivery(),
 
 		Meters: e.meters,
@@ -285,6 +296,9 @@
 	})
 	e.every(digestInterval, e.sendDigests)
 	e.every(tickInterval, e.tryDirectly)
+	if e.cfg.LearnPace {
+		e.every(paceInterval, e.updatePaces)
+	}
 	e.every(helperInterval, e.findHelpers)
 	e.log.Info().Str("Listen", e.cfg.Listen).Str("Peers", e.cfg.PeerListen).Str("Store", e.cfg.StoreAddress).Msg("started")
 	return nil
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -57,6 +57,9 @@
 		line("Rest."+string(id)+".LeftMs", resting[id].Milliseconds())
 	}
 	e.writeDeliveryMetrics(line, now)
+	if e.cfg.LearnPace {
+		line("Pace.Limited", e.pacedLimits.Load())
+	}
 	line("Origins.Held", e.builds.Records())
 	cut, _ := e.reach.CutDomains()
 	line("Reach.CutDomains", len(cut))
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -10,6 +10,7 @@
 	"crocuslug/canary"
 	"crocuslug/fleet"
 	"crocuslug/ident"
+	"crocuslug/pace"
 	"crocuslug/peerlink"
 	"crocuslug/poison"
 	"crocuslug/registry"
@@ -96,6 +97,8 @@
 	Builds []builds.State `json:",omitempty"`
 	// Deliveries is the evidence of deliveries in progress. Instances of earlier builds ignore it.
 	Deliveries []canary.Evidence `json:",omitempty"`
+	// Paces are samples of the speed of upstreams, sent within the failure domain.
+	Paces []pace.Sample `json:",omitempty"`
 	// Departures are upstreams that have said in answers to the sender that they are leaving.
 	Departures []registry.Departure `json:",omitempty"`
 	// Restarts are those of upstreams that were found without the store.
@@ -228,7 +231,7 @@
 		d.InFlight = nil // too few of these loads would be known at a time
 	}
 	e.sendDigest(digestTargets(far, farDigests, turn), d)
-	d.InFlight, d.Prompts = loads, e.dispatcher.Prompts()
+	d.InFlight, d.Prompts, d.Paces = loads, e.dispatcher.Prompts(), e.paceSamples(now)
 	e.sendDigest(digestTargets(near, nearCount, turn), d)
 }
 
@@ -358,6 +361,9 @@
 		e.fleet.NotePrompt(p.Upstream, p.Blocks, now)
 	}
 	e.poison.Merge(d.Poison, now)
+	if e.cfg.LearnPace {
+		e.paces.Merge(d.Paces, from, now)
+	}
 	e.mergeLimits(d.Limits, from, now)
 	e.builds.Merge(d.Builds, now)
 	if e.deliveries.on && len(d.Deliveries) > 0 {
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -330,6 +330,7 @@
 	e.reach.SetUpstreams(list)
 	e.upstreamLimits.SetUpstreams(list)
 	e.rests.SetUpstreams(list)
+	e.paces.SetUpstreams(list)
 	e.forgetFormerBuilds()
 	e.fleet.SetUpstreams(list, func(s ident.Service) int {
 		if d == nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -62,6 +62,9 @@
 	if cfg.Routing.FarCost <= 0 {
 		cfg.Routing.FarCost = unit.Duration(defaultFarCost)
 	}
+	if cfg.Routing.AnswerTime <= 0 {
+		cfg.Routing.AnswerTime = unit.Duration(defaultAnswerTime)
+	}
 	if cfg.Routing.MinSaving <= 0 {
 		cfg.Routing.MinSaving = unit.Duration(defaultMinSaving)
 	}
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -40,6 +40,9 @@
 // many requests would go to the few upstreams that cached it first.
 const defaultMinSaving = 100 * time.Millisecond
 
+// defaultAnswerTime is half of the time of a usual answer: its first piece counts for more than its end.
+const defaultAnswerTime = 2 * time.Second
+
 // maxSharingInstances is the number of instances in a failure domain up to which each
 // receives the load of the others several times a second. Up to this number, an
 // instance uses an upstream of another instance's share only if it has no prompts to
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -308,6 +308,16 @@
 	}
 }
 
+// Load returns the estimated number of requests at u.
+func (c *Chooser) Load(u ident.Upstream, now time.Time) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if e, ok := c.engines[u]; ok {
+		return c.load(e, now)
+	}
+	return 0
+}
+
 // Restarted records that u has restarted with an empty prefix cache.
 func (c *Chooser) Restarted(u ident.Upstream, now time.Time) {
 	c.mu.Lock()
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -32,6 +32,7 @@
 	MemoryBytes  int64         `json:",omitempty"` // limit of the memory of the process; no limit if 0
 	Delivery     Delivery      `json:",omitzero"`
 	Admission    EdgeAdmission `json:",omitzero"`
+	LearnPace    bool          `json:",omitempty"` // learns how fast upstreams are and how many requests each takes well
 }
 
 // Delivery holds the settings of the progressive delivery of software versions of upstreams.
