enginememory, fleet: keeping to shares of the engines is a setting of its own

With Admission.ByMemory instances kept to their shares above a quarter of all memory and took turns at other engines. Admission.KeepShares is off by default and on in the loads of TestPressure, where engines are overfilled without it.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -186,7 +186,7 @@
 		Self:   e.self,
 		Domain: cfg.Domain,
 
-		ByMemory: cfg.Admission.ByMemory,
+		ByMemory: cfg.Admission.ByMemory, KeepShares: cfg.Admission.KeepShares,
 
 		Health: health.Settings{BackOff: unit.Duration(healthBackOff), MaxBackOff: unit.Duration(maxHealthBackOff)},
 	}, rand.Uint64, e.log)
--- a/enginememory/ledger.go
+++ b/enginememory/ledger.go
@@ -82,6 +82,7 @@
 // Ledger counts the tokens of memory that requests use at the engines of one service. It has
 // no lock; calls must not overlap.
 type Ledger struct {
+	keepShares bool    // instances without a share in an engine take turns there
 	memory     int     // of one engine, in tokens
 	meanTokens float64 // mean size of a request; 0 before the first one
 	share      Share
@@ -114,9 +115,10 @@
 	usedIn   int64     // last turn in which this instance used it without having it in its share
 }
 
-// NewLedger returns a Ledger without engines.
-func NewLedger() *Ledger {
-	return &Ledger{site: Site{Live: 1, Heard: 1}, untoldFactor: 1, engines: make(map[ident.Upstream]*engine), claims: make(map[Claim]claimed)}
+// NewLedger returns a Ledger without engines. With keepShares, instances keep to their shares and take turns at other
+// engines once much of the memory is used; without, only margins account for requests that are not reported yet.
+func NewLedger(keepShares bool) *Ledger {
+	return &Ledger{keepShares: keepShares, site: Site{Live: 1, Heard: 1}, untoldFactor: 1, engines: make(map[ident.Upstream]*engine), claims: make(map[Claim]claimed)}
 }
 
 // SetEngines replaces the list of engines, each with the given memory in tokens. The claims
@@ -246,6 +248,7 @@
 	if kind != Continue {
 		limit -= l.margin(e, now)
 		switch {
+		case !l.keepShares:
 		case e.inShare && e.own+tokens > l.memory/max(1, l.share.Holders):
 			return false
 		case !e.inShare && !l.hasTurn(e, now):
@@ -283,7 +286,7 @@
 }
 
 // Busy reports whether so much memory is used that instances keep to their shares.
-func (l *Ledger) Busy() bool { return l.Used() > quietUse }
+func (l *Ledger) Busy() bool { return l.keepShares && l.Used() > quietUse }
 
 // turn returns the number of the current turn at an engine that is not in the share of this instance. In
 // each turn, one instance of a failure domain may send one request there.
--- a/enginememory/ledger_test.go
+++ b/enginememory/ledger_test.go
@@ -53,7 +53,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			s := &script{t: t, ledger: NewLedger(), now: time.Unix(1000, 0)}
+			s := &script{t: t, ledger: NewLedger(true), now: time.Unix(1000, 0)}
 			for n, line := range strings.Split(string(text), "\n") {
 				if w := strings.Fields(line); len(w) > 0 && w[0] != "#" {
 					s.where = "line " + strconv.Itoa(n+1)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -153,7 +153,7 @@
 			backingOff: make(map[ident.Upstream]time.Time),
 		}
 		if f.cfg.ByMemory {
-			g.memory = enginememory.NewLedger()
+			g.memory = enginememory.NewLedger(f.cfg.KeepShares)
 		}
 		f.services[name] = g
 	}
--- a/fleet/site_test.go
+++ b/fleet/site_test.go
@@ -123,7 +123,7 @@
 	}
 	for i := range instances {
 		in := &instance{name: ident.Instance(fmt.Sprintf("i%03d", i)), domain: i % domains, heard: make(map[int]report), round: s.random.IntN(1 << 20)}
-		in.fleet = fleet.New(fleet.Settings{Self: in.name, Domain: domainOf(in.domain), ByMemory: byMemory}, s.random.Uint64, zerolog.Nop())
+		in.fleet = fleet.New(fleet.Settings{Self: in.name, Domain: domainOf(in.domain), ByMemory: byMemory, KeepShares: byMemory}, s.random.Uint64, zerolog.Nop())
 		in.fleet.SetUpstreams(list, func(ident.Service) int { return engineMemory }, s.now)
 		in.fleet.SetInstances(names, near[in.domain])
 		s.addQueue(in)
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -19,6 +19,8 @@
 	// ByMemory has the requests of services with a memory counted in tokens, see package
 	// enginememory. Otherwise the number of slots follows from their mean size.
 	ByMemory bool
+	// KeepShares, with ByMemory, has instances keep to their shares of the engines once much memory is used.
+	KeepShares bool
 }
 
 // defaultChoices is the number of upstreams sampled for a choice. Counts of requests
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -44,6 +44,9 @@
 // EdgeAdmission holds the settings of an Edge for the admission of requests of model engines.
 type EdgeAdmission struct {
 	ByMemory bool `json:",omitempty"` // counts the memory of engines in tokens over the life of requests, and keeps some free for urgent ones
+	// KeepShares, with ByMemory, has instances keep to their shares of the engines and take turns at others, so that no
+	// engine is overfilled even if many streams start at once. It costs time while engines are unevenly used.
+	KeepShares bool `json:",omitempty"`
 }
 
 // ReadEdge reads an Edge from file. It returns all problems in the content
