--- a/pace/compare_test.go
+++ b/pace/compare_test.go
@@ -40,7 +40,7 @@
 // stream is one stream in progress.
 type stream struct {
 	instance, engine int
-	arrived, sent    int // steps
+	arrived          int // step
 	reading          float64
 	pieces, told     float64
 	since            int // step of the last observation
