--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -298,6 +298,26 @@
 	e.tokenGapAt = now
 }
 
+// SetPace sets the time that u takes for the same work compared with the median of all upstreams, and the number of
+// requests that it takes well, 0 if these are its slots.
+func (c *Chooser) SetPace(u ident.Upstream, factor float64, limit int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if e, ok := c.engines[u]; ok {
+		e.factor, e.limit = factor, limit
+	}
+}
+
+// Load returns the estimated number of requests at u.
+func (c *Chooser) Load(u ident.Upstream, now time.Time) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if e, ok := c.engines[u]; ok {
+		return c.load(e, now)
+	}
+	return 0
+}
+
 // Restarted records that u has restarted with an empty prefix cache.
 func (c *Chooser) Restarted(u ident.Upstream, now time.Time) {
 	c.mu.Lock()
