--- a/canary/site_script_test.go
+++ b/canary/site_script_test.go
@@ -52,6 +52,20 @@
 	}
 }
 
+// TestStreamsAtDone guards against streams that are cut because Done stops the former upstreams before they end. See
+// KNOWN-RED.txt.
+func TestStreamsAtDone(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			s := playSite(t, "testdata/site/good.txt", seed)
+			if got, want := s.check(t, []string{"stranded", "60"}); got != want {
+				t.Errorf("got %s, want %s", got, want)
+			}
+		})
+	}
+}
+
 // TestExposureAfterPromotion guards against a build that turns bad after all new work went to it, and so got more
 // requests than the share and the slack allow. See KNOWN-RED.txt.
 func TestExposureAfterPromotion(t *testing.T) {
