directory, platform: an empty list of workspaces requires keys

Cause: newWork asked for a key if the document had workspaces, and decoding did not keep whether the configuration contains the list. An empty list was taken for a missing one.

On the former code edge TestLastWorkspaceRemoved fails with "got 200, want 401" (first instance, former key). Ruled out: a configuration that is not in force yet, and a list that is lost on the way, since instances pass the bytes of the operator on.

Why this works: KeysRequired is set by the decoder from the presence of the list, RequiresKey is the one place that decides, and each instance decodes the same bytes, wherever it has them from.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -63,6 +63,11 @@
 	return d.keys[key]
 }
 
+// RequiresKey reports whether a request of r must carry the key of a workspace.
+func (d *Directory) RequiresKey(r *Route) bool {
+	return !r.Public && (d.KeysRequired || len(d.Workspaces) > 0)
+}
+
 // Service returns a service, or nil if it is not configured.
 func (d *Directory) Service(name ident.Service) *Service {
 	return d.services[name]
--- a/directory/document.go
+++ b/directory/document.go
@@ -87,4 +87,7 @@
 	Services   []Service
 	Limits     Limits
 	Workspaces []Workspace
+	// KeysRequired states that routes that are not public require the key of a workspace although
+	// Workspaces may be empty. Workspaces require keys in any case.
+	KeysRequired bool `json:",omitempty"`
 }
--- a/edge/requests.go
+++ b/edge/requests.go
@@ -90,7 +90,7 @@
 	}
 	var workspace ident.Workspace
 	priority := route.Priority
-	if !route.Public && len(d.Workspaces) > 0 {
+	if d.RequiresKey(route) {
 		holder := d.Workspace(desc.Key)
 		if holder == nil {
 			return nil, result.Newf(result.Unauthorized, "no workspace of configuration %d has this key", d.Version)
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -311,7 +311,7 @@
 	}
 	e.current.Store(&activeConfiguration{directory.New(doc), raw, now})
 	e.log.Info().Uint64("Configuration", doc.Version).Str("Source", source).Int("Routes", len(doc.Routes)).
-		Int("Workspaces", len(doc.Workspaces)).Msg("configuration in force")
+		Int("Workspaces", len(doc.Workspaces)).Bool("KeysRequired", doc.KeysRequired).Msg("configuration in force")
 }
 
 // publish passes the registered upstreams to the fleet, with the memory of their service in
--- a/nativewire/nativewire.go
+++ b/nativewire/nativewire.go
@@ -70,6 +70,7 @@
 			if doc.Version == 0 {
 				return doc, errs.New("configuration has no version")
 			}
+			doc.KeysRequired = doc.KeysRequired || doc.Workspaces != nil // the list is present though it may be empty
 			return doc, nil
 		},
 		DecodeUpstream: func(e store.Entry) (directory.Upstream, error) {
