dispatch: a refusal that the upstream does not state is no promise

Cause: classify took any answer without the statement "not run" for a whole answer, whatever its status, and any 421 for a statement.

Why this works: the four statuses that are promises reach callers of such requests only if the upstream states them; else the attempt fails as Ambiguous, may have run, and ends with 502 without a signature. A 421 states it by Not-Executed or by naming another upstream than the request; the stand-ins now name themselves in it, as the platform's engines do.

TestScripts/unsafe-replaced keeps its check; its 421 now names another upstream.

--- a/cmd/crocuslug/edge.go
+++ b/cmd/crocuslug/edge.go
@@ -119,7 +119,6 @@
 		DecodeConfiguration: platform.DecodeConfiguration,
 		UpstreamPorts:       platform.UpstreamPorts(),
 		DecodeUpstream:      platform.DecodeServer,
-		UpstreamID:          platform.UpstreamID,
 		Describe:            platform.Describe,
 		RequestHeader:       platform.RequestHeader,
 		AnswerHeader:        platform.AnswerHeader,
--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -110,7 +110,7 @@
 	if err == nil {
 		defer ans.Close()
 	}
-	if v, failed := d.classify(ctx, ans, err); failed {
+	if v, failed := d.classify(ctx, w, u.ID, ans, err); failed {
 		return nil, v, true
 	}
 	a.answering = d.timer.Now()
--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -44,11 +44,12 @@
 			}
 			return h
 		},
-		Matches:  func(w *work.Work, h http.Header) bool { return h.Get("Id") == string(w.ID) },
-		NotRun:   func(_ int, h http.Header) bool { return h.Get("Not-Run") != "" },
-		Replaced: func(status int, _ http.Header) bool { return status == http.StatusMisdirectedRequest },
-		Signed:   func(h http.Header) bool { return h.Get("Signed") != "" },
-		Rest:     func(h http.Header) string { return h.Get("Rest") },
+		Matches:    func(w *work.Work, h http.Header) bool { return h.Get("Id") == string(w.ID) },
+		NotRun:     func(_ int, h http.Header) bool { return h.Get("Not-Run") != "" },
+		Replaced:   func(status int, _ http.Header) bool { return status == http.StatusMisdirectedRequest },
+		UpstreamID: func(h http.Header) ident.Upstream { return ident.Upstream(h.Get("Upstream")) },
+		Signed:     func(h http.Header) bool { return h.Get("Signed") != "" },
+		Rest:       func(h http.Header) string { return h.Get("Rest") },
 
 		ProbePath: "/probe",
 	}
--- a/dispatch/delivery.go
+++ b/dispatch/delivery.go
@@ -183,7 +183,7 @@
 		return
 	}
 	switch v.cause {
-	case unsigned:
+	case unsigned, ambiguous:
 		d.observe(a, u, true, took, d.timer.Now())
 	case broken, incorrect, silent, timedOut:
 		if !v.mayHaveRun {
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -5,11 +5,14 @@
 	"errors"
 	"net/http"
 	"os"
+	"strconv"
 	"time"
 
 	"crocuslug/directory"
 	"crocuslug/exchange"
 	"crocuslug/fleet"
+	"crocuslug/ident"
+	"crocuslug/work"
 )
 
 // sendFailure describes an attempt that ended without an answer to pass on.
@@ -37,14 +40,38 @@
 	unsigned    cause = "Unsigned"    // the answer carries no signature of an upstream
 	incorrect   cause = "Incorrect"   // the stream did not consist of the expected pieces
 	status      cause = "Status"      // the upstream answered with a failure
+	ambiguous   cause = "Ambiguous"   // the status promises that the request was not run, but the upstream does not state it
 )
 
 // timeLimitPassed is the failure of an attempt whose upstream has not answered in time.
 var timeLimitPassed = sendFailure{outcome: fleet.Failed, mayHaveRun: true, cause: timedOut, reason: "no answer within its time limit"}
 
-// classify reports whether an attempt failed, and how. The answer is used only if err is
-// nil.
-func (d *Dispatcher) classify(ctx context.Context, ans *exchange.Answer, err error) (sendFailure, bool) {
+// promisesNotRun reports whether callers take a status for the promise that the request was not run
+// and never will be.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// statesNotRun reports whether an answer of u, to a request that names u, states that u did not run it.
+func (d *Dispatcher) statesNotRun(u ident.Upstream, ans *exchange.Answer) bool {
+	if d.protocol.NotRun(ans.Status, ans.Header) {
+		return true
+	}
+	if !d.protocol.Replaced(ans.Status, ans.Header) {
+		return false
+	}
+	other := d.protocol.UpstreamID(ans.Header)
+	return other != "" && other != u
+}
+
+// classify reports whether an attempt to send w to u failed, and how. The answer is used only if err
+// is nil. What a caller would take for the promise that a request was not run fails if the request
+// must not be repeated and u does not state it.
+func (d *Dispatcher) classify(ctx context.Context, w *work.Work, u ident.Upstream, ans *exchange.Answer, err error) (sendFailure, bool) {
 	switch {
 	case err != nil && context.Cause(ctx) == errUnreachable:
 		return sendFailure{outcome: fleet.Dead, mayHaveRun: true, cause: unreachable, reason: errUnreachable.Error()}, true
@@ -61,9 +88,12 @@
 	case err != nil:
 		return sendFailure{outcome: fleet.Failed, mayHaveRun: true, cause: broken, reason: err.Error()}, true
 	case d.protocol.Replaced(ans.Status, ans.Header):
-		return sendFailure{outcome: fleet.Replaced, cause: replaced, reason: "another upstream has the address"}, true
+		return sendFailure{outcome: fleet.Replaced, mayHaveRun: !d.statesNotRun(u, ans), cause: replaced, reason: "another upstream has the address"}, true
 	case d.protocol.NotRun(ans.Status, ans.Header):
 		return sendFailure{outcome: fleet.Served, cause: notRun, reason: "refused by the upstream with status " + http.StatusText(ans.Status)}, true
+	case !w.Route.Repeatable() && promisesNotRun(ans.Status):
+		reason := "status " + strconv.Itoa(ans.Status) + " without the statement that the request was not run"
+		return sendFailure{outcome: fleet.Served, mayHaveRun: true, cause: ambiguous, reason: reason}, true
 	case !d.protocol.Signed(ans.Header) && ans.Status < http.StatusMultipleChoices:
 		return sendFailure{outcome: fleet.Failed, mayHaveRun: true, cause: unsigned, reason: "the answer carries no signature of an upstream"}, true
 	}
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -73,7 +74,7 @@
 //	request ENGINE ...     a request received by an engine, or "ENGINE left" (see cut), in order
 //
 // The commands of an engine are ok:BODY, late:BODY (after pauseTime), status:N, refuse, rest:SECONDS,
-// replaced, drop, unsigned, still:N-M (the engine answers nobody for pauseTime, then streams),
+// replaced[:NAME] (421 of another upstream, or of NAME), drop, unsigned, still:N-M (the engine answers nobody for pauseTime, then streams),
 // and stream:N-M:END, where END is whole, rollback (the build of the delivery is rolled back, then drop), drop, drop-late (after minRunTime), hang, pause-K
 // (silence for pauseTime, then the pieces up to K), rollout-BUILD (after minRunTime an engine of that build
 // registers; one more piece after pauseTime), cut (after minRunTime this instance
@@ -308,6 +309,7 @@
 		w.Header().Set("Rest", rest)
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case "replaced":
+		w.Header().Set("Upstream", cmp.Or(rest, "other"))
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	case "drop":
 		panic(http.ErrAbortHandler)
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -314,7 +314,7 @@
 	if err == nil {
 		defer ans.Close()
 	}
-	if v, failed := d.classify(ctx, ans, err); failed {
+	if v, failed := d.classify(ctx, w, u.ID, ans, err); failed {
 		return v, false
 	}
 	if ans.Status != http.StatusOK {
--- a/edge/ports.go
+++ b/edge/ports.go
@@ -5,7 +5,6 @@
 
 	"crocuslug/canary"
 	"crocuslug/directory"
-	"crocuslug/ident"
 	"crocuslug/keyvalue"
 	"crocuslug/store"
 	"crocuslug/work"
@@ -41,7 +40,4 @@
 	RequestHeader func(h http.Header) http.Header
 	// AnswerHeader returns the header fields of an answer that are sent to the caller.
 	AnswerHeader func(h http.Header) http.Header
-	// UpstreamID returns the upstream that answered a health check, or "" if the
-	// answer does not name it.
-	UpstreamID func(h http.Header) ident.Upstream
 }
--- a/edge/restart.go
+++ b/edge/restart.go
@@ -82,7 +82,7 @@
 		return // it has not started again yet
 	}
 	defer ans.Close()
-	id := e.ports.UpstreamID(ans.Header)
+	id := e.ports.UpstreamPorts.UpstreamID(ans.Header)
 	if _, err := ans.ReadBody(); err != nil || id == "" || id == u.ID || ans.Status != http.StatusOK {
 		return
 	}
--- a/edge/restart_test.go
+++ b/edge/restart_test.go
@@ -42,8 +42,10 @@
 	clock := timer.New()
 	go clock.Run(ctx)
 	ports := Ports{
-		UpstreamPorts: work.Protocol{ProbePath: "/health"},
-		UpstreamID:    func(h http.Header) ident.Upstream { return ident.Upstream(h.Get("Id")) },
+		UpstreamPorts: work.Protocol{
+			ProbePath:  "/health",
+			UpstreamID: func(h http.Header) ident.Upstream { return ident.Upstream(h.Get("Id")) },
+		},
 	}
 	const reuse = 400 * time.Millisecond
 	newEdge := func(listen string) *Edge {
--- a/nativewire/nativewire.go
+++ b/nativewire/nativewire.go
@@ -90,7 +90,6 @@
 		DecodeStatus:   decodeStatus,
 		EncodeStatus:   encodeStatus,
 
-		UpstreamID:    func(h http.Header) ident.Upstream { return ident.Upstream(h.Get(SignatureField)) },
 		Describe:      describe,
 		RequestHeader: requestHeader,
 		AnswerHeader:  func(h http.Header) http.Header { return h.Clone() },
@@ -102,6 +101,7 @@
 			Limit:       func(h http.Header) string { return strings.Join(h.Values(LimitField), ",") },
 			Rest:        func(h http.Header) string { return strings.Join(h.Values(RestField), ",") },
 			Leaving:     func(h http.Header) bool { return h.Get(LeavingField) != "" },
+			UpstreamID:  upstreamID,
 			Signed:      func(h http.Header) bool { return h.Get(SignatureField) != "" },
 			ProbePath:   StatePath,
 			CopyRequest: encodeMove,
@@ -111,6 +111,9 @@
 	}
 }
 
+// upstreamID returns the upstream that an answer comes from, or "" if it does not name it.
+func upstreamID(h http.Header) ident.Upstream { return ident.Upstream(h.Get(SignatureField)) }
+
 // describe returns what the header of a caller's request says about the request. Fields that
 // cannot be parsed are treated as absent.
 func describe(h http.Header) work.Description {
--- a/standinregistered/server.go
+++ b/standinregistered/server.go
@@ -239,6 +239,7 @@
 	id := r.Header.Get(nativewire.RequestField)
 	h.Set(nativewire.RequestField, id)
 	if r.Header.Get(nativewire.UpstreamField) != string(s.id) {
+		h.Set(nativewire.SignatureField, string(s.id))
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
--- a/work/work.go
+++ b/work/work.go
@@ -100,6 +100,9 @@
 	// Replaced reports whether an answer states that another upstream now has the
 	// address.
 	Replaced func(status int, h http.Header) bool
+	// UpstreamID returns the upstream that an answer to a health check, or one for which Replaced is
+	// true, says it comes from, or "" if it does not name it.
+	UpstreamID func(h http.Header) ident.Upstream
 	// ProbePath is a path at which a live model engine answers at once. If it is empty,
 	// no probes are sent.
 	ProbePath string
