--- a/dispatch/framing_test.go
+++ b/dispatch/framing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -38,6 +39,19 @@
 	}
 }
 
+// cutHead writes a head up to a field and closes the connection, or resets it if end is "reset".
+func (e *engine) cutHead(w http.ResponseWriter, r *http.Request, end string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\nSigned: 1\r\nContent-Type: text/event-str")
+	if end == "reset" {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
+}
+
 // invalid answers with a status that HTTP does not define, and a head of a whole answer in the body.
 func (e *engine) invalid(w http.ResponseWriter, r *http.Request, status string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -79,7 +79,7 @@
 // (silence for pauseTime, then the pieces up to K), rollout-BUILD (after minRunTime an engine of that build
 // registers; one more piece after pauseTime), cut (after minRunTime this instance
 // is cut off from the one that passes the connection on; the engine records when its connection is closed), leave (it registers as leaving) or crash (after minRunTime the engine is
-// gone); bare and invalid, see engine.bare and engine.invalid; flood, see engine.flood; and long:BYTES for a stream of one
+// gone); bare, head and invalid, see engine.bare, engine.cutHead and engine.invalid; flood, see engine.flood; and long:BYTES for a stream of one
 // event of that size.
 func TestScripts(t *testing.T) { runScripts(t, "testdata/*.txt") }
 
@@ -322,6 +322,8 @@
 		e.stream(w, r, rest)
 	case "bare":
 		e.bare(w, r, rest)
+	case "head":
+		e.cutHead(w, r, rest)
 	case "invalid":
 		e.invalid(w, r, rest)
 	case "flood":
--- a/exchange/closed_test.go
+++ b/exchange/closed_test.go
@@ -8,9 +8,6 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-
-	"crocuslug/relay"
 	"crocuslug/timer"
 )
 
@@ -42,22 +39,9 @@
 				_, _ = br.ReadByte()
 				close(left)
 			})
-			helper := relay.New(relay.Settings{Listen: "127.0.0.1:0"}, clock, zerolog.Nop())
-			if err := helper.Start(); err != nil {
-				t.Fatal(err)
-			}
-			defer helper.Stop()
 			c := New(Settings{}, clock)
 			defer c.Close()
-			dial := c.Dial
-			c.Dial = func(ctx context.Context, address string) (net.Conn, error) {
-				up, err := dial(ctx, address)
-				if err != nil {
-					return nil, err
-				}
-				token, _ := helper.Offer(up, "u", "self", true)
-				return relay.Dial(ctx, clock, "peer", helper.Addr(), token, true)
-			}
+			startRelay(ctx, t, c, clock)
 			r := newRequest("1")
 			r.AnswerBy = time.Now().Add(300 * time.Millisecond)
 			var settled <-chan struct{}
