connectionlimit, ingress: connections that wait for their caller give way to new ones

Cause: the server closed a new connection at its limit whatever the open ones did, and only a lack of memory made one give way.

Without a full limit nothing changes.

--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -64,7 +64,10 @@
 	cut, _ := e.reach.CutDomains()
 	line("Reach.CutDomains", len(cut))
 	line("Relays.Open", e.relays.Open())
-	line("Connections.Open", e.server.Open())
+	callers := e.server.Connections()
+	line("Connections.Open", callers.Open)
+	line("Connections.GaveWay", callers.GaveWay)
+	line("Connections.Refused", callers.Refused)
 	if e.bodies != nil {
 		c := e.bodies.Counts()
 		line("Bodies.Bytes", c.Bytes)
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -46,7 +46,7 @@
 	e.leaveBegan.Store(began.UnixNano())
 	e.leaving.Store(true)
 	e.server.Leave()
-	e.log.Info().Int("Connections", e.server.Open()).Msg("leaving")
+	e.log.Info().Int("Connections", e.server.Connections().Open).Msg("leaving")
 	e.tasks.Go(e.handOverOrigins)
 	e.sleep(e.closeAfter())
 	e.server.Close()
@@ -54,7 +54,7 @@
 	defer cancel()
 	e.timer.After(e.cfg.Grace.Std()-killMargin-e.timer.Now().Sub(began), func(time.Time) { cancel() })
 	if err := e.server.Wait(ctx); err != nil {
-		e.log.Warn().Int("Connections", e.server.Open()).Msg("grace period is over; refusing the requests in progress")
+		e.log.Warn().Int("Connections", e.server.Connections().Open).Msg("grace period is over; refusing the requests in progress")
 		e.endRequests()
 	}
 	e.log.Info().Dur("TookMs", e.timer.Now().Sub(began)).Msg("left")
@@ -67,7 +67,7 @@
 	defer cancel()
 	e.timer.After(endMargin, func(time.Time) { cancel() })
 	if err := e.server.Wait(ctx); err != nil {
-		e.log.Warn().Int("Connections", e.server.Open()).Msg("closing the connections that are still open")
+		e.log.Warn().Int("Connections", e.server.Connections().Open).Msg("closing the connections that are still open")
 	}
 }
 
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -61,6 +61,9 @@
 		if err == io.EOF {
 			break
 		}
+		if err == nil && !c.conn.place.Read(c.conn.server.timer.Now()) {
+			return http.StatusServiceUnavailable, errNoPlace
+		}
 		if err != nil {
 			if !c.memory.Hold() {
 				err = errGaveWay
@@ -157,10 +160,17 @@
 
 // giveWay makes the request in progress end because others need its memory. The budget calls it.
 func (c *connection) giveWay(writing bool) {
-	const past = 1 // Unix time
 	if writing {
-		_ = c.SetWriteDeadline(time.Unix(past, 0)) // fails only on a closed connection
+		_ = c.SetWriteDeadline(past) // fails only on a closed connection
 		return
 	}
-	_ = c.SetReadDeadline(time.Unix(past, 0)) // the same
+	c.stopReading()
+}
+
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
+// stopReading makes reading from the connection fail.
+func (c *connection) stopReading() {
+	_ = c.SetReadDeadline(past) // fails only on a closed connection
 }
--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"crocuslug/connectionlimit"
 	"crocuslug/directory"
 	"crocuslug/socket"
 )
@@ -28,6 +29,7 @@
 	closing   bool              // the connection is closed after the answer in progress
 	checkedAt time.Time         // when it was last checked whether the caller is lost
 	evict     func(writing bool)
+	place     *connectionlimit.Place
 
 	mu     sync.Mutex
 	busy   bool                    // a request is being read or answered
@@ -84,7 +86,9 @@
 	case c.server.closed.Load():
 		_ = c.SetReadDeadline(c.server.timer.Now()) // fails only on a closed connection
 	default:
-		c.setReadTimeout(c.server.timer.Now(), idle)
+		now := c.server.timer.Now()
+		c.setReadTimeout(now, idle)
+		c.place.Idle(now)
 	}
 }
 
@@ -120,6 +124,9 @@
 func (c *connection) readRequest(limits directory.Limits) (*Call, int, error) {
 	now := c.server.timer.Now()
 	c.setReadTimeout(now, limits.HeaderTimeout)
+	if !c.place.Read(now) {
+		return nil, http.StatusServiceUnavailable, errNoPlace
+	}
 	if limits.HeaderBytes > 0 {
 		c.headLimit.N = int64(limits.HeaderBytes) - int64(c.br.Buffered()) + headSlack
 	}
@@ -129,7 +136,12 @@
 	status, err := c.readHead(call, limits, now)
 	if err == nil {
 		c.setReadTimeout(now, c.server.cfg.BodyTimeout)
-		status, err = call.readBody(limits)
+		if c.place.Read(c.server.timer.Now()) { // else the new time limit may have replaced the end of reading
+			status, err = call.readBody(limits)
+		}
+	}
+	if !c.place.Hold() {
+		status, err = http.StatusServiceUnavailable, errNoPlace
 	}
 	if err != nil {
 		call.release()
@@ -140,6 +152,9 @@
 	return call, 0, nil
 }
 
+// errNoPlace is returned when the connection gave way to a new one.
+var errNoPlace = errors.New("the connection gave way to a new one: there are as many as allowed, and this one made no progress for the longest time")
+
 // readHead reads the head of a request. If that fails it returns the status with which to answer and the
 // cause, or 0 if the caller has disconnected.
 func (c *connection) readHead(call *Call, limits directory.Limits, now time.Time) (int, error) {
@@ -249,7 +264,7 @@
 	return err == nil && call.complete && !c.closing
 }
 
-// retryBody is the Retry-After, in seconds, of a request whose body gave way to others.
+// retryBody is the Retry-After, in seconds, of a request that gave way to others while it was read.
 const retryBody = "1"
 
 // reject answers a request that could not be read and ends the connection.
@@ -264,7 +279,7 @@
 	if status == http.StatusServiceUnavailable {
 		h = http.Header{"Retry-After": {retryBody}}
 	}
-	if call.Answer(status, h, nil) != nil {
+	if call.Answer(status, h, nil) != nil || errors.Is(cause, errNoPlace) {
 		return
 	}
 	c.linger()
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -14,6 +14,7 @@
 	"github.com/zeebo/errs"
 
 	"crocuslug/bodybudget"
+	"crocuslug/connectionlimit"
 	"crocuslug/directory"
 	"crocuslug/socket"
 	"crocuslug/timer"
@@ -24,7 +25,7 @@
 	Listen         string        // address host:port
 	BodyTimeout    time.Duration // from the start of a request to the end of its body; 0 means 15s
 	WriteTimeout   time.Duration // limit of one write to a caller; 0 means 5s
-	MaxConnections int           // number of open connections beyond which new ones are closed; 0 means 2000
+	MaxConnections int           // number of open connections beyond which others give way or new ones are closed; 0 means 2000
 
 	Bodies *bodybudget.Budget // memory of all bodies and answers in progress; nil means no bound
 }
@@ -54,6 +55,7 @@
 	log   zerolog.Logger
 
 	bodies *bodybudget.Budget
+	limit  *connectionlimit.Limit
 
 	listener net.Listener
 	draining atomic.Bool // answers ask callers to close their connections
@@ -75,7 +77,11 @@
 	if cfg.MaxConnections <= 0 {
 		cfg.MaxConnections = defaultMaxConnections
 	}
-	return &Server{cfg: cfg, ports: ports, timer: t, log: log, bodies: cfg.Bodies, open: make(map[*connection]struct{})}
+	return &Server{
+		cfg: cfg, ports: ports, timer: t, log: log, bodies: cfg.Bodies,
+		limit: connectionlimit.New(connectionlimit.Settings{Most: cfg.MaxConnections}),
+		open:  make(map[*connection]struct{}),
+	}
 }
 
 // Start opens the listener and serves connections in the background.
@@ -117,7 +123,9 @@
 		c.headLimit = &io.LimitedReader{R: &c.head, N: unlimited}
 		c.br = bufio.NewReaderSize(c.headLimit, readBuffer)
 		c.bw = bufio.NewWriterSize(nc, writeBuffer)
-		if !s.add(c) {
+		now := s.timer.Now()
+		c.setReadTimeout(now, s.ports.Limits().IdleTimeout) // a connection that gives way overrides it
+		if !s.add(c, now) {
 			s.log.Warn().Int("Connections", s.cfg.MaxConnections).Str("Caller", nc.RemoteAddr().String()).Msg("too many open connections; closing a new one")
 			_ = nc.Close() // nothing was read from it
 			continue
@@ -126,7 +134,6 @@
 		go func() {
 			defer s.running.Done()
 			defer s.remove(c)
-			c.setReadTimeout(s.timer.Now(), s.ports.Limits().IdleTimeout)
 			c.serve()
 		}()
 	}
@@ -138,12 +145,13 @@
 	<-done
 }
 
-func (s *Server) add(c *connection) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.open) >= s.cfg.MaxConnections {
+func (s *Server) add(c *connection, now time.Time) bool {
+	c.place = s.limit.Open(now, c.stopReading)
+	if c.place == nil {
 		return false
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.open[c] = struct{}{}
 	return true
 }
@@ -153,6 +161,7 @@
 	delete(s.open, c)
 	s.mu.Unlock()
 	_ = c.Conn.Close() // may already be closed
+	c.place.Release()
 }
 
 func (s *Server) leaving() bool { return s.draining.Load() }
@@ -198,9 +207,5 @@
 	}
 }
 
-// Open returns the number of open connections.
-func (s *Server) Open() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.open)
-}
+// Connections returns the numbers of open connections, and of those that gave way or were refused.
+func (s *Server) Connections() connectionlimit.Counts { return s.limit.Counts() }
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -33,6 +33,8 @@
 	crowdCallers     = 60
 	crowdMemory      = 96 << 20
 	crowdDescriptors = 800
+	crowdPlaces      = 200 // connections of callers that they allow
+	crowdConnections = 240 // of the test of unfinished bodies
 	crowdHeader      = 16 << 10  // the users'
 	crowdLongHeader  = 192 << 10 // of the test of heads
 	crowdBody        = 4 << 20   // limit of bodies in the configuration
@@ -361,3 +363,29 @@
 	})
 	s.check()
 }
+
+// TestCrowdOfConnections guards against unfinished bodies that keep ordinary callers out for as long as they may
+// last, although there is memory: they take all connections that the instance allows.
+func TestCrowdOfConnections(t *testing.T) {
+	s := startCrowdSite(t, crowdHeader)
+	var open atomic.Int64
+	for range crowdConnections {
+		c, err := net.Dial("tcp", s.instance.listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		open.Add(1)
+		go func() {
+			defer open.Add(-1)
+			sendChunks(c, 1, 1)
+			_, _ = io.Copy(io.Discard, c) // until the instance closes the connection
+		}()
+	}
+	s.await("the instance closes what exceeds its limit", func() bool { return open.Load() <= crowdPlaces })
+	s.await("an ordinary request is answered", func() bool { return s.request() == nil })
+	if got, want := open.Load(), int64(crowdConnections/2); got < want {
+		t.Errorf("connections of the crowd when an ordinary request was answered: got %d, want at least %d", got, want)
+	}
+	s.check()
+}
