prefix, dispatch: parts of prompts and the blocks of digests are bounded

Cause: each digest, four times a second to each of several peers, held the blocks of all running streams, and a part takes ten times the bytes that name it; neither had a bound.

Why this works: 256 parts of a prompt are told apart, the last one stands for the rest, so nothing that is derived from a prompt grows with the head; a digest holds 16,384 blocks at most, in other prompts each time.

--- a/dispatch/prompts.go
+++ b/dispatch/prompts.go
@@ -38,12 +38,21 @@
 	}
 }
 
-// Prompts returns the prompts of the running streams and their upstreams.
+// maxToldBlocks bounds the blocks of the prompts that instances tell each other at once. They are encoded for
+// each peer, some 20 bytes each.
+const maxToldBlocks = 16 << 10
+
+// Prompts returns the prompts of the running streams and their upstreams. Of more than 16,384 blocks in all it
+// returns some prompts, others each time.
 func (d *Dispatcher) Prompts() []work.Prompt {
 	d.prompts.mu.Lock()
 	defer d.prompts.mu.Unlock()
 	out := make([]work.Prompt, 0, len(d.prompts.sent))
-	for _, p := range d.prompts.sent {
+	blocks := 0
+	for _, p := range d.prompts.sent { // in random order
+		if blocks += len(p.Blocks); blocks > maxToldBlocks {
+			break
+		}
 		out = append(out, p)
 	}
 	return out
--- a/prefix/part_test.go
+++ b/prefix/part_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+	"strconv"
+	"strings"
 	"testing"
 )
 
@@ -57,3 +59,33 @@
 		}
 	}
 }
+
+// TestManyParts guards against prompts whose parts take many times the memory of their header field.
+func TestManyParts(t *testing.T) {
+	entries := make([]string, 2700)
+	for i := range entries {
+		entries[i] = strconv.Itoa(i) + ":2"
+	}
+	tests := []struct {
+		n, parts, tokens int // tokens of the last part
+		name             string
+	}{
+		{255, 255, 2, "254"},
+		{256, 256, 2, "255"},
+		{257, 256, 4, "255:2,256:2"},
+		{2700, 256, 4890, strings.Join(entries[255:], ",")},
+	}
+	for _, tc := range tests {
+		got := ParseParts(strings.Join(entries[:tc.n], ","))
+		if len(got) != tc.parts {
+			t.Errorf("%d entries: got %d parts, want %d", tc.n, len(got), tc.parts)
+			continue
+		}
+		if last := got[len(got)-1]; last.Tokens != tc.tokens || last.Name != tc.name {
+			t.Errorf("%d entries: got the last part %+v, want %s with %d tokens", tc.n, last, tc.name, tc.tokens)
+		}
+	}
+	if got := ParseParts(strings.Join(entries, ",") + ",x"); got != nil {
+		t.Errorf("malformed entry after many: got %d parts, want none", len(got))
+	}
+}
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -33,14 +34,16 @@
 	crowdCallers     = 60
 	crowdMemory      = 96 << 20
 	crowdDescriptors = 800
-	crowdPlaces      = 200 // connections of callers that they allow
-	crowdConnections = 240 // of the test of unfinished bodies
+	crowdPlaces      = 200       // connections of callers that they allow
+	crowdConnections = 240       // of the test of unfinished bodies
 	crowdHeader      = 16 << 10  // the users'
 	crowdLongHeader  = 192 << 10 // of the test of heads
 	crowdBody        = 4 << 20   // limit of bodies in the configuration
 	crowdTinyBody    = 1 << 20   // of the callers with very small chunks
 	crowdLongBody    = 16 << 20  // beyond the limit
 	crowdAnswer      = 8 << 20   // of the upstream
+	crowdInstances   = 3         // of the test of prompts, which instances tell each other
+	crowdParts       = 20_000    // of a prompt, within crowdLongHeader
 	crowdWait        = 30 * time.Second
 )
 
@@ -48,6 +51,7 @@
 type crowdSite struct {
 	t        *testing.T
 	cluster  *cluster
+	bin      string // directory of the programs
 	instance *instance
 	answered atomic.Int64 // large answers that the upstream has written or broken off
 }
@@ -63,15 +67,16 @@
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
 	go c.Run(ctx)
-	s := &crowdSite{t: t, cluster: &cluster{clock: c, dir: logs}}
+	s := &crowdSite{t: t, bin: bin, cluster: &cluster{clock: c, dir: logs}}
 	var err error
 	if s.cluster.recorder, err = newRecorder(c); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(s.cluster.stop)
-	s.startStore(ctx, bin, headerBytes)
+	s.startStore(ctx, headerBytes)
 	s.startUpstream(ctx)
-	s.startInstance(bin)
+	s.instance = s.startInstance("edge-0")
+	s.await("the instance serves", func() bool { return s.request() == nil })
 	return s
 }
 
@@ -103,12 +108,12 @@
 	return p
 }
 
-// startStore starts the store and writes a configuration with one route.
-func (s *crowdSite) startStore(ctx context.Context, bin string, headerBytes int) {
+// startStore starts the store and writes a configuration with two routes.
+func (s *crowdSite) startStore(ctx context.Context, headerBytes int) {
 	s.t.Helper()
 	cl := s.cluster
 	cl.storeAddress = s.address()
-	cl.storeProcess = s.startProcess("store", filepath.Join(bin, "standin"), nil, "--listen", cl.storeAddress, "keyvalue")
+	cl.storeProcess = s.startProcess("store", filepath.Join(s.bin, "standin"), nil, "--listen", cl.storeAddress, "keyvalue")
 	cl.client = keyvalue.New(keyvalue.Settings{Address: cl.storeAddress}, cl.clock.Service)
 	cl.store = cl.client.Store()
 	cl.document = directory.Document{
@@ -116,6 +121,9 @@
 		Routes: []directory.Route{{
 			Name: "safe", Host: host, Prefix: "/safe/", Kind: directory.Safe, MaxAttempts: 1, Timeout: crowdWait,
 			Services: []directory.Share{{Service: plainService, Weight: 1}},
+		}, {
+			Name: "stream", Host: host, Prefix: "/stream/", Kind: directory.Streaming, Resumable: true, MaxAttempts: 4, Timeout: crowdWait,
+			Services: []directory.Share{{Service: plainService, Weight: 1}},
 		}},
 		Services: []directory.Service{{Name: plainService}},
 		Limits:   directory.Limits{HeaderBytes: headerBytes, BodyBytes: crowdBody, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
@@ -123,7 +131,8 @@
 	s.await("the store takes the configuration", func() bool { return cl.writeConfiguration(ctx) == nil })
 }
 
-// startUpstream starts an upstream and registers it. Its answers under /safe/large have crowdAnswer bytes.
+// startUpstream starts an upstream and registers it. Its answers under /safe/large have crowdAnswer bytes, and
+// those under /stream/ have no end.
 func (s *crowdSite) startUpstream(ctx context.Context) {
 	s.t.Helper()
 	const id = "plain-1"
@@ -131,6 +140,15 @@
 		w.Header().Set(nativewire.SignatureField, id)
 		w.Header().Set(nativewire.RequestField, r.Header.Get(nativewire.RequestField))
 		n, _ := io.Copy(io.Discard, r.Body) // the instance may break off
+		if strings.HasPrefix(r.URL.Path, "/stream/") {
+			w.Header().Set("Content-Type", "text/event-stream")
+			for i := 1; r.Context().Err() == nil; i++ {
+				_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i)
+				_ = http.NewResponseController(w).Flush()
+				s.cluster.clock.sleep(shortDelay)
+			}
+			return
+		}
 		if r.URL.Path == "/safe/large" {
 			defer s.answered.Add(1)
 			w.Header().Set("Content-Length", strconv.Itoa(crowdAnswer))
@@ -150,8 +168,8 @@
 	}
 }
 
-// startInstance starts the instance and waits until it serves a request.
-func (s *crowdSite) startInstance(bin string) {
+// startInstance starts an instance.
+func (s *crowdSite) startInstance(name string) *instance {
 	s.t.Helper()
 	cl := s.cluster
 	p, err := cl.newProxy(cl.storeAddress)
@@ -160,21 +178,20 @@
 	}
 	in := &instance{listen: s.address(), ready: s.address(), store: p}
 	cfg := settings.Edge{
-		Name: "edge-0", Domain: ident.Domain("d0"), Listen: in.listen, ReadyListen: in.ready, PeerListen: s.address(), StoreAddress: p.addr(),
+		Name: name, Domain: ident.Domain("d0"), Listen: in.listen, ReadyListen: in.ready, PeerListen: s.address(), StoreAddress: p.addr(),
 		Descriptors: crowdDescriptors, MemoryBytes: crowdMemory,
 	}
 	b, err := json.Marshal(cfg)
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	file := filepath.Join(cl.dir, "edge.json")
+	file := filepath.Join(cl.dir, name+".json")
 	if err := os.WriteFile(file, b, 0o600); err != nil {
 		s.t.Fatal(err)
 	}
-	in.process = s.startProcess("edge", filepath.Join(bin, "crocuslug"), []string{secretVariable + "=soak"}, "edge", "--settings", file)
+	in.process = s.startProcess(name, filepath.Join(s.bin, "crocuslug"), []string{secretVariable + "=soak"}, "edge", "--settings", file)
 	cl.instances = append(cl.instances, in)
-	s.instance = in
-	s.await("the instance serves", func() bool { return s.request() == nil })
+	return in
 }
 
 func (s *crowdSite) await(what string, ok func() bool) {
@@ -210,19 +227,26 @@
 	return nil
 }
 
+// dial opens a connection to an instance that is closed at the end of the test.
+func (s *crowdSite) dial(in *instance) *net.TCPConn {
+	s.t.Helper()
+	c, err := net.Dial("tcp", in.listen)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = c.Close() })
+	return c.(*net.TCPConn)
+}
+
 // crowd lets all callers connect and send at once, waits until each has sent what it sends or lost its
 // connection, and leaves the connections open until the end of the test.
 func (s *crowdSite) crowd(send func(i int, c *net.TCPConn)) {
 	s.t.Helper()
 	var callers sync.WaitGroup
 	for i := range crowdCallers {
-		c, err := net.Dial("tcp", s.instance.listen)
-		if err != nil {
-			s.t.Fatal(err)
-		}
-		s.t.Cleanup(func() { _ = c.Close() })
+		c := s.dial(s.instance)
 		_ = c.SetDeadline(s.cluster.clock.Now().Add(crowdWait))
-		callers.Go(func() { send(i, c.(*net.TCPConn)) })
+		callers.Go(func() { send(i, c) })
 	}
 	callers.Wait()
 }
@@ -370,11 +394,7 @@
 	s := startCrowdSite(t, crowdHeader)
 	var open atomic.Int64
 	for range crowdConnections {
-		c, err := net.Dial("tcp", s.instance.listen)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = c.Close() })
+		c := s.dial(s.instance)
 		open.Add(1)
 		go func() {
 			defer open.Add(-1)
@@ -389,3 +409,43 @@
 	}
 	s.check()
 }
+
+// TestCrowdOfParts guards against memory that grows with the parts of all prompts, decoded and told to other
+// instances several times a second.
+func TestCrowdOfParts(t *testing.T) {
+	s := startCrowdSite(t, crowdLongHeader)
+	for i := 1; i < crowdInstances; i++ {
+		s.instance = s.startInstance(fmt.Sprintf("edge-%d", i))
+		s.await("the instance serves", func() bool { return s.request() == nil })
+	}
+	var parts strings.Builder
+	for i := range crowdParts {
+		fmt.Fprintf(&parts, ",%x:1", i)
+	}
+	var streams atomic.Int64 // that have begun
+	for i := range crowdCallers {
+		in := s.cluster.instances[i%crowdInstances]
+		c := s.dial(in)
+		_, _ = fmt.Fprintf(c, "GET /stream/x HTTP/1.1\r\nHost: %s\r\n%s: parts-%d\r\n%s: %d:1%s\r\n\r\n",
+			host, nativewire.RequestField, i, nativewire.PartsField, i, parts.String()) // the check shows what was not taken
+		go func() {
+			res, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				return
+			}
+			if res.StatusCode == http.StatusOK {
+				streams.Add(1)
+			}
+			_, _ = io.Copy(io.Discard, res.Body) // until the end of the test
+		}()
+	}
+	s.await("streams run", func() bool { return streams.Load() >= crowdCallers/2 })
+	const digests = 12 // told meanwhile
+	for range digests {
+		s.cluster.clock.sleep(250 * time.Millisecond)
+	}
+	for _, in := range s.cluster.instances {
+		s.instance = in
+		s.check()
+	}
+}
