builds: streams with long ids are known by a hash

Cause: holders keep up to 100,000 streams for two minutes by the id that the caller chose; the number had a bound and the size had none.

Ids of up to 64 bytes are unchanged on the wire; longer ones find no holder at instances of earlier builds.

--- a/builds/builds.go
+++ b/builds/builds.go
@@ -15,6 +15,8 @@
 package builds
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"slices"
 	"sync"
 	"time"
@@ -42,12 +44,25 @@
 
 // Record says at which build a stream began.
 type Record struct {
-	Origin  ident.Request // attempt of the caller that brings the first piece
+	Origin  ident.Request // attempt of the caller that brings the first piece, as by OriginOf
 	Service ident.Service
 	Build   ident.Build
 	Age     unit.Duration `json:",omitempty"` // time since the first piece
 }
 
+// maxOrigin is the length of an id in bytes up to which it names its stream itself. Callers choose the ids.
+const maxOrigin = 2 * sha256.Size
+
+// OriginOf returns the name under which the stream is known whose first piece came with an attempt of a caller: its
+// id, or a hash of it that is 64 bytes long if the id is longer.
+func OriginOf(id ident.Request) ident.Request {
+	if len(id) <= maxOrigin {
+		return id
+	}
+	sum := sha256.Sum256([]byte(id))
+	return ident.Request(hex.EncodeToString(sum[:]))
+}
+
 // State says that a service has or had several builds, as one instance tells another.
 type State struct {
 	Service   ident.Service
@@ -256,6 +271,7 @@
 	if r.Origin == "" || r.Build == "" {
 		return
 	}
+	r.Origin = OriginOf(r.Origin) // instances of earlier builds tell the id itself
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if _, ok := t.records[r.Origin]; !ok {
@@ -299,7 +315,7 @@
 func (t *Tracker) Find(origin ident.Request, name ident.Service, now time.Time) Statement {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r, ok := t.records[origin]; ok && r.service == name {
+	if r, ok := t.records[OriginOf(origin)]; ok && r.service == name {
 		return Statement{Known: true, Build: r.build}
 	}
 	s, ok := t.services[name]
--- a/dispatch/origin.go
+++ b/dispatch/origin.go
@@ -59,9 +59,9 @@
 // originOf returns the attempt of the caller that brings or brought the first piece of a stream.
 func originOf(w *work.Work) ident.Request {
 	if w.Resumes && w.LastPiece > 0 && w.Origin != "" {
-		return w.Origin
+		return builds.OriginOf(w.Origin)
 	}
-	return w.ID
+	return builds.OriginOf(w.ID)
 }
 
 // setBuild sets the build at which the rest of the answer must be produced, while probes may read it.
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -73,6 +73,7 @@
 	if origin == "" {
 		origin = w.ID
 	}
+	origin = builds.OriginOf(origin)
 	holders := e.holdersOf(origin)
 	statements := e.askHolders(ctx, holders, findOriginRequest{origin, service})
 	quorum := builds.Quorum(len(holders), holdersTold)
