--- a/dispatch/framing_test.go
+++ b/dispatch/framing_test.go
@@ -75,6 +75,14 @@
 	return b.String()
 }
 
+// writePieces writes the events with the numbers from one to another, one at a time.
+func (e *engine) writePieces(w http.ResponseWriter, from, to int) {
+	for i := from; i <= to; i++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, e.name)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
 // floods are bytes that are no events of an answer, by name.
 var floods = map[string]string{
 	"bytes":    "x",
--- a/dispatch/origin.go
+++ b/dispatch/origin.go
@@ -56,7 +56,8 @@
 	return e
 }
 
-// originOf returns the attempt of the caller that brings or brought the first piece of a stream.
+// originOf returns the name of a stream: the attempt of the caller that brings or brought its first piece, see
+// builds.OriginOf.
 func originOf(w *work.Work) ident.Request {
 	if w.Resumes && w.LastPiece > 0 && w.Origin != "" {
 		return builds.OriginOf(w.Origin)
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -389,13 +389,6 @@
 	defer e.still.RUnlock()
 }
 
-func (e *engine) writePieces(w http.ResponseWriter, from, to int) {
-	for i := from; i <= to; i++ {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, e.name)
-		_ = http.NewResponseController(w).Flush()
-	}
-}
-
 func dash(s string) string {
 	if s == "" {
 		return "-"
--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -136,7 +136,7 @@
 	status, err := c.readHead(call, limits, now)
 	if err == nil {
 		c.setReadTimeout(now, c.server.cfg.BodyTimeout)
-		if c.place.Read(c.server.timer.Now()) { // else the new time limit may have replaced the end of reading
+		if c.place.Read(c.server.timer.Now()) { // the time limit of the body overrides an earlier stopReading
 			status, err = call.readBody(limits)
 		}
 	}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -124,7 +124,7 @@
 		c.br = bufio.NewReaderSize(c.headLimit, readBuffer)
 		c.bw = bufio.NewWriterSize(nc, writeBuffer)
 		now := s.timer.Now()
-		c.setReadTimeout(now, s.ports.Limits().IdleTimeout) // a connection that gives way overrides it
+		c.setReadTimeout(now, s.ports.Limits().IdleTimeout) // stopReading overrides it
 		if !s.add(c, now) {
 			s.log.Warn().Int("Connections", s.cfg.MaxConnections).Str("Caller", nc.RemoteAddr().String()).Msg("too many open connections; closing a new one")
 			_ = nc.Close() // nothing was read from it
