daemon: requests that are read take memory from one budget

What operators saw: 60 callers with bodies that do not end make an instance of serve take hundreds of MiB.

Cause: fasthttp reads each body into a growing buffer, and nothing bounded all of them together.

Why this works: a connection counts its request before fasthttp can grow its buffer: the length that the head announces, or four times what was read, for a doubled buffer and the former ones. The oldest without progress gives way with 503 and Run NotRun.

Claim.Await holds the wait for both doors; the code of edge does the same as before.

--- a/bodybudget/claim.go
+++ b/bodybudget/claim.go
@@ -1,6 +1,9 @@
 package bodybudget
 
-import "time"
+import (
+	"runtime"
+	"time"
+)
 
 // phase is what happens to the body or the answer of a request.
 type phase uint8
@@ -113,6 +116,23 @@
 	return Verdict{State: Granted}
 }
 
+// Await asks for n bytes as Take does, and waits for them if need be: it calls wait with Ready and the time after
+// which it asks again, and runs the garbage collections that are asked for. It does not return Waiting.
+func (c *Claim) Await(n int64, now func() time.Time, wait func(ready <-chan struct{}, d time.Duration)) State {
+	for {
+		v := c.Take(now(), n)
+		switch {
+		case v.State != Waiting:
+			return v.State
+		case v.Collect:
+			runtime.GC()
+			c.budget.Collected()
+		default:
+			wait(c.Ready(), v.Wait)
+		}
+	}
+}
+
 // makeRoom evicts claims for what c wants. It returns false if it is the turn of c itself to give way.
 func (b *Budget) makeRoom(c *Claim, now time.Time) bool {
 	for b.used-b.leaving-b.garbage+c.wanted > b.room(c.size+c.wanted) {
--- a/cmd/crocuslug/process_test.go
+++ b/cmd/crocuslug/process_test.go
@@ -93,6 +93,7 @@
 	list       *process
 	engines    []*process
 	daemons    []*process
+	limits     settings.Limits // of the instances
 	cfgs       []settings.Settings
 	timer      *timer.Service
 	tokens     atomic.Int64 // delivered to callers in this round
@@ -102,8 +103,8 @@
 
 const processWait = 10 * time.Second
 
-func startSystem(t *testing.T) *system {
-	s := &system{t: t, dir: t.TempDir(), timer: timer.New()}
+func startSystem(t *testing.T, limits settings.Limits) *system {
+	s := &system{t: t, dir: t.TempDir(), timer: timer.New(), limits: limits}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go s.timer.Run(ctx)
@@ -172,7 +173,7 @@
 	cfg := settings.Settings{
 		Name: fmt.Sprintf("accra-%d", i), Domain: "accra", Listen: s.reserveAddress(), PeerAddr: s.reserveAddress(),
 		Secret: key("peers"), Operator: key("bootstrap"),
-		Platform: settings.Platform{KeyValue: s.keyvalue.addr, InstanceList: s.list.addr},
+		Platform: settings.Platform{KeyValue: s.keyvalue.addr, InstanceList: s.list.addr}, Limits: s.limits,
 	}
 	for j, p := range s.daemons {
 		cfg.Peers = append(cfg.Peers, settings.Peer{Instance: ident.Instance(s.cfgs[j].Name), Domain: "accra", Address: p.addr, PeerAddr: p.peer})
@@ -295,7 +296,7 @@
 // engines and instances are killed or paused, the key-value service is out, or an
 // instance shuts down gracefully. A leaving instance must not cut connections.
 func TestAnswersSurviveFaultsOfProcesses(t *testing.T) {
-	s := startSystem(t)
+	s := startSystem(t, settings.Limits{})
 	s.configure()
 	rng := rand.New(rand.NewPCG(1, 1))
 	at := func() int64 { return 60 + rng.Int64N(200) } // in the first half of a round
--- a/daemon/connections.go
+++ b/daemon/connections.go
@@ -11,15 +11,20 @@
 
 	"github.com/zeebo/errs"
 
+	"crocuslug/bodybudget"
 	"crocuslug/problem"
 	"crocuslug/result"
+	"crocuslug/timer"
 )
 
 // connections tracks the callers' open connections, to limit their number and to close them
 // when the instance ends.
 type connections struct {
 	limit int // maximum number of open connections; further ones are refused
-	now   func() time.Time
+	timer *timer.Service
+
+	bodies         *bodybudget.Budget // memory of requests
+	largestRequest int64              // memory in bytes of the largest request
 
 	mu   sync.Mutex
 	open map[net.Conn]struct{}
@@ -34,7 +39,8 @@
 // conn is a net.Conn that removes itself from conns when it is closed.
 type conn struct {
 	net.Conn
-	conns *connections
+	conns  *connections
+	memory requestMemory
 }
 
 // track returns a listener that adds the connections accepted by l to c.
@@ -61,7 +67,7 @@
 		if c, ok := l.conns.add(nc); ok {
 			return c, nil
 		}
-		go refuseConnection(nc, l.conns.now)
+		go refuseConnection(nc, l.conns.timer.Now)
 	}
 }
 
@@ -72,7 +78,8 @@
 	if len(c.open) >= c.limit {
 		return nil, false
 	}
-	tracked := &conn{nc, c}
+	tracked := &conn{Conn: nc, conns: c}
+	tracked.memory = requestMemory{budget: c.bodies, timer: c.timer, largest: c.largestRequest, stop: tracked.stopReading}
 	c.open[tracked] = struct{}{}
 	return tracked, true
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"crocuslug/access"
 	"crocuslug/admission"
 	"crocuslug/background"
+	"crocuslug/bodybudget"
 	"crocuslug/claimstore"
 	"crocuslug/configuration"
 	"crocuslug/control"
@@ -171,8 +172,10 @@
 	d.log = opt.Log.With().Str("Instance", string(d.id)).Str("Domain", string(cfg.Domain)).Logger()
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.conns.open = make(map[net.Conn]struct{})
-	d.conns.now = opt.Timer.Now
+	d.conns.timer = opt.Timer
 	d.conns.limit = orDefault(cfg.Limits.Connections, defaultConnections)
+	d.conns.bodies = bodybudget.New(bodybudget.Settings{Limit: int64(orDefault(cfg.Limits.BodyMemory, defaultBodyMemory)), Collected: true})
+	d.conns.largestRequest = bodyGrowth * int64(orDefault(cfg.Limits.BodyBytes, defaultBodyBytes)+maxRequestHead)
 	if d.listener, err = socket.Listen(cfg.Listen); err != nil {
 		return nil, errs.Wrap(err)
 	}
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -33,6 +33,8 @@
 	d.gauge("CutOff", func() int { return boolToInt(d.rollout.Report().CutOff) })
 	d.gauge("Leaving", func() int { return boolToInt(d.leaving.Load()) })
 	d.gauge("Connections", d.conns.count)
+	d.gauge("BodyMemoryUsed", func() int { return int(d.conns.bodies.Counts().Bytes) })
+	d.gauge("BodiesGaveWay", func() int { n := d.conns.bodies.Counts(); return int(n.GaveWay + n.Refused) })
 	d.gauge("ProcessorMs", func() int { return int(processorTime().Milliseconds()) })
 	d.gauge("ControlUs", func() int { return int((d.loop.Busy() + d.members.BusyTime()).Microseconds()) })
 	d.peerGauges()
@@ -103,6 +105,11 @@
 // its end is counted with its generation.
 func (d *Daemon) countAnswers(h fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
+		if c, ok := ctx.Conn().(*conn); ok && !c.memory.hold() {
+			ctx.SetConnectionClose()
+			problem.Write(ctx, result.New(result.Overloaded, errGaveWay.Error()).After(busyRetry), "")
+			return
+		}
 		h(ctx)
 		if !bytes.HasPrefix(ctx.Path(), []byte(protocolPath)) {
 			return
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 
+	"crocuslug/bodybudget"
 	"crocuslug/problem"
 	"crocuslug/result"
 	"crocuslug/serviceproxy"
@@ -17,6 +18,7 @@
 const (
 	defaultBodyBytes   = 4 << 20
 	defaultConnections = 16384
+	maxRequestHead     = 64 << 10 // bytes of a head that are counted with the largest body
 )
 
 // buildRoutes wires the HTTP server and its routes.
@@ -40,6 +42,7 @@
 		Handler:               d.countAnswers(r.Handler),
 		HeaderReceived:        d.requestLimits,
 		ErrorHandler:          d.handleReadError,
+		ConnState:             changeState,
 		Name:                  "crocuslug",
 		MaxRequestBodySize:    orDefault(d.cfg.Limits.BodyBytes, defaultBodyBytes),
 		Concurrency:           orDefault(d.cfg.Limits.Connections, defaultConnections),
@@ -64,12 +67,22 @@
 
 // handleReadError answers a request that could not be read.
 func (d *Daemon) handleReadError(ctx *fasthttp.RequestCtx, err error) {
-	code := result.Malformed
-	if err == fasthttp.ErrBodyTooLarge {
-		code = result.TooLarge
-		d.discardBody(ctx.Conn())
+	c, counted := ctx.Conn().(*conn)
+	switch {
+	case counted && c.memory.lost():
+		c.memory.release()
+		d.discardBody(c.Conn)
+		problem.Write(ctx, result.New(result.Overloaded, errGaveWay.Error()).After(busyRetry), "")
+		return
+	case counted && c.memory.refused == bodybudget.TooLarge, err == fasthttp.ErrBodyTooLarge:
+		if counted {
+			c.memory.release()
+			d.discardBody(c.Conn)
+		}
+		problem.Write(ctx, result.New(result.TooLarge, "the request could not be read"), "")
+		return
 	}
-	problem.Write(ctx, result.New(code, "the request could not be read"), "")
+	problem.Write(ctx, result.New(result.Malformed, "the request could not be read"), "")
 }
 
 // Limits of reading the rest of a body that is refused for its size.
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"os"
-	"runtime"
 	"time"
 
 	"crocuslug/bodybudget"
@@ -119,23 +118,14 @@
 // Take takes n bytes of the memory for bodies for the request or its answer, until the handler returns, and
 // waits for them if need be. It returns an error if the request has to give way; one that was passed on does not.
 func (c *Call) Take(n int64) error {
-	for {
-		v := c.memory.Take(c.conn.server.timer.Now(), n)
-		switch v.State {
-		case bodybudget.Granted:
-			return nil
-		case bodybudget.Refused:
-			return errGaveWay
-		case bodybudget.TooLarge:
-			return errOverBudget
-		}
-		if v.Collect {
-			runtime.GC()
-			c.conn.server.bodies.Collected()
-			continue
-		}
-		c.conn.server.wait(c.memory.Ready(), v.Wait)
+	t := c.conn.server.timer
+	switch c.memory.Await(n, t.Now, t.Wait) {
+	case bodybudget.Refused:
+		return errGaveWay
+	case bodybudget.TooLarge:
+		return errOverBudget
 	}
+	return nil
 }
 
 // release ends the request for the budget. The body must not be used any more.
@@ -147,17 +137,6 @@
 // Give returns n bytes that Take took.
 func (c *Call) Give(n int64) { c.memory.Give(n) }
 
-// wait waits until ready receives, for d at most.
-func (s *Server) wait(ready <-chan struct{}, d time.Duration) {
-	over := make(chan struct{})
-	sub := s.timer.After(d, func(time.Time) { close(over) })
-	defer sub.Stop()
-	select {
-	case <-ready:
-	case <-over:
-	}
-}
-
 // giveWay makes the request in progress end because others need its memory. The budget calls it.
 func (c *connection) giveWay(writing bool) {
 	if writing {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -90,6 +90,7 @@
 // Limits bound what callers may send.
 type Limits struct {
 	BodyBytes   int           `json:",omitempty"`
+	BodyMemory  int           `json:",omitempty"` // bytes of all requests that are read or answered
 	MaxTokens   int           `json:",omitempty"` // in one answer
 	Connections int           `json:",omitempty"`
 	WriteLimit  unit.Duration `json:",omitempty"` // time limit of one write to a caller
@@ -224,6 +225,7 @@
 		{"Load.SubsetSize", cfg.Load.SubsetSize},
 		{"Load.PollBytesPerSecond", cfg.Load.PollBytesPerSecond},
 		{"Limits.BodyBytes", cfg.Limits.BodyBytes},
+		{"Limits.BodyMemory", cfg.Limits.BodyMemory},
 		{"Limits.MaxTokens", cfg.Limits.MaxTokens},
 		{"Limits.Connections", cfg.Limits.Connections},
 	} {
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -63,6 +63,17 @@
 	return s.add(d, 0, f)
 }
 
+// Wait waits until ready receives, for d at most.
+func (s *Service) Wait(ready <-chan struct{}, d time.Duration) {
+	over := make(chan struct{})
+	sub := s.After(d, func(time.Time) { close(over) })
+	defer sub.Stop()
+	select {
+	case <-ready:
+	case <-over:
+	}
+}
+
 // Every calls f at intervals of d. It panics if d is not positive.
 func (s *Service) Every(d time.Duration, f func(now time.Time)) *Subscription {
 	if d <= 0 {
