--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -4,4 +4,4 @@
 dir=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$dir/../.." || exit 2
 [ -x target/crocuslug ] && [ -x target/_review-3/case ] || { echo "build first" >&2; exit 2; }
-exec target/_review-3/case version "$dir/record.txt"
+exec target/_review-3/case revived "$dir/record.txt"
