dispatch, exchange: the name of a copy is read from an unused connection

Cause: calls of the instance itself carry no id, so any answer on a kept connection counted. A faulty engine sends its answer to kv-move of one run once more, late, where the answer for another run is due; the instance took the name of the first run's copy for that of the second. Looking for unread bytes before the call, or for recent use, does not help.

Why this works: Request.Unused dials, and the first answer on a connection is that to the first request. Afterwards the connection serves requests of clients, which pass over answers that do not name them. No id is sent that no client sent.

Price: one connection for each kv-move.

--- a/dispatch/copy.go
+++ b/dispatch/copy.go
@@ -185,7 +185,8 @@
 		return "", errNoBuild
 	}
 	target, body := k.d.protocol.CopyRequest(work.Move{Run: k.w.ID, To: to})
-	status, answer, err := k.d.callUpstream(ctx, run.Address, http.MethodPost, target, body, now.Add(copyTimeout))
+	r := &exchange.Request{Method: http.MethodPost, Target: target, Body: body, Unused: true} // the name must not be that of another run
+	status, answer, err := k.d.callUpstream(ctx, run.Address, r, now.Add(copyTimeout))
 	if err != nil {
 		return "", err
 	}
@@ -202,7 +203,8 @@
 	if k.d.rests.Left(run.ID, now) > 0 || !k.d.mayUse(run, now) {
 		return // the copy expires
 	}
-	status, _, err := k.d.callUpstream(context.Background(), run.Address, http.MethodDelete, k.d.protocol.DropTarget(name), nil, now.Add(copyTimeout))
+	r := &exchange.Request{Method: http.MethodDelete, Target: k.d.protocol.DropTarget(name)}
+	status, _, err := k.d.callUpstream(context.Background(), run.Address, r, now.Add(copyTimeout))
 	if err != nil || status >= http.StatusMultipleChoices {
 		k.d.log.Debug().Str("Request", string(k.w.ID)).Int("Status", status).Err(err).Msg("deleting the copy failed; it will expire")
 	}
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -65,7 +65,7 @@
 	if !d.rests.TakeProbe(u.ID, now) {
 		return errResting
 	}
-	_, _, err := d.callUpstream(ctx, u.Address, http.MethodGet, d.protocol.ProbePath, nil, now.Add(probeTimeout))
+	_, _, err := d.callUpstream(ctx, u.Address, &exchange.Request{Method: http.MethodGet, Target: d.protocol.ProbePath}, now.Add(probeTimeout))
 	return err
 }
 
@@ -74,23 +74,18 @@
 const maxCallAnswer = 64 << 10
 
 // callUpstream makes a call that is not on behalf of a caller, and returns the status and
-// the body of the answer.
-func (d *Dispatcher) callUpstream(ctx context.Context, address, method, target string, body []byte, until time.Time) (int, []byte, error) {
+// the body of the answer. The answer does not name the call, so a call whose answer matters sets Unused in r.
+func (d *Dispatcher) callUpstream(ctx context.Context, address string, r *exchange.Request, until time.Time) (int, []byte, error) {
 	ctx, cancel := d.withDeadline(ctx, until)
 	defer cancel()
-	h := http.Header{}
-	if len(body) > 0 {
-		h.Set("Content-Type", "application/json")
+	r.Host = address
+	r.Header = http.Header{}
+	if len(r.Body) > 0 {
+		r.Header.Set("Content-Type", "application/json")
 	}
-	ans, err := d.client.Do(ctx, address, &exchange.Request{
-		Method:   method,
-		Target:   target,
-		Host:     address,
-		Header:   h,
-		Body:     body,
-		AnswerBy: until,
-		MaxBody:  maxCallAnswer,
-	})
+	r.AnswerBy = until
+	r.MaxBody = maxCallAnswer
+	ans, err := d.client.Do(ctx, address, r)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -44,7 +44,7 @@
 // Broken.
 func (c *Client) Do(ctx context.Context, address string, r *Request) (*Answer, error) {
 	began := c.timer.Uptime()
-	cn, err := c.connect(ctx, address, r.Fresh)
+	cn, err := c.connect(ctx, address, r)
 	if err != nil {
 		return nil, NotSent.Wrap(err)
 	}
@@ -146,16 +146,15 @@
 	return nil, Broken.New("none of %d answers on the connection belongs to the request", maxForeign)
 }
 
-// connect returns a usable idle connection, or a new one. With fresh it returns an idle connection
-// only if that was in use within FreshTime.
-func (c *Client) connect(ctx context.Context, address string, fresh bool) (*conn, error) {
-	for {
+// connect returns a usable idle connection, or a new one, as r asks for.
+func (c *Client) connect(ctx context.Context, address string, r *Request) (*conn, error) {
+	for !r.Unused {
 		cn := c.takeIdle(address)
 		if cn == nil {
 			break
 		}
 		age := c.timer.Now().Sub(cn.idleSince)
-		if age < cn.idleTimeout && (!fresh || age < c.cfg.FreshTime) && cn.idleAndOpen() {
+		if age < cn.idleTimeout && (!r.Fresh || age < c.cfg.FreshTime) && cn.idleAndOpen() {
 			return cn, nil
 		}
 		cn.abort()
