upstreamcontrol: an order is sent on a connection of its own

An order that an engine refuses counts as accepted, and the model is planned as loaded.

Cause: Connection: close ends the connection after an order, but the order was sent on one that readings of the state had kept open. A late second answer to a reading (200) stands where the answer to the order is due.

Why this works: orders have a client of their own, which never has a connection left over. Readings may still take the answer of an earlier reading of the same engine, which is a state that the engine had a moment ago.

--- a/upstreamcontrol/control.go
+++ b/upstreamcontrol/control.go
@@ -72,7 +72,8 @@
 	domain  ident.Domain
 	holder  *lease.Holder
 	planner *placement.Planner
-	client  fasthttp.Client
+	reads   fasthttp.Client
+	orders  fasthttp.Client // keeps no connection: an answer does not name its order
 }
 
 // New returns a Control of the instance self for the failure domain d.
@@ -87,7 +88,8 @@
 		cfg: cfg, ports: seams, store: store, timer: t, self: self, domain: d,
 		holder:  lease.New(cfg.Lease),
 		planner: placement.New(cfg.Placement, d),
-		client:  fasthttp.Client{MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxAnswer},
+		reads:   fasthttp.Client{MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxAnswer},
+		orders:  fasthttp.Client{MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxAnswer},
 	}
 }
 
@@ -143,7 +145,7 @@
 
 // Close closes the idle connections to engines.
 func (c *Control) Close() {
-	c.client.CloseIdleConnections()
+	c.reads.CloseIdleConnections()
 }
 
 // maxConcurrentReads is the number of engines whose state is read concurrently.
@@ -282,10 +284,12 @@
 	req.Header.SetMethod(method)
 	req.SetRequestURI(uri)
 	req.SetBody(body)
+	client := &c.reads
 	if method != http.MethodGet {
+		client = &c.orders
 		req.SetConnectionClose()
 	}
-	if err := c.client.DoTimeout(req, resp, limit); err != nil {
+	if err := client.DoTimeout(req, resp, limit); err != nil {
 		return err
 	}
 	if resp.StatusCode() >= http.StatusMultipleChoices {
