registry, edge: a restart that the store does not list has an end

Cause: RecordRestart registers an engine that a probe found under a new id. It did not look whether that id had been removed, so digests that told of the restart for 3 s, and relays, registered it again while the entry of the former id stood. Nothing bounded how long it stayed, as the store had nothing to take back, and peers that had it by the same news listed it for each other.

With the checks taken out, edge TestRestartToldAfterRemoval registers u2 in four of its seven cases, and registry TestScripts fails in restart-removed, restart-outage and restart-peers. A mark of removed ids alone leaves those that were never seen (restart-removed, restart-peers). Ruled out: older lists (revisions are compared) and lapses (the store is never away in the case).

Why this works: a probe that is answered with 200 shows that the engine had not left, so using it until Drain after that, less a margin, is what any engine that leaves then gets. News carries its age through relays and lists of peers, marks refuse what was removed here, and lists no longer count such an engine as listed by the store. While the store is away nothing changes but that the grace period follows.

Instances of earlier builds send no age: their news counts only while the store is away.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -324,6 +324,10 @@
 		e.log.Info().Str("Upstream", string(id)).Msg("upstream did not register again after the outage")
 		e.publish(now)
 	}
+	for _, id := range e.registry.ExpireRestarted(now) {
+		e.log.Info().Str("Upstream", string(id)).Msg("upstream did not register after its restart")
+		e.publish(now)
+	}
 	e.fleet.Tick(now)
 	e.dispatcher.Tick(now)
 	e.poison.Tick(now)
--- a/edge/restart.go
+++ b/edge/restart.go
@@ -9,6 +9,7 @@
 	"crocuslug/exchange"
 	"crocuslug/fleet"
 	"crocuslug/ident"
+	"crocuslug/unit"
 )
 
 // While the store is unreachable, no entry tells under which id a crashed upstream has started
@@ -33,7 +34,18 @@
 // restart says that an upstream has started again under a new id.
 type restart struct {
 	Former, New ident.Upstream
-	until       time.Time // end of its report in digests
+	Age         *unit.Duration `json:",omitempty"` // since a probe found it; instances of earlier builds do not send it
+
+	found time.Time // by a probe; zero if that is not known
+	until time.Time // end of its report in digests
+}
+
+// foundAt returns when a probe found a restart of which a peer tells now, or zero if the peer does not say so.
+func (r restart) foundAt(now time.Time) time.Time {
+	if r.Age == nil {
+		return time.Time{}
+	}
+	return now.Add(-r.Age.Std())
 }
 
 // scheduleRestartProbes schedules probes of the address of a lost upstream, to find the id under
@@ -93,11 +105,11 @@
 		e.log.Info().Str("Upstream", string(u.ID)).Str("Address", u.Address).Str("Now", string(id)).Dur("SinceContactMs", since).Msg("probe found an upstream replaced")
 		return
 	}
-	if !e.registry.RecordRestart(u.ID, id, now) {
+	if !e.registry.RecordRestart(u.ID, id, now, now) {
 		return
 	}
 	e.mu.Lock()
-	e.restarts = append(e.restarts, restart{u.ID, id, now.Add(restartReportTime)})
+	e.restarts = append(e.restarts, restart{Former: u.ID, New: id, found: now, until: now.Add(restartReportTime)})
 	e.mu.Unlock()
 	e.log.Info().Str("Upstream", string(id)).Str("Former", string(u.ID)).Str("Address", u.Address).Dur("SinceContactMs", since).Msg("probe found a restarted upstream while the store does not list it")
 	e.publish(now)
@@ -114,19 +126,27 @@
 		}
 	}
 	e.restarts = e.restarts[:n]
-	return append([]restart(nil), e.restarts...)
+	out := append([]restart(nil), e.restarts...)
+	for i, r := range out {
+		if !r.found.IsZero() {
+			age := unit.Duration(now.Sub(r.found))
+			out[i].Age = &age
+		}
+	}
+	return out
 }
 
 // applyRestarts registers the restarts that a peer reports.
 func (e *Edge) applyRestarts(list []restart, from ident.Instance, now time.Time) {
 	changed := false
 	for _, r := range list {
-		if e.registry.RecordRestart(r.Former, r.New, now) {
+		found := r.foundAt(now)
+		if e.registry.RecordRestart(r.Former, r.New, found, now) {
 			changed = true
 			e.mu.Lock()
-			e.restarts = append(e.restarts, restart{r.Former, r.New, now.Add(restartRelayTime)})
+			e.restarts = append(e.restarts, restart{Former: r.Former, New: r.New, found: found, until: now.Add(restartRelayTime)})
 			e.mu.Unlock()
-			e.log.Info().Str("Upstream", string(r.New)).Str("Former", string(r.Former)).Str("Peer", string(from)).Msg("peer reported a restarted upstream")
+			e.log.Info().Str("Upstream", string(r.New)).Str("Former", string(r.Former)).Str("Peer", string(from)).Bool("AgeKnown", r.Age != nil).Msg("peer reported a restarted upstream")
 		}
 	}
 	if changed {
--- a/edge/restart_test.go
+++ b/edge/restart_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"testing"
@@ -104,3 +105,60 @@
 		}
 	}
 }
+
+// TestRestartToldAfterRemoval guards against digests that still tell of a restart when the upstream has left: it would
+// be registered again and get requests until it ends.
+func TestRestartToldAfterRemoval(t *testing.T) {
+	tests := []struct {
+		name        string
+		told        string // JSON of the restart
+		seen        bool   // this instance had the entry under the new id
+		unavailable bool   // the store
+		want        ident.Upstream
+	}{
+		{"removed here", `{"Former":"u1","New":"u2","Age":"100ms"}`, true, false, "u1"},
+		{"removed here, told by an earlier build", `{"Former":"u1","New":"u2"}`, true, false, "u1"},
+		{"never seen, told at once", `{"Former":"u1","New":"u2","Age":"100ms"}`, false, false, "u2"},
+		{"never seen, told late", `{"Former":"u1","New":"u2","Age":"1.9s"}`, false, false, "u1"},
+		{"never seen, told by an earlier build", `{"Former":"u1","New":"u2"}`, false, false, "u1"},
+		{"told late during an outage", `{"Former":"u1","New":"u2","Age":"1.9s"}`, false, true, "u2"},
+		{"told by an earlier build during an outage", `{"Former":"u1","New":"u2"}`, false, true, "u2"},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			e := New(settings.Edge{Name: "i", Domain: "a", PeerListen: "127.0.0.1:1"}, Ports{}, []byte("s"), timer.New(), zerolog.Nop())
+			defer e.exchange.Close()
+			now := e.timer.Now()
+			u := directory.Upstream{ID: "u1", Service: "s", Address: "192.0.2.1:1", Domain: "a", Revision: 1}
+			e.registry.Set(u)
+			if tc.seen {
+				u.ID, u.Revision = "u2", 2
+				e.registry.Set(u)
+				e.registry.Remove("u2", 3, now)
+			}
+			e.registry.SetStoreUnavailable(tc.unavailable, now)
+			var told restart
+			if err := json.Unmarshal([]byte(tc.told), &told); err != nil {
+				t.Fatal(err)
+			}
+			e.applyRestarts([]restart{told}, "127.0.0.1:2", now)
+			if got := e.registry.ByAddress(u.Address).ID; got != tc.want {
+				t.Errorf("registered: got %s, want %s", got, tc.want)
+			}
+		})
+	}
+}
+
+// TestRestartAgeTold guards against a restart that each relay tells as a new one.
+func TestRestartAgeTold(t *testing.T) {
+	e := New(settings.Edge{Name: "i", Domain: "a", PeerListen: "127.0.0.1:1"}, Ports{}, []byte("s"), timer.New(), zerolog.Nop())
+	defer e.exchange.Close()
+	now := e.timer.Now()
+	e.registry.Set(directory.Upstream{ID: "u1", Service: "s", Address: "192.0.2.1:1", Domain: "a", Revision: 1})
+	age := unit.Duration(time.Second)
+	e.applyRestarts([]restart{{Former: "u1", New: "u2", Age: &age}}, "127.0.0.1:2", now)
+	got := e.newDigest(now.Add(restartRelayTime / 2)).Restarts
+	if want := time.Second + restartRelayTime/2; len(got) != 1 || got[0].Age == nil || got[0].Age.Std() != want {
+		t.Errorf("restarts told: got %v, want one of age %v", got, want)
+	}
+}
--- a/explain/report.go
+++ b/explain/report.go
@@ -40,7 +40,7 @@
 // upstreamEvents are events that may affect the requests sent to their upstream.
 var upstreamEvents = []string{
 	"upstream health changed", "upstream removed", "upstream registered", "engine died alone while it ran the request", "engine crashed while it ran the request", "lost run is no evidence of a crash",
-	"upstream did not register again after the outage", "limit of upstream changed", "limit named by the upstream ignored",
+	"upstream did not register again after the outage", "upstream did not register after its restart", "limit of upstream changed", "limit named by the upstream ignored",
 }
 
 // maxLineBytes is the largest length of a log line in bytes.
--- a/registry/changes.go
+++ b/registry/changes.go
@@ -16,6 +16,9 @@
 	Lapsed    []ident.Upstream     `json:",omitempty"` // ids of those that are kept for their grace period
 	// LapsedFor is what is left of these periods. Instances of earlier builds do not send it.
 	LapsedFor map[ident.Upstream]unit.Duration `json:",omitempty"`
+	// Restarted are those that were found by probes and that the store has not listed, with the time since then.
+	// Instances of earlier builds do not send it.
+	Restarted map[ident.Upstream]unit.Duration `json:",omitempty"`
 }
 
 // Since returns the changes since a revision.
@@ -31,6 +34,9 @@
 		if l, ok := r.lapsed[u.ID]; ok {
 			c.addLapsed(u.ID, r.left(l, now))
 		}
+		if found, ok := r.restarted[u.ID]; ok {
+			c.addRestarted(u.ID, now.Sub(found))
+		}
 	}
 	return c
 }
@@ -52,6 +58,25 @@
 	c.LapsedFor[id] = unit.Duration(left)
 }
 
+// addRestarted adds an entry that the store has not listed, which was found at an age ago.
+func (c *Changes) addRestarted(id ident.Upstream, age time.Duration) {
+	if c.Restarted == nil {
+		c.Restarted = make(map[ident.Upstream]unit.Duration)
+	}
+	c.Restarted[id] = unit.Duration(age)
+}
+
+// listed returns the ids of the entries that the store lists, and those that are kept for a grace period.
+func (c Changes) listed() map[ident.Upstream]bool {
+	listed := make(map[ident.Upstream]bool, len(c.All))
+	for _, id := range c.All {
+		if _, restarted := c.Restarted[id]; !restarted {
+			listed[id] = true
+		}
+	}
+	return listed
+}
+
 // Merge applies the changes that another instance knew at a revision when it was asked. That instance could
 // read the store, so what it does not list was removed, unless this instance has just had an outage itself.
 // What it keeps for a grace period is kept here until the same time.
@@ -59,17 +84,20 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.enterEra(at, now)
-	listed := make(map[ident.Upstream]bool, len(c.All))
-	for _, id := range c.All {
-		listed[id] = true
-	}
+	listed := c.listed()
 	for _, u := range c.Upstreams {
-		r.set(u)
+		if age, restarted := c.Restarted[u.ID]; restarted {
+			r.setRestarted(u, asked.Add(-age.Std()))
+		} else {
+			r.set(u)
+		}
 	}
 	var out Removals
 	for id, old := range r.upstreams {
+		_, unlisted := r.restarted[id]
+		_, restarted := c.Restarted[id]
 		switch {
-		case listed[id] || old.Revision > at:
+		case listed[id] || unlisted && restarted || old.Revision > at:
 		case r.unavailable:
 			r.drop(id, at, now)
 			out.Gone = append(out.Gone, id)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -15,6 +15,9 @@
 // so. Only another run of the upstream takes that back: an entry of the same run that says otherwise is
 // older than the answer.
 //
+// While the store is away, an upstream that has started again is registered under the id that a probe found. The store
+// has not listed it, so it is kept only while that may still happen.
+//
 // The store may also come back from an older copy, which shows a new era in its versions. What the
 // copy says of upstreams that were known to leave or to be gone is not believed until they write
 // again.
@@ -64,12 +67,13 @@
 	lapsed      map[ident.Upstream]lapse   // entries removed during an outage
 	removed     map[ident.Upstream]removal // entries removed within removalMemory
 	leaving     map[ident.Upstream]departure
-	unavailable bool          // the store cannot be read
-	outageEnd   time.Time     // end of the last outage
-	currentFrom time.Time     // end of the last outage that made the knowledge of the store too old
-	copied      store.Version // first version known of the present era; 0 in the first era known
-	era         uint64        // of the store
-	eraKnown    bool          // era is set
+	restarted   map[ident.Upstream]time.Time // entries that the store has not listed, and when their restart was found
+	unavailable bool                         // the store cannot be read
+	outageEnd   time.Time                    // end of the last outage
+	currentFrom time.Time                    // end of the last outage that made the knowledge of the store too old
+	copied      store.Version                // first version known of the present era; 0 in the first era known
+	era         uint64                       // of the store
+	eraKnown    bool                         // era is set
 }
 
 // lapse is the removal of an entry that may have expired because of an outage.
@@ -106,6 +110,7 @@
 		lapsed:    make(map[ident.Upstream]lapse),
 		removed:   make(map[ident.Upstream]removal),
 		leaving:   make(map[ident.Upstream]departure),
+		restarted: make(map[ident.Upstream]time.Time),
 	}
 }
 
@@ -159,12 +164,14 @@
 	if l, ok := r.lapsed[u.ID]; ok && l.at >= u.Revision {
 		if u.Draining { // it had left when its entry disappeared
 			r.upstreams[u.ID] = u
+			delete(r.restarted, u.ID)
 		}
 		return
 	}
 	r.upstreams[u.ID] = u
 	delete(r.lapsed, u.ID)
 	delete(r.removed, u.ID)
+	delete(r.restarted, u.ID)
 }
 
 // noteDeparture records what the entry of an upstream says about its leaving, and reports whether this
@@ -296,6 +303,7 @@
 	}
 	delete(r.upstreams, id)
 	delete(r.lapsed, id)
+	delete(r.restarted, id)
 	if born == 0 {
 		delete(r.leaving, id) // its runs cannot be told apart
 	}
@@ -328,44 +336,6 @@
 	return r.unavailable
 }
 
-// RecordRestart records that the upstream with the former id has restarted under a new id at
-// the same address, before the store shows it. It returns false if the store has a newer
-// entry for the address, or if the former id is unknown or leaving.
-func (r *Registry) RecordRestart(former, id ident.Upstream, now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	u, ok := r.upstreams[former]
-	if !ok || u.Draining || r.byAddress(u.Address).ID != former {
-		return false
-	}
-	if _, known := r.upstreams[id]; known {
-		return false
-	}
-	u.ID = id
-	u.Born = 0
-	if r.severalBuilds(u.Service) {
-		u.Build = "" // the new process may be of any of them
-	}
-	r.drop(former, u.Revision, now)
-	r.upstreams[id] = u
-	return true
-}
-
-// severalBuilds reports whether the upstreams of a service have different builds. r.mu must be held.
-func (r *Registry) severalBuilds(service ident.Service) bool {
-	var build *ident.Build
-	for _, u := range r.upstreams {
-		if u.Service != service {
-			continue
-		}
-		if build != nil && *build != u.Build {
-			return true
-		}
-		build = &u.Build
-	}
-	return false
-}
-
 // ByAddress returns the upstream that registered last at an address. Its ID is empty if there
 // is none.
 func (r *Registry) ByAddress(address string) directory.Upstream {
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -26,15 +26,16 @@
 //	replaced ID REVISION yes|no its entry names no upstream any more; whether it was registered
 //	replace REVISION [ID ...]   the contents of the store; entries keep their address
 //	merge REVISION [ID ...]     the ids known to another instance; lapsed ones follow a "/", as ID or ID=MS with
-//	                            what is left of the grace period
+//	                            what is left of the grace period; ID~MS was found by a probe that long ago
 //	known MS                    the time up to which all changes are applied
 //	left ID MS                  checks what is told to others of the grace period of an entry
-//	update ID REVISION         changes what replace and merge give for an entry, here not known yet
+//	update ID REVISION [ADDRESS] changes what replace and merge give for an entry, here not known yet
 //	outage                     the end of a short outage
 //
 // A REVISION may be ERA:REVISION.
 //
-//	restart FORMER ID yes|no    a restart that the store does not show yet
+//	restart FORMER ID yes|no [found=MS|found=unknown]
+//	                            a restart that the store does not show yet, found now if the line does not say when
 //	expire
 //	want [ID ...]               checks the list of upstreams
 //	want-leaving [ID ...]       checks which of them are leaving
@@ -107,7 +108,11 @@
 			if i := slices.Index(ids, "/"); i >= 0 {
 				ids, lapsed = ids[:i], ids[i+1:]
 			}
-			for _, id := range ids {
+			for _, text := range ids {
+				id, age, restarted := strings.Cut(text, "~")
+				if restarted {
+					c.addRestarted(ident.Upstream(id), time.Duration(number(t, age))*time.Millisecond)
+				}
 				c.Upstreams = append(c.Upstreams, known[ident.Upstream(id)])
 				c.All = append(c.All, ident.Upstream(id))
 			}
@@ -136,15 +141,25 @@
 		case "update":
 			u := known[ident.Upstream(w[1])]
 			u.Revision = version(t, w[2])
+			if len(w) > 3 {
+				u.ID, u.Address = ident.Upstream(w[1]), w[3]
+			}
 			known[u.ID] = u
 		case "outage":
 			r.RecordOutage(now)
 		case "restart":
-			if got := r.RecordRestart(ident.Upstream(w[1]), ident.Upstream(w[2]), now); got != (w[3] == "yes") {
+			found := now
+			for _, option := range w[4:] {
+				if found = (time.Time{}); option != "found=unknown" {
+					found = start.Add(time.Duration(number(t, strings.TrimPrefix(option, "found="))) * time.Millisecond)
+				}
+			}
+			if got := r.RecordRestart(ident.Upstream(w[1]), ident.Upstream(w[2]), found, now); got != (w[3] == "yes") {
 				t.Errorf("line %d: RecordRestart: got %v, want %s", n+1, got, w[3])
 			}
 		case "expire":
 			r.Expire(now)
+			r.ExpireRestarted(now)
 		case "want", "want-leaving":
 			var got []string
 			for _, u := range r.All() {
@@ -194,7 +209,7 @@
 		r.Set(directory.Upstream{ID: "a", Service: "s", Address: "1:1", Build: "v1", Revision: 1})
 		r.Set(directory.Upstream{ID: "b", Service: "s", Address: "2:1", Build: tc.other, Revision: 2})
 		r.Set(directory.Upstream{ID: "c", Service: "t", Address: "3:1", Build: "v3", Revision: 3})
-		if !r.RecordRestart("a", "d", now) {
+		if !r.RecordRestart("a", "d", now, now) {
 			t.Fatal("RecordRestart: got false, want true")
 		}
 		if got := r.ByAddress("1:1"); got.ID != "d" || got.Build != tc.want {
