exchange, registry: clearer names; news of a restart without an age counts as old

Request.Unused is NewConnection, and says what it is for. RecordRestart keeps that the time of a restart is not known, in place of the time at which the news came: after an outage such an upstream has the grace period and no more. Only news from instances of an earlier build has no age. TestScripts of registry and the tests of restarts in edge pass.

--- a/dispatch/copy.go
+++ b/dispatch/copy.go
@@ -184,8 +184,9 @@
 	if !k.d.mayUse(run, now) {
 		return "", errNoBuild
 	}
+	// The answer does not name the run, and a late one for another run would name that run's copy.
 	target, body := k.d.protocol.CopyRequest(work.Move{Run: k.w.ID, To: to})
-	r := &exchange.Request{Method: http.MethodPost, Target: target, Body: body, Unused: true} // the name must not be that of another run
+	r := &exchange.Request{Method: http.MethodPost, Target: target, Body: body, NewConnection: true}
 	status, answer, err := k.d.callUpstream(ctx, run.Address, r, now.Add(copyTimeout))
 	if err != nil {
 		return "", err
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -74,7 +74,7 @@
 const maxCallAnswer = 64 << 10
 
 // callUpstream makes a call that is not on behalf of a caller, and returns the status and
-// the body of the answer. The answer does not name the call, so a call whose answer matters sets Unused in r.
+// the body of the answer. The answer does not name the call, so a call whose answer matters sets NewConnection in r.
 func (d *Dispatcher) callUpstream(ctx context.Context, address string, r *exchange.Request, until time.Time) (int, []byte, error) {
 	ctx, cancel := d.withDeadline(ctx, until)
 	defer cancel()
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -148,7 +148,7 @@
 
 // connect returns a usable idle connection, or a new one, as r asks for.
 func (c *Client) connect(ctx context.Context, address string, r *Request) (*conn, error) {
-	for !r.Unused {
+	for !r.NewConnection {
 		cn := c.takeIdle(address)
 		if cn == nil {
 			break
--- a/exchange/types.go
+++ b/exchange/types.go
@@ -42,9 +42,9 @@
 	MaxBody int64
 	// Fresh asks for a new connection, or one that was in use within Settings.FreshTime.
 	Fresh bool
-	// Unused asks for a new connection, on which no answer to an earlier request can arrive. A request that its
-	// answer does not name needs one if it matters whose answer it gets.
-	Unused bool
+	// NewConnection asks for a connection on which nothing was sent before, so that no answer to an earlier request
+	// can arrive. A request that its answer does not name needs one if it matters whose answer it gets.
+	NewConnection bool
 	// IsAnswer reports from the header of an answer whether it answers this request. If it is nil,
 	// every answer does.
 	IsAnswer func(h http.Header) bool
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -67,7 +67,7 @@
 	lapsed      map[ident.Upstream]lapse   // entries removed during an outage
 	removed     map[ident.Upstream]removal // entries removed within removalMemory
 	leaving     map[ident.Upstream]departure
-	restarted   map[ident.Upstream]time.Time // entries that the store has not listed, and when their restart was found
+	restarted   map[ident.Upstream]time.Time // when a probe found them; entries that the store has not listed
 	unavailable bool                         // the store cannot be read
 	outageEnd   time.Time                    // end of the last outage
 	currentFrom time.Time                    // end of the last outage that made the knowledge of the store too old
--- a/registry/restart.go
+++ b/registry/restart.go
@@ -8,9 +8,9 @@
 )
 
 // RecordRestart records that the upstream with the former id has restarted under a new id at
-// the same address, before the store shows it. found is when a probe found it, or zero if that is not known. It returns
-// false if the store has a newer entry for the address, if the former id is unknown or leaving, if the new one was
-// removed, or if it was found too long ago for the store not to list it.
+// the same address, before the store shows it. found is when a probe found it, or zero if that is not known, which
+// counts as long ago. It returns false if the store has a newer entry for the address, if the former id is unknown or
+// leaving, if the new one was removed, or if it was found too long ago for the store not to list it.
 func (r *Registry) RecordRestart(former, id ident.Upstream, found, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -31,15 +31,13 @@
 	}
 	r.drop(former, u.Revision, now)
 	r.upstreams[id] = u
-	if found.IsZero() {
-		found = now
-	}
 	r.restarted[id] = found
 	return true
 }
 
-// unlistedUntil returns until when an upstream may be used that the store does not list, while the store can be read. A
-// probe that it answered shows that it had not left, so its removal cannot take effect before that. r.mu must be held.
+// unlistedUntil returns until when an upstream that was found by a probe may be used although the store does not list
+// it. When it answered the probe it had not left, so it need not be out of use before one that left at that moment.
+// r.mu must be held.
 func (r *Registry) unlistedUntil(found time.Time) time.Time {
 	until := found.Add(r.cfg.Drain - lapseMargin)
 	if grace := r.currentFrom.Add(r.cfg.GracePeriod); grace.After(until) {
